--- /dev/null
+++ b/crates/domain/src/lib.rs
@@ -0,0 +1,16 @@
+//! The words of the fleet: typed ids, the VM aggregate, configuration heads and the closed list of error kinds.
+//!
+//! This crate does no I/O and reads no clock.
+
+mod error_kind;
+mod head;
+mod ids;
+mod vm;
+
+pub use error_kind::{ErrorKind, Outcome};
+pub use head::{ConfigHead, FleetHead};
+pub use ids::{
+    BadId, EntryVmId, Epoch, FleetSeq, Incarnation, OpId, PoolId, PresetId, RackId, ServiceId,
+    Term, VmId, ZoneId,
+};
+pub use vm::{VmError, VmRecord, VmState};
--- /dev/null
+++ b/crates/test-support/src/lib.rs
@@ -0,0 +1,22 @@
+//! Stand-ins for what trefoilpass meets: the platform, the targets, bad networks and callers. Never part of a
+//! shipped program.
+
+mod fault_proxy;
+mod fleet;
+mod load;
+mod platform_stand_in;
+mod platform_store;
+mod ports;
+mod processes;
+mod target_server;
+mod targets;
+
+pub use fault_proxy::{FaultProxy, ProxyFault};
+pub use fleet::{FleetSpec, entry_settings_yaml};
+pub use load::{Load, LoadReport, Outcomes};
+pub use platform_stand_in::PlatformStandIn;
+pub use platform_store::{Faults, PlatformStore};
+pub use ports::free_addrs;
+pub use processes::{Daemon, program};
+pub use target_server::serve_targets_admin;
+pub use targets::{Run, TargetFault, TargetStats, Targets};
--- /dev/null
+++ b/crates/test-support/src/processes.rs
@@ -0,0 +1,101 @@
+//! Daemons as child processes, which end with their handle.
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+
+/// The path of a program that was built beside this one.
+///
+/// # Panics
+/// When this program's own path is not known.
+#[must_use]
+pub fn program(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("this program's path");
+    own.with_file_name(name)
+}
+
+/// A daemon in a process of its own.
+#[derive(Debug)]
+pub struct Daemon {
+    child: Child,
+    settings: PathBuf,
+}
+
+impl Daemon {
+    /// Starts a daemon with these settings. Its log goes to `log`, or nowhere.
+    ///
+    /// # Panics
+    /// When the process can't be started.
+    #[must_use]
+    pub fn start(program: &Path, settings_yaml: &str, log: Stdio) -> Self {
+        let number: u64 = rand::random();
+        let name = format!("trefoilpass-{}-{number:016x}.yaml", std::process::id());
+        let settings = std::env::temp_dir().join(name);
+        std::fs::write(&settings, settings_yaml).expect("a settings file");
+        let child = Command::new(program)
+            .arg("--config")
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("a daemon");
+        Self { child, settings }
+    }
+
+    /// The process's id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        // A process that has ended already is what was asked for.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks the process to end in order.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Stops the process from running, as when its VM is paused.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets the process run again.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        // It fails only when the process has ended.
+        let _ = kill_process(pid, signal);
+    }
+
+    /// Waits for the process's end; `None` when it has not come in time.
+    pub async fn wait(&mut self, patience: Duration) -> Option<ExitStatus> {
+        let until = tokio::time::Instant::now() + patience;
+        while tokio::time::Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        None
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+        // A file that is gone already is what was asked for.
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
--- /dev/null
+++ b/crates/trefoilpassd/src/control/steward_duties.rs
@@ -0,0 +1,147 @@
+//! The steward's work: leaving VMs are stopped when nothing is in flight, and waves go on.
+
+use std::time::Duration;
+
+use domain::{VmId, VmState};
+use maintenance::{StopDecision, Wave, WaveStep};
+use platform::Platform;
+
+use crate::control::changes::{Result, SideWrite};
+use crate::control::leaving::{as_rule_input, drained, leave_rule, wrong_state};
+use crate::control::operator_server::{MAX_WAVES, read_wave};
+use crate::control::reports::{self, Listed};
+use crate::control::rows;
+use crate::control::steward_actor::StewardActor;
+
+impl<P: Platform> StewardActor<P> {
+    /// Stops the leaving VMs to which nothing is in flight any more.
+    pub(crate) async fn finish_leaving(&mut self) {
+        let in_force = self.shared.in_force();
+        let leaving = in_force
+            .records
+            .iter()
+            .filter(|(_, r)| r.state == VmState::Leaving);
+        let leaving: Vec<_> = leaving.map(|(vm, _)| vm.clone()).collect();
+        self.marks_seen_us.retain(|vm, _| leaving.contains(vm));
+        for vm in leaving {
+            if let Err(err) = self.finish_leaving_of(&vm).await {
+                log::debug!("VM {vm} is not stopped yet: {err:?}");
+            }
+        }
+    }
+
+    async fn finish_leaving_of(&mut self, vm: &VmId) -> Result<()> {
+        let now_us = self.shared.clock.now_us();
+        let seen_us = *self.marks_seen_us.entry(vm.clone()).or_insert(now_us);
+        let in_force = self.shared.in_force();
+        let rule = leave_rule(&in_force, vm)?;
+        let replies = self
+            .changes
+            .ask_all(vm, Duration::ZERO, Some(in_force.fleet_seq))
+            .await;
+        let mark_age_us = now_us.saturating_sub(seen_us);
+        let decision = rule.may_stop(mark_age_us, as_rule_input(&replies));
+        if decision != StopDecision::Stop {
+            return Ok(());
+        }
+        let fence = [self.fence()];
+        let stopped = self.changes.change_vm(vm, &fence, |_, record| {
+            let stopped = record.stopped().map_err(wrong_state)?;
+            if record.move_to.is_some() {
+                // A VM that changes pool serves there at once.
+                return stopped.returned().map_err(wrong_state);
+            }
+            Ok(stopped)
+        });
+        stopped.await.map(|_| ())
+    }
+
+    /// Takes the next steps of all open waves.
+    pub(crate) async fn advance_waves(&mut self) {
+        let listed = self.shared.platform.list(rows::WAVES, "", MAX_WAVES).await;
+        let waves = listed.unwrap_or_default();
+        let waves: Vec<_> = waves.iter().filter_map(read_wave).collect();
+        if !waves.iter().any(|(wave, _)| wave.is_open()) {
+            return;
+        }
+        let Ok(vms) = self.shared.platform.list_vms().await else {
+            return;
+        };
+        let listed: Listed = vms.into_iter().map(|vm| (vm.vm.clone(), vm)).collect();
+        for (wave, version) in waves {
+            if wave.is_open()
+                && let Err(err) = self.advance_wave(&wave, version, &listed).await
+            {
+                log::debug!("wave {} waits: {err:?}", wave.id);
+            }
+        }
+    }
+
+    /// Takes one step of a wave; the others follow when the wave was read again.
+    async fn advance_wave(&mut self, wave: &Wave, version: u64, listed: &Listed) -> Result<()> {
+        let in_force = self.shared.in_force();
+        let ledger = reports::ledger(&in_force, &wave.pool, listed)?;
+        let mut wave = wave.clone();
+        let mut version = version;
+        for step in wave.next_steps(&ledger) {
+            wave = self.take_step(&wave, version, &step).await?;
+            // Every step writes the row once.
+            let row = self.changes.read(&rows::wave(&wave.id)).await?;
+            version = row.map_or(0, |row| row.version);
+        }
+        Ok(())
+    }
+
+    async fn take_step(&mut self, wave: &Wave, version: u64, step: &WaveStep) -> Result<Wave> {
+        match step {
+            WaveStep::Drain(vm) => {
+                let next = wave.after_drain(vm);
+                let writes = [self.fence(), side_write(&next, version)];
+                let drain = |in_force: &_, record: &_| drained(in_force, vm, record);
+                self.changes.begin_leaving(vm, &writes, drain).await?;
+                Ok(next)
+            }
+            WaveStep::Reboot(vm) => {
+                let op = reboot_op(wave, vm)?;
+                let rebooted = self.shared.platform.reboot(vm, &op).await;
+                let boots = rebooted.map_err(crate::control::changes::from_platform)?;
+                let next = wave.after_reboot(vm, boots);
+                self.write_wave(&next, version).await?;
+                Ok(next)
+            }
+            WaveStep::Return(vm) => {
+                let next = wave.after_return(vm);
+                let writes = [self.fence(), side_write(&next, version)];
+                let returned = self.changes.change_vm(vm, &writes, |_, record| {
+                    record.returned().map_err(wrong_state)
+                });
+                returned.await?;
+                Ok(next)
+            }
+        }
+    }
+
+    async fn write_wave(&self, wave: &Wave, version: u64) -> Result<()> {
+        let fence = self.fence();
+        let key = rows::wave(&wave.id);
+        let transaction = platform::Transaction::new(self.shared.next_op())
+            .with_condition(fence.key, fence.version)
+            .with_condition(key.clone(), version)
+            .with_write(key, wave);
+        self.changes.write(transaction).await.map(|_| ())
+    }
+}
+
+fn side_write(wave: &Wave, version: u64) -> SideWrite {
+    SideWrite {
+        key: rows::wave(&wave.id),
+        version,
+        value: serde_json::to_value(wave).ok(),
+    }
+}
+
+/// The same for every steward, so that a VM is rebooted once in a wave.
+fn reboot_op(wave: &Wave, vm: &VmId) -> Result<domain::OpId> {
+    let text = format!("{}.{vm}", wave.id);
+    domain::OpId::new(&text).map_err(|err| peer::OperatorError::BadInput(err.to_string()))
+}
--- /dev/null
+++ b/crates/trefoilpassd/src/control/sweep.rs
@@ -0,0 +1,110 @@
+//! Removes rows that nobody needs any more.
+
+use domain::FleetSeq;
+use once::ClaimRow;
+use platform::{Commit, Platform, RowEntry, Transaction};
+
+use crate::clock::unix_time_s;
+use crate::control::rows::{self, OpRow};
+use crate::control::steward_actor::StewardActor;
+
+/// How often a page of each kind is looked at.
+const SWEEP_PERIOD_US: u64 = 10_000_000;
+
+/// Rows looked at, of each kind.
+const PAGE_ROWS: usize = 200;
+
+/// How long the row of a write is kept.
+const KEEP_OP_S: u64 = 3_600;
+
+/// How long a claim is kept; a key that is used again after that counts as a new one.
+const KEEP_CLAIM_S: u64 = 24 * 3_600;
+
+/// Changes kept for daemons that catch up.
+const KEEP_CHANGES: u64 = 200;
+
+/// Where the sweep stands.
+#[derive(Debug)]
+pub(crate) struct Sweep {
+    last_us: u64,
+    after: [String; 3],
+}
+
+impl Sweep {
+    pub(crate) fn new() -> Self {
+        Self {
+            last_us: 0,
+            after: Default::default(),
+        }
+    }
+}
+
+impl<P: Platform> StewardActor<P> {
+    /// Looks at the next page of each kind when it is time to.
+    pub(crate) async fn sweep(&mut self) {
+        let now_us = self.shared.clock.now_us();
+        if now_us.saturating_sub(self.sweep.last_us) < SWEEP_PERIOD_US {
+            return;
+        }
+        self.sweep.last_us = now_us;
+        let unix_time_s = unix_time_s();
+        let seq = self.shared.view().fleet_seq;
+        self.sweep_kind(0, rows::OPS, |entry| is_old_op(entry, unix_time_s))
+            .await;
+        self.sweep_kind(1, rows::CHANGES, |entry| is_old_change(entry, seq))
+            .await;
+        self.sweep_kind(2, rows::CLAIMS, |entry| is_old_claim(entry, unix_time_s))
+            .await;
+    }
+
+    async fn sweep_kind(&mut self, kind: usize, prefix: &str, is_old: impl Fn(&RowEntry) -> bool) {
+        let after = self.sweep.after[kind].clone();
+        let Ok(page) = self.shared.platform.list(prefix, &after, PAGE_ROWS).await else {
+            return;
+        };
+        // Past the last row the sweep starts over.
+        self.sweep.after[kind] = page
+            .last()
+            .map_or_else(String::new, |entry| entry.key.clone());
+        let fence = self.fence();
+        let mut removal =
+            Transaction::new(self.shared.next_op()).with_condition(fence.key, fence.version);
+        for entry in page.iter().filter(|entry| is_old(entry)) {
+            let version = entry.row.as_ref().map_or(0, |row| row.version);
+            removal = removal
+                .with_condition(entry.key.clone(), version)
+                .with_removal(entry.key.clone());
+        }
+        if removal.writes.is_empty() {
+            return;
+        }
+        let removed = self.shared.platform.transact(&removal).await;
+        if removed != Ok(Commit::Committed) {
+            log::debug!("rows under {prefix} were not removed; they come up again");
+        }
+    }
+}
+
+fn is_old_op(entry: &RowEntry, unix_time_s: u64) -> bool {
+    let row = entry
+        .row
+        .as_ref()
+        .and_then(|row| row.read::<OpRow>(&entry.key).ok());
+    row.is_some_and(|row| row.made_at_s + KEEP_OP_S < unix_time_s)
+}
+
+fn is_old_change(entry: &RowEntry, newest: FleetSeq) -> bool {
+    let seq = entry
+        .key
+        .strip_prefix(rows::CHANGES)
+        .and_then(|seq| seq.parse::<u64>().ok());
+    seq.is_some_and(|seq| seq + KEEP_CHANGES < newest.0)
+}
+
+fn is_old_claim(entry: &RowEntry, unix_time_s: u64) -> bool {
+    let row = entry
+        .row
+        .as_ref()
+        .and_then(|row| row.read::<ClaimRow>(&entry.key).ok());
+    row.is_some_and(|row| row.claimed_at_s + KEEP_CLAIM_S < unix_time_s)
+}
--- /dev/null
+++ b/crates/trefoilpassd/src/front/body.rs
@@ -0,0 +1,103 @@
+//! A caller's body: whole when it is small or has to be compared, streamed otherwise.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use domain::ErrorKind;
+use futures_util::{Stream, StreamExt, stream};
+use sync_wrapper::SyncStream;
+use warp::Buf;
+
+/// The result of reading a body.
+pub(crate) type Result<T> = std::result::Result<T, ErrorKind>;
+
+/// A body up to this size is read whole before anything is sent, so that it can be sent again.
+const MAX_WHOLE_BYTES: u64 = 64 * 1024;
+
+/// The longest pause between two parts of a body.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// A body that is ready to be sent.
+#[derive(Debug)]
+pub(crate) enum Body<S> {
+    /// All of it is here.
+    Whole(Bytes),
+    /// The start is here, the rest is still to come.
+    Streamed { start: Bytes, rest: S },
+}
+
+/// What the whole of a body is needed for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Need {
+    /// Nothing; a large one is streamed.
+    None,
+    /// A comparison with other requests.
+    Whole,
+}
+
+/// Reads a body, or its start.
+pub(crate) async fn read<S, B>(
+    mut parts: S,
+    need: Need,
+    max_bytes: u64,
+    until: tokio::time::Instant,
+) -> Result<Body<S>>
+where
+    S: Stream<Item = std::result::Result<B, warp::Error>> + Unpin,
+    B: Buf,
+{
+    let whole_limit = match need {
+        Need::None => MAX_WHOLE_BYTES.min(max_bytes),
+        Need::Whole => max_bytes,
+    };
+    let mut start = BytesMut::new();
+    loop {
+        let pause = tokio::time::Instant::now() + MAX_PAUSE;
+        let part = tokio::time::timeout_at(pause.min(until), parts.next()).await;
+        match part {
+            Err(_) => return Err(ErrorKind::BodyTooSlow),
+            Ok(Some(Err(_))) => return Err(ErrorKind::BodyIncomplete),
+            Ok(None) => return Ok(Body::Whole(start.freeze())),
+            Ok(Some(Ok(mut part))) => {
+                start.extend_from_slice(&part.copy_to_bytes(part.remaining()));
+            }
+        }
+        let read_bytes = start.len() as u64;
+        if read_bytes > max_bytes {
+            return Err(ErrorKind::BodyTooLarge);
+        }
+        if read_bytes > whole_limit {
+            let start = start.freeze();
+            return Ok(Body::Streamed { start, rest: parts });
+        }
+    }
+}
+
+/// The body of a streamed request towards its target. It fails, and with it the request, when the caller stops
+/// or sends more than `max_bytes`.
+pub(crate) fn streamed<S, B>(start: Bytes, rest: S, max_bytes: u64) -> reqwest::Body
+where
+    S: Stream<Item = std::result::Result<B, warp::Error>> + Send + Unpin + 'static,
+    B: Buf + Send + 'static,
+{
+    let read_bytes = start.len() as u64;
+    let first = stream::once(async move { Ok(start) });
+    let rest = rest.scan(read_bytes, move |read_bytes, part| {
+        let part = checked(part, read_bytes, max_bytes);
+        async move { Some(part) }
+    });
+    reqwest::Body::wrap_stream(SyncStream::new(first.chain(rest)))
+}
+
+fn checked<B: Buf>(
+    part: std::result::Result<B, warp::Error>,
+    read_bytes: &mut u64,
+    max_bytes: u64,
+) -> std::io::Result<Bytes> {
+    let mut part = part.map_err(|_| std::io::ErrorKind::UnexpectedEof)?;
+    *read_bytes += part.remaining() as u64;
+    if *read_bytes > max_bytes {
+        return Err(std::io::ErrorKind::FileTooLarge.into());
+    }
+    Ok(part.copy_to_bytes(part.remaining()))
+}
