--- a/crates/domain/src/error_kind.rs
+++ b/crates/domain/src/error_kind.rs
@@ -78,8 +78,6 @@
     QueueFull, "queue-full", 503, NotRun, Some(1);
     /// No target of the service takes work.
     NoTarget, "no-target", 503, NotRun, Some(2);
-    /// This daemon is shutting down.
-    Draining, "draining", 503, NotRun, Some(1);
     /// This daemon has no configuration yet.
     NoConfiguration, "no-configuration", 503, NotRun, Some(2);
     /// The idempotency key belongs to another request.
--- /dev/null
+++ b/crates/maintenance/tests/wave.rs
@@ -0,0 +1,177 @@
+//! The availability budget and the order of a wave.
+
+use std::fmt::Write as _;
+
+use domain::{PoolId, RackId, VmId, VmState, ZoneId};
+use insta::assert_snapshot;
+use maintenance::{Ledger, LedgerVm, Wave, WaveState, WaveStep};
+
+const MIN_SERVING: u32 = 5;
+
+/// VMs of a pool by rack, all of them serving.
+fn vms(racks: &[usize]) -> Vec<LedgerVm> {
+    let mut vms = Vec::new();
+    for (rack, count) in racks.iter().enumerate() {
+        for number in 0..*count {
+            vms.push(LedgerVm {
+                id: VmId::new(&format!("r{rack}-{number}")).unwrap(),
+                zone: ZoneId::new("z1").unwrap(),
+                rack: RackId::new(&format!("r{rack}")).unwrap(),
+                state: VmState::Serving,
+                is_live: true,
+                boots: 1,
+            });
+        }
+    }
+    vms
+}
+
+fn check_allowance(racks: &[usize], down: usize, max_out_percent: u32, expected: usize) {
+    let mut vms = vms(racks);
+    let count = vms.len();
+    for vm in &mut vms[count - down..] {
+        vm.is_live = false;
+    }
+    let ledger = Ledger::new(vms, MIN_SERVING, max_out_percent);
+    assert_eq!(
+        ledger.planned_allowance(),
+        expected,
+        "{racks:?}, {down} down"
+    );
+}
+
+#[test]
+fn planned_work_takes_what_the_largest_failure_leaves() {
+    check_allowance(&[2, 2, 2, 2, 2], 0, 100, 3);
+    check_allowance(&[2, 2, 2, 2, 2], 0, 20, 2);
+    check_allowance(&[4, 4, 2], 0, 100, 1);
+    check_allowance(&[4, 4], 0, 100, 0);
+}
+
+#[test]
+fn unplanned_losses_spend_the_same_budget() {
+    check_allowance(&[2, 2, 2, 2, 2], 1, 20, 1);
+    check_allowance(&[2, 2, 2, 2, 2], 2, 20, 0);
+    check_allowance(&[2, 2, 2, 2, 2], 4, 100, 0);
+}
+
+fn wave(vms: &[LedgerVm]) -> Wave {
+    let ids = vms.iter().map(|vm| vm.id.clone());
+    Wave::new("w".into(), PoolId::new("parts").unwrap(), ids)
+}
+
+/// Runs a wave to its end, a step of every kind at a time, and tells the steps.
+fn run(racks: &[usize]) -> String {
+    let mut vms = vms(racks);
+    let mut wave = wave(&vms);
+    let mut log = String::new();
+    for _ in 0..100 {
+        let ledger = Ledger::new(vms.clone(), MIN_SERVING, 100);
+        let left = ledger.serving();
+        assert!(left >= MIN_SERVING as usize, "{left} serve");
+        let steps = wave.next_steps(&ledger);
+        if steps.is_empty() && !wave.is_open() {
+            return log;
+        }
+        let mut line = String::new();
+        for step in &steps {
+            let (WaveStep::Drain(id) | WaveStep::Reboot(id) | WaveStep::Return(id)) = step;
+            let vm = vms.iter_mut().find(|vm| vm.id == *id).unwrap();
+            let name = match step {
+                WaveStep::Drain(_) => {
+                    vm.state = VmState::Stopped;
+                    wave = wave.after_drain(id);
+                    "drain"
+                }
+                WaveStep::Reboot(_) => {
+                    vm.boots += 1;
+                    wave = wave.after_reboot(id, vm.boots);
+                    "reboot"
+                }
+                WaveStep::Return(_) => {
+                    vm.state = VmState::Serving;
+                    wave = wave.after_return(id);
+                    "return"
+                }
+            };
+            write!(line, "{name} {id}; ").unwrap();
+        }
+        writeln!(log, "{}", line.trim_end()).unwrap();
+    }
+    panic!("the wave does not end:\n{log}");
+}
+
+#[test]
+fn one_rack_at_a_time_the_fullest_first() {
+    assert_snapshot!(run(&[2, 3, 3, 2]), @"
+    drain r2-0; drain r2-1;
+    reboot r2-0; reboot r2-1;
+    return r2-0; return r2-1;
+    drain r1-0; drain r1-1;
+    reboot r1-0; reboot r1-1;
+    return r1-0; return r1-1;
+    drain r3-0; drain r3-1;
+    reboot r3-0; reboot r3-1;
+    return r3-0; return r3-1;
+    drain r0-0; drain r0-1;
+    reboot r0-0; reboot r0-1;
+    return r0-0; return r0-1;
+    drain r2-2;
+    reboot r2-2;
+    return r2-2;
+    drain r1-2;
+    reboot r1-2;
+    return r1-2;
+    ");
+}
+
+#[test]
+fn a_rebooted_vm_returns_when_the_platform_has_seen_its_new_start() {
+    let mut vms = vms(&[2, 3, 3]);
+    vms[0].state = VmState::Stopped;
+    let wave = wave(&vms)
+        .after_drain(&vms[0].id)
+        .after_reboot(&vms[0].id, 2);
+    let returns = |vms: &[LedgerVm]| {
+        let ledger = Ledger::new(vms.to_vec(), MIN_SERVING, 100);
+        wave.next_steps(&ledger)
+            .contains(&WaveStep::Return(vms[0].id.clone()))
+    };
+    assert!(
+        !returns(&vms),
+        "the list still shows the VM before its reboot"
+    );
+    vms[0].boots = 2;
+    vms[0].is_live = false;
+    assert!(!returns(&vms));
+    vms[0].is_live = true;
+    assert!(returns(&vms));
+}
+
+#[test]
+fn a_paused_wave_finishes_what_it_has_taken() {
+    let mut vms = vms(&[2, 3, 3]);
+    vms[0].state = VmState::Stopped;
+    let wave = wave(&vms).after_drain(&vms[0].id).paused().unwrap();
+    let ledger = Ledger::new(vms.clone(), MIN_SERVING, 100);
+    assert_eq!(
+        wave.next_steps(&ledger),
+        [WaveStep::Reboot(vms[0].id.clone())]
+    );
+    assert_eq!(wave.resumed().unwrap().state, WaveState::Running);
+}
+
+#[test]
+fn steps_of_operators_depend_on_the_state() {
+    let running = wave(&vms(&[2]));
+    assert_eq!(
+        running.resumed().unwrap_err().to_string(),
+        "wave `w` is running"
+    );
+    let aborted = running.aborted().unwrap();
+    assert_eq!(
+        aborted.paused().unwrap_err().to_string(),
+        "wave `w` is aborted"
+    );
+    assert!(!aborted.is_open());
+}
