--- a/crates/membership/src/freshness.rs
+++ b/crates/membership/src/freshness.rs
@@ -64,6 +64,12 @@
         self.as_of_us = None;
     }
 
+    /// The latest moment for which the view is known to have been the newest.
+    #[must_use]
+    pub fn as_of_us(&self) -> Option<u64> {
+        self.as_of_us
+    }
+
     /// How old the confirmation is; `None` without one.
     #[must_use]
     pub fn age_us(&self, now_us: u64) -> Option<u64> {
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what trefoilpass meets: the platform, the targets, bad networks and callers. Never part of a
 //! shipped program.
 
+mod cluster;
 mod fault_proxy;
 mod fleet;
 mod load;
@@ -11,6 +12,7 @@
 mod target_server;
 mod targets;
 
+pub use cluster::{Cluster, PATIENCE, Shape, ZoneShape};
 pub use fault_proxy::{FaultProxy, ProxyFault};
 pub use fleet::{FleetSpec, entry_settings_yaml};
 pub use load::{Load, LoadReport, Outcomes};
--- a/crates/test-support/src/target_server.rs
+++ b/crates/test-support/src/target_server.rs
@@ -8,12 +8,13 @@
 
 use bytes::Bytes;
 use domain::VmId;
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use rand::Rng;
+use sync_wrapper::SyncStream;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use warp::reply::{Reply, Response};
@@ -24,6 +25,9 @@
 /// How much longer a slow executor takes.
 const SLOW_FACTOR: u32 = 10;
 
+/// The pause between the two halves of a truncated answer, the second of which is the connection's end.
+const TRUNCATE_PAUSE: Duration = Duration::from_millis(50);
+
 /// How long an executor that hangs holds a request.
 const HANG: Duration = Duration::from_secs(3_600);
 
@@ -175,7 +179,6 @@
 async fn read(
     mut body: impl Stream<Item = Result<impl Buf, warp::Error>> + Unpin,
 ) -> Result<usize, warp::Error> {
-    use futures_util::StreamExt;
     let mut bytes = 0;
     while let Some(part) = body.next().await {
         bytes += part?.remaining();
@@ -221,19 +224,22 @@
     body.resize(body.len().max(asked.unwrap_or(0)), b'.');
     let length = body.len();
     let body = Bytes::from(body);
-    let parts = if fault == TargetFault::Truncate {
-        vec![
-            Ok(body.slice(..length / 2)),
-            Err(io::Error::other("truncated")),
-        ]
+    let is_truncated = fault == TargetFault::Truncate;
+    let first = if is_truncated {
+        body.slice(..length / 2)
     } else {
-        vec![Ok(body)]
+        body
     };
+    let broken = stream::iter(is_truncated.then_some(())).then(async |()| {
+        // The first half is on its way before the connection breaks.
+        tokio::time::sleep(TRUNCATE_PAUSE).await;
+        Err(io::Error::other("truncated"))
+    });
     // The request is in flight until its answer was taken off the stream.
-    let parts = parts.into_iter().inspect(move |_| {
+    let parts = stream::iter([Ok(first)]).chain(broken).inspect(move |_| {
         let _in_flight = &in_flight;
     });
-    let mut response = warp::reply::stream(stream::iter(parts)).into_response();
+    let mut response = warp::reply::stream(SyncStream::new(parts)).into_response();
     response
         .headers_mut()
         .insert("content-length", HeaderValue::from(length));
--- a/crates/trefoilpassd/src/control/leaving.rs
+++ b/crates/trefoilpassd/src/control/leaving.rs
@@ -59,7 +59,10 @@
             next(in_force, record)
         });
         let marked = marked.await;
-        if marked.is_err() {
+        if marked
+            .as_ref()
+            .is_err_and(|err| !matches!(err, OperatorError::OutcomeUnknown(_)))
+        {
             self.take_back(vm).await;
         }
         marked.map(|_| ())
--- a/crates/trefoilpassd/src/control/view_actor.rs
+++ b/crates/trefoilpassd/src/control/view_actor.rs
@@ -68,8 +68,14 @@
             self.ask_peers().await;
         }
         let now_us = shared.clock.now_us();
-        shared.change_in_force(|in_force| in_force.expire_holds(now_us));
-        let is_fresh = shared.freshness.lock().is_fresh(now_us);
+        let (as_of_us, is_fresh) = {
+            let freshness = shared.freshness.lock();
+            (
+                freshness.as_of_us().unwrap_or(0),
+                freshness.is_fresh(now_us),
+            )
+        };
+        shared.change_in_force(|in_force| in_force.expire_holds(as_of_us));
         shared
             .traffic
             .with(|router, _, _| router.set_view_is_fresh(is_fresh));
--- a/crates/trefoilpassd/src/front/body.rs
+++ b/crates/trefoilpassd/src/front/body.rs
@@ -14,16 +14,22 @@
 /// A body up to this size is read whole before anything is sent, so that it can be sent again.
 const MAX_WHOLE_BYTES: u64 = 64 * 1024;
 
+/// The most that is read of a refused request's body.
+const MAX_DISCARDED_BYTES: usize = 4 * 1024 * 1024;
+
+/// The longest time for that.
+const MAX_DISCARDING: Duration = Duration::from_millis(500);
+
 /// The longest pause between two parts of a body.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 
-/// A body that is ready to be sent.
-#[derive(Debug)]
-pub(crate) enum Body<S> {
-    /// All of it is here.
+/// What was read of a body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Body {
+    /// All of it.
     Whole(Bytes),
-    /// The start is here, the rest is still to come.
-    Streamed { start: Bytes, rest: S },
+    /// Its start; the rest is still to come.
+    Start(Bytes),
 }
 
 /// What the whole of a body is needed for.
@@ -37,11 +43,11 @@
 
 /// Reads a body, or its start.
 pub(crate) async fn read<S, B>(
-    mut parts: S,
+    parts: &mut S,
     need: Need,
     max_bytes: u64,
     until: tokio::time::Instant,
-) -> Result<Body<S>>
+) -> Result<Body>
 where
     S: Stream<Item = std::result::Result<B, warp::Error>> + Unpin,
     B: Buf,
@@ -67,12 +73,31 @@
             return Err(ErrorKind::BodyTooLarge);
         }
         if read_bytes > whole_limit {
-            let start = start.freeze();
-            return Ok(Body::Streamed { start, rest: parts });
+            return Ok(Body::Start(start.freeze()));
         }
     }
 }
 
+/// Reads and drops what is left of a refused request's body, within limits. A caller that is still sending would
+/// otherwise see its connection break and not the answer.
+pub(crate) async fn discard<S, B>(parts: &mut S)
+where
+    S: Stream<Item = std::result::Result<B, warp::Error>> + Unpin,
+    B: Buf,
+{
+    let discarding = async {
+        let mut read_bytes = 0;
+        while let Some(Ok(part)) = parts.next().await {
+            read_bytes += part.remaining();
+            if read_bytes > MAX_DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
+    // The answer goes out after this time in any case.
+    let _ = tokio::time::timeout(MAX_DISCARDING, discarding).await;
+}
+
 /// The body of a streamed request towards its target. It fails, and with it the request, when the caller stops
 /// or sends more than `max_bytes`.
 pub(crate) fn streamed<S, B>(start: Bytes, rest: S, max_bytes: u64) -> reqwest::Body
--- a/crates/trefoilpassd/src/front/exchange.rs
+++ b/crates/trefoilpassd/src/front/exchange.rs
@@ -19,6 +19,7 @@
 use crate::front::request::{Head, RawRequest};
 use crate::front::routes::Front;
 use crate::front::{attempt, keyed};
+use crate::shared::Shared;
 use crate::traces;
 
 /// The most attempts for one request.
@@ -52,7 +53,7 @@
 async fn try_serve<P, S, B>(
     front: &Arc<Front<P>>,
     raw: RawRequest,
-    parts: S,
+    mut parts: S,
     request_id: SmolStr,
 ) -> Result<Response>
 where
@@ -60,38 +61,58 @@
     S: Stream<Item = std::result::Result<B, warp::Error>> + Send + Unpin + 'static,
     B: Buf + Send + 'static,
 {
-    let shared = &front.shared;
-    let mut head = Head::read(shared, raw, request_id, shared.clock.now_us())?;
-    shared
-        .metrics
-        .requests
-        .with_label_values(&[head.service_id.as_str()])
-        .inc();
-    let need = if head.needs_claim() {
-        Need::Whole
-    } else {
-        Need::None
+    let (mut head, body) = match read(&front.shared, raw, &mut parts, request_id).await {
+        Ok(request) => request,
+        Err(kind) => {
+            if kind != ErrorKind::BodyTooSlow {
+                body::discard(&mut parts).await;
+            }
+            return Err(kind);
+        }
     };
-    let until = tokio::time::Instant::from_std(shared.clock.instant(head.deadline_us));
-    let body = body::read(parts, need, head.max_body_bytes, until).await?;
     match body {
         Body::Whole(body) if head.needs_claim() => keyed::serve(front, head, body).await,
         Body::Whole(body) => {
             let answer = send_whole(front, &head, &body).await?;
             Ok(pass_on(front, answer, &head))
         }
-        Body::Streamed { start, rest } => {
+        Body::Start(start) => {
             if let Some(body_bytes) = head.body_bytes {
                 // With the length, a target can tell a body that stops from a whole one.
                 head.headers.insert(CONTENT_LENGTH, body_bytes.into());
             }
-            let body = body::streamed(start, rest, head.max_body_bytes);
+            let body = body::streamed(start, parts, head.max_body_bytes);
             let answer = send_once(front, &head, body).await?;
             Ok(pass_on(front, answer, &head))
         }
     }
 }
 
+/// Reads a request's head, and its body as far as it is needed before anything is sent.
+async fn read<P, S, B>(
+    shared: &Shared<P>,
+    raw: RawRequest,
+    parts: &mut S,
+    request_id: SmolStr,
+) -> Result<(Head, Body)>
+where
+    P: Platform,
+    S: Stream<Item = std::result::Result<B, warp::Error>> + Unpin,
+    B: Buf,
+{
+    let head = Head::read(shared, raw, request_id, shared.clock.now_us())?;
+    let service = head.service_id.as_str();
+    shared.metrics.requests.with_label_values(&[service]).inc();
+    let need = if head.needs_claim() {
+        Need::Whole
+    } else {
+        Need::None
+    };
+    let until = tokio::time::Instant::from_std(shared.clock.instant(head.deadline_us));
+    let body = body::read(parts, need, head.max_body_bytes, until).await?;
+    Ok((head, body))
+}
+
 fn pass_on<P: Platform>(front: &Front<P>, answer: TargetAnswer, head: &Head) -> Response {
     let metrics = &front.shared.metrics;
     metrics.answers.inc();
--- a/crates/trefoilpassd/src/in_force.rs
+++ b/crates/trefoilpassd/src/in_force.rs
@@ -23,7 +23,7 @@
     pub(crate) fleet_seq: FleetSeq,
     /// Records that were changed since the document; other VMs serve in the document's pool.
     pub(crate) records: HashMap<VmId, VmRecord>,
-    /// VMs that get no new work until this time, because somebody is about to mark them as leaving.
+    /// VMs that get no new work, because somebody may mark them as leaving before this time.
     holds_until_us: HashMap<VmId, u64>,
 }
 
@@ -74,7 +74,7 @@
         true
     }
 
-    /// Sends nothing new to a VM until `until_us`.
+    /// Sends nothing new to a VM until a view tells whether it was marked before `until_us`.
     pub(crate) fn hold(&mut self, vm: VmId, until_us: u64) {
         let hold_us = self.holds_until_us.entry(vm).or_default();
         *hold_us = until_us.max(*hold_us);
@@ -84,10 +84,12 @@
         self.holds_until_us.remove(vm);
     }
 
-    /// Ends the holds whose time is over; true when there were any.
-    pub(crate) fn expire_holds(&mut self, now_us: u64) -> bool {
+    /// Ends the holds of VMs that were not marked in their time, as the view confirmed for `as_of_us` shows; true
+    /// when there were any. A daemon that is cut off keeps its holds, because the mark may be there.
+    pub(crate) fn expire_holds(&mut self, as_of_us: u64) -> bool {
         let before = self.holds_until_us.len();
-        self.holds_until_us.retain(|_, until_us| *until_us > now_us);
+        self.holds_until_us
+            .retain(|_, until_us| *until_us > as_of_us);
         before != self.holds_until_us.len()
     }
 
