--- a/crates/test-support/src/ports.rs
+++ b/crates/test-support/src/ports.rs
@@ -1,15 +1,23 @@
-//! Free ports on the loopback address.
+//! Addresses of the loopback network that nothing else uses.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 
-/// As many free addresses. They are all held at once and then let go, so that they differ.
+use rand::Rng;
+
+/// The first port given out. The ports are below those that connections going out take.
+const FIRST_PORT: u16 = 2_000;
+
+/// As many free addresses, with a loopback IP number of their own.
+///
+/// Nothing is bound to find out: a port that was bound and let go is not always free again at once.
 ///
 /// # Panics
-/// When the machine has no free ports.
+/// When more are asked for than there are ports.
 #[must_use]
 pub fn free_addrs(count: usize) -> Vec<SocketAddr> {
-    let listen = |_| TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let listeners: Vec<_> = (0..count).map(listen).collect();
-    let addr = |listener: &TcpListener| listener.local_addr().expect("a bound address");
-    listeners.iter().map(addr).collect()
+    let mut rng = rand::rng();
+    let mut octet = || rng.random_range(1..=250);
+    let ip = Ipv4Addr::new(127, octet(), octet(), octet());
+    let last_port = FIRST_PORT + u16::try_from(count).expect("as many ports as there are");
+    (FIRST_PORT..last_port).map(|port| SocketAddr::from((ip, port))).collect()
 }
--- a/crates/trefoilpassd/src/control/peer_actor.rs
+++ b/crates/trefoilpassd/src/control/peer_actor.rs
@@ -98,7 +98,7 @@
                         .lock()
                         .confirmed(own, digest.view, as_of_us);
                 }
-                self.take_in(digest);
+                self.take_in(digest).await;
             }
             Err(err) => {
                 self.shared.metrics.peer_failures.inc();
@@ -107,7 +107,7 @@
         }
     }
 
-    fn take_in(&mut self, digest: Digest) {
+    async fn take_in(&mut self, digest: Digest) {
         let shared = self.shared.clone();
         let now_us = shared.clock.now_us();
         let load = PeerLoad {
@@ -124,8 +124,8 @@
                 .with(|router, _, _| router.set_peer_load(&load));
         }
         if !shared.view().covers(view) {
-            // The mailbox is unbounded, so that the message can be left there.
-            drop(self.view.send(CatchUpFrom { peer }).detach());
+            // Only the hand-over to the mailbox is waited for.
+            let _ = self.view.send(CatchUpFrom { peer }).detach().await;
         }
         self.follow_states();
     }
@@ -169,7 +169,7 @@
 
     async fn handle(&mut self, message: Received, _: &mut Context<Self>) -> Digest {
         let reply = self.own_digest(&message.0.entry_vm);
-        self.take_in(message.0);
+        self.take_in(message.0).await;
         reply
     }
 }
--- a/crates/trefoilpassd/src/control/peer_server.rs
+++ b/crates/trefoilpassd/src/control/peer_server.rs
@@ -18,6 +18,7 @@
 use crate::control::changes::Changes;
 use crate::control::claim_actor::{Asked, ClaimActor};
 use crate::control::peer_actor::{PeerActor, Received};
+use crate::control::view_actor::CatchUpFrom;
 use crate::shared::Shared;
 
 /// Answers to peers.
@@ -78,10 +79,14 @@
         asked.map_err(|_| shutting_down())
     }
 
-    async fn news(&self, _from: EntryVmId, view: View) -> RpcResult<()> {
+    async fn news(&self, from: EntryVmId, view: View) -> RpcResult<()> {
+        let actor = &self.changes.view;
         if !self.shared.view().covers(view) {
-            let poll = self.changes.view.send(Poll);
-            poll.await.map_err(|_| shutting_down())?;
+            actor.send(Poll).await.map_err(|_| shutting_down())?;
+        }
+        if !self.shared.view().covers(view) {
+            let catch_up = actor.send(CatchUpFrom { peer: from });
+            catch_up.await.map_err(|_| shutting_down())?;
         }
         Ok(())
     }
