--- a/crates/test-support/src/ports.rs
+++ b/crates/test-support/src/ports.rs
@@ -19,5 +19,7 @@
     let mut octet = || rng.random_range(1..=250);
     let ip = Ipv4Addr::new(127, octet(), octet(), octet());
     let last_port = FIRST_PORT + u16::try_from(count).expect("as many ports as there are");
-    (FIRST_PORT..last_port).map(|port| SocketAddr::from((ip, port))).collect()
+    (FIRST_PORT..last_port)
+        .map(|port| SocketAddr::from((ip, port)))
+        .collect()
 }
--- a/crates/trefoilpassd/src/control/leaving.rs
+++ b/crates/trefoilpassd/src/control/leaving.rs
@@ -32,7 +32,8 @@
         side_writes: &[SideWrite],
         next: impl Fn(&InForce, &VmRecord) -> Result<VmRecord> + Sync,
     ) -> Result<()> {
-        // Mistakes are found before any daemon is asked.
+        // Mistakes are found before any daemon is asked, and not in a view that lags behind.
+        self.poll().await;
         let in_force = self.shared.in_force();
         let record = in_force.record(vm).ok_or_else(|| unknown_vm(vm))?;
         next(&in_force, &record)?;
