--- a/crates/maintenance/tests/leave.rs
+++ b/crates/maintenance/tests/leave.rs
@@ -9,7 +9,7 @@
 const LONGEST_US: u64 = 5 * S;
 
 /// Two daemons in the VM's zone, one in another.
-fn check(replies: [DaemonReply; 3], mark_age_us: u64) -> (Vec<String>, Vec<String>) {
+fn check(replies: &[DaemonReply; 3], mark_age_us: u64) -> (Vec<String>, Vec<String>) {
     let zone = |id| ZoneId::new(id).unwrap();
     let entry = |id| EntryVmId::new(id).unwrap();
     let names = [entry("own-1"), entry("own-2"), entry("other")];
@@ -18,7 +18,7 @@
         names
             .iter()
             .zip(&zones)
-            .zip(&replies)
+            .zip(replies)
             .map(|((id, zone), reply)| (id, zone, reply))
     };
     let rule = LeaveRule::new(zone("z1"), LONGEST_US);
@@ -37,14 +37,14 @@
 #[test]
 fn all_agreed_and_idle() {
     assert_eq!(
-        check([agreed(0), agreed(0), agreed(0)], 0),
+        check(&[agreed(0), agreed(0), agreed(0)], 0),
         (vec![], vec![])
     );
 }
 
 #[test]
 fn work_in_flight_holds_the_stop_and_not_the_mark() {
-    let (mark, stop) = check([agreed(1), agreed(0), agreed(2)], 100 * S);
+    let (mark, stop) = check(&[agreed(1), agreed(0), agreed(2)], 100 * S);
     assert!(mark.is_empty());
     assert_eq!(stop, ["own-1", "other"]);
 }
@@ -52,7 +52,7 @@
 #[test]
 fn a_silent_daemon_of_the_zone_holds_both_for_ever() {
     for reply in [DaemonReply::Silent, DaemonReply::NotYet] {
-        let (mark, stop) = check([reply, agreed(0), agreed(0)], 100_000 * S);
+        let (mark, stop) = check(&[reply, agreed(0), agreed(0)], 100_000 * S);
         assert_eq!(mark, ["own-1"]);
         assert_eq!(stop, ["own-1"]);
     }
@@ -61,10 +61,10 @@
 #[test]
 fn a_silent_daemon_of_another_zone_holds_the_stop_until_its_view_has_expired() {
     for reply in [DaemonReply::Silent, DaemonReply::NotYet] {
-        let (mark, stop) = check([agreed(0), agreed(0), reply.clone()], 8 * S);
+        let (mark, stop) = check(&[agreed(0), agreed(0), reply.clone()], 8 * S);
         assert!(mark.is_empty());
         assert_eq!(stop, ["other"]);
-        let (_, stop) = check([agreed(0), agreed(0), reply], 9 * S);
+        let (_, stop) = check(&[agreed(0), agreed(0), reply], 9 * S);
         assert!(stop.is_empty());
     }
 }
@@ -72,5 +72,5 @@
 #[test]
 fn a_process_that_is_not_there_has_nothing_in_flight() {
     let dead = DaemonReply::NotRunning;
-    assert_eq!(check([dead.clone(), agreed(0), dead], 0), (vec![], vec![]));
+    assert_eq!(check(&[dead.clone(), agreed(0), dead], 0), (vec![], vec![]));
 }
--- a/crates/once/tests/claims.rs
+++ b/crates/once/tests/claims.rs
@@ -150,23 +150,22 @@
     assert_eq!(ruled, [(id("k"), Ruling::Run)]);
 }
 
-fn check_holder(reply: Option<HolderReply>, expected: Option<Ruling>) {
-    let mut claims = asking();
-    assert_eq!(
-        claims.holder_replied(&foreign_row(), reply, NOW_US),
-        expected
-    );
+fn check_holder(reply: Option<HolderReply>, expected: Option<&Ruling>) {
+    let ruling = asking().holder_replied(&foreign_row(), reply, NOW_US);
+    assert_eq!(ruling.as_ref(), expected);
 }
 
 #[test]
 fn the_holder_decides_on_a_resend_elsewhere() {
-    let refuse = |kind| Some(Ruling::Refuse(kind));
     let answered = HolderReply::Answered { answer: answer() };
-    check_holder(Some(answered), Some(Ruling::Replay(answer())));
-    check_holder(Some(HolderReply::Running), refuse(ErrorKind::KeyRunning));
-    check_holder(Some(HolderReply::Spent), refuse(ErrorKind::KeySpent));
-    check_holder(Some(HolderReply::NotHolder), refuse(ErrorKind::KeySpent));
-    check_holder(None, refuse(ErrorKind::KeyHolderAway));
+    check_holder(Some(answered), Some(&Ruling::Replay(answer())));
+    let running = Ruling::Refuse(ErrorKind::KeyRunning);
+    check_holder(Some(HolderReply::Running), Some(&running));
+    let spent = Ruling::Refuse(ErrorKind::KeySpent);
+    check_holder(Some(HolderReply::Spent), Some(&spent));
+    check_holder(Some(HolderReply::NotHolder), Some(&spent));
+    let away = Ruling::Refuse(ErrorKind::KeyHolderAway);
+    check_holder(None, Some(&away));
     check_holder(Some(HolderReply::Released), None);
 }
 
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -107,7 +107,7 @@
     fn wait(&mut self, service: &str, deadline_us: u64) -> WaitKey {
         match self.admit_with(service, deadline_us, Vec::new()) {
             Admission::Wait(key) => key,
-            other => panic!("does not wait: {other:?}"),
+            other @ Admission::Decided(_) => panic!("does not wait: {other:?}"),
         }
     }
 
--- a/crates/spec/src/leave_model.rs
+++ b/crates/spec/src/leave_model.rs
@@ -42,6 +42,10 @@
 }
 
 /// A daemon.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the model keeps independent facts"
+)]
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Daemon {
     is_local: bool,
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -53,6 +53,10 @@
     pub service_time: Duration,
     /// Whether the links between daemons go through proxies.
     pub peer_proxies: bool,
+    /// Requests that an executor runs at once.
+    pub slots: u32,
+    /// Connections that an executor takes.
+    pub connections: u32,
 }
 
 impl Shape {
@@ -64,6 +68,8 @@
             zones: zones.to_vec(),
             service_time: Duration::from_millis(10),
             peer_proxies: false,
+            slots: 8,
+            connections: 64,
         }
     }
 
@@ -74,6 +80,14 @@
         self
     }
 
+    /// The same deployment with other executors.
+    #[must_use]
+    pub fn with_executors(mut self, slots: u32, connections: u32) -> Self {
+        self.slots = slots;
+        self.connections = connections;
+        self
+    }
+
     /// The same deployment with another service time.
     #[must_use]
     pub fn with_service_time(mut self, service_time: Duration) -> Self {
@@ -116,7 +130,7 @@
     /// # Panics
     /// When a part does not start.
     pub async fn start_unconfigured(shape: Shape) -> Self {
-        let spec = FleetSpec::new(&deployment_yaml(&shape.zones), &entry_yaml(&shape.zones));
+        let spec = FleetSpec::new(&deployment_yaml(&shape), &entry_yaml(&shape.zones));
         let targets = Targets::start(spec.executors(), shape.service_time);
         let listener = TcpListener::bind(spec.platform)
             .await
@@ -347,7 +361,13 @@
         .filter(|(from, to)| from != to)
 }
 
-fn deployment_yaml(zones: &[ZoneShape]) -> String {
+fn deployment_yaml(shape: &Shape) -> String {
+    let Shape {
+        zones,
+        slots,
+        connections,
+        ..
+    } = shape;
     let names: Vec<_> = (1..=zones.len())
         .map(|number| format!("z{number}"))
         .collect();
@@ -375,7 +395,7 @@
                 writeln!(
                     yaml,
                     "  - {{id: {id}, zone: {name}, rack: {id}, pool: {pool}, \
-                     executors: [{{addr: \"127.0.0.1:{port}\", slots: 8, connections: 64}}]}}"
+                     executors: [{{addr: \"127.0.0.1:{port}\", slots: {slots}, connections: {connections}}}]}}"
                 )
                 .expect("writing to a string can't fail");
                 port += 1;
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -19,6 +19,6 @@
 pub use platform_stand_in::PlatformStandIn;
 pub use platform_store::{Faults, PlatformStore};
 pub use ports::free_addrs;
-pub use processes::{Daemon, program};
+pub use processes::{Daemon, Usage, program};
 pub use target_server::serve_targets_admin;
 pub use targets::{Run, TargetFault, TargetStats, Targets};
--- a/crates/test-support/src/load.rs
+++ b/crates/test-support/src/load.rs
@@ -85,6 +85,8 @@
     pub foreign: u64,
     /// What the daemons added to the targets' own time, for requests answered at the first try, in microseconds.
     pub added_us: Histogram<u64>,
+    /// From the first try to the whole answer, for all requests answered, in microseconds.
+    pub total_us: Histogram<u64>,
     ledger: Vec<LedgerEntry>,
 }
 
@@ -106,6 +108,7 @@
             broken_by_kill: 0,
             foreign: 0,
             added_us: Histogram::new(3).expect("three digits are allowed"),
+            total_us: Histogram::new(3).expect("three digits are allowed"),
             ledger: Vec::new(),
         }
     }
@@ -309,6 +312,7 @@
     }
 
     async fn send(self: Arc<Self>, request: Request) {
+        let begun = Instant::now();
         let mut end = End::NotRun;
         let mut is_surely_not_run = true;
         for number in 0..MAX_TRIES {
@@ -340,7 +344,10 @@
         }
         let mut report = self.report.lock();
         match end {
-            End::Answered => report.outcomes.answered += 1,
+            End::Answered => {
+                report.outcomes.answered += 1;
+                report.total_us.saturating_record(micros(begun.elapsed()));
+            }
             End::NotRun => report.outcomes.not_run += 1,
             End::Unknown => report.outcomes.unknown += 1,
         }
@@ -392,8 +399,7 @@
             self.report.lock().foreign += 1;
         }
         if let Some(served_us) = served_us.filter(|_| is_first) {
-            let total_us = u64::try_from(sent.elapsed().as_micros()).unwrap_or(u64::MAX);
-            let added_us = total_us.saturating_sub(served_us);
+            let added_us = micros(sent.elapsed()).saturating_sub(served_us);
             self.report.lock().added_us.saturating_record(added_us);
         }
         Try::Answered
@@ -435,3 +441,7 @@
         Try::Broken
     }
 }
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/test-support/src/processes.rs
+++ b/crates/test-support/src/processes.rs
@@ -16,6 +16,18 @@
     own.with_file_name(name)
 }
 
+/// What a process has used.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Processor time, in milliseconds.
+    pub cpu_ms: u64,
+    /// Resident memory, in kilobytes.
+    pub memory_kb: u64,
+}
+
+/// The kernel counts processor time in hundredths of a second.
+const MS_PER_TICK: u64 = 10;
+
 /// A daemon in a process of its own.
 #[derive(Debug)]
 pub struct Daemon {
@@ -51,6 +63,28 @@
         self.child.id()
     }
 
+    /// What the process has used so far; zeros when it has ended.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        self.read_usage().unwrap_or_default()
+    }
+
+    fn read_usage(&self) -> Option<Usage> {
+        let folder = PathBuf::from(format!("/proc/{}", self.id()));
+        let stat = std::fs::read_to_string(folder.join("stat")).ok()?;
+        // The name in parentheses may have spaces; the fields behind it are counted from the state.
+        let fields: Vec<_> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks = |index: usize| fields.get(index)?.parse::<u64>().ok();
+        let status = std::fs::read_to_string(folder.join("status")).ok()?;
+        let resident = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
+        Some(Usage {
+            cpu_ms: (ticks(11)? + ticks(12)?) * MS_PER_TICK,
+            memory_kb: resident.split_whitespace().next()?.parse().ok()?,
+        })
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         // A process that has ended already is what was asked for.
--- a/crates/test-support/src/target_server.rs
+++ b/crates/test-support/src/target_server.rs
@@ -158,7 +158,10 @@
     // Closing the semaphore is never done.
     let _slot = executor.slots.acquire().await;
     note_run(&executor, &shared, &headers);
-    tokio::time::sleep(work_time(&shared, &headers, fault)).await;
+    let work_time = work_time(&shared, &headers, fault);
+    if work_time > Duration::ZERO {
+        tokio::time::sleep(work_time).await;
+    }
     let answer = answer(&executor, &headers, body_bytes, fault, arrived, in_flight);
     match fault {
         TargetFault::Drop => {
--- a/crates/trefoilpassd/tests/requests.rs
+++ b/crates/trefoilpassd/tests/requests.rs
@@ -341,6 +341,23 @@
     assert_eq!(response.headers()["x-request-id"], "mine-1");
 }
 
+#[tokio::test]
+async fn connections_stay_within_the_executors_limit_when_it_is_below_the_slots() {
+    let zone = ZoneShape {
+        daemons: 3,
+        parts: 1,
+        quotes: 0,
+    };
+    let shape = Shape::new(DAEMON, &[zone]).with_executors(60, 24);
+    let cluster = Cluster::start(shape.with_service_time(Duration::from_millis(100))).await;
+    let mut load = cluster.load("parts");
+    load.rate_per_s = 400;
+    let report = load.run().await;
+    report.assert_promises(&cluster.targets.runs());
+    let most = cluster.targets.stats().most_connections;
+    assert!(most <= 24, "{most} connections to one executor");
+}
+
 #[tokio::test]
 async fn overload_is_shed_and_connections_stay_within_the_executors_limit() {
     let zone = ZoneShape {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod fleet;
+mod measure;
 
 use std::process::ExitCode;
 
@@ -26,6 +27,9 @@
         #[arg(long, value_enum, default_value_t = Deployment::Hinokuni)]
         deployment: Deployment,
     },
+    /// Measure, and print a table.
+    #[command(subcommand)]
+    Measure(measure::Measurement),
 }
 
 /// A deployment under `examples`.
@@ -50,6 +54,7 @@
 async fn main() -> ExitCode {
     let done = match Args::parse().task {
         Task::Demo { deployment } => demo::run(deployment).await,
+        Task::Measure(measurement) => measure::run(measurement).await,
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
