--- a/crates/trefoilpassd/src/control/changes.rs
+++ b/crates/trefoilpassd/src/control/changes.rs
@@ -79,8 +79,6 @@
         let mut may_have_taken_effect = false;
         loop {
             let result = self.shared.platform.transact(&transaction).await;
-            let is_reachable = !matches!(result, Err(Error::Unreachable | Error::Lost { .. }));
-            self.shared.set_platform_reachable(is_reachable);
             match result {
                 Ok(Commit::Committed) => return Ok(Written::Yes),
                 Ok(Commit::Conflict { rows }) => {
--- a/crates/trefoilpassd/src/control/claim_actor.rs
+++ b/crates/trefoilpassd/src/control/claim_actor.rs
@@ -11,7 +11,7 @@
     HolderReply, Pace, Ruling,
 };
 use peer::PeerRpcClient;
-use platform::{Commit, Error, Platform, RowEntry, Transaction};
+use platform::{Commit, Platform, RowEntry, Transaction};
 use tokio::sync::oneshot;
 use xtra::WeakAddress;
 use xtra::prelude::*;
@@ -31,7 +31,10 @@
 const FORGET_PERIOD_US: u64 = 10_000_000;
 
 /// The pause after a transaction whose answer was lost.
-const LOST_PAUSE: Duration = Duration::from_millis(100);
+const LOST_PAUSE: Duration = Duration::from_millis(50);
+
+/// After this many lost answers in a row the platform counts as away, and waiting requests are refused.
+const LOST_TO_GIVE_UP: u32 = 4;
 
 /// A keyed request asks whether it may run.
 #[derive(Debug)]
@@ -83,6 +86,8 @@
     clients: Clients,
     claims: Claims,
     waiters: HashMap<ClaimId, oneshot::Sender<Ruling>>,
+    /// Transactions in a row whose answers were lost.
+    lost_in_row: u32,
     forgot_us: u64,
 }
 
@@ -95,6 +100,7 @@
             shared,
             clients,
             waiters: HashMap::new(),
+            lost_in_row: 0,
             forgot_us: 0,
         }
     }
@@ -188,14 +194,7 @@
     match shared.platform.transact(&transaction).await {
         Ok(Commit::Committed) => BatchResult::Committed,
         Ok(Commit::Conflict { rows }) => conflicts(&batch, &rows),
-        Err(Error::Unreachable | Error::Lost { .. }) => {
-            shared.set_platform_reachable(false);
-            BatchResult::Lost
-        }
-        Err(err) => {
-            log::error!("claims were not written: {err}");
-            BatchResult::Lost
-        }
+        Err(_) => BatchResult::Lost,
     }
 }
 
@@ -245,8 +244,13 @@
     async fn handle(&mut self, message: BatchEnded, ctx: &mut Context<Self>) {
         let own = ctx.mailbox().address();
         let now_us = self.shared.clock.now_us();
+        let is_lost = message.0 == BatchResult::Lost;
+        self.lost_in_row = if is_lost { self.lost_in_row + 1 } else { 0 };
         let rulings = self.claims.batch_ended(message.0, now_us);
         self.rule(rulings, &own);
+        if self.lost_in_row >= LOST_TO_GIVE_UP {
+            self.shared.set_platform_reachable(false);
+        }
         if !self.shared.platform_reachable() {
             self.refuse_waiting();
         }
--- a/crates/trefoilpassd/src/control/leaving.rs
+++ b/crates/trefoilpassd/src/control/leaving.rs
@@ -12,7 +12,7 @@
 
 use crate::control::changes::{Changes, Result, SideWrite, no_configuration};
 use crate::control::clients::no_contact;
-use crate::control::reports;
+use crate::control::reports::{self, Listed};
 use crate::in_force::InForce;
 
 /// How long a daemon sends nothing to a VM that somebody wants to mark as leaving.
@@ -38,17 +38,16 @@
         let record = in_force.record(vm).ok_or_else(|| unknown_vm(vm))?;
         next(&in_force, &record)?;
         let rule = leave_rule(&in_force, vm)?;
+        // The first question holds nothing back, so that a drain that can't be made does not disturb the VM.
+        let reached = self
+            .ask_all(vm, Duration::ZERO, Some(FleetSeq::default()))
+            .await;
+        check_held(vm, &rule, &reached)?;
         let asked_us = self.shared.clock.now_us();
         let replies = self.ask_all(vm, HOLD, None).await;
-        let holding = rule.holding_the_mark(as_rule_input(&replies));
-        if !holding.is_empty() {
+        if let Err(err) = check_held(vm, &rule, &replies) {
             self.take_back(vm).await;
-            let names: Vec<_> = holding.iter().map(EntryVmId::as_str).collect();
-            let message = format!(
-                "VM `{vm}` stays in service: entry VMs of its zone can't be reached: {}",
-                names.join(", ")
-            );
-            return Err(OperatorError::Held(message));
+            return Err(err);
         }
         let clock = self.shared.clock;
         let limit_us = u64::try_from(HOLD.as_micros()).unwrap_or(u64::MAX) - HOLD_MARGIN_US;
@@ -155,10 +154,29 @@
     replies.iter().map(|(id, (zone, reply))| (id, zone, reply))
 }
 
-/// The record of a VM that drains, if its pool's budget allows it.
-pub(crate) fn drained(in_force: &InForce, vm: &VmId, record: &VmRecord) -> Result<VmRecord> {
+/// Fails, naming them, when daemons of the VM's zone do not agree.
+fn check_held(vm: &VmId, rule: &LeaveRule, replies: &Replies) -> Result<()> {
+    let holding = rule.holding_the_mark(as_rule_input(replies));
+    if holding.is_empty() {
+        return Ok(());
+    }
+    let names: Vec<_> = holding.iter().map(EntryVmId::as_str).collect();
+    let message = format!(
+        "VM `{vm}` stays in service: entry VMs of its zone can't be reached: {}",
+        names.join(", ")
+    );
+    Err(OperatorError::Held(message))
+}
+
+/// The record of a VM that drains, if its pool's budget allows it with the VMs that `listed` shows as down.
+pub(crate) fn drained(
+    in_force: &InForce,
+    vm: &VmId,
+    record: &VmRecord,
+    listed: &Listed,
+) -> Result<VmRecord> {
     let next = record.drained().map_err(wrong_state)?;
-    let ledger = reports::ledger(in_force, &record.pool, &BTreeMap::new())?;
+    let ledger = reports::ledger(in_force, &record.pool, listed)?;
     if ledger.planned_allowance() == 0 {
         let message = format!(
             "VM `{vm}` stays in service: pool `{}` has {} of {} VMs serving and may lose no more",
--- a/crates/trefoilpassd/src/control/operator_server.rs
+++ b/crates/trefoilpassd/src/control/operator_server.rs
@@ -37,12 +37,10 @@
 }
 
 impl<P: Platform> OperatorServer<P> {
-    async fn listed(&self) -> Listed {
-        let listed = self.shared.platform.list_vms().await.unwrap_or_default();
-        listed
-            .into_iter()
-            .map(|entry| (entry.vm.clone(), entry))
-            .collect()
+    async fn listed(&self) -> Result<Listed> {
+        let listed = self.shared.platform.list_vms().await;
+        let listed = listed.map_err(from_platform)?.into_iter();
+        Ok(listed.map(|entry| (entry.vm.clone(), entry)).collect())
     }
 
     async fn start_wave(&self, pool: PoolId) -> Result<WaveId> {
@@ -200,12 +198,13 @@
     }
 
     async fn pools(&self) -> RpcResult<Vec<PoolReport>> {
-        let listed = self.listed().await;
+        let listed = self.listed().await?;
         Ok(reports::pools(&self.shared.in_force(), &listed)?)
     }
 
     async fn vm_drain(&self, vm: VmId) -> RpcResult<()> {
-        let next = |in_force: &_, record: &_| drained(in_force, &vm, record);
+        let listed = self.listed().await?;
+        let next = |in_force: &_, record: &_| drained(in_force, &vm, record, &listed);
         Ok(self.changes.begin_leaving(&vm, &[], next).await?)
     }
 
@@ -218,13 +217,14 @@
     }
 
     async fn vm_move(&self, vm: VmId, to: PoolId) -> RpcResult<()> {
+        let listed = self.listed().await?;
         let moved = self.changes.begin_leaving(&vm, &[], |in_force, record| {
             let config = in_force.config.as_ref().ok_or_else(no_configuration)?;
             if !has_pool(&config.deployment, &to) {
                 return Err(OperatorError::NotFound(format!("there is no pool `{to}`")));
             }
             let next = record.moving(to.clone()).map_err(wrong_state)?;
-            drained(in_force, &vm, record)?;
+            drained(in_force, &vm, record, &listed)?;
             Ok(next)
         });
         Ok(moved.await?)
--- a/crates/trefoilpassd/src/control/steward_duties.rs
+++ b/crates/trefoilpassd/src/control/steward_duties.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use domain::{VmId, VmState};
+use futures_util::future::join_all;
 use maintenance::{StopDecision, Wave, WaveStep};
 use platform::Platform;
 
@@ -22,28 +23,36 @@
             .iter()
             .filter(|(_, r)| r.state == VmState::Leaving);
         let leaving: Vec<_> = leaving.map(|(vm, _)| vm.clone()).collect();
+        let now_us = self.shared.clock.now_us();
         self.marks_seen_us.retain(|vm, _| leaving.contains(vm));
-        for vm in leaving {
-            if let Err(err) = self.finish_leaving_of(&vm).await {
-                log::debug!("VM {vm} is not stopped yet: {err:?}");
+        for vm in &leaving {
+            self.marks_seen_us.entry(vm.clone()).or_insert(now_us);
+        }
+        let asked = leaving.iter().map(|vm| self.may_stop(vm));
+        let decisions = join_all(asked).await;
+        for (vm, decision) in leaving.iter().zip(decisions) {
+            if !matches!(decision, Ok(StopDecision::Stop)) {
+                continue;
+            }
+            if let Err(err) = self.stop(vm).await {
+                log::debug!("VM {vm} is not stopped yet: {err}");
             }
         }
     }
 
-    async fn finish_leaving_of(&mut self, vm: &VmId) -> Result<()> {
+    /// Asks all daemons about a leaving VM.
+    async fn may_stop(&self, vm: &VmId) -> Result<StopDecision> {
         let now_us = self.shared.clock.now_us();
-        let seen_us = *self.marks_seen_us.entry(vm.clone()).or_insert(now_us);
+        let seen_us = self.marks_seen_us.get(vm).copied().unwrap_or(now_us);
         let in_force = self.shared.in_force();
         let rule = leave_rule(&in_force, vm)?;
-        let replies = self
-            .changes
-            .ask_all(vm, Duration::ZERO, Some(in_force.fleet_seq))
-            .await;
+        let mark = Some(in_force.fleet_seq);
+        let replies = self.changes.ask_all(vm, Duration::ZERO, mark).await;
         let mark_age_us = now_us.saturating_sub(seen_us);
-        let decision = rule.may_stop(mark_age_us, as_rule_input(&replies));
-        if decision != StopDecision::Stop {
-            return Ok(());
-        }
+        Ok(rule.may_stop(mark_age_us, as_rule_input(&replies)))
+    }
+
+    async fn stop(&self, vm: &VmId) -> Result<()> {
         let fence = [self.fence()];
         let stopped = self.changes.change_vm(vm, &fence, |_, record| {
             let stopped = record.stopped().map_err(wrong_state)?;
@@ -72,7 +81,7 @@
             if wave.is_open()
                 && let Err(err) = self.advance_wave(&wave, version, &listed).await
             {
-                log::debug!("wave {} waits: {err:?}", wave.id);
+                log::debug!("wave {} waits: {err}", wave.id);
             }
         }
     }
@@ -84,7 +93,7 @@
         let mut wave = wave.clone();
         let mut version = version;
         for step in wave.next_steps(&ledger) {
-            wave = self.take_step(&wave, version, &step).await?;
+            wave = self.take_step(&wave, version, &step, listed).await?;
             // Every step writes the row once.
             let row = self.changes.read(&rows::wave(&wave.id)).await?;
             version = row.map_or(0, |row| row.version);
@@ -92,12 +101,18 @@
         Ok(())
     }
 
-    async fn take_step(&mut self, wave: &Wave, version: u64, step: &WaveStep) -> Result<Wave> {
+    async fn take_step(
+        &mut self,
+        wave: &Wave,
+        version: u64,
+        step: &WaveStep,
+        listed: &Listed,
+    ) -> Result<Wave> {
         match step {
             WaveStep::Drain(vm) => {
                 let next = wave.after_drain(vm);
                 let writes = [self.fence(), side_write(&next, version)];
-                let drain = |in_force: &_, record: &_| drained(in_force, vm, record);
+                let drain = |in_force: &_, record: &_| drained(in_force, vm, record, listed);
                 self.changes.begin_leaving(vm, &writes, drain).await?;
                 Ok(next)
             }
--- a/crates/trefoilpassd/tests/leaving.rs
+++ b/crates/trefoilpassd/tests/leaving.rs
@@ -5,6 +5,7 @@
 use domain::{PoolId, VmId, VmState};
 use jsonrpsee::core::ClientError;
 use peer::{OperatorError, OperatorRpcClient, VmReport};
+use platform::ListedState;
 use test_support::{Cluster, Faults, ProxyFault, Shape, ZoneShape};
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_trefoilpassd");
@@ -140,6 +141,29 @@
     }
 }
 
+#[tokio::test]
+async fn unplanned_losses_spend_the_operators_budget_too() {
+    let cluster = Cluster::start(shape(1)).await;
+    let vms = cluster.vms("parts");
+    let set = |state| {
+        cluster
+            .platform
+            .with(|store| store.set_vm(vms[0].clone(), state));
+    };
+    set(ListedState::Down);
+    let err = cluster
+        .operator(0)
+        .vm_drain(vms[1].clone())
+        .await
+        .unwrap_err();
+    assert!(
+        matches!(refused(&err), OperatorError::OverBudget(_)),
+        "{err}"
+    );
+    set(ListedState::Live);
+    cluster.operator(0).vm_drain(vms[1].clone()).await.unwrap();
+}
+
 #[tokio::test]
 async fn racing_operators_on_one_vm_get_one_winner() {
     let cluster = Cluster::start(shape(1)).await;
