Two threads for a daemon by default

Cause of high tails through a daemon: with one worker thread for each of 8 processors, requests at moderate load wake a different thread for each step, and the threads contend. Ruled out: the target's sleep of one timer tick (a target that is asked for 0 ms no longer sleeps) and processes left over on the machine (there were none).

Change: settings field threads, default 2.

--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -20,6 +20,9 @@
     /// Where spans go.
     #[serde(default)]
     pub traces: Traces,
+    /// Threads that serve requests. More than the entry VM's spare cores only make each other wait.
+    #[serde(default = "default_threads")]
+    pub threads: u64,
     /// How long a shutdown waits for requests in flight.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
@@ -61,6 +64,10 @@
     Stdout,
 }
 
+fn default_threads() -> u64 {
+    2
+}
+
 fn default_drain_ms() -> u64 {
     20_000
 }
@@ -125,6 +132,7 @@
             format!("entry_vms[{}].{field}", i / 2)
         })?;
         check::within(self.platform.timeout_ms, 10..=60_000, "platform.timeout_ms")?;
+        check::within(self.threads, 1..=64, "threads")?;
         check::within(self.drain_ms, 100..=600_000, "drain_ms")
     }
 }
--- a/crates/trefoilpassd/src/run.rs
+++ b/crates/trefoilpassd/src/run.rs
@@ -90,7 +90,11 @@
     let choice = ColorChoice::Never;
     TermLogger::init(LevelFilter::Info, log_config, TerminalMode::Stderr, choice)
         .context(LogSnafu)?;
-    let runtime = tokio::runtime::Runtime::new().context(RuntimeSnafu)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(usize::try_from(settings.threads).unwrap_or(1))
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
     runtime.block_on(serve(settings))
 }
 
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -50,7 +50,7 @@
     }
 }
 
-#[tokio::main]
+#[tokio::main(worker_threads = 2)]
 async fn main() -> ExitCode {
     let done = match Args::parse().task {
         Task::Demo { deployment } => demo::run(deployment).await,
