Jobs: submission, placement, preemption by checkpoint, cancellation, quarantine

The crate placement decides; the steward takes in the platform's reports, writes job rows in batches, and makes the platform agree with the rows, so that a step whose answer or steward was lost is done again and has its effect once.

Found by the tests, with the cause: - A job that used just what it was given was taken to need 120% of that, grew out of its workers with each attempt and was parked. Observed use now corrects the declared size upwards only when it is above it. - A daemon that was killed counted as clear at once when a VM was to be stopped, though targets may still work on what it had sent. It now counts as clear after the longest deadline. - Claims were to be removed by reading all of them in turn, 20 a second, which falls behind at any real rate. Each batch now writes an index row in order of time, and old batches are removed by it.

Tests: placement 13, jobs 7 with real processes (lost steward, lost answers, outage, burst of 120 cancellations, drain under a running task); all tests of the workspace pass.

--- a/crates/domain/src/ids.rs
+++ b/crates/domain/src/ids.rs
@@ -96,6 +96,10 @@
     PoolId;
     /// A target VM.
     VmId;
+    /// A team that submits jobs.
+    TeamId;
+    /// A job.
+    JobId;
     /// An availability zone.
     ZoneId;
     /// A rack, which is a failure domain inside a zone.
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -10,7 +10,7 @@
 pub use error_kind::{ErrorKind, Outcome};
 pub use head::{ConfigHead, FleetHead};
 pub use ids::{
-    BadId, EntryVmId, Epoch, FleetSeq, Incarnation, OpId, PoolId, PresetId, RackId, ServiceId,
-    Term, VmId, ZoneId,
+    BadId, EntryVmId, Epoch, FleetSeq, Incarnation, JobId, OpId, PoolId, PresetId, RackId,
+    ServiceId, TeamId, Term, VmId, ZoneId,
 };
 pub use vm::{VmError, VmRecord, VmState};
--- a/crates/maintenance/src/leave.rs
+++ b/crates/maintenance/src/leave.rs
@@ -21,7 +21,7 @@
     },
     /// It answered, but has not taken in the mark.
     NotYet,
-    /// No process listens at its address, so it has nothing in flight.
+    /// No process listens at its address. Targets may still work on what it had sent.
     NotRunning,
     /// Nothing came back.
     Silent,
@@ -87,7 +87,7 @@
         let expired_us = VIEW_TTL_US + MARGIN_US + self.longest_request_us;
         let is_clear = |zone: &ZoneId, reply: &DaemonReply| match reply {
             DaemonReply::Agreed { in_flight } => *in_flight == 0,
-            DaemonReply::NotRunning => true,
+            DaemonReply::NotRunning => mark_age_us >= self.longest_request_us,
             DaemonReply::NotYet | DaemonReply::Silent => {
                 *zone != self.zone && mark_age_us >= expired_us
             }
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -67,7 +67,7 @@
     /// The pool's availability budget has no room for it.
     OverBudget, 1009, "wait until other VMs of the pool serve again (`trefoilpass pool list`); nothing was changed";
     /// Daemons that have to agree can't be reached.
-    Held, 1005, "bring the named entry VMs back, or wait until the platform lists them as down; then run it again";
+    Held, 1005, "start a daemon on the named entry VMs again, or take them out of entry_vms; then run it again";
     /// The platform's table can't be reached, and nothing was changed.
     PlatformAway, 1006, "run it again when `trefoilpass status` shows the platform as reachable";
     /// The platform's answer was lost; the change may have been made.
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -1,11 +1,12 @@
 //! The JSON-RPC methods.
 
-use domain::{ConfigHead, EntryVmId, Epoch, FleetSeq, PoolId, PresetId, VmId, VmRecord};
+use domain::{ConfigHead, EntryVmId, Epoch, FleetSeq, JobId, PoolId, PresetId, VmId, VmRecord};
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use maintenance::WaveId;
 use membership::View;
 use once::{ClaimId, ClaimRow, HolderReply};
+use placement::{Job, JobSpec};
 use serde::{Deserialize, Serialize};
 
 use crate::operator::{
@@ -132,4 +133,20 @@
     /// Ends a wave.
     #[method(name = "wave_abort")]
     async fn wave_abort(&self, wave: WaveId) -> RpcResult<()>;
+
+    /// Submits a job under that id.
+    #[method(name = "job_submit")]
+    async fn job_submit(&self, id: JobId, spec: JobSpec) -> RpcResult<()>;
+
+    /// The jobs that have not ended, and those that ended last.
+    #[method(name = "jobs")]
+    async fn jobs(&self) -> RpcResult<Vec<Job>>;
+
+    /// A job.
+    #[method(name = "job_show")]
+    async fn job_show(&self, id: JobId) -> RpcResult<Job>;
+
+    /// Cancels jobs, and tells which of them had ended already or do not exist.
+    #[method(name = "jobs_cancel")]
+    async fn jobs_cancel(&self, ids: Vec<JobId>) -> RpcResult<Vec<JobId>>;
 }
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -6,6 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use smol_str::SmolStr;
 
 use crate::error::{Error, Result};
 
@@ -187,11 +188,78 @@
     fn list_vms(&self) -> impl Future<Output = Result<Vec<ListedVm>>> + Send;
 }
 
+/// A task to be started on a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskOrder {
+    /// Its name, which is that of one attempt at a job.
+    pub task: SmolStr,
+    /// The worker.
+    pub vm: VmId,
+    /// Processor time that it may use, in thousandths of a core.
+    pub cpu_milli: u32,
+    /// Memory that it may use.
+    pub memory_mb: u32,
+    /// How long it runs without a renewal.
+    pub lease_ms: u64,
+    /// What the worker runs.
+    pub payload: String,
+}
+
+/// Where a task is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TaskState {
+    /// It runs.
+    Running,
+    /// It ended with success.
+    Succeeded,
+    /// It ended with a failure.
+    Failed,
+    /// It made a checkpoint and stopped.
+    Checkpointed,
+    /// It was stopped, its lease lapsed, or its worker is gone.
+    Lost,
+}
+
+/// A worker's report of a task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskReport {
+    /// Its name.
+    pub task: SmolStr,
+    /// The worker.
+    pub vm: VmId,
+    /// Where it is.
+    pub state: TaskState,
+    /// Processor time in use, in thousandths of a core.
+    pub cpu_milli: u32,
+    /// Memory in use.
+    pub memory_mb: u32,
+}
+
 /// The control of VMs and their workers.
 pub trait WorkerControl: Send + Sync + 'static {
     /// Reboots a VM; the same `op` reboots it once, however often it is asked. Returns how often the VM will have
     /// been started when it is back.
     fn reboot(&self, vm: &VmId, op: &OpId) -> impl Future<Output = Result<u64>> + Send;
+
+    /// Starts a task under a lease; the same task starts once, however often it is asked.
+    fn start_task(&self, task: &TaskOrder) -> impl Future<Output = Result<()>> + Send;
+
+    /// Has a task make a checkpoint and stop, or, when it is not to be kept, stop.
+    fn stop_task(&self, task: &str, is_kept: bool) -> impl Future<Output = Result<()>> + Send;
+
+    /// Renews the leases of tasks.
+    fn renew_tasks(
+        &self,
+        tasks: &[SmolStr],
+        lease_ms: u64,
+    ) -> impl Future<Output = Result<()>> + Send;
+
+    /// Reads the reports of all tasks that were not forgotten. They lag behind.
+    fn list_tasks(&self) -> impl Future<Output = Result<Vec<TaskReport>>> + Send;
+
+    /// Drops the reports of tasks that have ended.
+    fn forget_tasks(&self, tasks: &[SmolStr]) -> impl Future<Output = Result<()>> + Send;
 }
 
 /// All of the platform's service.
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -6,10 +6,12 @@
 use domain::{OpId, VmId};
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
 use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
 use tracing::Instrument;
 
 use crate::api::{
-    Commit, ListedVm, Objects, Row, RowEntry, Table, Transaction, VmList, WorkerControl,
+    Commit, ListedVm, Objects, Row, RowEntry, Table, TaskOrder, TaskReport, Transaction, VmList,
+    WorkerControl,
 };
 use crate::error::{Error, Result};
 
@@ -124,4 +126,29 @@
         let request = self.http.post(self.url(&format!("/vms/{vm}/reboots/{op}")));
         read(send(request, "reboot").await?).await
     }
+
+    async fn start_task(&self, task: &TaskOrder) -> Result<()> {
+        let request = self.http.post(self.url("/tasks"));
+        read(send(request.json(task), "start-task").await?).await
+    }
+
+    async fn stop_task(&self, task: &str, is_kept: bool) -> Result<()> {
+        let end = if is_kept { "checkpoints" } else { "stops" };
+        let request = self.http.post(self.url(&format!("/tasks/{task}/{end}")));
+        read(send(request, "stop-task").await?).await
+    }
+
+    async fn renew_tasks(&self, tasks: &[SmolStr], lease_ms: u64) -> Result<()> {
+        let request = self.http.post(self.url("/leases"));
+        read(send(request.json(&(tasks, lease_ms)), "renew-tasks").await?).await
+    }
+
+    async fn list_tasks(&self) -> Result<Vec<TaskReport>> {
+        read(send(self.http.get(self.url("/tasks")), "list-tasks").await?).await
+    }
+
+    async fn forget_tasks(&self, tasks: &[SmolStr]) -> Result<()> {
+        let request = self.http.post(self.url("/forgotten-tasks"));
+        read(send(request.json(tasks), "forget-tasks").await?).await
+    }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,8 +5,8 @@
 mod error;
 
 pub use api::{
-    Commit, Condition, ListedState, ListedVm, Objects, Platform, Row, RowEntry, Table, Transaction,
-    VmList, WorkerControl, Write,
+    Commit, Condition, ListedState, ListedVm, Objects, Platform, Row, RowEntry, Table, TaskOrder,
+    TaskReport, TaskState, Transaction, VmList, WorkerControl, Write,
 };
 pub use client::PlatformClient;
 pub use error::{Error, Result};
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -38,6 +38,19 @@
     }
 }
 
+/// Reads a YAML document of any strict type, with errors that name field and line.
+///
+/// # Errors
+/// [`Error::Shape`].
+///
+/// ```
+/// let err = settings::parse_yaml::<u32>("many").unwrap_err();
+/// assert!(err.to_string().contains("u32"));
+/// ```
+pub fn parse_yaml<T: DeserializeOwned>(text: &str) -> Result<T> {
+    read(text)
+}
+
 pub(crate) fn read<T: DeserializeOwned>(text: &str) -> Result<T> {
     serde_norway::from_str(text).map_err(|err| Error::Shape {
         message: err.to_string(),
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use domain::{PoolId, PresetId, RackId, ServiceId, VmId, ZoneId};
+use domain::{PoolId, PresetId, RackId, ServiceId, TeamId, VmId, ZoneId};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -27,6 +27,9 @@
     pub services: Vec<Service>,
     /// The pools.
     pub pools: Vec<Pool>,
+    /// The teams that submit jobs.
+    #[serde(default)]
+    pub teams: Vec<Team>,
     /// The target VMs.
     pub vms: Vec<Vm>,
 }
@@ -115,6 +118,22 @@
     pub id: PoolId,
     /// The fewest VMs that may serve, in every preset.
     pub min_serving_vms: u32,
+    /// Processor time of each VM that is for jobs, in thousandths of a core.
+    #[serde(default)]
+    pub job_cpu_milli: u32,
+    /// Memory of each VM that is for jobs.
+    #[serde(default)]
+    pub job_memory_mb: u32,
+}
+
+/// A team that submits jobs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Its id.
+    pub id: TeamId,
+    /// The processor time that its jobs may use at once, in thousandths of a core.
+    pub quota_cpu_milli: u32,
 }
 
 /// A target VM.
@@ -199,6 +218,8 @@
         self.check_presets()?;
         self.check_pools()?;
         self.check_services()?;
+        let teams = self.teams.iter().map(|team| &team.id);
+        check::unique(teams, "id", |i| format!("teams[{i}].id"))?;
         self.check_vms()
     }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,8 +7,8 @@
 mod deployment;
 mod entry;
 
-pub use check::{Error, Result};
+pub use check::{Error, Result, parse_yaml};
 pub use deployment::{
-    Criticality, Deployment, Executor, Pool, Preset, RoutingPolicy, Service, Vm, Weights,
+    Criticality, Deployment, Executor, Pool, Preset, RoutingPolicy, Service, Team, Vm, Weights,
 };
 pub use entry::{EntrySettings, EntryVm, Platform, Traces};
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -382,8 +382,11 @@
          \x20 - {{id: parts, pool: parts, deadline_ms: 2000, max_body_bytes: 1000000}}\n\
          \x20 - {{id: quotes, pool: quotes, deadline_ms: 2000, max_body_bytes: 1000000}}\n\
          pools:\n\
-         \x20 - {{id: parts, min_serving_vms: 0}}\n\
+         \x20 - {{id: parts, min_serving_vms: 0, job_cpu_milli: 4000, job_memory_mb: 8000}}\n\
          \x20 - {{id: quotes, min_serving_vms: 0}}\n\
+         teams:\n\
+         \x20 - {{id: a, quota_cpu_milli: 1000000}}\n\
+         \x20 - {{id: b, quota_cpu_milli: 1000000}}\n\
          vms:\n",
         names.join(", ")
     );
--- a/crates/test-support/src/platform_stand_in.rs
+++ b/crates/test-support/src/platform_stand_in.rs
@@ -8,7 +8,7 @@
 use domain::VmId;
 use http::StatusCode;
 use parking_lot::Mutex;
-use platform::{ListedState, Transaction};
+use platform::{ListedState, TaskState, Transaction};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use warp::Filter;
@@ -168,18 +168,61 @@
         let tables = transactions.or(reads).unify().or(list).unify();
         let objects = put.or(get).unify();
         let machines = vms.or(reboots).unify();
+        let tasks = self.task_routes();
         let admin = self.admin_routes();
         let all = tables
             .or(objects)
             .unify()
             .or(machines)
             .unify()
+            .or(tasks)
+            .unify()
             .or(admin)
             .unify();
         all.recover(async |_| Ok::<_, Infallible>(StatusCode::NOT_FOUND.into_response()))
             .unify()
     }
 
+    /// The workers' tasks.
+    fn task_routes(
+        &self,
+    ) -> impl Filter<Extract = (Response,), Error = warp::Rejection> + Clone + use<> {
+        let own = self.clone();
+        let with_own = warp::any().map(move || own.clone());
+        let start = warp::path!("tasks")
+            .and(warp::post())
+            .and(with_own.clone())
+            .and(warp::body::json())
+            .then(|own: Self, order| own.call(move |store| store.tasks.start(order)));
+        let list = warp::path!("tasks")
+            .and(warp::get())
+            .and(with_own.clone())
+            .then(|own: Self| own.call(|store| store.tasks.list()));
+        let stop = warp::path!("tasks" / String / String)
+            .and(with_own.clone())
+            .then(|task: String, end: String, own: Self| {
+                let state = match end.as_str() {
+                    "checkpoints" => TaskState::Checkpointed,
+                    _ => TaskState::Lost,
+                };
+                own.call(move |store| store.tasks.stop(&task, state))
+            });
+        let renew = warp::path!("leases")
+            .and(with_own.clone())
+            .and(warp::body::json())
+            .then(|own: Self, (names, lease_ms): (Vec<String>, u64)| {
+                own.call(move |store| store.tasks.renew(&names, lease_ms))
+            });
+        let forget = warp::path!("forgotten-tasks")
+            .and(with_own)
+            .and(warp::body::json())
+            .then(|own: Self, names: Vec<String>| {
+                own.call(move |store| store.tasks.forget(&names))
+            });
+        let running = start.or(list).unify().or(stop).unify();
+        running.or(renew).unify().or(forget).unify()
+    }
+
     /// Paths for experiments, which faults do not touch.
     fn admin_routes(
         &self,
--- a/crates/test-support/src/platform_store.rs
+++ b/crates/test-support/src/platform_store.rs
@@ -7,6 +7,8 @@
 use platform::{Commit, ListedState, ListedVm, Row, RowEntry, Transaction};
 use serde::{Deserialize, Serialize};
 
+use crate::platform_tasks::PlatformTasks;
+
 /// How long a reboot takes.
 const REBOOT: Duration = Duration::from_millis(600);
 
@@ -34,6 +36,8 @@
     vms: BTreeMap<VmId, Vec<VmMoment>>,
     reboots: HashMap<String, u64>,
     next_version: u64,
+    /// The workers' tasks.
+    pub tasks: PlatformTasks,
     /// Transactions that were tried.
     pub transactions: u64,
     /// Reads of rows.
@@ -150,6 +154,7 @@
             return (*boots, false);
         }
         let boots = self.boots(&vm);
+        self.tasks.stop_all_on(&vm);
         let now = Instant::now();
         let moments = self.vms.entry(vm).or_default();
         moments.push(VmMoment {
--- a/crates/trefoilpass/src/args.rs
+++ b/crates/trefoilpass/src/args.rs
@@ -5,7 +5,7 @@
 
 use clap::{Args as ClapArgs, Parser, Subcommand};
 use clap_complete::Shell;
-use domain::{Epoch, PoolId, PresetId, VmId};
+use domain::{Epoch, JobId, PoolId, PresetId, VmId};
 use smol_str::SmolStr;
 
 /// Drives a trefoilpass deployment.
@@ -64,7 +64,7 @@
     /// Maintenance waves.
     #[command(subcommand)]
     Wave(WaveCommand),
-    /// Jobs. Not built yet.
+    /// Jobs.
     #[command(subcommand)]
     Job(JobCommand),
     /// Print a shell's completion script.
@@ -188,18 +188,24 @@
     Submit {
         /// The job's description.
         file: PathBuf,
+        /// The job's id. The same id is taken once, so that the command can be run again.
+        #[arg(long)]
+        id: JobId,
+        #[command(flatten)]
+        wait: Wait,
     },
     /// List the jobs.
     List,
     /// Show a job.
     Show {
         /// The job.
-        job: SmolStr,
+        job: JobId,
     },
-    /// Cancel a job.
+    /// Cancel jobs.
     Cancel {
-        /// The job.
-        job: SmolStr,
+        /// The jobs.
+        #[arg(required = true)]
+        jobs: Vec<JobId>,
     },
 }
 
--- a/crates/trefoilpass/src/commands.rs
+++ b/crates/trefoilpass/src/commands.rs
@@ -8,6 +8,7 @@
 use domain::VmState;
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use peer::{OperatorRpcClient, PeerReport, PoolReport, ServiceReport, VmReport, WaveReport};
+use placement::{Job, JobState};
 use settings::Deployment;
 use snafu::ResultExt;
 
@@ -35,7 +36,6 @@
             println!("{}: ok", file.display());
             Ok(())
         }
-        Command::Job(job) => Err(not_built(&job)),
         command => {
             let rpc = connect(&args.daemons).await?;
             run_remote(&rpc, command, is_json).await
@@ -52,21 +52,11 @@
         Command::Pool(ListCommand::List) => pools(rpc, is_json).await,
         Command::Service(ListCommand::List) => services(rpc, is_json).await,
         Command::Wave(command) => wave(rpc, command, is_json).await,
-        Command::Job(job) => Err(not_built(&job)),
+        Command::Job(command) => job(rpc, command, is_json).await,
         Command::Completions { .. } => Ok(()),
     }
 }
 
-fn not_built(job: &JobCommand) -> Error {
-    let what = match job {
-        JobCommand::Submit { .. } => "`job submit`",
-        JobCommand::List => "`job list`",
-        JobCommand::Show { .. } => "`job show`",
-        JobCommand::Cancel { .. } => "`job cancel`",
-    };
-    Error::NotBuilt { what }
-}
-
 /// A client of the first daemon that answers.
 async fn connect(daemons: &[SocketAddr]) -> Result<HttpClient> {
     let mut message = String::from("none is named");
@@ -299,6 +289,63 @@
     Ok(())
 }
 
+async fn job(rpc: &HttpClient, command: JobCommand, is_json: bool) -> Result<()> {
+    match command {
+        JobCommand::Submit { file, id, wait } => {
+            let text = std::fs::read_to_string(&file).context(ReadFileSnafu { path: &file })?;
+            let spec = settings::parse_yaml(&text).context(DocumentSnafu { path: &file })?;
+            rpc.job_submit(id.clone(), spec)
+                .await
+                .map_err(Error::from_call)?;
+            println!("job {id} is queued");
+            wait::for_job(rpc, wait, &id).await
+        }
+        JobCommand::List => {
+            let jobs = rpc.jobs().await.map_err(Error::from_call)?;
+            let heading = ["JOB", "TEAM", "POOL", "CLASS", "STATE", "ATTEMPT", "VM"];
+            print_rows(is_json, &jobs, heading, |job: &Job| {
+                [
+                    job.id.to_string(),
+                    job.spec.team.to_string(),
+                    job.spec.pool.to_string(),
+                    format!("{:?}", job.spec.class).to_lowercase(),
+                    state_name(&job.state).to_owned(),
+                    job.attempt.to_string(),
+                    job.worker().map(ToString::to_string).unwrap_or_default(),
+                ]
+            });
+            Ok(())
+        }
+        JobCommand::Show { job } => {
+            let job = rpc.job_show(job).await.map_err(Error::from_call)?;
+            print_json(&job);
+            Ok(())
+        }
+        JobCommand::Cancel { jobs } => {
+            let count = jobs.len();
+            let left = rpc.jobs_cancel(jobs).await.map_err(Error::from_call)?;
+            println!("{} jobs are cancelled", count - left.len());
+            for job in left {
+                println!("job {job} had ended before, or does not exist");
+            }
+            Ok(())
+        }
+    }
+}
+
+pub(crate) fn state_name(state: &JobState) -> &'static str {
+    match state {
+        JobState::Queued => "queued",
+        JobState::Running {
+            is_leaving: true, ..
+        } => "leaving",
+        JobState::Running { .. } => "running",
+        JobState::Done => "done",
+        JobState::Parked { .. } => "parked",
+        JobState::Cancelled { .. } => "cancelled",
+    }
+}
+
 async fn wave(rpc: &HttpClient, command: WaveCommand, is_json: bool) -> Result<()> {
     match command {
         WaveCommand::Start { pool, wait } => {
--- a/crates/trefoilpass/src/error.rs
+++ b/crates/trefoilpass/src/error.rs
@@ -37,8 +37,6 @@
     Lost { message: String },
     #[snafu(display("not done after {seconds} s: {message}"))]
     Waited { seconds: u64, message: String },
-    #[snafu(display("{what} is not built yet; it waits for the issue on job placement"))]
-    NotBuilt { what: &'static str },
 }
 
 impl Error {
@@ -53,7 +51,7 @@
             | Self::Refused {
                 source: OperatorError::OutcomeUnknown(_),
             } => EXIT_UNKNOWN,
-            Self::Refused { .. } | Self::NotBuilt { .. } => EXIT_REFUSED,
+            Self::Refused { .. } => EXIT_REFUSED,
             Self::NoDaemon { .. } => EXIT_NO_DAEMON,
             Self::Waited { .. } => EXIT_WAITED,
         }
@@ -71,7 +69,6 @@
             Self::Waited { .. } => {
                 "it goes on by itself; look with `trefoilpass status`, `vm list` or `wave status`"
             }
-            Self::NotBuilt { .. } => "follow the project's issues; nothing was changed",
         }
     }
 
--- a/crates/trefoilpass/src/wait.rs
+++ b/crates/trefoilpass/src/wait.rs
@@ -2,12 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use domain::{Epoch, VmId, VmState};
+use domain::{Epoch, JobId, VmId, VmState};
 use jsonrpsee::http_client::HttpClient;
 use maintenance::{WaveId, WaveState};
 use peer::OperatorRpcClient;
 
 use crate::args::Wait;
+use crate::commands::state_name;
 use crate::error::{Error, Result};
 
 /// The pause between two looks.
@@ -114,3 +115,23 @@
     })
     .await
 }
+
+/// Waits until a job has ended.
+pub(crate) async fn for_job(rpc: &HttpClient, wait: Wait, id: &JobId) -> Result<()> {
+    if !wait.wait {
+        return Ok(());
+    }
+    until_done(wait, async || {
+        let job = rpc.job_show(id.clone()).await.map_err(Error::from_call)?;
+        let state = state_name(&job.state);
+        if job.has_ended() {
+            eprintln!("job {id}: {state}");
+            return Ok(Look::Done);
+        }
+        Ok(Look::NotYet(format!(
+            "job {id}: {state}, attempt {}",
+            job.attempt
+        )))
+    })
+    .await
+}
--- a/crates/trefoilpass/tests/cli.rs
+++ b/crates/trefoilpass/tests/cli.rs
@@ -146,6 +146,21 @@
         moved.contains("quotes") && moved.contains("serving"),
         "{moved}"
     );
+    let job = Document::new(
+        "job",
+        "{team: a, pool: parts, class: batch, cpu_milli: 100, memory_mb: 100, run_s: 1, payload: ''}\n",
+    );
+    ok(
+        &cluster,
+        &["job", "submit", job.path(), "--id", "j1", "--wait"],
+    )
+    .await;
+    let jobs = ok(&cluster, &["job", "list"]).await;
+    assert!(jobs.contains("done"), "{jobs}");
+    let shown = ok(&cluster, &["job", "show", "j1"]).await;
+    assert!(shown.contains("\"attempt\": 1"), "{shown}");
+    let cancelled = ok(&cluster, &["job", "cancel", "j1"]).await;
+    assert!(cancelled.contains("j1 had ended before"), "{cancelled}");
     ok(&cluster, &["wave", "start", "--pool", "quotes", "--wait"]).await;
     let waves = ok(&cluster, &["wave", "status"]).await;
     assert!(waves.contains("done"), "{waves}");
--- a/crates/trefoilpassd/src/control/claim_actor.rs
+++ b/crates/trefoilpassd/src/control/claim_actor.rs
@@ -13,12 +13,14 @@
 use peer::PeerRpcClient;
 use platform::{Commit, Platform, RowEntry, Transaction};
 use tokio::sync::oneshot;
+use tracing::Instrument;
 use xtra::WeakAddress;
 use xtra::prelude::*;
 
 use crate::clock::unix_time_s;
 use crate::control::Clients;
 use crate::control::clients::no_contact;
+use crate::control::rows::{self, ClaimBatchRow};
 use crate::shared::Shared;
 
 /// Transactions with claims that all daemons together may write in a second.
@@ -157,8 +159,9 @@
         tokio::spawn(async move {
             let reply = match client {
                 Some(client) => {
+                    let span = tracing::info_span!("peer", call = "claim");
                     let asked = client.rpc.claim(conflict.id.clone(), conflict.row.clone());
-                    match asked.await {
+                    match asked.instrument(span).await {
                         Ok(reply) => Some(reply),
                         // The process that held the claim is not there any more.
                         Err(err) if no_contact(&err) == NoContact::Refused => {
@@ -184,7 +187,17 @@
 }
 
 async fn write<P: Platform>(shared: &Shared<P>, batch: Batch) -> BatchResult {
-    let mut transaction = Transaction::new(shared.next_op());
+    let op = shared.next_op();
+    let index = ClaimBatchRow {
+        written_at_s: unix_time_s(),
+        keys: batch
+            .claims
+            .iter()
+            .map(|claim| claim.id.row_key())
+            .collect(),
+    };
+    let index_key = rows::claim_batch(index.written_at_s, &op);
+    let mut transaction = Transaction::new(op).with_write(index_key, &index);
     for claim in &batch.claims {
         let key = claim.id.row_key();
         transaction = transaction
--- a/crates/trefoilpassd/src/control/mod.rs
+++ b/crates/trefoilpassd/src/control/mod.rs
@@ -3,6 +3,9 @@
 mod changes;
 mod claim_actor;
 mod clients;
+mod job_changes;
+mod job_duties;
+mod job_orders;
 mod lease;
 mod leaving;
 mod operator_server;
--- a/crates/trefoilpassd/src/control/operator_server.rs
+++ b/crates/trefoilpassd/src/control/operator_server.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use domain::{Epoch, PoolId, PresetId, VmId};
+use domain::{Epoch, JobId, PoolId, PresetId, VmId};
 use futures_util::future::join_all;
 use jsonrpsee::core::{RpcResult, async_trait};
 use maintenance::{Wave, WaveError, WaveId, WaveState};
@@ -13,6 +13,7 @@
     AppliedConfig, ConfigDocument, InForceReport, OperatorError, OperatorRpcServer, PeerReport,
     PeerRpcClient, PoolReport, ServiceReport, StatusReport, StewardReport, VmReport, WaveReport,
 };
+use placement::{Job, JobSpec};
 use platform::{Platform, RowEntry, Transaction};
 use smol_str::format_smolstr;
 
@@ -250,6 +251,22 @@
     async fn wave_abort(&self, wave: WaveId) -> RpcResult<()> {
         Ok(self.change_wave(&wave, Wave::aborted).await?)
     }
+
+    async fn job_submit(&self, id: JobId, spec: JobSpec) -> RpcResult<()> {
+        Ok(self.changes.submit_job(id, spec).await?)
+    }
+
+    async fn jobs(&self) -> RpcResult<Vec<Job>> {
+        Ok(self.changes.all_jobs().await?)
+    }
+
+    async fn job_show(&self, id: JobId) -> RpcResult<Job> {
+        Ok(self.changes.job(&id).await?)
+    }
+
+    async fn jobs_cancel(&self, ids: Vec<JobId>) -> RpcResult<Vec<JobId>> {
+        Ok(self.changes.cancel_jobs(ids).await?)
+    }
 }
 
 fn wave_report(wave: &Wave) -> WaveReport {
--- a/crates/trefoilpassd/src/control/rows.rs
+++ b/crates/trefoilpassd/src/control/rows.rs
@@ -1,6 +1,6 @@
 //! The keys of the platform's table, and the rows that only daemons read.
 
-use domain::{FleetSeq, Incarnation, OpId, Term, VmId, VmRecord};
+use domain::{FleetSeq, Incarnation, JobId, OpId, Term, VmId, VmRecord};
 use maintenance::WaveId;
 use serde::{Deserialize, Serialize};
 
@@ -25,8 +25,14 @@
 /// The waves.
 pub(crate) const WAVES: &str = "wave/";
 
-/// The claims.
-pub(crate) const CLAIMS: &str = "claim/";
+/// The jobs that have not ended, and the cancelled ones whose task may still run.
+pub(crate) const OPEN_JOBS: &str = "job/open/";
+
+/// The jobs that have ended.
+pub(crate) const ENDED_JOBS: &str = "job/ended/";
+
+/// Which claims were written when, so that old ones are found without reading all.
+pub(crate) const CLAIM_BATCHES: &str = "claims-of/";
 
 pub(crate) fn vm(id: &VmId) -> String {
     format!("{VMS}{id}")
@@ -44,6 +50,19 @@
     format!("{WAVES}{id}")
 }
 
+/// The index row of one batch of claims. Keys are in order of time.
+pub(crate) fn claim_batch(unix_time_s: u64, op: &OpId) -> String {
+    format!("{CLAIM_BATCHES}{unix_time_s:012}/{op}")
+}
+
+pub(crate) fn open_job(id: &JobId) -> String {
+    format!("{OPEN_JOBS}{id}")
+}
+
+pub(crate) fn ended_job(id: &JobId) -> String {
+    format!("{ENDED_JOBS}{id}")
+}
+
 /// The name of a document in the object store.
 pub(crate) fn document(digest: &str) -> String {
     format!("config-{digest}")
@@ -56,6 +75,14 @@
     pub(crate) record: VmRecord,
 }
 
+/// The row `claims-of/<time>/<op>`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ClaimBatchRow {
+    pub(crate) written_at_s: u64,
+    /// The keys of the claims' rows.
+    pub(crate) keys: Vec<String>,
+}
+
 /// The row `op/<id>`, which tells that the write took effect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct OpRow {
--- a/crates/trefoilpassd/src/control/steward_actor.rs
+++ b/crates/trefoilpassd/src/control/steward_actor.rs
@@ -9,6 +9,7 @@
 use xtra::prelude::*;
 
 use crate::control::changes::{Changes, SideWrite};
+use crate::control::job_duties::JobsView;
 use crate::control::lease::{LeaseStep, SeenLease};
 use crate::control::rows::{self, StewardRow};
 use crate::control::sweep::Sweep;
@@ -28,6 +29,7 @@
     /// When this steward saw a VM's mark first.
     pub(crate) marks_seen_us: BTreeMap<VmId, u64>,
     pub(crate) sweep: Sweep,
+    pub(crate) jobs: JobsView,
 }
 
 impl<P: Platform> StewardActor<P> {
@@ -43,6 +45,7 @@
             was_steward: false,
             marks_seen_us: BTreeMap::new(),
             sweep: Sweep::new(),
+            jobs: JobsView::default(),
         }
     }
 
@@ -89,12 +92,14 @@
         if is_steward != self.was_steward {
             self.was_steward = is_steward;
             self.marks_seen_us.clear();
+            self.jobs = JobsView::with_tasks();
             let state = if is_steward { "is" } else { "is not" };
             log::info!("this daemon {state} the steward");
         }
         if !is_steward {
             return;
         }
+        self.place_jobs().await;
         self.finish_leaving().await;
         self.advance_waves().await;
         self.sweep().await;
--- a/crates/trefoilpassd/src/control/steward_duties.rs
+++ b/crates/trefoilpassd/src/control/steward_duties.rs
@@ -31,7 +31,7 @@
         let asked = leaving.iter().map(|vm| self.may_stop(vm));
         let decisions = join_all(asked).await;
         for (vm, decision) in leaving.iter().zip(decisions) {
-            if !matches!(decision, Ok(StopDecision::Stop)) {
+            if !matches!(decision, Ok(StopDecision::Stop)) || !self.jobs.is_idle(vm) {
                 continue;
             }
             if let Err(err) = self.stop(vm).await {
--- a/crates/trefoilpassd/src/control/sweep.rs
+++ b/crates/trefoilpassd/src/control/sweep.rs
@@ -1,11 +1,10 @@
 //! Removes rows that nobody needs any more.
 
 use domain::FleetSeq;
-use once::ClaimRow;
 use platform::{Commit, Platform, RowEntry, Transaction};
 
 use crate::clock::unix_time_s;
-use crate::control::rows::{self, OpRow};
+use crate::control::rows::{self, ClaimBatchRow, OpRow};
 use crate::control::steward_actor::StewardActor;
 
 /// How often a page of each kind is looked at.
@@ -14,6 +13,9 @@
 /// Rows looked at, of each kind.
 const PAGE_ROWS: usize = 200;
 
+/// Batches of claims removed in one sweep. It keeps up with as many as all daemons write in the meantime.
+const MAX_BATCHES: usize = 3_000;
+
 /// How long the row of a write is kept.
 const KEEP_OP_S: u64 = 3_600;
 
@@ -27,7 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct Sweep {
     last_us: u64,
-    after: [String; 3],
+    after: [String; 2],
 }
 
 impl Sweep {
@@ -53,8 +55,40 @@
             .await;
         self.sweep_kind(1, rows::CHANGES, |entry| is_old_change(entry, seq))
             .await;
-        self.sweep_kind(2, rows::CLAIMS, |entry| is_old_claim(entry, unix_time_s))
-            .await;
+        self.sweep_claims(unix_time_s).await;
+    }
+
+    /// Removes the oldest batches of claims, a batch in a transaction, until one is young enough to stay.
+    async fn sweep_claims(&mut self, unix_time_s: u64) {
+        for _ in 0..MAX_BATCHES {
+            // Keys are in order of time, so that the first row is that of the oldest batch.
+            let first = self.shared.platform.list(rows::CLAIM_BATCHES, "", 1).await;
+            let Some(entry) = first.ok().and_then(|page| page.into_iter().next()) else {
+                return;
+            };
+            let removed = self.remove_batch(&entry, unix_time_s).await;
+            if removed != Some(Commit::Committed) {
+                return;
+            }
+        }
+    }
+
+    /// Removes the claims of a batch if it is old enough.
+    async fn remove_batch(&self, entry: &RowEntry, unix_time_s: u64) -> Option<Commit> {
+        let row = entry.row.as_ref()?;
+        let batch = row.read::<ClaimBatchRow>(&entry.key).ok()?;
+        if batch.written_at_s + KEEP_CLAIM_S > unix_time_s {
+            return None;
+        }
+        let fence = self.fence();
+        let mut removal = Transaction::new(self.shared.next_op())
+            .with_condition(fence.key, fence.version)
+            .with_condition(entry.key.clone(), row.version)
+            .with_removal(entry.key.clone());
+        for key in batch.keys {
+            removal = removal.with_removal(key);
+        }
+        self.shared.platform.transact(&removal).await.ok()
     }
 
     async fn sweep_kind(&mut self, kind: usize, prefix: &str, is_old: impl Fn(&RowEntry) -> bool) {
@@ -100,11 +134,3 @@
         .and_then(|seq| seq.parse::<u64>().ok());
     seq.is_some_and(|seq| seq + KEEP_CHANGES < newest.0)
 }
-
-fn is_old_claim(entry: &RowEntry, unix_time_s: u64) -> bool {
-    let row = entry
-        .row
-        .as_ref()
-        .and_then(|row| row.read::<ClaimRow>(&entry.key).ok());
-    row.is_some_and(|row| row.claimed_at_s + KEEP_CLAIM_S < unix_time_s)
-}
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod idle;
+mod jobs;
 mod path;
 mod policies;
 
@@ -23,6 +24,8 @@
     Idle,
     /// How a daemon's memory, processor time and bytes grow with VMs, claims and changes.
     Capacity,
+    /// How long urgent work takes to start on a full fleet, by the number of jobs.
+    Jobs,
     /// The ways to choose a target, next to each other.
     Policies,
 }
@@ -36,6 +39,7 @@
         Measurement::Path => path::run(&daemon).await,
         Measurement::Idle => idle::run(&daemon).await,
         Measurement::Capacity => capacity::run(&daemon).await,
+        Measurement::Jobs => jobs::run(&daemon).await,
         Measurement::Policies => policies::run(&daemon).await,
     }
 }
