Tests that fail without the rule they are for

Eight rules, taken out of a scratch copy one at a time, had left the tests green: no retry after 'may have run', the error in a broken body, the stop's wait for work in flight, the recheck after a pause, the reboot's operation id, the drain's wait for tasks, the condition on a job's row, the graceful end of connections. Causes: too short a request, no retry earned yet, a length that broke the connection by itself, a hold that hid the pause, checkpoints that took no time, races that were not met. The tests now meet each case: longer requests, answers without a length, a paused daemon of another zone, an outage that begins with a reboot, slow checkpoints, a slow table under cancellations.

--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -380,7 +380,7 @@
          \x20 - {{id: peak, max_out_percent: 0, queue_limit_requests: 200, retry_percent: 5}}\n\
          services:\n\
          \x20 - {{id: parts, pool: parts, deadline_ms: 2000, max_body_bytes: 1000000}}\n\
-         \x20 - {{id: quotes, pool: quotes, deadline_ms: 2000, max_body_bytes: 1000000}}\n\
+         \x20 - {{id: quotes, pool: quotes, deadline_ms: 8000, max_body_bytes: 1000000}}\n\
          pools:\n\
          \x20 - {{id: parts, min_serving_vms: 0, job_cpu_milli: 4000, job_memory_mb: 8000}}\n\
          \x20 - {{id: quotes, min_serving_vms: 0}}\n\
--- a/crates/test-support/src/platform_store.rs
+++ b/crates/test-support/src/platform_store.rs
@@ -22,6 +22,8 @@
     pub delay_ms: u64,
     /// This many transactions take effect, but their answer is an error.
     pub lose_answers: u32,
+    /// An outage begins when the next reboot has begun.
+    pub outage_after_reboot: bool,
     /// The VM list shows the past.
     pub list_lag_ms: u64,
 }
@@ -168,6 +170,9 @@
             boots: boots + 1,
         });
         self.reboots.insert(op, boots + 1);
+        if std::mem::take(&mut self.faults.outage_after_reboot) {
+            self.faults.outage = true;
+        }
         (boots + 1, true)
     }
 
--- a/crates/test-support/src/platform_tasks.rs
+++ b/crates/test-support/src/platform_tasks.rs
@@ -15,6 +15,8 @@
     pub run_ms: u64,
     /// Memory that it uses.
     pub memory_mb: u32,
+    /// How long a checkpoint takes.
+    pub checkpoint_ms: u64,
     /// Whether it fails everywhere.
     pub fails: bool,
     /// Workers on which it fails.
@@ -27,6 +29,7 @@
     behaviour: TaskBehaviour,
     started: Instant,
     lease_until: Instant,
+    checkpointed: Option<Instant>,
     ended: Option<TaskState>,
 }
 
@@ -35,6 +38,9 @@
         if let Some(ended) = self.ended {
             return ended;
         }
+        if self.checkpointed.is_some_and(|at| at <= now) {
+            return TaskState::Checkpointed;
+        }
         let ends = self.started + Duration::from_millis(self.behaviour.run_ms);
         if self.lease_until < ends.min(now) {
             return TaskState::Lost;
@@ -69,6 +75,7 @@
             behaviour: serde_json::from_str(&order.payload).unwrap_or_default(),
             started: now,
             lease_until: now + Duration::from_millis(order.lease_ms),
+            checkpointed: None,
             ended: None,
             order,
         };
@@ -81,7 +88,12 @@
         if let Some(task) = self.tasks.get_mut(name)
             && task.state(now) == TaskState::Running
         {
-            task.ended = Some(end);
+            if end == TaskState::Checkpointed {
+                let takes = Duration::from_millis(task.behaviour.checkpoint_ms);
+                task.checkpointed.get_or_insert(now + takes);
+            } else {
+                task.ended = Some(end);
+            }
         }
     }
 
--- a/crates/test-support/src/target_server.rs
+++ b/crates/test-support/src/target_server.rs
@@ -243,9 +243,11 @@
         let _in_flight = &in_flight;
     });
     let mut response = warp::reply::stream(SyncStream::new(parts)).into_response();
-    response
-        .headers_mut()
-        .insert("content-length", HeaderValue::from(length));
+    if !headers.contains_key("x-answer-chunked") {
+        response
+            .headers_mut()
+            .insert("content-length", HeaderValue::from(length));
+    }
     if let Some(id) = headers.get("x-request-id") {
         response.headers_mut().insert("x-request-id", id.clone());
     }
--- a/crates/trefoilpassd/tests/jobs.rs
+++ b/crates/trefoilpassd/tests/jobs.rs
@@ -231,6 +231,46 @@
     }
 }
 
+#[tokio::test]
+async fn cancellations_that_race_starts_win() {
+    let cluster = cluster(1).await;
+    // A slow table widens the time between the steward's look and its write.
+    cluster.platform.set_faults(Faults {
+        delay_ms: 150,
+        ..Faults::default()
+    });
+    let mut names = Vec::new();
+    for round in 0..8 {
+        let round_names: Vec<_> = (0..4).map(|number| format!("j{round}-{number}")).collect();
+        for name in &round_names {
+            submit(&cluster, name, spec(Class::Batch, 100, &runs_for(1))).await;
+        }
+        let ids: Vec<_> = round_names.iter().map(|name| id(name)).collect();
+        let left = cluster.operator(1).jobs_cancel(ids).await.unwrap();
+        names.extend(
+            round_names
+                .into_iter()
+                .filter(|name| !left.contains(&id(name))),
+        );
+    }
+    cluster.platform.set_faults(Faults::default());
+    cluster
+        .wait("the steward has gone round", async || {
+            cluster
+                .platform
+                .with(|store| store.list("job/open/", "", 1))
+                .is_empty()
+        })
+        .await;
+    for name in &names {
+        let state = job(&cluster, name).await.unwrap().state;
+        assert!(
+            matches!(state, JobState::Cancelled { .. }),
+            "{name}: {state:?}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn jobs_go_on_through_a_lost_steward_lost_answers_and_an_outage() {
     let mut cluster = cluster(2).await;
@@ -269,7 +309,11 @@
 #[tokio::test]
 async fn a_drain_has_jobs_make_a_checkpoint_first() {
     let cluster = cluster(1).await;
-    submit(&cluster, "j", spec(Class::Batch, 4_000, &runs_for(8_000))).await;
+    let slow_checkpoint = TaskBehaviour {
+        checkpoint_ms: 3_000,
+        ..runs_for(8_000)
+    };
+    submit(&cluster, "j", spec(Class::Batch, 4_000, &slow_checkpoint)).await;
     let running = wait_for(&cluster, "j", "running", |job| job.worker().is_some()).await;
     let vm: VmId = running.worker().unwrap().clone();
     cluster.operator(1).vm_drain(vm.clone()).await.unwrap();
--- a/crates/trefoilpassd/tests/leaving.rs
+++ b/crates/trefoilpassd/tests/leaving.rs
@@ -68,15 +68,12 @@
 #[tokio::test]
 async fn a_long_request_is_waited_for() {
     let cluster = Cluster::start(shape(1)).await;
-    let vms = cluster.vms("parts");
+    let vms = cluster.vms("quotes");
     cluster.operator(0).vm_drain(vms[0].clone()).await.unwrap();
     wait_for_state(&cluster, 0, &vms[0], VmState::Stopped).await;
-    let url = cluster.url(0, "/v1/services/parts/work");
-    let long = cluster
-        .http()
-        .get(url)
-        .header("x-work-ms", "1300")
-        .header("x-op", "long");
+    let url = cluster.url(0, "/v1/services/quotes/work");
+    let long = cluster.http().get(url);
+    let long = long.header("x-work-ms", "5000").header("x-op", "long");
     let long = tokio::spawn(long.send());
     cluster
         .wait("it runs", async || {
@@ -301,6 +298,49 @@
     wait_for_state(&cluster, 0, &vm, VmState::Stopped).await;
 }
 
+#[tokio::test]
+async fn a_daemon_of_another_zone_that_was_paused_reads_its_view_again_before_it_sends() {
+    // The paused daemon's zone has no executors of its own for `parts`.
+    let own = ZoneShape {
+        daemons: 1,
+        parts: 2,
+        quotes: 1,
+    };
+    let other = ZoneShape {
+        daemons: 1,
+        parts: 0,
+        quotes: 1,
+    };
+    let cluster = Cluster::start(Shape::new(DAEMON, &[own, other])).await;
+    let vm = cluster.vms("parts")[0].clone();
+    let url = cluster.url(1, "/v1/services/parts/work");
+    assert!(
+        cluster
+            .http()
+            .get(&url)
+            .send()
+            .await
+            .unwrap()
+            .status()
+            .is_success()
+    );
+    cluster.pause(1);
+    cluster.operator(0).vm_drain(vm.clone()).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let marked_ms = cluster.targets.now_ms();
+    // The load meets the daemon at the moment in which it wakes.
+    let sends = (0..40).map(|_| tokio::spawn(cluster.http().get(&url).send()));
+    let sends: Vec<_> = sends.collect();
+    cluster.resume(1);
+    for send in sends {
+        let _ = send.await.unwrap();
+    }
+    assert!(
+        cluster.targets.last_request_ms(&vm) < marked_ms,
+        "new work for a VM that leaves"
+    );
+}
+
 #[tokio::test]
 async fn a_dead_daemon_of_the_zone_does_not_hold_a_drain() {
     let mut cluster = Cluster::start(shape(1)).await;
--- a/crates/trefoilpassd/tests/requests.rs
+++ b/crates/trefoilpassd/tests/requests.rs
@@ -269,6 +269,11 @@
         fault(TargetFault::Truncate, Method::POST, 0, "", "", 1),
         fault(TargetFault::Fail, Method::POST, 500, "", "", 1),
     ];
+    // First attempts earn retries, so that a wrong retry would be made.
+    for _ in 0..60 {
+        let read = cluster.http().get(cluster.url(0, PATH)).send().await;
+        assert!(read.unwrap().status().is_success());
+    }
     for (number, case) in faults.into_iter().enumerate() {
         cluster.targets.set_fault_everywhere(case.target);
         let op = format!("op-{number}");
@@ -309,6 +314,22 @@
     }
 }
 
+#[tokio::test]
+async fn a_short_answer_without_a_length_is_not_passed_on_as_a_whole_one() {
+    let cluster = one_zone().await;
+    cluster.targets.set_fault_everywhere(TargetFault::Truncate);
+    for keyed in [false, true] {
+        let request = cluster.http().post(cluster.url(0, PATH));
+        let mut request = request.header("x-answer-chunked", "yes");
+        if keyed {
+            request = request.header("idempotency-key", "k");
+        }
+        let answer = request.send().await.unwrap();
+        let is_refused = answer.status() == StatusCode::BAD_GATEWAY;
+        assert!(is_refused || answer.text().await.is_err(), "keyed: {keyed}");
+    }
+}
+
 #[tokio::test]
 async fn a_target_that_is_down_is_passed_over() {
     let cluster = one_zone().await;
--- a/crates/trefoilpassd/tests/steward.rs
+++ b/crates/trefoilpassd/tests/steward.rs
@@ -149,6 +149,34 @@
     assert_eq!(cluster.targets.stats().cut_by_stop, 0);
 }
 
+#[tokio::test]
+async fn a_vm_is_rebooted_once_when_the_platform_goes_away_right_after_the_reboot() {
+    let cluster = Cluster::start(shape()).await;
+    let faults = Faults {
+        outage_after_reboot: true,
+        ..Faults::default()
+    };
+    cluster.platform.set_faults(faults);
+    cluster.operator(0).wave_start(parts()).await.unwrap();
+    cluster
+        .wait("the outage", async || {
+            cluster.platform.with(|store| store.faults.outage)
+        })
+        .await;
+    // Longer than the steward tries to write down that it has rebooted the VM.
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    cluster.platform.set_faults(Faults::default());
+    wait_for_wave(&cluster, 0).await;
+    for vm in cluster.vms("parts") {
+        let listed = cluster.platform.with(|store| store.list_vms());
+        let boots = listed
+            .iter()
+            .find(|listed| listed.vm == vm)
+            .map(|listed| listed.boots);
+        assert_eq!(boots, Some(2), "{vm} was not rebooted once");
+    }
+}
+
 #[tokio::test]
 async fn a_wave_pauses_resumes_and_aborts() {
     let cluster = Cluster::start(shape()).await;
@@ -183,10 +211,19 @@
     load.duration = Duration::from_secs(5);
     let running = tokio::spawn(load.run());
     tokio::time::sleep(Duration::from_secs(1)).await;
+    let url = cluster.url(1, "/v1/services/quotes/work");
+    let long = cluster.http().get(url).header("x-work-ms", "5000");
+    let long = tokio::spawn(long.header("x-op", "long").send());
+    cluster
+        .wait("the long request runs", async || {
+            cluster.targets.runs().contains_key("long")
+        })
+        .await;
     let daemon = cluster.daemons[1].as_mut().unwrap();
     daemon.terminate();
     let ended = daemon.wait(test_support::PATIENCE).await.expect("an end");
     assert!(ended.success());
+    assert!(long.await.unwrap().unwrap().status().is_success());
     let report = running.await.unwrap();
     report.assert_promises(&cluster.targets.runs());
     assert_eq!(
