--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant};
 
 use domain::{EntryVmId, VmId, ZoneId};
+use jsonrpsee::core::ClientError;
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
-use peer::OperatorRpcClient;
+use peer::{OperatorError, OperatorRpcClient};
 use settings::EntryVm;
 use tokio::net::TcpListener;
 
@@ -355,6 +356,18 @@
     }
 }
 
+/// The listed error by which a daemon refused an operator.
+///
+/// # Panics
+/// When the call failed in another way.
+#[must_use]
+pub fn refused(err: &ClientError) -> OperatorError {
+    let ClientError::Call(object) = err else {
+        panic!("not an answer: {err}");
+    };
+    OperatorError::from_code(object.code(), object.message()).expect("a listed error")
+}
+
 fn pairs(count: usize) -> impl Iterator<Item = (usize, usize)> {
     let from = 0..count;
     from.flat_map(move |from| (0..count).map(move |to| (from, to)))
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -13,7 +13,7 @@
 mod target_server;
 mod targets;
 
-pub use cluster::{Cluster, PATIENCE, Shape, ZoneShape};
+pub use cluster::{Cluster, PATIENCE, Shape, ZoneShape, refused};
 pub use fault_proxy::{FaultProxy, ProxyFault};
 pub use fleet::{FleetSpec, entry_settings_yaml};
 pub use load::{Load, LoadReport, Outcomes, latency_histogram};
--- a/crates/trefoilpassd/tests/config.rs
+++ b/crates/trefoilpassd/tests/config.rs
@@ -1,9 +1,8 @@
 //! Configurations and presets: in force everywhere, never reverting, one at a time.
 
 use domain::{Epoch, PresetId};
-use jsonrpsee::core::ClientError;
 use peer::{OperatorError, OperatorRpcClient};
-use test_support::{Cluster, Faults, ProxyFault, Shape, ZoneShape};
+use test_support::{Cluster, Faults, ProxyFault, Shape, ZoneShape, refused};
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_trefoilpassd");
 
@@ -20,13 +19,6 @@
     PresetId::new(id).unwrap()
 }
 
-fn refused(err: &ClientError) -> OperatorError {
-    let ClientError::Call(object) = err else {
-        panic!("not an answer: {err}");
-    };
-    OperatorError::from_code(object.code(), object.message()).expect("a listed error")
-}
-
 async fn epoch(cluster: &Cluster, daemon: usize) -> Epoch {
     let status = cluster.operator(daemon).status().await;
     status.map_or(Epoch(0), |status| status.view.epoch)
--- a/crates/trefoilpassd/tests/jobs.rs
+++ b/crates/trefoilpassd/tests/jobs.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 
 use domain::{JobId, PoolId, TeamId, VmId, VmState};
-use jsonrpsee::core::ClientError;
 use peer::{OperatorError, OperatorRpcClient};
 use placement::{Class, Job, JobSpec, JobState, ParkReason};
-use test_support::{Cluster, Faults, Shape, TaskBehaviour, ZoneShape};
+use test_support::{Cluster, Faults, Shape, TaskBehaviour, ZoneShape, refused};
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_trefoilpassd");
 
@@ -69,13 +68,6 @@
     wait_for(cluster, name, "done", |job| job.state == JobState::Done).await
 }
 
-fn refused(err: &ClientError) -> OperatorError {
-    let ClientError::Call(object) = err else {
-        panic!("not an answer: {err}");
-    };
-    OperatorError::from_code(object.code(), object.message()).expect("a listed error")
-}
-
 /// How often the tasks of a job ran to their end.
 fn completed(cluster: &Cluster, job: &str) -> u32 {
     let prefix = format!("{job}.");
--- a/crates/trefoilpassd/tests/leaving.rs
+++ b/crates/trefoilpassd/tests/leaving.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 
 use domain::{PoolId, VmId, VmState};
-use jsonrpsee::core::ClientError;
 use peer::{OperatorError, OperatorRpcClient, VmReport};
 use platform::ListedState;
-use test_support::{Cluster, Faults, ProxyFault, Shape, ZoneShape};
+use test_support::{Cluster, Faults, ProxyFault, Shape, ZoneShape, refused};
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_trefoilpassd");
 
@@ -22,11 +21,14 @@
     Shape::new(DAEMON, &vec![zone; zones])
 }
 
-fn refused(err: &ClientError) -> OperatorError {
-    let ClientError::Call(object) = err else {
-        panic!("not an answer: {err}");
+/// Two zones with a daemon each, the second without executors of its own for `parts`.
+fn one_zone_without_parts() -> Shape {
+    let own = ZoneShape {
+        daemons: 1,
+        parts: 2,
+        quotes: 1,
     };
-    OperatorError::from_code(object.code(), object.message()).expect("a listed error")
+    Shape::new(DAEMON, &[own, ZoneShape { parts: 0, ..own }])
 }
 
 async fn report(cluster: &Cluster, daemon: usize, vm: &VmId) -> VmReport {
@@ -226,18 +228,7 @@
 
 #[tokio::test]
 async fn a_cut_zone_sends_a_leaving_vm_of_another_zone_nothing_after_a_few_seconds() {
-    // The cut zone has no executors of its own for `parts`.
-    let own = ZoneShape {
-        daemons: 1,
-        parts: 2,
-        quotes: 1,
-    };
-    let other = ZoneShape {
-        daemons: 1,
-        parts: 0,
-        quotes: 1,
-    };
-    let cluster = Cluster::start(Shape::new(DAEMON, &[own, other]).with_peer_proxies()).await;
+    let cluster = Cluster::start(one_zone_without_parts().with_peer_proxies()).await;
     let vm = cluster.vms("parts")[0].clone();
     let url = cluster.url(1, "/v1/services/parts/work");
     assert!(
@@ -300,18 +291,7 @@
 
 #[tokio::test]
 async fn a_daemon_of_another_zone_that_was_paused_reads_its_view_again_before_it_sends() {
-    // The paused daemon's zone has no executors of its own for `parts`.
-    let own = ZoneShape {
-        daemons: 1,
-        parts: 2,
-        quotes: 1,
-    };
-    let other = ZoneShape {
-        daemons: 1,
-        parts: 0,
-        quotes: 1,
-    };
-    let cluster = Cluster::start(Shape::new(DAEMON, &[own, other])).await;
+    let cluster = Cluster::start(one_zone_without_parts()).await;
     let vm = cluster.vms("parts")[0].clone();
     let url = cluster.url(1, "/v1/services/parts/work");
     assert!(
--- a/crates/trefoilpassd/tests/steward.rs
+++ b/crates/trefoilpassd/tests/steward.rs
@@ -69,6 +69,15 @@
     }
 }
 
+fn check_rebooted_once(cluster: &Cluster) {
+    let listed = cluster.platform.with(|store| store.list_vms());
+    for vm in cluster.vms("parts") {
+        let listed = listed.iter().find(|listed| listed.vm == vm);
+        let boots = listed.map(|listed| listed.boots);
+        assert_eq!(boots, Some(2), "{vm} was not rebooted once");
+    }
+}
+
 #[tokio::test]
 async fn a_lost_steward_is_replaced_with_a_higher_term() {
     let mut cluster = Cluster::start(shape()).await;
@@ -95,14 +104,7 @@
     let fewest = fewest_serving(&cluster, 2).await;
     // Six VMs, half of which may be out.
     assert!(fewest >= 3, "only {fewest} served");
-    for vm in cluster.vms("parts") {
-        let boots = cluster.platform.with(|store| store.list_vms());
-        let boots = boots
-            .iter()
-            .find(|listed| listed.vm == vm)
-            .map(|listed| listed.boots);
-        assert_eq!(boots, Some(2), "{vm} was not rebooted once");
-    }
+    check_rebooted_once(&cluster);
     let report = running.await.unwrap();
     report.assert_promises(&cluster.targets.runs());
     assert_eq!(cluster.targets.stats().cut_by_stop, 0);
@@ -138,14 +140,7 @@
     cluster.start_daemon(first).await;
     cluster.resume(second);
     wait_for_wave(&cluster, asked).await;
-    for vm in cluster.vms("parts") {
-        let listed = cluster.platform.with(|store| store.list_vms());
-        let boots = listed
-            .iter()
-            .find(|listed| listed.vm == vm)
-            .map(|listed| listed.boots);
-        assert_eq!(boots, Some(2), "{vm} was not rebooted once");
-    }
+    check_rebooted_once(&cluster);
     assert_eq!(cluster.targets.stats().cut_by_stop, 0);
 }
 
@@ -167,14 +162,7 @@
     tokio::time::sleep(Duration::from_secs(8)).await;
     cluster.platform.set_faults(Faults::default());
     wait_for_wave(&cluster, 0).await;
-    for vm in cluster.vms("parts") {
-        let listed = cluster.platform.with(|store| store.list_vms());
-        let boots = listed
-            .iter()
-            .find(|listed| listed.vm == vm)
-            .map(|listed| listed.boots);
-        assert_eq!(boots, Some(2), "{vm} was not rebooted once");
-    }
+    check_rebooted_once(&cluster);
 }
 
 #[tokio::test]
