The hops for a claim are spans in the caller's trace

Cause: the table's and the holder's calls ran in tasks of the claim actor, outside the request's span. A batch is now in the trace of its first request and linked to the others.

--- a/crates/trefoilpassd/src/control/claim_actor.rs
+++ b/crates/trefoilpassd/src/control/claim_actor.rs
@@ -13,7 +13,7 @@
 use peer::PeerRpcClient;
 use platform::{Commit, Platform, RowEntry, Transaction};
 use tokio::sync::oneshot;
-use tracing::Instrument;
+use tracing::{Instrument, Span};
 use xtra::WeakAddress;
 use xtra::prelude::*;
 
@@ -44,6 +44,8 @@
     pub(crate) id: ClaimId,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) waiter: oneshot::Sender<Ruling>,
+    /// The request's span, to which the hops for its claim belong.
+    pub(crate) span: Span,
 }
 
 /// A claimed request has ended.
@@ -81,13 +83,20 @@
     reply: Option<HolderReply>,
 }
 
+/// A request that waits for a ruling.
+#[derive(Debug)]
+struct Waiter {
+    sender: oneshot::Sender<Ruling>,
+    span: Span,
+}
+
 /// Drives the claims.
 #[derive(Debug, xtra::Actor)]
 pub(crate) struct ClaimActor<P: Platform> {
     shared: Arc<Shared<P>>,
     clients: Clients,
     claims: Claims,
-    waiters: HashMap<ClaimId, oneshot::Sender<Ruling>>,
+    waiters: HashMap<ClaimId, Waiter>,
     /// Transactions in a row whose answers were lost.
     lost_in_row: u32,
     forgot_us: u64,
@@ -114,10 +123,11 @@
         };
         self.shared.metrics.claim_batches.inc();
         self.shared.metrics.claims.inc_by(batch.claims.len() as u64);
+        let span = self.batch_span(&batch);
         let shared = self.shared.clone();
         let own = own.clone();
         tokio::spawn(async move {
-            let result = write(&shared, batch).await;
+            let result = write(&shared, batch).instrument(span).await;
             if result == BatchResult::Lost {
                 tokio::time::sleep(LOST_PAUSE).await;
             }
@@ -126,6 +136,23 @@
         });
     }
 
+    /// A batch serves many requests: it is in the trace of the first one and linked to the others.
+    fn batch_span(&self, batch: &Batch) -> Span {
+        let spans = batch
+            .claims
+            .iter()
+            .filter_map(|claim| self.waiters.get(&claim.id));
+        let mut spans = spans.map(|waiter| &waiter.span);
+        let Some(first) = spans.next() else {
+            return Span::none();
+        };
+        let span = tracing::info_span!(parent: first, "claims", count = batch.claims.len());
+        for other in spans {
+            span.follows_from(other);
+        }
+        span
+    }
+
     fn rule(&mut self, rulings: Vec<(ClaimId, Ruling)>, own: &WeakAddress<Self>) {
         for (id, ruling) in rulings {
             match ruling {
@@ -140,7 +167,7 @@
             self.nobody_waits(id, &ruling);
             return;
         };
-        if let Err(ruling) = waiter.send(ruling) {
+        if let Err(ruling) = waiter.sender.send(ruling) {
             self.nobody_waits(id, &ruling);
         }
     }
@@ -155,11 +182,13 @@
     fn ask_holder(&self, conflict: Box<Conflict>, own: &WeakAddress<Self>) {
         let holder = entry_vm_of(&conflict.row.holder);
         let client = holder.and_then(|id| self.clients.get(&id).cloned());
+        let waiter = self.waiters.get(&conflict.id);
+        let parent = waiter.map_or_else(Span::none, |waiter| waiter.span.clone());
         let own = own.clone();
         tokio::spawn(async move {
             let reply = match client {
                 Some(client) => {
-                    let span = tracing::info_span!("peer", call = "claim");
+                    let span = tracing::info_span!(parent: &parent, "peer", call = "claim");
                     let asked = client.rpc.claim(conflict.id.clone(), conflict.row.clone());
                     match asked.instrument(span).await {
                         Ok(reply) => Some(reply),
@@ -181,7 +210,9 @@
         let now_us = self.shared.clock.now_us();
         for (id, waiter) in self.waiters.drain() {
             self.claims.give_up(&id, now_us);
-            let _ = waiter.send(Ruling::Refuse(ErrorKind::ClaimUnavailable));
+            let _ = waiter
+                .sender
+                .send(Ruling::Refuse(ErrorKind::ClaimUnavailable));
         }
     }
 }
@@ -245,7 +276,11 @@
             self.claims.give_up(&message.id, now_us);
             return Begin::Ruled(Ruling::Refuse(ErrorKind::ClaimUnavailable));
         }
-        self.waiters.insert(message.id, message.waiter);
+        let waiter = Waiter {
+            sender: message.waiter,
+            span: message.span,
+        };
+        self.waiters.insert(message.id, waiter);
         self.write_next(&ctx.mailbox().address());
         begin
     }
--- a/crates/trefoilpassd/src/front/keyed.rs
+++ b/crates/trefoilpassd/src/front/keyed.rs
@@ -83,6 +83,7 @@
         id: id.clone(),
         fingerprint,
         waiter,
+        span: tracing::Span::current(),
     };
     match front.claims.send(begin).await {
         Ok(Begin::Ruled(ruling)) => return ruling,
--- a/crates/trefoilpassd/tests/steward.rs
+++ b/crates/trefoilpassd/tests/steward.rs
@@ -168,6 +168,11 @@
 #[tokio::test]
 async fn a_wave_pauses_resumes_and_aborts() {
     let cluster = Cluster::start(shape()).await;
+    // The list shows each reboot a second late.
+    cluster.platform.set_faults(Faults {
+        list_lag_ms: 1_000,
+        ..Faults::default()
+    });
     let rpc = cluster.operator(0);
     let wave = rpc.wave_start(parts()).await.unwrap();
     rpc.wave_pause(wave.clone()).await.unwrap();
