--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -175,15 +175,8 @@
     }
 
     fn clear_closed_workers(&mut self) {
-        let closed: BTreeSet<_> = self
-            .fleet
-            .workers
-            .iter()
-            .filter(|w| !w.is_open)
-            .collect::<Vec<_>>()
-            .into_iter()
-            .map(|worker| &worker.vm)
-            .collect();
+        let closed = self.fleet.workers.iter().filter(|worker| !worker.is_open);
+        let closed: BTreeSet<_> = closed.map(|worker| &worker.vm).collect();
         let leave =
             self.fleet.jobs.iter().filter(|job| {
                 !job.is_leaving() && job.worker().is_some_and(|vm| closed.contains(vm))
--- a/crates/trefoilpassd/src/control/job_duties.rs
+++ b/crates/trefoilpassd/src/control/job_duties.rs
@@ -113,7 +113,7 @@
         let workers = workers(&self.shared.in_force(), &listed);
         self.take_in(&open, &reports, &workers).await?;
         let open = self.changes.open_jobs().await?;
-        let has_made_room = self.place(&open, &workers).await?;
+        let has_made_room = self.place(&open, &reports, &workers).await?;
         self.renew_leases(&open).await?;
         let running = reports
             .into_iter()
@@ -200,7 +200,12 @@
     }
 
     /// Starts jobs and makes room, as the placer says; true when jobs were told to make room.
-    async fn place(&mut self, open: &[OpenJob], workers: &[Worker]) -> Result<bool> {
+    async fn place(
+        &mut self,
+        open: &[OpenJob],
+        reports: &[TaskReport],
+        workers: &[Worker],
+    ) -> Result<bool> {
         let in_force = self.shared.in_force();
         let config = in_force.config.as_ref().ok_or_else(no_configuration)?;
         let jobs: Vec<_> = open.iter().map(|open| open.job.clone()).collect();
@@ -223,7 +228,9 @@
         let now = jobs
             .iter()
             .map(|job| written.get(&job.id).copied().unwrap_or(job));
-        self.carry_out(now.filter_map(effect_of).collect()).await?;
+        let reported: BTreeSet<_> = reports.iter().map(|report| &report.task).collect();
+        let effects = now.flat_map(|job| effects_of(job, reported.contains(&job.task().0)));
+        self.carry_out(effects.collect()).await?;
         Ok(steps.iter().any(|step| matches!(step, Step::Leave(_))))
     }
 
@@ -307,26 +314,33 @@
 }
 
 /// What has to be so at the platform for the job's row to be true. It is the same when it is done again.
-fn effect_of(job: &Job) -> Option<Effect> {
-    let task = job.task();
-    match &job.state {
-        JobState::Running {
-            is_leaving: true, ..
-        } => Some(Effect::Stop {
-            task,
+///
+/// A job that leaves before its task was started is started all the same, because only a task's end ends its attempt.
+fn effects_of(job: &Job, is_reported: bool) -> Vec<Effect> {
+    let JobState::Running { vm, is_leaving } = &job.state else {
+        return Vec::new();
+    };
+    let mut effects = Vec::new();
+    if !is_reported {
+        effects.push(Effect::Start(order(job, vm)));
+    }
+    if *is_leaving {
+        effects.push(Effect::Stop {
+            task: job.task(),
             is_kept: true,
-        }),
-        JobState::Running { vm, .. } => {
-            let needs = job.needs();
-            Some(Effect::Start(TaskOrder {
-                task: task.0,
-                vm: vm.clone(),
-                cpu_milli: needs.cpu_milli,
-                memory_mb: needs.memory_mb,
-                lease_ms: LEASE_MS,
-                payload: job.spec.payload.clone(),
-            }))
-        }
-        _ => None,
+        });
+    }
+    effects
+}
+
+fn order(job: &Job, vm: &VmId) -> TaskOrder {
+    let needs = job.needs();
+    TaskOrder {
+        task: job.task().0,
+        vm: vm.clone(),
+        cpu_milli: needs.cpu_milli,
+        memory_mb: needs.memory_mb,
+        lease_ms: LEASE_MS,
+        payload: job.spec.payload.clone(),
     }
 }
--- a/crates/trefoilpassd/src/control/sweep.rs
+++ b/crates/trefoilpassd/src/control/sweep.rs
@@ -13,8 +13,8 @@
 /// Rows looked at, of each kind.
 const PAGE_ROWS: usize = 200;
 
-/// Batches of claims removed in one sweep. It keeps up with as many as all daemons write in the meantime.
-const MAX_BATCHES: usize = 3_000;
+/// Batches of claims removed in one round, so that the steward's other work and its lease do not wait for them.
+const MAX_BATCHES: usize = 50;
 
 /// How long the row of a write is kept.
 const KEEP_OP_S: u64 = 3_600;
@@ -29,6 +29,8 @@
 #[derive(Debug)]
 pub(crate) struct Sweep {
     last_us: u64,
+    /// Whether the last round ended with old batches of claims left.
+    has_backlog: bool,
     after: [String; 2],
 }
 
@@ -36,6 +38,7 @@
     pub(crate) fn new() -> Self {
         Self {
             last_us: 0,
+            has_backlog: false,
             after: Default::default(),
         }
     }
@@ -45,6 +48,9 @@
     /// Looks at the next page of each kind when it is time to.
     pub(crate) async fn sweep(&mut self) {
         let now_us = self.shared.clock.now_us();
+        if self.sweep.has_backlog {
+            self.sweep_claims(unix_time_s()).await;
+        }
         if now_us.saturating_sub(self.sweep.last_us) < SWEEP_PERIOD_US {
             return;
         }
@@ -60,6 +66,7 @@
 
     /// Removes the oldest batches of claims, a batch in a transaction, until one is young enough to stay.
     async fn sweep_claims(&mut self, unix_time_s: u64) {
+        self.sweep.has_backlog = false;
         for _ in 0..MAX_BATCHES {
             // Keys are in order of time, so that the first row is that of the oldest batch.
             let first = self.shared.platform.list(rows::CLAIM_BATCHES, "", 1).await;
@@ -71,6 +78,7 @@
                 return;
             }
         }
+        self.sweep.has_backlog = true;
     }
 
     /// Removes the claims of a batch if it is old enough.
--- a/crates/trefoilpassd/tests/jobs.rs
+++ b/crates/trefoilpassd/tests/jobs.rs
@@ -298,6 +298,19 @@
     }
 }
 
+#[tokio::test]
+async fn a_job_that_leaves_before_its_task_was_started_is_not_stuck() {
+    let cluster = cluster(1).await;
+    // A steward wrote both steps and was lost before it carried out either.
+    let job = Job::new(id("j"), spec(Class::Batch, 1_000, &runs_for(500)), 1);
+    let job = job.started(cluster.vms("parts")[0].clone()).unwrap();
+    let op = domain::OpId::new("lost-steward").unwrap();
+    let write = platform::Transaction::new(op).with_write("job/open/j", &job.leaving());
+    cluster.platform.with(|store| store.transact(&write));
+    wait_done(&cluster, "j").await;
+    assert_eq!(completed(&cluster, "j"), 1);
+}
+
 #[tokio::test]
 async fn a_drain_has_jobs_make_a_checkpoint_first() {
     let cluster = cluster(1).await;
