--- /dev/null
+++ b/crates/fleetd/src/lib.rs
@@ -0,0 +1,17 @@
+//! The daemon on the users' platform: loops that drive the decisions of `scheduler`, `pools` and `ownership`.
+
+mod clock;
+mod config;
+mod front;
+mod members;
+mod metrics;
+mod node;
+mod observe;
+mod pool;
+mod rpc;
+mod run;
+mod settings;
+mod steward;
+
+pub use run::{Error, Result, run};
+pub use settings::{FleetSettings, SettingsError};
--- /dev/null
+++ b/crates/fleetd/src/node.rs
@@ -0,0 +1,141 @@
+//! What the parts of a daemon share.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::time::Duration;
+
+use jsonrpsee::http_client::{HttpClient as PeerClient, HttpClientBuilder};
+use ownership::{Claim, Peers};
+use parking_lot::Mutex;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+use users_platform::{HttpClient, StoreClient, VmClient, WaveOrder, WorkerClient};
+
+use crate::clock::Clock;
+use crate::config::InForce;
+use crate::metrics::Metrics;
+use crate::pool::PoolOwner;
+use crate::settings::FleetSettings;
+
+/// How long a call to the store may take. Thirty times its usual time, and more than it takes when it is 50 times
+/// slower than usual.
+pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// How long a call to a peer may take: one transaction there, and once more if its answer is lost.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// The tables of the system's own rows.
+pub(crate) mod tables {
+    /// A daemon's sign of life, by daemon.
+    pub(crate) const DAEMON: &str = "daemon";
+    /// The holder of a unit, in the unit's part.
+    pub(crate) const OWNER: &str = "owner";
+    /// The number of a unit's last transaction, in the unit's part.
+    pub(crate) const SEQUENCE: &str = "sequence";
+    /// What was handed in, by job, in the pool's part.
+    pub(crate) const JOB: &str = "job";
+    /// How far a job is, by job, in the pool's part.
+    pub(crate) const PROGRESS: &str = "progress";
+    /// How far a wave is, by wave, in the fleet's part.
+    pub(crate) const WAVE: &str = "wave";
+}
+
+/// The one key of a table that has one row in a part.
+pub(crate) const ONLY_KEY: &str = "it";
+
+/// What the parts of a daemon share.
+pub(crate) struct Node {
+    pub(crate) settings: FleetSettings,
+    /// This life of the process.
+    pub(crate) incarnation: SmolStr,
+    pub(crate) clock: Clock,
+    pub(crate) store: StoreClient,
+    pub(crate) workers: WorkerClient,
+    pub(crate) vms: VmClient,
+    pub(crate) in_force: InForce,
+    pub(crate) metrics: Metrics,
+    pub(crate) peers: Mutex<Peers>,
+    /// The pools that this daemon decides for.
+    pub(crate) pools: Mutex<BTreeMap<SmolStr, Arc<PoolOwner>>>,
+    /// The units that this daemon holds, with its terms.
+    pub(crate) holds: Mutex<BTreeMap<SmolStr, u64>>,
+    /// Wakes the loop that shows what this daemon holds.
+    pub(crate) holds_changed: Notify,
+    pub(crate) is_leaving: AtomicBool,
+    pub(crate) in_flight: AtomicUsize,
+    /// The waves that operators ask for, by key.
+    pub(crate) waves: Mutex<BTreeMap<SmolStr, WaveOrder>>,
+    peer_clients: Mutex<HashMap<SmolStr, PeerClient>>,
+}
+
+impl Node {
+    pub(crate) fn new(
+        settings: FleetSettings,
+        incarnation: SmolStr,
+        http: &HttpClient,
+        metrics: Metrics,
+        peers: Peers,
+    ) -> Self {
+        Self {
+            store: StoreClient::new(http.clone(), &settings.store_addr),
+            workers: WorkerClient::new(http.clone()),
+            vms: VmClient::new(http.clone(), &settings.vms_addr),
+            settings,
+            incarnation,
+            clock: Clock::default(),
+            in_force: InForce::default(),
+            metrics,
+            peers: Mutex::new(peers),
+            pools: Mutex::new(BTreeMap::new()),
+            holds: Mutex::new(BTreeMap::new()),
+            holds_changed: Notify::new(),
+            is_leaving: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            waves: Mutex::new(BTreeMap::new()),
+            peer_clients: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// The pool's owner, if it is this daemon.
+    pub(crate) fn own_pool(&self, pool: &str) -> Option<Arc<PoolOwner>> {
+        self.pools.lock().get(pool).cloned()
+    }
+
+    /// The daemon that claims a unit, as far as is known.
+    pub(crate) fn claim(&self, unit: &str) -> Option<Claim> {
+        self.peers.lock().claim(unit)
+    }
+
+    /// A client of a peer.
+    pub(crate) fn peer(&self, addr: &SmolStr) -> Option<PeerClient> {
+        let mut clients = self.peer_clients.lock();
+        if let Some(client) = clients.get(addr) {
+            return Some(client.clone());
+        }
+        let built = HttpClientBuilder::default()
+            .request_timeout(PEER_TIMEOUT)
+            .build(format!("http://{addr}"));
+        match built {
+            Ok(client) => {
+                clients.insert(addr.clone(), client.clone());
+                Some(client)
+            }
+            Err(err) => {
+                tracing::warn!(addr = addr.as_str(), error = %err, "a peer's address can't be used");
+                None
+            }
+        }
+    }
+
+    /// Shows peers that this daemon holds a unit, or no longer does.
+    pub(crate) fn set_hold(&self, unit: &SmolStr, term: Option<u64>) {
+        let mut holds = self.holds.lock();
+        match term {
+            Some(term) => holds.insert(unit.clone(), term),
+            None => holds.remove(unit),
+        };
+        drop(holds);
+        self.holds_changed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/fleetd/src/pool/holds.rs
@@ -0,0 +1,173 @@
+//! Renews the leases of what runs on workers, and looks at it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use scheduler::{End, HoldPlan, Look, RunningTask, WorkerKey};
+use submission::RunEnd;
+use tokio::sync::Notify;
+use users_platform::{HoldAnswer, HoldOrder, TaskEndKind};
+
+use crate::clock::local_ms;
+use crate::pool::PoolOwner;
+
+/// How long a worker may take to answer, beyond the time it is asked to wait for an end.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// How long a look waits for an end. At two fifths of a lease, one look may be lost before the lease lapses.
+const LOOK_WAIT_MS: u64 = 2000;
+
+/// How long it waits where tasks that fill run beside others, whose load changes within half a second.
+const SHARED_LOOK_WAIT_MS: u64 = 400;
+
+/// The pause after a look that got no answer.
+const SILENT_PAUSE: Duration = Duration::from_millis(150);
+
+/// The longest pause of a loop without work, after which it looks whether the worker is still known.
+const IDLE_PAUSE: Duration = Duration::from_secs(2);
+
+/// How long a look waits for ends seen before to be recorded, so that it can have them forgotten.
+const RECORD_PAUSE: Duration = Duration::from_millis(300);
+
+impl PoolOwner {
+    /// Starts a loop for each worker that has none.
+    pub(crate) fn start_holds(self: &Arc<Self>, keys: &[WorkerKey]) {
+        let mut wakers = self.hold_wakers.lock();
+        for &key in keys {
+            if wakers.contains_key(&key) {
+                continue;
+            }
+            let waker = Arc::new(Notify::new());
+            wakers.insert(key, waker.clone());
+            tokio::spawn(self.clone().hold_worker(key, waker));
+        }
+    }
+
+    pub(crate) fn wake_holds(&self, keys: impl Iterator<Item = WorkerKey>) {
+        let wakers = self.hold_wakers.lock();
+        for waker in keys.filter_map(|key| wakers.get(&key)) {
+            waker.notify_one();
+        }
+    }
+
+    async fn hold_worker(self: Arc<Self>, key: WorkerKey, waker: Arc<Notify>) {
+        while !self.is_over() {
+            let planned = {
+                let mut scheduler = self.scheduler.lock();
+                let Some(info) = scheduler.worker(key).cloned() else {
+                    break;
+                };
+                let now = self.node.clock.now();
+                scheduler.hold_plan(key, now).map(|plan| (plan, info))
+            };
+            let Some((plan, info)) = planned.filter(|_| self.may_order()) else {
+                // The wait ends early when there is work.
+                let _ = tokio::time::timeout(IDLE_PAUSE, waker.notified()).await;
+                continue;
+            };
+            let order = self.hold_order(plan);
+            let sent_at_ms = local_ms();
+            let hold = self.node.workers.hold(&info.addr, &info.id, &order, HOLD_TIMEOUT);
+            let answer = hold.await;
+            let orders = &self.node.metrics.orders;
+            match answer {
+                Ok(HoldAnswer::Held { clock_ms, running, ended }) => {
+                    orders.with_label_values(&["hold", "answered"]).inc();
+                    let has_ends = !ended.is_empty();
+                    let look = Look {
+                        sent_at_ms,
+                        clock_ms,
+                        recorded_end: order.recorded_end,
+                        running: running.into_iter().map(running_task).collect(),
+                        ended: ended.into_iter().map(|ended| self.end_of(ended)).collect(),
+                    };
+                    self.take_look(key, look);
+                    if has_ends {
+                        let _ = tokio::time::timeout(RECORD_PAUSE, waker.notified()).await;
+                    }
+                }
+                Ok(HoldAnswer::OtherLife) => {
+                    orders.with_label_values(&["hold", "other life"]).inc();
+                    tracing::info!(worker = info.id.as_str(), "another life answers: this one is over");
+                    self.scheduler.lock().life_over(key, self.node.clock.now());
+                    self.changed.notify_one();
+                    break;
+                }
+                Ok(HoldAnswer::Refused) => {
+                    orders.with_label_values(&["hold", "refused"]).inc();
+                    tracing::warn!(worker = info.id.as_str(), term = self.term, "a worker has seen a later term");
+                    self.scheduler.lock().unanswered(key);
+                    tokio::time::sleep(SILENT_PAUSE).await;
+                }
+                Ok(HoldAnswer::Unhealthy { status }) => {
+                    orders.with_label_values(&["hold", "unhealthy"]).inc();
+                    tracing::debug!(worker = info.id.as_str(), status, "a worker takes no hold");
+                    self.scheduler.lock().unanswered(key);
+                    tokio::time::sleep(SILENT_PAUSE).await;
+                }
+                Err(err) => {
+                    orders.with_label_values(&["hold", "unanswered"]).inc();
+                    tracing::debug!(worker = info.id.as_str(), error = %err, "a hold got no answer");
+                    self.scheduler.lock().unanswered(key);
+                    tokio::time::sleep(SILENT_PAUSE).await;
+                }
+            }
+        }
+        self.hold_wakers.lock().remove(&key);
+    }
+
+    fn hold_order(&self, plan: HoldPlan) -> HoldOrder {
+        let wait_ms = match plan {
+            HoldPlan { is_busy: false, .. } => 0,
+            HoldPlan { is_shared: true, .. } => SHARED_LOOK_WAIT_MS,
+            _ => LOOK_WAIT_MS,
+        };
+        HoldOrder {
+            lease_until_ms: plan.lease_until_ms,
+            term: self.term,
+            recorded_end: plan.recorded_end,
+            wait_ms,
+        }
+    }
+
+    fn take_look(self: &Arc<Self>, key: WorkerKey, look: Look) {
+        let urgent = {
+            let mut scheduler = self.scheduler.lock();
+            scheduler.looked(key, look, self.node.clock.now());
+            scheduler.take_urgent()
+        };
+        for action in urgent {
+            self.send_order(action);
+        }
+        self.changed.notify_one();
+    }
+
+    fn end_of(&self, ended: users_platform::TaskEnd) -> End {
+        let (end, name) = match ended.kind {
+            TaskEndKind::Done => (RunEnd::Done, "done"),
+            TaskEndKind::Failed => (RunEnd::Failed, "failed"),
+            TaskEndKind::Stopped => (RunEnd::Lost, "stopped"),
+            TaskEndKind::Lapsed => (RunEnd::Lost, "lapsed"),
+            TaskEndKind::Gang => (RunEnd::Lost, "gang"),
+        };
+        self.node.metrics.ends.with_label_values(&[name]).inc();
+        tracing::info!(task = ended.task.as_str(), run = ended.run, end = name, number = ended.number, "a run ended");
+        End {
+            number: ended.number,
+            name: ended.task,
+            run: ended.run,
+            end,
+            checkpoint: ended.checkpoint,
+        }
+    }
+}
+
+fn running_task(held: users_platform::HeldTask) -> RunningTask {
+    RunningTask {
+        name: held.task,
+        run: held.run,
+        checkpoint: held.checkpoint,
+        percent: held.percent,
+        load: held.load,
+    }
+}
--- /dev/null
+++ b/crates/fleetd/src/pool/mod.rs
@@ -0,0 +1,213 @@
+//! Drives the scheduler of one pool: records what it decides, then carries it out.
+
+mod holds;
+mod orders;
+mod recorder;
+mod registry;
+mod sequence;
+mod takeover;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use ownership::Lease;
+use parking_lot::Mutex;
+use scheduler::{JobAnswer, Scheduler, WorkerKey};
+use smol_str::SmolStr;
+use submission::{JobId, JobSpec};
+use tokio::sync::{Notify, oneshot};
+
+use crate::clock::local_ms;
+use crate::node::Node;
+use crate::rpc::{Emptiness, HandoverAnswer, JobReply, WireState};
+
+pub(crate) use sequence::Sequence;
+pub(crate) use takeover::{Taken, jobs_of, read_all, take_over, take_pool};
+
+/// How long an owner goes on to renew workers' leases after its last recorded write. Covers the usual outages of
+/// the store, of 4.5 s; a successor counts on it when a worker stays silent.
+pub(crate) const OWNER_GRACE_MS: u64 = 6000;
+
+/// When the store has not answered for longer, jobs are refused at once instead of held.
+const STORE_AWAY_MS: u64 = 700;
+
+/// When to come back when the store is away. Outages last from 3 s to 9 s.
+const RETRY_AFTER_OUTAGE_S: u32 = 2;
+
+/// The daemon's side of one pool that it decides for.
+pub(crate) struct PoolOwner {
+    pub(crate) node: Arc<Node>,
+    pub(crate) pool: SmolStr,
+    pub(crate) term: u64,
+    pub(crate) scheduler: Mutex<Scheduler>,
+    pub(crate) lease: Mutex<Lease>,
+    /// Wakes the recorder.
+    pub(crate) changed: Notify,
+    is_over: AtomicBool,
+    /// When the store first failed a transaction that has not succeeded since; 0 for not.
+    failing_since_ms: AtomicU64,
+    waiters: Mutex<HashMap<JobId, Vec<oneshot::Sender<HandoverAnswer>>>>,
+    hold_wakers: Mutex<HashMap<WorkerKey, Arc<Notify>>>,
+    order_slots: Mutex<HashMap<WorkerKey, Arc<tokio::sync::Semaphore>>>,
+}
+
+impl PoolOwner {
+    fn new(node: Arc<Node>, pool: SmolStr, term: u64, scheduler: Scheduler, lease: Lease) -> Self {
+        Self {
+            node,
+            pool,
+            term,
+            scheduler: Mutex::new(scheduler),
+            lease: Mutex::new(lease),
+            changed: Notify::new(),
+            is_over: AtomicBool::new(false),
+            failing_since_ms: AtomicU64::new(0),
+            waiters: Mutex::new(HashMap::new()),
+            hold_wakers: Mutex::new(HashMap::new()),
+            order_slots: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Whether this daemon no longer decides for the pool.
+    pub(crate) fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Acquire)
+    }
+
+    /// Whether orders may still be sent. Checked right before each of them.
+    pub(crate) fn may_order(&self) -> bool {
+        !self.is_over() && self.lease.lock().is_held(local_ms(), OWNER_GRACE_MS)
+    }
+
+    /// Takes a job in, and answers once its row is written.
+    pub(crate) async fn submit(
+        &self,
+        queue: SmolStr,
+        id: JobId,
+        spec: JobSpec,
+    ) -> HandoverAnswer {
+        if self.is_over() {
+            return HandoverAnswer::NotOwner;
+        }
+        let since_ms = self.failing_since_ms.load(Ordering::Relaxed);
+        let is_store_away = since_ms > 0 && local_ms().saturating_sub(since_ms) > STORE_AWAY_MS;
+        let receiver = {
+            let mut scheduler = self.scheduler.lock();
+            match scheduler.answer(id) {
+                JobAnswer::Recorded(_) => return HandoverAnswer::Accepted,
+                JobAnswer::Unknown if is_store_away => {
+                    return HandoverAnswer::Refused {
+                        retry_after_s: RETRY_AFTER_OUTAGE_S,
+                    };
+                }
+                JobAnswer::Unknown => {
+                    scheduler.submit(id, queue, Arc::new(spec), self.node.clock.now());
+                }
+                JobAnswer::NotYetRecorded => {}
+            }
+            let (sender, receiver) = oneshot::channel();
+            self.waiters.lock().entry(id).or_default().push(sender);
+            receiver
+        };
+        self.changed.notify_one();
+        // The sender is dropped when the ownership ends before the outcome is known.
+        receiver.await.unwrap_or(HandoverAnswer::Unknown)
+    }
+
+    /// Where a job is, by the rows written.
+    pub(crate) fn state(&self, id: JobId) -> JobReply {
+        if self.is_over() {
+            return JobReply::NotOwner;
+        }
+        match self.scheduler.lock().answer(id) {
+            JobAnswer::Recorded(state) => JobReply::State(WireState(state)),
+            JobAnswer::NotYetRecorded => JobReply::Unknown,
+            JobAnswer::Unknown => JobReply::Absent,
+        }
+    }
+
+    /// Cancels a job, and answers once its row is written.
+    pub(crate) async fn cancel(&self, id: JobId) -> JobReply {
+        if self.is_over() {
+            return JobReply::NotOwner;
+        }
+        let receiver = {
+            let mut scheduler = self.scheduler.lock();
+            if scheduler.cancel(id, self.node.clock.now()) == JobAnswer::Unknown {
+                return JobReply::Absent;
+            }
+            if scheduler.is_written(id) {
+                return self.reply(&scheduler, id);
+            }
+            let (sender, receiver) = oneshot::channel();
+            self.waiters.lock().entry(id).or_default().push(sender);
+            receiver
+        };
+        self.changed.notify_one();
+        match receiver.await {
+            Ok(HandoverAnswer::Accepted) => self.reply(&self.scheduler.lock(), id),
+            _ => JobReply::Unknown,
+        }
+    }
+
+    #[expect(clippy::unused_self, reason = "kept beside the calls that it answers")]
+    fn reply(&self, scheduler: &Scheduler, id: JobId) -> JobReply {
+        match scheduler.answer(id) {
+            JobAnswer::Recorded(state) => JobReply::State(WireState(state)),
+            JobAnswer::NotYetRecorded => JobReply::Unknown,
+            JobAnswer::Unknown => JobReply::Absent,
+        }
+    }
+
+    /// How many jobs of a queue have not started.
+    pub(crate) fn pending(&self, queue: &str) -> usize {
+        self.scheduler.lock().pending(queue)
+    }
+
+    /// Empties workers, and gives others back.
+    pub(crate) fn evacuate(&self, empty: &[SmolStr], keep: &[SmolStr]) -> Vec<Emptiness> {
+        let now = self.node.clock.now();
+        let answers = {
+            let mut scheduler = self.scheduler.lock();
+            for id in keep {
+                if let Some(key) = scheduler.worker_key(id) {
+                    scheduler.keep(key);
+                }
+            }
+            let answer = |id: &SmolStr| {
+                let Some(key) = scheduler.worker_key(id) else {
+                    return Emptiness { is_empty: true, tasks: 0 };
+                };
+                let is_empty = scheduler.evacuate(key, now);
+                Emptiness { is_empty, tasks: scheduler.tasks_on(key) }
+            };
+            empty.iter().map(answer).collect()
+        };
+        self.changed.notify_one();
+        answers
+    }
+
+    /// Ends this daemon's part. Waiters learn that the outcome is unknown.
+    pub(crate) fn end(&self) {
+        self.is_over.store(true, Ordering::Release);
+        self.waiters.lock().clear();
+        self.changed.notify_one();
+        for waker in self.hold_wakers.lock().values() {
+            waker.notify_one();
+        }
+        let mut pools = self.node.pools.lock();
+        if pools.get(&self.pool).is_some_and(|owner| owner.term == self.term) {
+            pools.remove(&self.pool);
+        }
+        drop(pools);
+        self.node.set_hold(&self.pool, None);
+    }
+}
+
+/// Gives up all pools, so that other daemons take them at once.
+pub(crate) async fn release_all(node: &Arc<Node>) {
+    let owners: Vec<_> = node.pools.lock().values().cloned().collect();
+    for owner in owners {
+        owner.end();
+    }
+}
--- /dev/null
+++ b/crates/fleetd/src/pool/registry.rs
@@ -0,0 +1,95 @@
+//! Follows the registry of workers, and the configuration, for a pool.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use scheduler::WorkerInfo;
+use smol_str::SmolStr;
+use users_platform::{Row, WORKER_TABLE, WorkerState, decode_worker};
+
+use crate::config::queue_rules;
+use crate::node::STORE_TIMEOUT;
+use crate::pool::{PoolOwner, takeover};
+
+/// How often the registry is read. A worker that drains must get nothing new 2 s later.
+const READ_PERIOD: Duration = Duration::from_millis(500);
+
+impl PoolOwner {
+    /// Keeps the scheduler's workers as the registry has them, until the ownership ends.
+    pub(crate) async fn watch_registry(self: Arc<Self>) {
+        let mut entries: Vec<(SmolStr, WorkerInfo)> = Vec::new();
+        let mut version = None;
+        while !self.is_over() {
+            let read = match version {
+                None => takeover::read_all(&self.node, WORKER_TABLE, "").await.map(|rows| {
+                    let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
+                    entries.clear();
+                    (rows, newest)
+                }),
+                Some(after) => {
+                    let feed = self.node.store.feed(WORKER_TABLE, after, Duration::ZERO, STORE_TIMEOUT);
+                    feed.await.map(|feed| {
+                        self.node.clock.note_store(feed.store_ms);
+                        (feed.rows, feed.version)
+                    })
+                }
+            };
+            match read {
+                Ok((rows, newest)) => {
+                    version = Some(newest);
+                    for row in rows {
+                        self.take_entry(&mut entries, &row);
+                    }
+                    self.set_workers(&entries);
+                }
+                Err(users_platform::Error::HistoryGone) => {
+                    version = None;
+                    continue;
+                }
+                Err(err) => {
+                    self.node.metrics.store_failures.inc();
+                    tracing::debug!(pool = self.pool.as_str(), error = %err, "the registry can't be read");
+                }
+            }
+            tokio::time::sleep(READ_PERIOD).await;
+        }
+    }
+
+    fn take_entry(&self, entries: &mut Vec<(SmolStr, WorkerInfo)>, row: &Row) {
+        let id = &row.key.key;
+        entries.retain(|(other, _)| other != id);
+        if row.is_removed {
+            return;
+        }
+        let value = row.value.as_deref().unwrap_or_default();
+        match decode_worker(id, value) {
+            Ok(entry) if entry.pool == self.pool => {
+                let info = WorkerInfo {
+                    id: entry.id,
+                    addr: entry.addr,
+                    labels: entry.labels,
+                    capacity: entry.capacity,
+                    is_draining: entry.state == WorkerState::Draining,
+                };
+                entries.push((id.clone(), info));
+            }
+            Ok(_) => {}
+            Err(err) => {
+                tracing::warn!(entry = id.as_str(), error = %err, "a registry entry names no worker");
+            }
+        }
+    }
+
+    fn set_workers(self: &Arc<Self>, entries: &[(SmolStr, WorkerInfo)]) {
+        let infos = entries.iter().map(|(_, info)| info.clone()).collect();
+        let keys = {
+            let mut scheduler = self.scheduler.lock();
+            scheduler.set_workers(infos, self.node.clock.now());
+            if let Some(document) = self.node.in_force.get() {
+                scheduler.set_rules(queue_rules(&document));
+            }
+            scheduler.worker_keys()
+        };
+        self.start_holds(&keys);
+    }
+}
--- /dev/null
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -0,0 +1,169 @@
+//! Becoming the holder of a unit, and reading what the holder before left.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use ownership::{Lease, OwnerRow};
+use scheduler::{Limits, Scheduler};
+use smol_str::SmolStr;
+use submission::{Job, JobId, JobRecord};
+use users_platform::{Commit, Error, KeyRange, Row, RowKey, Transaction};
+
+use crate::clock::local_ms;
+use crate::config::queue_rules;
+use crate::node::{Node, ONLY_KEY, STORE_TIMEOUT, tables};
+use crate::pool::recorder::{JobRow, read_progress};
+use crate::pool::sequence::{Sequence, SequenceRow};
+use crate::pool::{OWNER_GRACE_MS, PoolOwner};
+
+/// How long leases last. Longer than the pause between two holds and two lost ones, and short, because a task on a
+/// worker that fell silent starts again only when it has lapsed.
+const LEASE_MS: u64 = 5000;
+
+/// By how much workers' clocks may be slow, by the platform's description, and half a percent for rounding.
+const SLOW_CLOCK_PERCENT: u64 = 3;
+
+/// The most rows that a read returns.
+const PAGE_ROWS: u32 = 500;
+
+/// A unit that was taken over.
+pub(crate) struct Taken {
+    pub(crate) term: u64,
+    pub(crate) sequence: Sequence,
+    pub(crate) sent_at_ms: u64,
+    /// Whether there was a holder before that did not give it up in order.
+    pub(crate) is_after_loss: bool,
+}
+
+/// Takes a unit whose holder is gone. `None` when it is not, or when another daemon was faster.
+pub(crate) async fn take_over(node: &Node, unit: &SmolStr) -> Result<Option<Taken>, Error> {
+    let owner_key = RowKey::new(tables::OWNER, unit.clone(), ONLY_KEY);
+    let range = KeyRange {
+        table: tables::OWNER,
+        part: unit,
+        from: "",
+        until: "",
+    };
+    let page = node.store.read(range, 1, STORE_TIMEOUT).await?;
+    node.clock.note_store(page.store_ms);
+    let before = page.rows.first();
+    let version = before.map_or(0, |row| row.version);
+    let before = before.and_then(|row| row.value.as_deref());
+    let before: Option<OwnerRow> = before.and_then(|value| serde_json::from_slice(value).ok());
+    if let Some(owner) = &before {
+        let is_other = owner.incarnation != node.incarnation;
+        let is_serving = node.peers.lock().is_serving(&owner.daemon, &owner.incarnation);
+        if is_other && !owner.is_released && is_serving {
+            return Ok(None);
+        }
+    }
+    let term = before.as_ref().map_or(0, |owner| owner.term) + 1;
+    let owner = OwnerRow {
+        daemon: node.settings.daemon.clone(),
+        incarnation: node.incarnation.clone(),
+        term,
+        is_released: false,
+    };
+    let sequence_key = RowKey::new(tables::SEQUENCE, unit.clone(), ONLY_KEY);
+    let first = SequenceRow { term, number: 0 };
+    // Plain data, which can always be written.
+    let transaction = Transaction::default()
+        .with_condition(owner_key.clone(), version)
+        .with_write(owner_key, serde_json::to_vec(&owner).unwrap_or_default())
+        .with_write(sequence_key, serde_json::to_vec(&first).unwrap_or_default());
+    let sent_at_ms = local_ms();
+    match node.store.commit(&transaction, STORE_TIMEOUT).await? {
+        Commit::Conflict { .. } => Ok(None),
+        Commit::Committed { version } => {
+            node.metrics.takeovers.inc();
+            let from = before.as_ref().map_or("", |owner| owner.daemon.as_str());
+            tracing::info!(unit = unit.as_str(), term, from, version, "took a unit over");
+            Ok(Some(Taken {
+                term,
+                sequence: Sequence::new(unit.clone(), term, version),
+                sent_at_ms,
+                is_after_loss: before.is_some_and(|owner| !owner.is_released),
+            }))
+        }
+    }
+}
+
+/// Takes a pool over and starts to decide for it.
+pub(crate) async fn take_pool(node: &Arc<Node>, pool: &SmolStr) -> Result<bool, Error> {
+    let Some(taken) = take_over(node, pool).await? else {
+        return Ok(false);
+    };
+    let mut rows = read_all(node, tables::JOB, pool).await?;
+    rows.extend(read_all(node, tables::PROGRESS, pool).await?);
+    let bounds = node.settings.bounds;
+    let mut scheduler = Scheduler::new(Limits {
+        lease_ms: LEASE_MS.min(bounds.longest_lease_ms),
+        longest_lease_ms: bounds.longest_lease_ms,
+        owner_grace_ms: OWNER_GRACE_MS,
+        slow_clock_percent: SLOW_CLOCK_PERCENT,
+        keep_ended_ms: bounds.keep_ended_s * 1000,
+    });
+    if let Some(document) = node.in_force.get() {
+        scheduler.set_rules(queue_rules(&document));
+    }
+    let now = node.clock.now();
+    let jobs = jobs_of(rows);
+    tracing::info!(pool = pool.as_str(), term = taken.term, jobs = jobs.len(), "adopts the pool's jobs");
+    for job in jobs {
+        scheduler.adopt(job, now);
+    }
+    let lease = Lease::new(taken.sent_at_ms);
+    let owner = PoolOwner::new(node.clone(), pool.clone(), taken.term, scheduler, lease);
+    let owner = Arc::new(owner);
+    node.pools.lock().insert(pool.clone(), owner.clone());
+    node.set_hold(pool, Some(taken.term));
+    tokio::spawn(owner.clone().record(taken.sequence));
+    tokio::spawn(owner.watch_registry());
+    Ok(true)
+}
+
+pub(crate) async fn read_all(node: &Node, table: &str, part: &str) -> Result<Vec<Row>, Error> {
+    let mut rows: Vec<Row> = Vec::new();
+    loop {
+        let from = rows.last().map(|row| format!("{}\u{1}", row.key.key));
+        let range = KeyRange {
+            table,
+            part,
+            from: from.as_deref().unwrap_or_default(),
+            until: "",
+        };
+        let page = node.store.read(range, PAGE_ROWS, STORE_TIMEOUT).await?;
+        node.clock.note_store(page.store_ms);
+        rows.extend(page.rows);
+        if !page.has_more {
+            return Ok(rows);
+        }
+    }
+}
+
+/// The jobs whose rows are among those read. Rows that can't be read are passed over, with a line in the log.
+pub(crate) fn jobs_of(rows: Vec<Row>) -> Vec<Job> {
+    let mut specs = Vec::new();
+    let mut progress: HashMap<JobId, JobRecord> = HashMap::new();
+    for row in rows {
+        let id = JobId::parse(&row.key.key);
+        let value = row.value.as_deref().unwrap_or_default();
+        let is_spec = row.key.table == tables::JOB;
+        let spec = serde_json::from_slice::<JobRow>(value).ok().filter(|_| is_spec);
+        match (id, spec, read_progress(value)) {
+            (Some(id), Some(spec), _) if spec.spec.check().is_ok() => specs.push((id, spec)),
+            (Some(id), _, Some(record)) if !is_spec => {
+                progress.insert(id, record);
+            }
+            _ => {
+                let (table, key) = (row.key.table.as_str(), row.key.key.as_str());
+                tracing::warn!(table, key, "a row can't be read and is passed over");
+            }
+        }
+    }
+    let job = |(id, row): (JobId, JobRow)| {
+        let job = Job::new(id, row.queue, Arc::new(row.spec), row.accepted_at_ms);
+        job.with_record(progress.remove(&id).unwrap_or_default())
+    };
+    specs.into_iter().map(job).collect()
+}
--- /dev/null
+++ b/crates/ownership/src/peers.rs
@@ -0,0 +1,156 @@
+//! The daemons that are alive, as their rows show.
+
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// The row by which a daemon shows that it is alive, and what it holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DaemonRow {
+    /// The life of the process.
+    pub incarnation: SmolStr,
+    /// Where it answers its peers.
+    pub addr: SmolStr,
+    /// Whether it is about to end and takes nothing more.
+    pub is_leaving: bool,
+    /// The units that it holds, with its terms.
+    pub holds: BTreeMap<SmolStr, u64>,
+}
+
+/// The row that makes a daemon the holder of a unit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerRow {
+    /// The daemon.
+    pub daemon: SmolStr,
+    /// The life of its process.
+    pub incarnation: SmolStr,
+    /// Grows with every holder.
+    pub term: u64,
+    /// Whether the holder gave it up in order.
+    pub is_released: bool,
+}
+
+/// Who claims a unit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Claim {
+    /// The daemon.
+    pub daemon: SmolStr,
+    /// Where it answers.
+    pub addr: SmolStr,
+    /// Its term.
+    pub term: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    row: DaemonRow,
+    version: u64,
+    /// For how long the row has not changed, counting only time in which the store answered.
+    unchanged_ms: u64,
+}
+
+/// The daemons, by their rows.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    peers: BTreeMap<SmolStr, Peer>,
+    dead_after_ms: u64,
+    longest_gap_ms: u64,
+}
+
+impl Peers {
+    /// No daemons yet. One is dead when its row is unchanged for `dead_after_ms`, in which gaps between two reads
+    /// count for at most `longest_gap_ms`: in a longer one the store may have been away, for the daemon too.
+    #[must_use]
+    pub fn new(dead_after_ms: u64, longest_gap_ms: u64) -> Self {
+        Self {
+            peers: BTreeMap::new(),
+            dead_after_ms,
+            longest_gap_ms,
+        }
+    }
+
+    /// Takes in all rows, read `gap_ms` after those before.
+    pub fn read(&mut self, rows: Vec<(SmolStr, u64, DaemonRow)>, gap_ms: u64) {
+        let gap_ms = gap_ms.min(self.longest_gap_ms);
+        let mut peers = BTreeMap::new();
+        for (daemon, version, row) in rows {
+            let before = self.peers.get(&daemon).filter(|peer| peer.version == version);
+            let unchanged_ms = before.map_or(0, |peer| peer.unchanged_ms + gap_ms);
+            let peer = Peer {
+                row,
+                version,
+                unchanged_ms,
+            };
+            peers.insert(daemon, peer);
+        }
+        self.peers = peers;
+    }
+
+    /// Whether that life of a daemon is alive and stays.
+    #[must_use]
+    pub fn is_serving(&self, daemon: &str, incarnation: &str) -> bool {
+        self.peers.get(daemon).is_some_and(|peer| {
+            peer.row.incarnation == incarnation && self.is_alive(peer) && !peer.row.is_leaving
+        })
+    }
+
+    fn is_alive(&self, peer: &Peer) -> bool {
+        peer.unchanged_ms < self.dead_after_ms
+    }
+
+    /// The claim of the highest term to a unit, whether its daemon is alive or not.
+    #[must_use]
+    pub fn claim(&self, unit: &str) -> Option<Claim> {
+        let claims = self.peers.iter().filter_map(|(daemon, peer)| {
+            let term = *peer.row.holds.get(unit)?;
+            Some(Claim {
+                daemon: daemon.clone(),
+                addr: peer.row.addr.clone(),
+                term,
+            })
+        });
+        claims.max_by_key(|claim| claim.term)
+    }
+
+    fn is_held(&self, unit: &str) -> bool {
+        let claim = self.claim(unit);
+        let peer = claim.and_then(|claim| self.peers.get(&claim.daemon));
+        peer.is_some_and(|peer| self.is_alive(peer) && !peer.row.is_leaving)
+    }
+
+    /// The units that `daemon` is to take: the free ones go in turn to the daemon that holds the least, so that
+    /// all daemons that see the same rows agree.
+    #[must_use]
+    pub fn to_take(&self, daemon: &str, units: &[SmolStr]) -> Vec<SmolStr> {
+        let serving = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| self.is_alive(peer) && !peer.row.is_leaving);
+        let mut loads: BTreeMap<&SmolStr, usize> = serving
+            .map(|(daemon, peer)| (daemon, peer.row.holds.len()))
+            .collect();
+        let mut wanted = Vec::new();
+        for unit in units.iter().filter(|unit| !self.is_held(unit)) {
+            let least = loads
+                .iter_mut()
+                .min_by_key(|(daemon, load)| (**load, spread(daemon, unit)));
+            let Some((chosen, load)) = least else {
+                return wanted;
+            };
+            *load += 1;
+            if chosen.as_str() == daemon {
+                wanted.push(unit.clone());
+            }
+        }
+        wanted
+    }
+}
+
+/// A number that differs by unit, so that not all ties fall to one daemon.
+fn spread(daemon: &str, unit: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (daemon, unit).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/pools/src/wave.rs
@@ -0,0 +1,188 @@
+//! A wave: every VM of it is maintained once, with at most so many down at the same time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use smol_str::SmolStr;
+
+/// A VM of a wave as the list shows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaveVm {
+    /// Whether it runs, and no order on it is under way.
+    pub is_up: bool,
+    /// Whether it is off until it is moved, so that nothing runs there.
+    pub is_standby: bool,
+    /// Its pool.
+    pub pool: SmolStr,
+    /// Whether nothing runs there, as far as its pool's scheduler knows.
+    pub is_empty: bool,
+    /// How many tasks run there.
+    pub tasks: usize,
+}
+
+/// What came of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderResult {
+    /// The maintenance has begun, now or before.
+    Begun,
+    /// Not now.
+    Busy,
+    /// No answer: it may have begun, or begin later.
+    Unanswered,
+    /// Never: there is no such VM in the wave.
+    Impossible,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    Waiting { not_before_ms: u64 },
+    Emptying,
+    Ordered,
+    InDoubt { not_before_ms: u64 },
+    Begun { at_ms: u64 },
+    Over,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct WaveSteps {
+    /// The VMs to empty.
+    pub empty: Vec<SmolStr>,
+    /// The VMs to order into maintenance.
+    pub order: Vec<SmolStr>,
+}
+
+/// How long a VM that was busy is left alone. A move takes 1.5 s.
+const BUSY_PAUSE_MS: u64 = 500;
+
+/// How long after an order without an answer it is sent again.
+const DOUBT_PAUSE_MS: u64 = 300;
+
+/// A wave under way.
+#[derive(Debug, Clone)]
+pub struct Wave {
+    most_down: usize,
+    maintenance_ms: u64,
+    steps: BTreeMap<SmolStr, Step>,
+}
+
+impl Wave {
+    /// A wave over `vms` of which none has begun but those in `begun`.
+    #[must_use]
+    pub fn new(
+        vms: impl IntoIterator<Item = SmolStr>,
+        begun: &BTreeSet<SmolStr>,
+        most_down: usize,
+        maintenance_ms: u64,
+    ) -> Self {
+        let step = |vm: &SmolStr| {
+            if begun.contains(vm) { Step::Over } else { Step::Waiting { not_before_ms: 0 } }
+        };
+        Self {
+            most_down: most_down.max(1),
+            maintenance_ms,
+            steps: vms.into_iter().map(|vm| (vm.clone(), step(&vm))).collect(),
+        }
+    }
+
+    /// The VMs whose maintenance has begun.
+    pub fn begun(&self) -> impl Iterator<Item = &SmolStr> {
+        let begun = self.steps.iter().filter(|(_, step)| {
+            matches!(step, Step::Begun { .. } | Step::Over)
+        });
+        begun.map(|(vm, _)| vm)
+    }
+
+    /// Whether every VM that stays has begun its maintenance.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        let mut steps = self.steps.values();
+        steps.all(|step| matches!(step, Step::Begun { .. } | Step::Over))
+    }
+
+    /// How many VMs are down, or may be.
+    #[must_use]
+    pub fn down(&self) -> usize {
+        let down = self.steps.values().filter(|step| {
+            matches!(step, Step::Ordered | Step::InDoubt { .. } | Step::Begun { .. })
+        });
+        down.count()
+    }
+
+    /// The next steps, given the VMs that the list has.
+    pub fn next(&mut self, list: &BTreeMap<SmolStr, WaveVm>, now_ms: u64) -> WaveSteps {
+        self.note_list(list, now_ms);
+        let mut next = WaveSteps::default();
+        let mut room = self.most_down.saturating_sub(self.down());
+        for (vm, step) in &mut self.steps {
+            let is_due = match *step {
+                Step::Emptying => list.get(vm).is_some_and(|vm| vm.is_empty && vm.is_up) && room > 0,
+                Step::InDoubt { not_before_ms } => now_ms >= not_before_ms,
+                _ => false,
+            };
+            if is_due {
+                room -= usize::from(*step == Step::Emptying);
+                *step = Step::Ordered;
+                next.order.push(vm.clone());
+            }
+        }
+        // The next ones are emptied while others are down, so that the wave does not wait for them.
+        let emptying = self.steps.values().filter(|step| **step == Step::Emptying).count();
+        let mut free = (2 * self.most_down).saturating_sub(self.down() + emptying);
+        let mut waiting: Vec<_> = self.steps.iter().filter_map(|(vm, step)| match step {
+            Step::Waiting { not_before_ms } if now_ms >= *not_before_ms => {
+                let listed = list.get(vm).filter(|vm| vm.is_up)?;
+                Some((!listed.is_standby, listed.tasks, vm.clone()))
+            }
+            _ => None,
+        }).collect();
+        waiting.sort();
+        for (_, _, vm) in waiting {
+            if free == 0 {
+                break;
+            }
+            free -= 1;
+            self.steps.insert(vm, Step::Emptying);
+        }
+        let emptying = self.steps.iter().filter(|(_, step)| **step == Step::Emptying);
+        next.empty = emptying.map(|(vm, _)| vm.clone()).collect();
+        next
+    }
+
+    fn note_list(&mut self, list: &BTreeMap<SmolStr, WaveVm>, now_ms: u64) {
+        for (vm, step) in &mut self.steps {
+            let listed = list.get(vm);
+            match *step {
+                Step::Begun { at_ms } => {
+                    let is_back = listed.is_none_or(|vm| vm.is_up);
+                    if is_back && now_ms >= at_ms + self.maintenance_ms {
+                        *step = Step::Over;
+                    }
+                }
+                // A VM that is no longer listed has left.
+                Step::Waiting { .. } | Step::Emptying if listed.is_none() => *step = Step::Over,
+                Step::Emptying if listed.is_some_and(|vm| !vm.is_up) => {
+                    let not_before_ms = now_ms + BUSY_PAUSE_MS;
+                    *step = Step::Waiting { not_before_ms };
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// An order got its answer, or none.
+    pub fn ordered(&mut self, vm: &str, result: OrderResult, now_ms: u64) {
+        let Some(step) = self.steps.get_mut(vm) else {
+            return;
+        };
+        *step = match result {
+            OrderResult::Begun => Step::Begun { at_ms: now_ms },
+            OrderResult::Busy => Step::Waiting {
+                not_before_ms: now_ms + BUSY_PAUSE_MS,
+            },
+            OrderResult::Unanswered => Step::InDoubt {
+                not_before_ms: now_ms + DOUBT_PAUSE_MS,
+            },
+            OrderResult::Impossible => Step::Over,
+        };
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/evacuation.rs
@@ -0,0 +1,73 @@
+//! Empties workers whose VMs are about to be moved or maintained.
+
+use submission::{Job, TaskKey};
+
+use crate::scheduler::{Now, Scheduler};
+use crate::worker::WorkerKey;
+
+/// A lasting task is at work when its progress is this.
+const AT_WORK_PERCENT: u32 = 100;
+
+/// How long brief tasks with checkpoints may go on while their worker is emptied.
+const BRIEF_PATIENCE_MS: u64 = 1200;
+
+impl Scheduler {
+    /// Gives a worker nothing more, and takes off what may be taken off now. True when it is empty.
+    pub fn evacuate(&mut self, key: WorkerKey, now: Now) -> bool {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return true;
+        };
+        worker.is_evacuating = true;
+        let runs: Vec<_> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| !run.is_stopping)
+            .map(|(task, run)| (*task, run.run, run.assigned_at_ms))
+            .collect();
+        for (task, run, assigned_at_ms) in runs {
+            let age_ms = now.local_ms.saturating_sub(assigned_at_ms);
+            if self.may_stop(key, task, age_ms) {
+                self.order_stop(key, task, run);
+            }
+        }
+        self.workers[key].runs.is_empty()
+    }
+
+    /// Lets a worker be given work again.
+    pub fn keep(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.is_evacuating = false;
+        }
+    }
+
+    fn may_stop(&self, key: WorkerKey, task: TaskKey, age_ms: u64) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return true;
+        };
+        let step = job.step(task.index);
+        if !step.is_lasting {
+            return step.has_checkpoints && age_ms > BRIEF_PATIENCE_MS;
+        }
+        let is_at_work = self.workers[key]
+            .runs
+            .get(&task)
+            .is_some_and(|run| run.percent >= AT_WORK_PERCENT);
+        !is_at_work || self.others_away(job, task) < step.may_miss
+    }
+
+    /// The other tasks of a lasting step that are not at work, as far as the last looks show.
+    pub(crate) fn others_away(&self, job: &Job, task: TaskKey) -> u32 {
+        let (occurrence, step, _) = job.place(task.index);
+        let others = job.step_tasks(occurrence, step).filter(|&index| index != task.index);
+        let away = others.filter(|&index| {
+            let other = TaskKey { job: task.job, index };
+            !self.workers.values().any(|worker| {
+                let run = worker.runs.get(&other);
+                let at_work =
+                    run.is_some_and(|run| run.percent >= AT_WORK_PERCENT && !run.is_stopping);
+                at_work && !worker.is_silent
+            })
+        });
+        u32::try_from(away.count()).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decides for one pool: what waits, which worker runs what, which orders come next, and what a takeover adopts.
+//!
+//! This crate does no I/O and reads no clock.
+
+mod adopt;
+mod batch;
+mod evacuation;
+mod health;
+mod looks;
+mod pacing;
+mod plan;
+mod ready;
+mod scheduler;
+mod worker;
+
+pub use batch::{Action, Batch, RowChange};
+pub use looks::{End, Look, RunningTask};
+pub use scheduler::{JobAnswer, Limits, Now, QueueRules, Scheduler, StartOutcome};
+pub use worker::{HoldPlan, WorkerInfo, WorkerKey};
--- /dev/null
+++ b/crates/scheduler/src/scheduler.rs
@@ -0,0 +1,613 @@
+//! The scheduler's state, and the events that change it.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+use submission::{Job, JobId, JobSpec, JobState, Phase, RunEnd, TaskKey};
+
+use crate::batch::Action;
+use crate::ready::{Rank, Ready, StepKey};
+use crate::worker::{HoldPlan, Run, Worker, WorkerInfo, WorkerKey};
+
+/// How long a size that a worker refused is not offered to it again, unless something ends there.
+const ROOM_REFUSAL_MS: u64 = 400;
+
+/// The present, on the three clocks that matter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Now {
+    /// This daemon's clock, which also counts suspensions.
+    pub local_ms: u64,
+    /// The store's steady clock, as far as it is known.
+    pub store_ms: u64,
+    /// Milliseconds since 1970. Only times that callers set are compared with it.
+    pub unix_ms: u64,
+}
+
+/// The figures of a deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// How long a granted lease lasts.
+    pub lease_ms: u64,
+    /// The longest lease that a worker accepts, whoever grants it.
+    pub longest_lease_ms: u64,
+    /// How long an owner grants leases after its last recorded write.
+    pub owner_grace_ms: u64,
+    /// By how much a worker's clock may be slow.
+    pub slow_clock_percent: u64,
+    /// How long ended jobs are kept.
+    pub keep_ended_ms: u64,
+}
+
+/// What a configuration says of a queue.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QueueRules {
+    /// 0 goes first.
+    pub priority: u32,
+    /// How many runs of a task may fail.
+    pub attempts: u32,
+    /// The objective is this many times the longest chain, and `objective_ms` more.
+    pub stretch: f64,
+    /// See `stretch`.
+    pub objective_ms: u64,
+}
+
+/// What is known of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobAnswer {
+    /// Its state by the rows written.
+    Recorded(JobState),
+    /// Its rows are about to be written.
+    NotYetRecorded,
+    /// It is not among this pool's jobs.
+    Unknown,
+}
+
+/// What came of an order to start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartOutcome {
+    /// It runs.
+    Started,
+    /// It does not fit.
+    NoRoom,
+    /// It does not run, for a reason of the worker.
+    Unhealthy,
+    /// It does not run, for a reason of the order.
+    Refused,
+    /// No answer: it may run, now or later.
+    Unanswered,
+}
+
+/// Decides for the jobs and workers of one pool.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(crate) limits: Limits,
+    pub(crate) workers: SlotMap<WorkerKey, Worker>,
+    pub(crate) by_id: HashMap<SmolStr, WorkerKey>,
+    pub(crate) jobs: HashMap<JobId, Job>,
+    pub(crate) rules: HashMap<SmolStr, QueueRules>,
+    pub(crate) ready: Ready,
+    /// Steps that are due at a time, in ms since 1970.
+    pub(crate) timed: BTreeSet<(u64, StepKey)>,
+    /// Jobs whose rows have to be written.
+    pub(crate) dirty: BTreeSet<JobId>,
+    /// Orders that wait for a job's row.
+    pub(crate) actions: HashMap<JobId, Vec<Action>>,
+    /// Orders that follow rows written before: stops and paces.
+    pub(crate) urgent: Vec<Action>,
+    /// The state by the rows written.
+    pub(crate) recorded: HashMap<JobId, JobState>,
+    /// Jobs that have ended, by when.
+    pub(crate) ended: BTreeSet<(u64, JobId)>,
+    /// How many jobs of each queue have not started.
+    pub(crate) pending: BTreeMap<SmolStr, usize>,
+}
+
+impl Scheduler {
+    /// A scheduler that knows nothing yet.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            workers: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            jobs: HashMap::new(),
+            rules: HashMap::new(),
+            ready: Ready::default(),
+            timed: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            actions: HashMap::new(),
+            urgent: Vec::new(),
+            recorded: HashMap::new(),
+            ended: BTreeSet::new(),
+            pending: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over what a configuration says of the queues.
+    pub fn set_rules(&mut self, rules: HashMap<SmolStr, QueueRules>) {
+        self.rules = rules;
+    }
+
+    /// A job was handed in. False when it is known already.
+    pub fn submit(&mut self, id: JobId, queue: SmolStr, spec: Arc<JobSpec>, now: Now) -> bool {
+        if self.jobs.contains_key(&id) {
+            return false;
+        }
+        let job = Job::new(id, queue, spec, now.store_ms);
+        self.insert_job(job, now);
+        self.dirty.insert(id);
+        true
+    }
+
+    pub(crate) fn insert_job(&mut self, job: Job, now: Now) {
+        let id = job.id;
+        if job.state() == JobState::Queued {
+            *self.pending.entry(job.queue.clone()).or_default() += 1;
+        }
+        if job.has_ended() {
+            self.ended.insert((job.ended_at_ms(), id));
+        }
+        self.jobs.insert(id, job);
+        self.unblock(id, now);
+    }
+
+    /// Takes back a job that was never written. False when it may have been.
+    pub fn withdraw(&mut self, id: JobId) -> bool {
+        if self.recorded.contains_key(&id) || !self.dirty.contains(&id) {
+            return false;
+        }
+        self.forget(id);
+        self.dirty.remove(&id);
+        true
+    }
+
+    /// Drops what is known of a job, without touching its rows.
+    pub fn forget(&mut self, id: JobId) {
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        if job.state() == JobState::Queued {
+            self.count_pending_out(&job.queue);
+        }
+        self.ended.remove(&(job.ended_at_ms(), id));
+        self.actions.remove(&id);
+        for (index, task) in job.tasks() {
+            let (occurrence, step, _) = job.place(index);
+            self.ready.remove(step_key(id, occurrence, step));
+            if let Phase::Assigned { worker } = &task.phase {
+                let key = self.by_id.get(worker);
+                if let Some(worker) = key.and_then(|key| self.workers.get_mut(*key)) {
+                    worker.remove(TaskKey { job: id, index });
+                }
+            }
+        }
+    }
+
+    fn count_pending_out(&mut self, queue: &SmolStr) {
+        if let Some(count) = self.pending.get_mut(queue) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Cancels a job. What runs is stopped once the row is written.
+    pub fn cancel(&mut self, id: JobId, now: Now) -> JobAnswer {
+        let answer = self.answer(id);
+        if answer == JobAnswer::Unknown {
+            return answer;
+        }
+        let was_queued = self.jobs[&id].state() == JobState::Queued;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return JobAnswer::Unknown;
+        };
+        if job.cancel(now.store_ms) {
+            let queue = job.queue.clone();
+            if was_queued {
+                self.count_pending_out(&queue);
+            }
+            self.settle_ended(id);
+            self.dirty.insert(id);
+        }
+        self.answer(id)
+    }
+
+    /// What callers may be told of a job.
+    #[must_use]
+    pub fn answer(&self, id: JobId) -> JobAnswer {
+        match (self.recorded.get(&id), self.jobs.contains_key(&id)) {
+            (Some(state), _) => JobAnswer::Recorded(*state),
+            (None, true) => JobAnswer::NotYetRecorded,
+            (None, false) => JobAnswer::Unknown,
+        }
+    }
+
+    /// Whether all that is known of a job is in its rows.
+    #[must_use]
+    pub fn is_written(&self, id: JobId) -> bool {
+        let state = self.jobs.get(&id).map(Job::state);
+        state.is_some() && state == self.recorded.get(&id).copied()
+    }
+
+    /// Whether a run is assigned to a worker.
+    #[must_use]
+    pub fn is_there(&self, key: WorkerKey, task: TaskKey, number: u32) -> bool {
+        let run = self.workers.get(key).and_then(|worker| worker.runs.get(&task));
+        run.is_some_and(|run| run.run == number)
+    }
+
+    /// Whether a run that is assigned to a worker is still to be started.
+    #[must_use]
+    pub fn is_wanted(&self, key: WorkerKey, task: TaskKey, number: u32) -> bool {
+        let has_ended = self.jobs.get(&task.job).is_none_or(Job::has_ended);
+        let draining = self.workers.get(key).is_none_or(|worker| worker.info.is_draining);
+        self.is_there(key, task, number) && !has_ended && !draining
+    }
+
+    /// How many tasks run on a worker, or may run there.
+    #[must_use]
+    pub fn tasks_on(&self, key: WorkerKey) -> usize {
+        self.workers.get(key).map_or(0, |worker| worker.runs.len())
+    }
+
+    /// How many jobs of a queue have not started.
+    #[must_use]
+    pub fn pending(&self, queue: &str) -> usize {
+        self.pending.get(queue).copied().unwrap_or(0)
+    }
+
+    /// How many steps wait for a worker.
+    #[must_use]
+    pub fn waiting_steps(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// A job, for its spec and its row.
+    #[must_use]
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    /// The present registry entries of the pool. Workers that are not among them get no new work.
+    pub fn set_workers(&mut self, infos: Vec<WorkerInfo>, now: Now) {
+        let longest_ms = self.limits.longest_lease_ms;
+        let lapse_at_ms = self.surely_lapsed(now.local_ms, longest_ms);
+        for worker in self.workers.values_mut() {
+            worker.is_listed = false;
+        }
+        for info in infos {
+            match self.by_id.get(&info.id) {
+                Some(&key) => {
+                    let worker = &mut self.workers[key];
+                    worker.info = info;
+                    worker.is_listed = true;
+                }
+                None => {
+                    let id = info.id.clone();
+                    let key = self.workers.insert(Worker::new(info, lapse_at_ms));
+                    self.by_id.insert(id, key);
+                }
+            }
+        }
+        let gone = self.workers.iter().filter(|(_, worker)| {
+            !worker.is_listed && worker.runs.is_empty() && now.local_ms > worker.lapse_at_ms
+        });
+        for key in gone.map(|(key, _)| key).collect::<Vec<_>>() {
+            self.remove_worker(key);
+        }
+    }
+
+    pub(crate) fn surely_lapsed(&self, now_ms: u64, lease_ms: u64) -> u64 {
+        now_ms + lease_ms * 100 / (100 - self.limits.slow_clock_percent) + 1
+    }
+
+    fn remove_worker(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.remove(key) {
+            self.by_id.remove(&worker.info.id);
+        }
+    }
+
+    /// A life of a worker is over, and what ran there with it.
+    pub fn life_over(&mut self, key: WorkerKey, now: Now) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        let runs: Vec<_> = worker.runs.iter().map(|(task, run)| (*task, run.run)).collect();
+        for (task, run) in runs {
+            self.end_run(key, task, run, RunEnd::Lost, now);
+        }
+        self.remove_worker(key);
+    }
+
+    /// The keys of the workers that are known.
+    #[must_use]
+    pub fn worker_keys(&self) -> Vec<WorkerKey> {
+        self.workers.keys().collect()
+    }
+
+    /// A worker's registration.
+    #[must_use]
+    pub fn worker(&self, key: WorkerKey) -> Option<&WorkerInfo> {
+        self.workers.get(key).map(|worker| &worker.info)
+    }
+
+    /// The worker with that id.
+    #[must_use]
+    pub fn worker_key(&self, id: &str) -> Option<WorkerKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// What the next hold of a worker carries; `None` when it needs none now.
+    pub fn hold_plan(&mut self, key: WorkerKey, now: Now) -> Option<HoldPlan> {
+        let limits = self.limits;
+        let worker = self.workers.get_mut(key)?;
+        let has_ends = worker.recorded_end > worker.forgotten_end;
+        if worker.info.addr.is_empty() {
+            return None;
+        }
+        if worker.is_proven && worker.runs.is_empty() && !has_ends && !worker.is_silent {
+            return None;
+        }
+        let lease_until_ms = if worker.runs.is_empty() {
+            None
+        } else {
+            worker.grant(limits.lease_ms, limits.slow_clock_percent, now.local_ms)
+        };
+        Some(HoldPlan {
+            lease_until_ms,
+            recorded_end: worker.recorded_end,
+            is_busy: worker.is_proven && !worker.runs.is_empty(),
+            is_shared: worker.runs.values().any(|run| run.footprint.cpu_milli == 0),
+        })
+    }
+
+    /// The end of the lease that an order to start carries, on the worker's clock.
+    pub fn start_lease(&mut self, key: WorkerKey, now: Now) -> Option<u64> {
+        let limits = self.limits;
+        let worker = self.workers.get_mut(key)?;
+        worker.grant(limits.lease_ms, limits.slow_clock_percent, now.local_ms)
+    }
+
+    /// An order to start got its answer, or none.
+    pub fn start_answered(
+        &mut self,
+        key: WorkerKey,
+        task: TaskKey,
+        number: u32,
+        outcome: StartOutcome,
+        clock_ms: Option<u64>,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if let Some(clock_ms) = clock_ms {
+            worker.note_clock(clock_ms, now.local_ms);
+        }
+        let Some(run) = worker.runs.get_mut(&task).filter(|run| run.run == number) else {
+            return;
+        };
+        match outcome {
+            StartOutcome::Started => run.settled_at_ms = Some(now.local_ms),
+            StartOutcome::Unanswered => worker.is_silent = true,
+            StartOutcome::NoRoom => {
+                worker.refused = Some((run.footprint, now.local_ms + ROOM_REFUSAL_MS));
+                let refused = worker.refused;
+                self.end_run(key, task, number, RunEnd::Lost, now);
+                if let Some(worker) = self.workers.get_mut(key) {
+                    worker.refused = refused;
+                }
+            }
+            StartOutcome::Unhealthy => {
+                worker.health.refused(now.local_ms);
+                self.end_run(key, task, number, RunEnd::Lost, now);
+            }
+            StartOutcome::Refused => self.end_run(key, task, number, RunEnd::Lost, now),
+        }
+    }
+
+    /// A worker took an order to stop: the run ends, or can't start any more. The next look tells which.
+    pub fn stop_taken(&mut self, key: WorkerKey, task: TaskKey, number: u32, now: Now) {
+        let worker = self.workers.get_mut(key);
+        let run = worker.and_then(|worker| worker.runs.get_mut(&task));
+        if let Some(run) = run.filter(|run| run.run == number && run.settled_at_ms.is_none()) {
+            run.settled_at_ms = Some(now.local_ms);
+        }
+    }
+
+    /// A hold or an order got no answer.
+    pub fn unanswered(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.is_silent = true;
+        }
+    }
+
+    /// Time has passed: leases lapse, steps come due, late jobs go back in the order, old jobs are removed.
+    pub fn tick(&mut self, now: Now) {
+        let lapsed = self.workers.iter().filter(|(_, worker)| {
+            now.local_ms > worker.lapse_at_ms && (worker.is_silent || worker.info.addr.is_empty())
+        });
+        for key in lapsed.map(|(key, _)| key).collect::<Vec<_>>() {
+            self.lapse(key, now);
+        }
+        while let Some(&(due_ms, step)) = self.timed.first() {
+            if due_ms > now.unix_ms {
+                break;
+            }
+            self.timed.remove(&(due_ms, step));
+            self.offer(step, now);
+        }
+        for (rank, step) in self.ready.turned_late(now.store_ms) {
+            let is_late = true;
+            self.ready.insert(step, Rank { is_late, ..rank });
+        }
+        while let Some(&(ended_ms, job)) = self.ended.first() {
+            if now.store_ms < ended_ms + self.limits.keep_ended_ms {
+                break;
+            }
+            self.ended.remove(&(ended_ms, job));
+            self.forget(job);
+            self.dirty.insert(job);
+        }
+    }
+
+    fn lapse(&mut self, key: WorkerKey, now: Now) {
+        let runs: Vec<_> = self.workers[key]
+            .runs
+            .iter()
+            .map(|(task, run)| (*task, run.run))
+            .collect();
+        for (task, run) in runs {
+            self.end_run(key, task, run, RunEnd::Lost, now);
+        }
+        if !self.workers[key].is_listed {
+            self.remove_worker(key);
+        }
+    }
+
+    /// Takes in the end of a run that was assigned to a worker.
+    pub(crate) fn end_run(
+        &mut self,
+        key: WorkerKey,
+        task: TaskKey,
+        number: u32,
+        end: RunEnd,
+        now: Now,
+    ) {
+        if let Some(worker) = self.workers.get_mut(key)
+            && worker.runs.get(&task).is_some_and(|run| run.run == number)
+        {
+            worker.remove(task);
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let attempts = self.rules.get(&job.queue).map_or(u32::MAX, |rules| rules.attempts);
+        if !job.end_run(task.index, number, end, attempts, now.store_ms) {
+            return;
+        }
+        self.dirty.insert(task.job);
+        if self.jobs[&task.job].has_ended() {
+            self.settle_ended(task.job);
+        } else {
+            self.unblock(task.job, now);
+        }
+    }
+
+    /// An ended job waits for nothing, and what still runs of it is stopped.
+    fn settle_ended(&mut self, id: JobId) {
+        let job = &self.jobs[&id];
+        self.ended.insert((job.ended_at_ms(), id));
+        self.actions.remove(&id);
+        let mut stops = Vec::new();
+        for (index, task) in job.tasks() {
+            let (occurrence, step, _) = job.place(index);
+            self.ready.remove(step_key(id, occurrence, step));
+            let Phase::Assigned { worker } = &task.phase else {
+                continue;
+            };
+            if let Some(&worker) = self.by_id.get(worker) {
+                stops.push(Action::Stop {
+                    worker,
+                    name: job.task_name(index),
+                    task: Some(TaskKey { job: id, index }),
+                    run: task.run,
+                });
+            }
+        }
+        self.actions.entry(id).or_default().extend(stops);
+    }
+
+    /// Offers all steps of a job that could start.
+    pub(crate) fn unblock(&mut self, id: JobId, now: Now) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.has_ended() {
+            return;
+        }
+        let occurrences = job.spec().occurrences.max(1);
+        let steps = job.spec().steps.len();
+        let all = (0..occurrences).flat_map(|occurrence| (0..steps).map(move |step| (occurrence, step)));
+        for (occurrence, step) in all {
+            self.offer(step_key(id, occurrence, step), now);
+        }
+    }
+
+    /// Puts a step among those that could start, if it is one.
+    pub(crate) fn offer(&mut self, key: StepKey, now: Now) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let step = usize::from(key.step);
+        let mut tasks = job.step_tasks(key.occurrence, step);
+        let has_idle =
+            tasks.any(|index| job.task(index).is_some_and(|task| task.phase == Phase::Idle));
+        if job.has_ended() || !has_idle || !job.is_unblocked(key.occurrence, step) {
+            self.ready.remove(key);
+            return;
+        }
+        if let Some(due_ms) = job.due_unix_ms(key.occurrence)
+            && now.unix_ms < due_ms
+        {
+            self.timed.insert((due_ms, key));
+            return;
+        }
+        let rank = self.rank(job, key, now);
+        self.ready.insert(key, rank);
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "run times are far below the limits of the types"
+    )]
+    fn rank(&self, job: &Job, key: StepKey, now: Now) -> Rank {
+        let rules = self.rules.get(&job.queue);
+        let stretch = rules.map_or(1.0, |rules| rules.stretch);
+        let objective_ms = rules.map_or(0, |rules| rules.objective_ms);
+        let stretched_ms = (job.full_chain_ms() as f64 * stretch) as u64;
+        let due_ms = job.accepted_at_ms + stretched_ms + objective_ms;
+        let latest_start_ms = due_ms.saturating_sub(job.chain_ms(key.occurrence));
+        let is_lasting = job.spec().steps[usize::from(key.step)].is_lasting;
+        Rank {
+            is_late: !is_lasting && latest_start_ms < now.store_ms,
+            is_brief: !is_lasting,
+            priority: rules.map_or(u32::MAX, |rules| rules.priority),
+            latest_start_ms,
+        }
+    }
+
+    pub(crate) fn assign(&mut self, key: WorkerKey, task: TaskKey, least_run: u32, now: Now) {
+        let worker = &mut self.workers[key];
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let was_queued = job.state() == JobState::Queued;
+        let run = job.assign(task.index, worker.info.id.clone(), least_run);
+        let footprint = job.step(task.index).footprint();
+        worker.insert(task, Run::new(run, footprint, now.local_ms));
+        let checkpoint = job.task(task.index).map(|task| task.checkpoint.clone());
+        let action = Action::Start {
+            worker: key,
+            task,
+            run,
+            checkpoint: checkpoint.unwrap_or_default(),
+        };
+        let queue = job.queue.clone();
+        self.actions.entry(task.job).or_default().push(action);
+        self.dirty.insert(task.job);
+        if was_queued {
+            self.count_pending_out(&queue);
+        }
+    }
+}
+
+pub(crate) fn step_key(job: JobId, occurrence: u32, step: usize) -> StepKey {
+    StepKey {
+        job,
+        occurrence,
+        step: u16::try_from(step).unwrap_or(u16::MAX),
+    }
+}
--- /dev/null
+++ b/crates/submission/src/lib.rs
@@ -0,0 +1,13 @@
+//! The job aggregate on the users' platform: steps, tasks, runs, ends and cancellation.
+//!
+//! This crate does no I/O and reads no clock.
+
+mod job;
+mod record;
+mod spec;
+
+pub use job::{Job, JobState, Phase, RunEnd, Task, TaskKey};
+pub use record::{JobRecord, TaskRecord};
+pub use spec::{
+    Error, JobId, JobSpec, MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS, Resources, Result, StepSpec,
+};
--- a/crates/trefoilpassd/src/args.rs
+++ b/crates/trefoilpassd/src/args.rs
@@ -22,6 +22,9 @@
         path: PathBuf,
         source: std::io::Error,
     },
+    /// The settings for the users' platform can't be used.
+    #[snafu(display("{source}"))]
+    Fleet { source: fleetd::SettingsError },
     /// The file's contents can't be used.
     #[snafu(display("{}: {source}", path.display()))]
     Settings {
@@ -35,8 +38,11 @@
 #[command(name = "trefoilpassd", version)]
 pub(crate) struct Args {
     /// The settings file.
-    #[arg(long, value_name = "FILE")]
+    #[arg(long, value_name = "FILE", env = "TREFOILPASS_SETTINGS")]
     pub(crate) config: PathBuf,
+    /// Run on the users' platform, whose settings the file has.
+    #[arg(long)]
+    pub(crate) fleet: bool,
     /// The entry VM to run as, in place of the file's `entry_vm`.
     #[arg(long, value_name = "ID")]
     pub(crate) entry_vm: Option<EntryVmId>,
@@ -46,6 +52,11 @@
 }
 
 impl Args {
+    /// Reads and checks the settings file of a daemon on the users' platform.
+    pub(crate) fn fleet_settings(&self) -> Result<fleetd::FleetSettings> {
+        fleetd::FleetSettings::read(&self.config).context(FleetSnafu)
+    }
+
     /// Reads and checks the settings file.
     pub(crate) fn settings(&self) -> Result<EntrySettings> {
         let path = &self.config;
--- a/crates/trefoilpassd/src/main.rs
+++ b/crates/trefoilpassd/src/main.rs
@@ -17,6 +17,9 @@
 
 fn main() -> ExitCode {
     let args = args::Args::parse();
+    if args.fleet {
+        return run_fleet(&args);
+    }
     let settings = match args.settings() {
         Ok(settings) => settings,
         Err(err) => {
@@ -36,3 +39,24 @@
         }
     }
 }
+
+fn run_fleet(args: &args::Args) -> ExitCode {
+    let settings = match args.fleet_settings() {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("trefoilpassd: {err}");
+            return ExitCode::from(args::EXIT_BAD_SETTINGS);
+        }
+    };
+    if args.check {
+        println!("{}: ok", args.config.display());
+        return ExitCode::SUCCESS;
+    }
+    match fleetd::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("trefoilpassd: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
