VMs follow the demand of the pools; silent workers' leases lapse; one lasting task of a step is stopped at a time

Ruled out: order of work, as tasks waited for room. LOST (lasting task not restarted): holds to a worker that was gone pushed its lapse on for ever. AVAIL: a task counted as not at work by a look that was two seconds old.

--- a/crates/fleetd/src/members.rs
+++ b/crates/fleetd/src/members.rs
@@ -18,16 +18,16 @@
 use crate::steward;
 
 /// How often the daemons' rows are read, and free units taken.
-const READ_PERIOD: Duration = Duration::from_millis(500);
+const READ_PERIOD: Duration = Duration::from_millis(400);
 
 /// How often a daemon rewrites its row.
-const SIGN_PERIOD_MS: u64 = 1000;
+const SIGN_PERIOD_MS: u64 = 600;
 
-/// A daemon whose row is unchanged for longer is dead: it missed two signs, and reads are half a second apart.
-pub(crate) const DEAD_AFTER_MS: u64 = 2600;
+/// A daemon whose row is unchanged for longer is dead: it missed two signs, and reads are 0.4 s apart.
+pub(crate) const DEAD_AFTER_MS: u64 = 1800;
 
 /// The longest gap between two reads that counts in full. Longer ones mean that the store did not answer.
-pub(crate) const LONGEST_GAP_MS: u64 = 900;
+pub(crate) const LONGEST_GAP_MS: u64 = 800;
 
 /// How long a new daemon leaves free units to daemons that it does not see yet.
 const SETTLE_MS: u64 = 1200;
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::clock::local_ms;
 use crate::node::Node;
-use crate::rpc::{Emptiness, HandoverAnswer, JobReply, WireState};
+use crate::rpc::{HandoverAnswer, JobReply, RoundAsk, RoundReply, WireState};
 
 pub(crate) use sequence::Sequence;
 pub(crate) use takeover::{Taken, jobs_of, read_all, take_over, take_pool};
@@ -164,27 +164,29 @@
         self.scheduler.lock().pending(queue)
     }
 
-    /// Empties workers, and gives others back.
-    pub(crate) fn evacuate(&self, empty: &[SmolStr], keep: &[SmolStr]) -> Vec<Emptiness> {
+    /// Does what a steward asks, and tells what the pool wants.
+    pub(crate) fn round(&self, ask: &RoundAsk) -> RoundReply {
         let now = self.node.clock.now();
-        let answers = {
-            let mut scheduler = self.scheduler.lock();
-            for id in keep {
-                if let Some(key) = scheduler.worker_key(id) {
-                    scheduler.keep(key);
-                }
-            }
-            let answer = |id: &SmolStr| {
-                let Some(key) = scheduler.worker_key(id) else {
-                    return Emptiness { is_empty: true, tasks: 0 };
-                };
-                let is_empty = scheduler.evacuate(key, now);
-                Emptiness { is_empty, tasks: scheduler.tasks_on(key) }
-            };
-            empty.iter().map(answer).collect()
-        };
+        let mut scheduler = self.scheduler.lock();
+        for key in ask.over.iter().filter_map(|id| scheduler.worker_key(id)).collect::<Vec<_>>() {
+            scheduler.life_over(key, now);
+        }
+        for key in ask.keep.iter().filter_map(|id| scheduler.worker_key(id)).collect::<Vec<_>>() {
+            scheduler.keep(key);
+        }
+        let tasks = ask.empty.iter().map(|id| match scheduler.worker_key(id) {
+            Some(key) => scheduler.evacuate(key, now),
+            None => 0,
+        });
+        let tasks = tasks.collect();
+        let demand = scheduler.demand(now);
+        drop(scheduler);
         self.changed.notify_one();
-        answers
+        RoundReply {
+            tasks,
+            wanted: demand.wanted,
+            idle: demand.idle.into_iter().map(|idle| (idle.id, idle.idle_ms)).collect(),
+        }
     }
 
     /// Ends this daemon's part. Waiters learn that the outcome is unknown.
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -152,14 +152,14 @@
                 Ok(page) => rows.extend(page.rows),
                 Err(err) => {
                     tracing::warn!(job = key, error = %err, "the rows of a known job can't be read");
-                    self.scheduler.lock().forget(id);
+                    self.scheduler.lock().forget(id, self.node.clock.now());
                     return;
                 }
             }
         }
         let now = self.node.clock.now();
         let mut scheduler = self.scheduler.lock();
-        scheduler.forget(id);
+        scheduler.forget(id, now);
         for job in takeover::jobs_of(rows) {
             scheduler.adopt(job, now);
         }
--- a/crates/fleetd/src/pool/registry.rs
+++ b/crates/fleetd/src/pool/registry.rs
@@ -11,8 +11,8 @@
 use crate::node::STORE_TIMEOUT;
 use crate::pool::{PoolOwner, takeover};
 
-/// How often the registry is read. A worker that drains must get nothing new 2 s later.
-const READ_PERIOD: Duration = Duration::from_millis(500);
+/// How often the registry is read. A VM that was moved is of no use before its new worker is seen.
+const READ_PERIOD: Duration = Duration::from_millis(300);
 
 impl PoolOwner {
     /// Keeps the scheduler's workers as the registry has them, until the ownership ends.
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -31,8 +31,6 @@
     pub(crate) term: u64,
     pub(crate) sequence: Sequence,
     pub(crate) sent_at_ms: u64,
-    /// Whether there was a holder before that did not give it up in order.
-    pub(crate) is_after_loss: bool,
 }
 
 /// Takes a unit whose holder is gone. `None` when it is not, or when another daemon was faster.
@@ -82,7 +80,6 @@
                 term,
                 sequence: Sequence::new(unit.clone(), term, version),
                 sent_at_ms,
-                is_after_loss: before.is_some_and(|owner| !owner.is_released),
             }))
         }
     }
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -63,13 +63,26 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct WireState(#[serde(with = "WireStateDef")] pub(crate) submission::JobState);
 
-/// A worker that a steward wants to be empty.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Emptiness {
-    /// Whether nothing runs there.
-    pub(crate) is_empty: bool,
-    /// How many tasks run there.
-    pub(crate) tasks: usize,
+/// What a steward asks of a pool's daemon in a round. Workers are named by their life.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RoundAsk {
+    /// The workers to empty.
+    pub(crate) empty: Vec<SmolStr>,
+    /// The workers to use again.
+    pub(crate) keep: Vec<SmolStr>,
+    /// The workers whose life an order to their VM has ended.
+    pub(crate) over: Vec<SmolStr>,
+}
+
+/// What a pool's daemon tells a steward.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RoundReply {
+    /// How many tasks there are on each of the workers to empty.
+    pub(crate) tasks: Vec<usize>,
+    /// How many workers the pool could use.
+    pub(crate) wanted: usize,
+    /// The workers on which nothing runs, and for how long in ms.
+    pub(crate) idle: Vec<(SmolStr, u64)>,
 }
 
 #[rpc(server, client, namespace = "pool")]
@@ -90,14 +103,9 @@
     #[method(name = "pending")]
     async fn pending(&self, pool: SmolStr, queue: SmolStr) -> RpcResult<Option<usize>>;
 
-    /// Empties workers; gives back those in `keep`. Tells of each in `empty` how far it is.
-    #[method(name = "evacuate")]
-    async fn evacuate(
-        &self,
-        pool: SmolStr,
-        empty: Vec<SmolStr>,
-        keep: Vec<SmolStr>,
-    ) -> RpcResult<Option<Vec<Emptiness>>>;
+    /// Does what a steward asks; nothing from a daemon that does not decide for the pool.
+    #[method(name = "round")]
+    async fn round(&self, pool: SmolStr, ask: RoundAsk) -> RpcResult<Option<RoundReply>>;
 }
 
 /// Why a call gave no answer: whether it may have had its effect.
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -19,7 +19,7 @@
 use crate::members::{DEAD_AFTER_MS, LONGEST_GAP_MS, follow_operators, keep_membership, sign};
 use crate::metrics::Metrics;
 use crate::node::Node;
-use crate::rpc::{Emptiness, Handover, HandoverAnswer, JobReply, PoolServer};
+use crate::rpc::{Handover, HandoverAnswer, JobReply, PoolServer, RoundAsk, RoundReply};
 use crate::settings::FleetSettings;
 use crate::{observe, pool};
 
@@ -185,13 +185,8 @@
         Ok(owner.map(|owner| owner.pending(&queue)))
     }
 
-    async fn evacuate(
-        &self,
-        pool: SmolStr,
-        empty: Vec<SmolStr>,
-        keep: Vec<SmolStr>,
-    ) -> RpcResult<Option<Vec<Emptiness>>> {
+    async fn round(&self, pool: SmolStr, ask: RoundAsk) -> RpcResult<Option<RoundReply>> {
         let owner = self.node.own_pool(&pool);
-        Ok(owner.map(|owner| owner.evacuate(&empty, &keep)))
+        Ok(owner.map(|owner| owner.round(&ask)))
     }
 }
--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -1,6 +1,7 @@
-//! Drives the waves of maintenance: one daemon at a time.
+//! Moves VMs between pools and drives the waves of maintenance: one daemon at a time.
 
 mod orders;
+mod waves;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -8,67 +9,74 @@
 
 use ownership::Lease;
 use parking_lot::Mutex;
-use pools::{Wave, WaveVm};
-use serde::{Deserialize, Serialize};
+use pools::{OrderResult, PoolState, VmState, WaveVm, plan_moves};
 use smol_str::SmolStr;
-use users_platform::{ListedVm, RowKey, STATUS_TABLE, Transaction, VmPhase};
+use tokio::task::JoinSet;
+use users_platform::{ListedVm, Transaction, VmPhase};
 
-use crate::clock::local_ms;
 use crate::config::FLEET_UNIT;
-use crate::node::{Node, STORE_TIMEOUT, tables};
-use crate::pool::{Sequence, Taken, read_all};
-use crate::rpc::{Emptiness, PoolClient};
+use crate::node::{Node, STORE_TIMEOUT};
+use crate::pool::{Sequence, Taken};
+use crate::rpc::{PoolClient, RoundAsk, RoundReply};
+use crate::steward::orders::{ORDER_SPAN_MS, Order, Sender};
+use crate::steward::waves::Waves;
 
-/// How often the list of VMs is read and the next steps are taken while a wave is under way.
-const ROUND_PERIOD: Duration = Duration::from_millis(400);
-
-/// How often the steward looks for waves when none is under way.
-const IDLE_PERIOD: Duration = Duration::from_millis(800);
-
-/// How long a steward gives orders after its last renewal.
-pub(crate) const ORDER_SPAN_MS: u64 = 1500;
+/// How often the list of VMs is read and the next steps are taken.
+const ROUND_PERIOD: Duration = Duration::from_millis(300);
 
 /// How often the steward renews its lease. Two renewals fit in the span for orders.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(600);
 
-/// The wave's row.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-struct WaveRow {
-    begun: BTreeSet<SmolStr>,
-    is_done: bool,
-}
+/// What a successor adds to the gap between two stewards' orders, for the time they take on their way.
+const GAP_RESERVE_MS: u64 = 300;
+
+/// The most moves in a round: a VM moved is lost for a while, and the demand may have changed in the next.
+const MOST_MOVES: usize = 12;
 
 struct Steward {
     node: Arc<Node>,
-    term: u64,
-    lease: Arc<Mutex<Lease>>,
+    sender: Sender,
     sequence: Arc<tokio::sync::Mutex<Sequence>>,
-    waves: BTreeMap<SmolStr, (Wave, WaveRow)>,
-    /// The workers that pools were asked to empty, by pool.
-    emptied: BTreeMap<SmolStr, BTreeSet<SmolStr>>,
+    waves: Waves,
+    /// The workers that pools are emptying for waves, by pool.
+    emptying: BTreeMap<SmolStr, BTreeSet<SmolStr>>,
+    /// The workers whose life an order has ended, by pool; told with the next round.
+    over: BTreeMap<SmolStr, Vec<SmolStr>>,
+    /// The workers that are not moved after all, by pool.
+    kept: BTreeMap<SmolStr, Vec<SmolStr>>,
+    /// Moves whose answers were lost, with the VM's pool to be. They are sent again until answered.
+    in_doubt: BTreeMap<SmolStr, SmolStr>,
 }
 
 /// Does the steward's work until another daemon takes it over.
 pub(crate) async fn run(node: Arc<Node>, taken: Taken) {
-    let lease = Arc::new(Mutex::new(Lease::new(taken.sent_at_ms)));
     let term = taken.term;
-    let mut steward = Steward {
-        node: node.clone(),
+    let lease = Arc::new(Mutex::new(Lease::new(taken.sent_at_ms)));
+    let sender = Sender {
+        vms: node.vms.clone(),
+        daemon: node.settings.daemon.clone(),
         term,
         lease: lease.clone(),
+    };
+    let mut steward = Steward {
+        node: node.clone(),
+        sender,
         sequence: Arc::new(tokio::sync::Mutex::new(taken.sequence)),
-        waves: BTreeMap::new(),
-        emptied: BTreeMap::new(),
+        waves: Waves::default(),
+        emptying: BTreeMap::new(),
+        over: BTreeMap::new(),
+        kept: BTreeMap::new(),
+        in_doubt: BTreeMap::new(),
     };
     let renewal = tokio::spawn(renew(node.clone(), steward.sequence.clone(), lease));
-    if taken.is_after_loss || term > 1 {
+    if term > 1 {
         // The steward before may have given an order until the end of its span, and orders of two have to be apart.
-        let gap_ms = ORDER_SPAN_MS + node.settings.bounds.steward_gap_ms + 300;
+        let gap_ms = ORDER_SPAN_MS + node.settings.bounds.steward_gap_ms + GAP_RESERVE_MS;
         tokio::time::sleep(Duration::from_millis(gap_ms)).await;
     }
     while !renewal.is_finished() {
-        let is_busy = steward.round().await;
-        tokio::time::sleep(if is_busy { ROUND_PERIOD } else { IDLE_PERIOD }).await;
+        steward.round().await;
+        tokio::time::sleep(ROUND_PERIOD).await;
     }
     tracing::warn!(term, "no longer the steward");
     node.set_hold(&FLEET_UNIT.into(), None);
@@ -91,173 +99,237 @@
 }
 
 impl Steward {
-    pub(crate) fn may_order(&self) -> bool {
-        self.lease.lock().is_held(local_ms(), ORDER_SPAN_MS)
-    }
-
-    /// One round over all waves. True when one is under way.
-    async fn round(&mut self) -> bool {
-        self.load_waves().await;
-        if self.waves.values().all(|(_, row)| row.is_done) || !self.may_order() {
-            return false;
+    async fn round(&mut self) {
+        if !self.sender.may_order() {
+            return;
         }
+        self.waves.load(&self.node).await;
         let listed = match self.node.vms.list(STORE_TIMEOUT).await {
             Ok(listed) => listed,
             Err(err) => {
                 tracing::warn!(error = %err, "the list of VMs can't be read");
-                return true;
+                return;
             }
         };
-        let list = self.wave_vms(&listed).await;
-        let now_ms = local_ms();
-        let mut empty = BTreeSet::new();
-        let mut orders = Vec::new();
-        for (key, (wave, row)) in &mut self.waves {
-            if row.is_done {
-                continue;
-            }
-            let next = wave.next(&list, now_ms);
-            empty.extend(next.empty);
-            orders.extend(next.order.into_iter().map(|vm| (key.clone(), vm)));
+        let standby = self.standby_pools();
+        let replies = self.ask_pools(&standby).await;
+        let list = wave_vms(&listed, &standby, &self.emptying, &replies);
+        let (empty, mut orders) = self.waves.next(&list);
+        let lives = lives(&listed);
+        self.set_emptying(&listed, &empty);
+        orders.extend(self.moves(&listed, &standby, &replies).await);
+        for (order, result) in self.sender.send_all(orders).await {
+            self.take_result(&order, result, &lives);
         }
-        self.ask_for_empty(&listed, &empty);
-        for (key, vm) in orders {
-            self.maintain(&key, &vm).await;
-        }
-        self.write_waves().await;
-        true
+        self.waves.write(&self.node, &self.sequence).await;
     }
 
-    /// Takes up waves that operators have asked for since.
-    async fn load_waves(&mut self) {
-        let asked = self.node.waves.lock().clone();
-        for (key, order) in asked {
-            if self.waves.contains_key(&key) {
-                continue;
-            }
-            let rows = match read_all(&self.node, tables::WAVE, FLEET_UNIT).await {
-                Ok(rows) => rows,
-                Err(err) => {
-                    tracing::warn!(error = %err, "the rows of waves can't be read");
-                    return;
-                }
-            };
-            let found = rows.iter().find(|row| row.key.key == key);
-            let value = found.and_then(|row| row.value.as_deref()).unwrap_or_default();
-            let row: WaveRow = serde_json::from_slice(value).unwrap_or_default();
-            let seconds = self.node.settings.bounds.maintenance_s;
-            let maintenance = Duration::try_from_secs_f64(seconds).unwrap_or_default();
-            let maintenance_ms = u64::try_from(maintenance.as_millis()).unwrap_or(0);
-            let wave = Wave::new(order.vms.clone(), &row.begun, order.most_down, maintenance_ms);
-            if !row.is_done {
-                self.write_status(&key, false).await;
-            }
-            self.waves.insert(key, (wave, row));
-        }
+    fn standby_pools(&self) -> BTreeSet<SmolStr> {
+        let document = self.node.in_force.get();
+        let services = document.iter().flat_map(|document| &document.services);
+        let standby = services.filter(|service| service.is_standby);
+        standby.map(|service| service.name.clone()).collect()
     }
 
-    /// The VMs as the waves want to know them; asks pools how empty the workers are that they empty.
-    async fn wave_vms(&mut self, listed: &[ListedVm]) -> BTreeMap<SmolStr, WaveVm> {
-        let document = self.node.in_force.get();
-        let standby: BTreeSet<SmolStr> = document
-            .iter()
-            .flat_map(|document| &document.services)
-            .filter(|service| service.is_standby)
-            .map(|service| service.name.clone())
-            .collect();
-        let mut emptiness: BTreeMap<SmolStr, Emptiness> = BTreeMap::new();
-        for (pool, workers) in &self.emptied {
-            let workers: Vec<_> = workers.iter().cloned().collect();
-            let answers = self.evacuate(pool, workers.clone(), Vec::new()).await;
-            emptiness.extend(workers.into_iter().zip(answers.unwrap_or_default()));
-        }
-        let vm = |listed: &ListedVm| {
-            let is_standby = standby.contains(&listed.pool);
-            let worker = listed.worker.as_ref();
-            let known = worker.and_then(|worker| emptiness.get(worker));
-            let vm = WaveVm {
-                is_up: listed.phase == VmPhase::Up,
-                is_standby,
-                pool: listed.pool.clone(),
-                is_empty: is_standby || worker.is_none() || known.is_some_and(|known| known.is_empty),
-                tasks: known.map_or(0, |known| known.tasks),
+    /// One exchange with each pool's daemon.
+    async fn ask_pools(&mut self, standby: &BTreeSet<SmolStr>) -> BTreeMap<SmolStr, RoundReply> {
+        let units = self.node.in_force.units();
+        let pools = units.into_iter().filter(|unit| unit != FLEET_UNIT && !standby.contains(unit));
+        let mut asked = JoinSet::new();
+        for pool in pools {
+            let empty = self.emptying.get(&pool);
+            let ask = RoundAsk {
+                empty: empty.into_iter().flatten().cloned().collect(),
+                keep: self.kept.remove(&pool).unwrap_or_default(),
+                over: self.over.remove(&pool).unwrap_or_default(),
             };
-            (listed.vm.clone(), vm)
-        };
-        listed.iter().map(vm).collect()
+            let node = self.node.clone();
+            asked.spawn(async move {
+                let reply = ask_pool(&node, &pool, ask).await;
+                (pool, reply)
+            });
+        }
+        let mut replies = BTreeMap::new();
+        while let Some(joined) = asked.join_next().await {
+            if let Ok((pool, Some(reply))) = joined {
+                replies.insert(pool, reply);
+            }
+        }
+        replies
     }
 
-    /// Notes which workers pools are to empty from now on; those no longer among them are given back.
-    fn ask_for_empty(&mut self, listed: &[ListedVm], empty: &BTreeSet<SmolStr>) {
-        self.emptied.clear();
+    /// Notes which workers pools are to empty from now on; those that are no longer among them are used again.
+    fn set_emptying(&mut self, listed: &[ListedVm], empty: &BTreeSet<SmolStr>) {
+        let before = std::mem::take(&mut self.emptying);
         for vm in listed.iter().filter(|vm| empty.contains(&vm.vm)) {
             if let Some(worker) = &vm.worker {
-                let workers = self.emptied.entry(vm.pool.clone()).or_default();
+                let workers = self.emptying.entry(vm.pool.clone()).or_default();
                 workers.insert(worker.clone());
             }
         }
+        for (pool, workers) in before {
+            let now = self.emptying.get(&pool);
+            let dropped = workers.into_iter().filter(|worker| now.is_none_or(|now| !now.contains(worker)));
+            // Those whose order follows stay empty; they are told of as over once it is answered.
+            let ordered = dropped.filter(|worker| {
+                let vm = listed.iter().find(|vm| vm.worker.as_ref() == Some(worker));
+                !vm.is_some_and(|vm| self.waves.has_under_way(&vm.vm))
+            });
+            let kept: Vec<_> = ordered.collect();
+            if !kept.is_empty() {
+                self.kept.entry(pool).or_default().extend(kept);
+            }
+        }
     }
 
-    async fn evacuate(
-        &self,
-        pool: &SmolStr,
-        empty: Vec<SmolStr>,
-        keep: Vec<SmolStr>,
-    ) -> Option<Vec<Emptiness>> {
-        if let Some(owner) = self.node.own_pool(pool) {
-            return Some(owner.evacuate(&empty, &keep));
+    /// The moves that follow the demand, of VMs whose pools have promised to leave them empty.
+    async fn moves(
+        &mut self,
+        listed: &[ListedVm],
+        standby: &BTreeSet<SmolStr>,
+        replies: &BTreeMap<SmolStr, RoundReply>,
+    ) -> Vec<Order> {
+        let again = self.in_doubt.iter();
+        let mut orders: Vec<_> = again
+            .map(|(vm, pool)| Order::Move { vm: vm.clone(), pool: pool.clone() })
+            .collect();
+        let vms = listed.iter().map(|vm| (vm.vm.clone(), self.vm_state(vm, replies))).collect();
+        let planned = plan_moves(&pool_states(standby, replies), &vms, MOST_MOVES);
+        let mut promised: BTreeMap<SmolStr, Vec<(SmolStr, SmolStr)>> = BTreeMap::new();
+        for planned in &planned {
+            let worker = listed.iter().find(|vm| vm.vm == planned.vm).and_then(|vm| vm.worker.clone());
+            match worker.filter(|_| !standby.contains(&planned.from)) {
+                Some(worker) => {
+                    let asked = promised.entry(planned.from.clone()).or_default();
+                    asked.push((planned.vm.clone(), worker));
+                }
+                None => orders.push(Order::Move { vm: planned.vm.clone(), pool: planned.to.clone() }),
+            }
         }
-        let claim = self.node.claim(pool)?;
-        let peer = self.node.peer(&claim.addr)?;
-        match peer.evacuate(pool.clone(), empty, keep).await {
-            Ok(answer) => answer,
-            Err(err) => {
-                tracing::warn!(pool = pool.as_str(), daemon = claim.daemon.as_str(), error = %err, "a pool's daemon does not answer");
-                None
+        for (pool, asked) in promised {
+            let empty: Vec<_> = asked.iter().map(|(_, worker)| worker.clone()).collect();
+            let ask = RoundAsk { empty, ..RoundAsk::default() };
+            let Some(reply) = ask_pool(&self.node, &pool, ask).await else {
+                continue;
+            };
+            for ((vm, worker), tasks) in asked.into_iter().zip(reply.tasks) {
+                let to = planned.iter().find(|planned| planned.vm == vm);
+                match to.filter(|_| tasks == 0) {
+                    Some(to) => orders.push(Order::Move { vm, pool: to.to.clone() }),
+                    None => self.kept.entry(pool.clone()).or_default().push(worker),
+                }
             }
         }
+        orders
     }
 
-    /// Writes how far the waves are, where that has changed.
-    async fn write_waves(&mut self) {
-        let mut changed = Vec::new();
-        for (key, (wave, row)) in &mut self.waves {
-            let begun: BTreeSet<SmolStr> = wave.begun().cloned().collect();
-            let is_done = wave.is_done();
-            if begun != row.begun || is_done != row.is_done {
-                changed.push((key.clone(), WaveRow { begun, is_done }));
-            }
+    fn vm_state(&self, vm: &ListedVm, replies: &BTreeMap<SmolStr, RoundReply>) -> VmState {
+        let idle = replies.get(&vm.pool).map(|reply| &reply.idle);
+        let idle = idle.into_iter().flatten().find(|(worker, _)| vm.worker.as_ref() == Some(worker));
+        let is_promised = self.in_doubt.contains_key(&vm.vm) || self.waves.has_under_way(&vm.vm);
+        VmState {
+            pool: self.in_doubt.get(&vm.vm).unwrap_or(&vm.pool).clone(),
+            is_movable: vm.phase == VmPhase::Up && !is_promised,
+            idle_ms: idle.map(|(_, idle_ms)| *idle_ms),
         }
-        for (key, row) in changed {
-            let row_key = RowKey::new(tables::WAVE, FLEET_UNIT, key.clone());
-            // Plain data, which can always be written.
-            let value = serde_json::to_vec(&row).unwrap_or_default();
-            let transaction = Transaction::default().with_write(row_key, value);
-            let mut sequence = self.sequence.lock().await;
-            let written = sequence.commit(&self.node, transaction, |_| {}).await;
-            drop(sequence);
-            if written.is_err() {
-                return;
+    }
+
+    fn take_result(
+        &mut self,
+        order: &Order,
+        result: OrderResult,
+        lives: &BTreeMap<SmolStr, (SmolStr, SmolStr)>,
+    ) {
+        let vm = match order {
+            Order::Move { vm, pool } => {
+                match result {
+                    OrderResult::Unanswered => self.in_doubt.insert(vm.clone(), pool.clone()),
+                    _ => self.in_doubt.remove(vm),
+                };
+                vm
             }
-            let is_done = row.is_done;
-            if let Some((_, before)) = self.waves.get_mut(&key) {
-                *before = row;
+            Order::Maintain { vm, wave, .. } => {
+                self.waves.ordered(wave, vm, result);
+                vm
             }
-            if is_done && !self.write_status(&key, true).await
-                && let Some((_, row)) = self.waves.get_mut(&key)
-            {
-                row.is_done = false;
+        };
+        let Some((pool, worker)) = lives.get(vm) else {
+            return;
+        };
+        match result {
+            OrderResult::Begun => self.over.entry(pool.clone()).or_default().push(worker.clone()),
+            OrderResult::Busy | OrderResult::Impossible => {
+                self.kept.entry(pool.clone()).or_default().push(worker.clone());
             }
+            OrderResult::Unanswered => {}
         }
     }
+}
 
-    /// Tells operators how far a wave is.
-    async fn write_status(&self, key: &str, is_done: bool) -> bool {
-        let state = if is_done { "done" } else { "running" };
-        let value = format!(r#"{{"state":"{state}"}}"#).into_bytes();
-        let transaction = Transaction::default().with_write(RowKey::new(STATUS_TABLE, "", key), value);
-        let written = self.node.store.commit(&transaction, STORE_TIMEOUT).await;
-        tracing::info!(wave = key, state, is_written = written.is_ok(), "a wave's state is reported");
-        written.is_ok()
+async fn ask_pool(node: &Node, pool: &SmolStr, ask: RoundAsk) -> Option<RoundReply> {
+    if let Some(owner) = node.own_pool(pool) {
+        return Some(owner.round(&ask));
+    }
+    let claim = node.claim(pool)?;
+    let peer = node.peer(&claim.addr)?;
+    match peer.round(pool.clone(), ask).await {
+        Ok(reply) => reply,
+        Err(err) => {
+            let daemon = claim.daemon.as_str();
+            tracing::warn!(pool = pool.as_str(), daemon, error = %err, "a pool's daemon does not answer");
+            None
+        }
     }
 }
+
+/// The pool and the life of the worker on each VM.
+fn lives(listed: &[ListedVm]) -> BTreeMap<SmolStr, (SmolStr, SmolStr)> {
+    let lives = listed.iter().filter_map(|vm| {
+        let worker = vm.worker.clone()?;
+        Some((vm.vm.clone(), (vm.pool.clone(), worker)))
+    });
+    lives.collect()
+}
+
+fn pool_states(
+    standby: &BTreeSet<SmolStr>,
+    replies: &BTreeMap<SmolStr, RoundReply>,
+) -> BTreeMap<SmolStr, PoolState> {
+    let standby = standby.iter().map(|pool| (pool.clone(), 0, true));
+    let asked = replies.iter().map(|(pool, reply)| (pool.clone(), reply.wanted, false));
+    let states = standby.chain(asked);
+    states
+        .map(|(pool, wanted, is_standby)| (pool, PoolState { is_standby, wanted }))
+        .collect()
+}
+
+/// The VMs as waves want to know them.
+fn wave_vms(
+    listed: &[ListedVm],
+    standby: &BTreeSet<SmolStr>,
+    emptying: &BTreeMap<SmolStr, BTreeSet<SmolStr>>,
+    replies: &BTreeMap<SmolStr, RoundReply>,
+) -> BTreeMap<SmolStr, WaveVm> {
+    let mut left = BTreeMap::new();
+    for (pool, workers) in emptying {
+        if let Some(reply) = replies.get(pool) {
+            left.extend(workers.iter().zip(reply.tasks.iter().copied()));
+        }
+    }
+    let vm = |vm: &ListedVm| {
+        let is_standby = standby.contains(&vm.pool);
+        let tasks = vm.worker.as_ref().and_then(|worker| left.get(worker)).copied();
+        let reply = replies.get(&vm.pool);
+        let is_idle = reply.is_some_and(|reply| {
+            reply.idle.iter().any(|(worker, _)| vm.worker.as_ref() == Some(worker))
+        });
+        let state = WaveVm {
+            is_up: vm.phase == VmPhase::Up,
+            is_standby,
+            is_empty: is_standby || vm.worker.is_none() || tasks == Some(0),
+            is_idle,
+        };
+        (vm.vm.clone(), state)
+    };
+    listed.iter().map(vm).collect()
+}
--- a/crates/fleetd/src/steward/orders.rs
+++ b/crates/fleetd/src/steward/orders.rs
@@ -1,41 +1,92 @@
 //! Orders to VMs. Each is checked against the steward's lease right before.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use ownership::Lease;
+use parking_lot::Mutex;
 use pools::OrderResult;
-use users_platform::VmOrderAnswer;
+use smol_str::SmolStr;
+use tokio::task::JoinSet;
+use users_platform::{Error, VmClient, VmOrderAnswer};
 
 use crate::clock::local_ms;
-use crate::steward::Steward;
+
+/// How long a steward gives orders after its last renewal.
+pub(super) const ORDER_SPAN_MS: u64 = 1500;
 
 /// How long the control of VMs may take to answer. Together with the span for orders less than the gap that a
 /// successor leaves.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 
-impl Steward {
-    /// Orders a VM of a wave into maintenance.
-    pub(super) async fn maintain(&mut self, key: &str, vm: &str) {
-        let Some(number) = self.node.waves.lock().get(key).map(|order| order.number) else {
-            return;
-        };
-        let result = if self.may_order() {
-            let holder = (self.node.settings.daemon.as_str(), self.term);
-            let maintain = self.node.vms.maintain(vm, number, holder, ORDER_TIMEOUT);
-            match maintain.await {
-                Ok(VmOrderAnswer::Done) => OrderResult::Begun,
-                Ok(VmOrderAnswer::Busy | VmOrderAnswer::Term) => OrderResult::Busy,
-                Ok(VmOrderAnswer::NotOfWave | VmOrderAnswer::Impossible { .. }) => {
-                    OrderResult::Impossible
-                }
-                Err(err) if err.is_without_effect() => OrderResult::Busy,
-                Err(_) => OrderResult::Unanswered,
+/// An order to a VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Order {
+    /// Move it to a pool.
+    Move { vm: SmolStr, pool: SmolStr },
+    /// Maintain it as part of a wave, which has a key and a number.
+    Maintain { vm: SmolStr, wave: SmolStr, number: u64 },
+}
+
+/// What sending orders takes.
+#[derive(Debug, Clone)]
+pub(super) struct Sender {
+    pub(super) vms: VmClient,
+    pub(super) daemon: SmolStr,
+    pub(super) term: u64,
+    pub(super) lease: Arc<Mutex<Lease>>,
+}
+
+impl Sender {
+    pub(super) fn may_order(&self) -> bool {
+        self.lease.lock().is_held(local_ms(), ORDER_SPAN_MS)
+    }
+
+    /// Sends orders at the same time, and returns what came of each.
+    pub(super) async fn send_all(&self, orders: Vec<Order>) -> Vec<(Order, OrderResult)> {
+        let mut sent = JoinSet::new();
+        for order in orders {
+            let sender = self.clone();
+            sent.spawn(async move {
+                let result = sender.send(&order).await;
+                (order, result)
+            });
+        }
+        let mut results = Vec::new();
+        while let Some(joined) = sent.join_next().await {
+            match joined {
+                Ok(result) => results.push(result),
+                Err(err) => tracing::error!(error = %err, "an order to a VM was not carried through"),
             }
-        } else {
-            OrderResult::Busy
-        };
-        tracing::info!(vm, wave = key, term = self.term, result = ?result, "ordered maintenance");
-        if let Some((wave, _)) = self.waves.get_mut(key) {
-            wave.ordered(vm, result, local_ms());
         }
+        results
+    }
+
+    async fn send(&self, order: &Order) -> OrderResult {
+        if !self.may_order() {
+            return OrderResult::Busy;
+        }
+        let holder = (self.daemon.as_str(), self.term);
+        let answer = match order {
+            Order::Move { vm, pool } => {
+                self.vms.move_to_pool(vm, pool, holder, ORDER_TIMEOUT).await
+            }
+            Order::Maintain { vm, number, .. } => {
+                self.vms.maintain(vm, *number, holder, ORDER_TIMEOUT).await
+            }
+        };
+        let result = order_result(&answer);
+        tracing::info!(order = ?order, term = self.term, answer = ?answer, "ordered a VM");
+        result
+    }
+}
+
+fn order_result(answer: &Result<VmOrderAnswer, Error>) -> OrderResult {
+    match answer {
+        Ok(VmOrderAnswer::Done) => OrderResult::Begun,
+        Ok(VmOrderAnswer::Busy | VmOrderAnswer::Term) => OrderResult::Busy,
+        Ok(VmOrderAnswer::NotOfWave | VmOrderAnswer::Impossible { .. }) => OrderResult::Impossible,
+        Err(err) if err.is_without_effect() => OrderResult::Busy,
+        Err(_) => OrderResult::Unanswered,
     }
 }
--- /dev/null
+++ b/crates/fleetd/src/steward/waves.rs
@@ -0,0 +1,136 @@
+//! The waves that the steward knows, and their rows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use pools::{OrderResult, Wave, WaveVm};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use users_platform::{RowKey, STATUS_TABLE, Transaction};
+
+use crate::clock::local_ms;
+use crate::config::FLEET_UNIT;
+use crate::node::{Node, STORE_TIMEOUT, tables};
+use crate::pool::{Sequence, read_all};
+use crate::steward::orders::Order;
+
+/// The wave's row.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct WaveRow {
+    begun: BTreeSet<SmolStr>,
+    is_done: bool,
+}
+
+struct KnownWave {
+    wave: Wave,
+    number: u64,
+    row: WaveRow,
+}
+
+/// The waves, by key.
+#[derive(Default)]
+pub(super) struct Waves {
+    known: BTreeMap<SmolStr, KnownWave>,
+}
+
+impl Waves {
+    /// Takes up waves that operators have asked for since.
+    pub(super) async fn load(&mut self, node: &Node) {
+        let asked = node.waves.lock().clone();
+        for (key, order) in asked {
+            if self.known.contains_key(&key) {
+                continue;
+            }
+            let rows = match read_all(node, tables::WAVE, FLEET_UNIT).await {
+                Ok(rows) => rows,
+                Err(err) => {
+                    tracing::warn!(error = %err, "the rows of waves can't be read");
+                    return;
+                }
+            };
+            let found = rows.iter().find(|row| row.key.key == key);
+            let value = found.and_then(|row| row.value.as_deref());
+            let row = match value.map(serde_json::from_slice::<WaveRow>) {
+                None => WaveRow::default(),
+                Some(Ok(row)) => row,
+                Some(Err(err)) => {
+                    tracing::warn!(wave = key.as_str(), error = %err, "a wave's row can't be read: it starts anew");
+                    WaveRow::default()
+                }
+            };
+            let seconds = node.settings.bounds.maintenance_s;
+            let maintenance = Duration::try_from_secs_f64(seconds).unwrap_or_default();
+            let maintenance_ms = u64::try_from(maintenance.as_millis()).unwrap_or(0);
+            let wave = Wave::new(order.vms, &row.begun, order.most_down, maintenance_ms);
+            if !row.is_done {
+                write_status(node, &key, false).await;
+            }
+            let number = order.number;
+            self.known.insert(key, KnownWave { wave, number, row });
+        }
+    }
+
+    /// The VMs to empty and the orders to send.
+    pub(super) fn next(&mut self, list: &BTreeMap<SmolStr, WaveVm>) -> (BTreeSet<SmolStr>, Vec<Order>) {
+        let now_ms = local_ms();
+        let mut empty = BTreeSet::new();
+        let mut orders = Vec::new();
+        for (key, known) in self.known.iter_mut().filter(|(_, known)| !known.row.is_done) {
+            let next = known.wave.next(list, now_ms);
+            empty.extend(next.empty);
+            let order = |vm| Order::Maintain {
+                vm,
+                wave: key.clone(),
+                number: known.number,
+            };
+            orders.extend(next.order.into_iter().map(order));
+        }
+        (empty, orders)
+    }
+
+    /// Whether a wave has a VM under way.
+    pub(super) fn has_under_way(&self, vm: &str) -> bool {
+        self.known.values().any(|known| known.wave.is_under_way(vm))
+    }
+
+    /// An order got its answer, or none.
+    pub(super) fn ordered(&mut self, key: &str, vm: &str, result: OrderResult) {
+        if let Some(known) = self.known.get_mut(key) {
+            known.wave.ordered(vm, result, local_ms());
+        }
+    }
+
+    /// Writes how far the waves are, where that has changed.
+    pub(super) async fn write(&mut self, node: &Node, sequence: &tokio::sync::Mutex<Sequence>) {
+        for (key, known) in &mut self.known {
+            let row = WaveRow {
+                begun: known.wave.begun().cloned().collect(),
+                is_done: known.wave.is_done(),
+            };
+            if row == known.row {
+                continue;
+            }
+            let row_key = RowKey::new(tables::WAVE, FLEET_UNIT, key.clone());
+            // Plain data, which can always be written.
+            let value = serde_json::to_vec(&row).unwrap_or_default();
+            let transaction = Transaction::default().with_write(row_key, value);
+            let written = sequence.lock().await.commit(node, transaction, |_| {}).await;
+            if written.is_err() {
+                return;
+            }
+            let is_reported = !row.is_done || write_status(node, key, true).await;
+            known.row = row;
+            known.row.is_done &= is_reported;
+        }
+    }
+}
+
+/// Tells operators how far a wave is.
+async fn write_status(node: &Node, key: &str, is_done: bool) -> bool {
+    let state = if is_done { "done" } else { "running" };
+    let value = format!(r#"{{"state":"{state}"}}"#).into_bytes();
+    let transaction = Transaction::default().with_write(RowKey::new(STATUS_TABLE, "", key), value);
+    let written = node.store.commit(&transaction, STORE_TIMEOUT).await;
+    tracing::info!(wave = key, state, is_written = written.is_ok(), "a wave's state is reported");
+    written.is_ok()
+}
--- a/crates/pools/src/lib.rs
+++ b/crates/pools/src/lib.rs
@@ -1,7 +1,9 @@
-//! Decides for VMs: which is emptied next, and which order follows, for waves of maintenance.
+//! Decides for VMs: which move between pools, which are emptied next, and which are maintained.
 //!
 //! This crate does no I/O and reads no clock.
 
+mod balance;
 mod wave;
 
+pub use balance::{Move, PoolState, VmState, plan_moves};
 pub use wave::{OrderResult, Wave, WaveSteps, WaveVm};
--- a/crates/pools/src/wave.rs
+++ b/crates/pools/src/wave.rs
@@ -11,12 +11,10 @@
     pub is_up: bool,
     /// Whether it is off until it is moved, so that nothing runs there.
     pub is_standby: bool,
-    /// Its pool.
-    pub pool: SmolStr,
-    /// Whether nothing runs there, as far as its pool's scheduler knows.
+    /// Whether its pool has promised that nothing runs there, nor will.
     pub is_empty: bool,
-    /// How many tasks run there.
-    pub tasks: usize,
+    /// Whether nothing runs there at the moment.
+    pub is_idle: bool,
 }
 
 /// What came of an order.
@@ -99,6 +97,13 @@
         steps.all(|step| matches!(step, Step::Begun { .. } | Step::Over))
     }
 
+    /// Whether a VM is being emptied for the wave, or down for it.
+    #[must_use]
+    pub fn is_under_way(&self, vm: &str) -> bool {
+        let step = self.steps.get(vm);
+        step.is_some_and(|step| !matches!(step, Step::Waiting { .. } | Step::Over))
+    }
+
     /// How many VMs are down, or may be.
     #[must_use]
     pub fn down(&self) -> usize {
@@ -131,7 +136,7 @@
         let mut waiting: Vec<_> = self.steps.iter().filter_map(|(vm, step)| match step {
             Step::Waiting { not_before_ms } if now_ms >= *not_before_ms => {
                 let listed = list.get(vm).filter(|vm| vm.is_up)?;
-                Some((!listed.is_standby, listed.tasks, vm.clone()))
+                Some((!listed.is_standby, !listed.is_idle, vm.clone()))
             }
             _ => None,
         }).collect();
--- a/crates/scheduler/src/evacuation.rs
+++ b/crates/scheduler/src/evacuation.rs
@@ -8,14 +8,17 @@
 /// A lasting task is at work when its progress is this.
 const AT_WORK_PERCENT: u32 = 100;
 
+/// How many tasks of a step may be away that does not say it: one at a time, as a worker could not be emptied else.
+const LEAST_MAY_MISS: u32 = 1;
+
 /// How long brief tasks with checkpoints may go on while their worker is emptied.
 const BRIEF_PATIENCE_MS: u64 = 1200;
 
 impl Scheduler {
-    /// Gives a worker nothing more, and takes off what may be taken off now. True when it is empty.
-    pub fn evacuate(&mut self, key: WorkerKey, now: Now) -> bool {
+    /// Gives a worker nothing more, and takes off what may be taken off now. Returns how many tasks are left.
+    pub fn evacuate(&mut self, key: WorkerKey, now: Now) -> usize {
         let Some(worker) = self.workers.get_mut(key) else {
-            return true;
+            return 0;
         };
         worker.is_evacuating = true;
         let runs: Vec<_> = worker
@@ -26,11 +29,11 @@
             .collect();
         for (task, run, assigned_at_ms) in runs {
             let age_ms = now.local_ms.saturating_sub(assigned_at_ms);
-            if self.may_stop(key, task, age_ms) {
+            if self.may_stop(task, age_ms) {
                 self.order_stop(key, task, run);
             }
         }
-        self.workers[key].runs.is_empty()
+        self.workers[key].runs.len()
     }
 
     /// Lets a worker be given work again.
@@ -40,7 +43,7 @@
         }
     }
 
-    fn may_stop(&self, key: WorkerKey, task: TaskKey, age_ms: u64) -> bool {
+    fn may_stop(&self, task: TaskKey, age_ms: u64) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return true;
         };
@@ -48,11 +51,8 @@
         if !step.is_lasting {
             return step.has_checkpoints && age_ms > BRIEF_PATIENCE_MS;
         }
-        let is_at_work = self.workers[key]
-            .runs
-            .get(&task)
-            .is_some_and(|run| run.percent >= AT_WORK_PERCENT);
-        !is_at_work || self.others_away(job, task) < step.may_miss
+        // The last look may be old, so that a task that was not at work then counts as one that is now.
+        self.others_away(job, task) < step.may_miss.max(LEAST_MAY_MISS)
     }
 
     /// The other tasks of a lasting step that are not at work, as far as the last looks show.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod adopt;
 mod batch;
+mod demand;
 mod evacuation;
 mod health;
 mod looks;
@@ -14,6 +15,7 @@
 mod worker;
 
 pub use batch::{Action, Batch, RowChange};
+pub use demand::{Demand, IdleWorker};
 pub use looks::{End, Look, RunningTask};
 pub use scheduler::{JobAnswer, Limits, Now, QueueRules, Scheduler, StartOutcome};
 pub use worker::{HoldPlan, WorkerInfo, WorkerKey};
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -114,9 +114,8 @@
         usable
             .max_by_key(|(_, worker)| {
                 let is_near = worker.info.rack() == preferred_rack;
-                let lasting = worker.runs.len();
-                let spread = if step.is_lasting { usize::MAX - lasting } else { 0 };
-                (is_near, spread, worker.room().cpu_milli)
+                // The fullest that has room: what stays empty can be moved to where it is needed.
+                (is_near, !worker.runs.is_empty(), u32::MAX - worker.room().cpu_milli)
             })
             .map(|(worker_key, _)| worker_key)
     }
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -58,6 +58,11 @@
         passed.copied().collect()
     }
 
+    /// The steps with their ranks, in order.
+    pub(crate) fn ranked(&self) -> impl Iterator<Item = (Rank, StepKey)> {
+        self.order.iter().copied()
+    }
+
     /// The steps in order.
     pub(crate) fn steps(&self) -> Vec<StepKey> {
         self.order.iter().map(|(_, step)| *step).collect()
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -8,6 +8,7 @@
 use submission::{Job, JobId, JobSpec, JobState, Phase, RunEnd, TaskKey};
 
 use crate::batch::Action;
+use crate::demand::Trend;
 use crate::ready::{Rank, Ready, StepKey};
 use crate::worker::{HoldPlan, Run, Worker, WorkerInfo, WorkerKey};
 
@@ -102,6 +103,7 @@
     pub(crate) ended: BTreeSet<(u64, JobId)>,
     /// How many jobs of each queue have not started.
     pub(crate) pending: BTreeMap<SmolStr, usize>,
+    pub(crate) trend: Trend,
 }
 
 impl Scheduler {
@@ -122,6 +124,7 @@
             recorded: HashMap::new(),
             ended: BTreeSet::new(),
             pending: BTreeMap::new(),
+            trend: Trend::default(),
         }
     }
 
@@ -154,17 +157,17 @@
     }
 
     /// Takes back a job that was never written. False when it may have been.
-    pub fn withdraw(&mut self, id: JobId) -> bool {
+    pub fn withdraw(&mut self, id: JobId, now: Now) -> bool {
         if self.recorded.contains_key(&id) || !self.dirty.contains(&id) {
             return false;
         }
-        self.forget(id);
+        self.forget(id, now);
         self.dirty.remove(&id);
         true
     }
 
     /// Drops what is known of a job, without touching its rows.
-    pub fn forget(&mut self, id: JobId) {
+    pub fn forget(&mut self, id: JobId, now: Now) {
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
@@ -179,7 +182,7 @@
             if let Phase::Assigned { worker } = &task.phase {
                 let key = self.by_id.get(worker);
                 if let Some(worker) = key.and_then(|key| self.workers.get_mut(*key)) {
-                    worker.remove(TaskKey { job: id, index });
+                    worker.remove(TaskKey { job: id, index }, now.local_ms);
                 }
             }
         }
@@ -244,12 +247,6 @@
         self.is_there(key, task, number) && !has_ended && !draining
     }
 
-    /// How many tasks run on a worker, or may run there.
-    #[must_use]
-    pub fn tasks_on(&self, key: WorkerKey) -> usize {
-        self.workers.get(key).map_or(0, |worker| worker.runs.len())
-    }
-
     /// How many jobs of a queue have not started.
     #[must_use]
     pub fn pending(&self, queue: &str) -> usize {
@@ -284,7 +281,9 @@
                 }
                 None => {
                     let id = info.id.clone();
-                    let key = self.workers.insert(Worker::new(info, lapse_at_ms));
+                    let mut worker = Worker::new(info, lapse_at_ms);
+                    worker.idle_since_ms = now.local_ms;
+                    let key = self.workers.insert(worker);
                     self.by_id.insert(id, key);
                 }
             }
@@ -348,7 +347,9 @@
         if worker.is_proven && worker.runs.is_empty() && !has_ends && !worker.is_silent {
             return None;
         }
-        let lease_until_ms = if worker.runs.is_empty() {
+        // A silent worker is only looked at: renewals that may or may not arrive would put off for ever the moment
+        // at which its leases have surely lapsed.
+        let lease_until_ms = if worker.runs.is_empty() || worker.is_silent {
             None
         } else {
             worker.grant(limits.lease_ms, limits.slow_clock_percent, now.local_ms)
@@ -356,7 +357,7 @@
         Some(HoldPlan {
             lease_until_ms,
             recorded_end: worker.recorded_end,
-            is_busy: worker.is_proven && !worker.runs.is_empty(),
+            is_busy: worker.is_proven && lease_until_ms.is_some(),
             is_shared: worker.runs.values().any(|run| run.footprint.cpu_milli == 0),
         })
     }
@@ -446,7 +447,7 @@
                 break;
             }
             self.ended.remove(&(ended_ms, job));
-            self.forget(job);
+            self.forget(job, now);
             self.dirty.insert(job);
         }
     }
@@ -477,7 +478,7 @@
         if let Some(worker) = self.workers.get_mut(key)
             && worker.runs.get(&task).is_some_and(|run| run.run == number)
         {
-            worker.remove(task);
+            worker.remove(task, now.local_ms);
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -90,6 +90,8 @@
     /// What runs there, or may run there.
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) used: Resources,
+    /// Since when nothing runs there.
+    pub(crate) idle_since_ms: u64,
     /// A size that it refused, until something ends there or the time has passed.
     pub(crate) refused: Option<(Resources, u64)>,
     pub(crate) health: Health,
@@ -126,6 +128,7 @@
             is_evacuating: false,
             runs: BTreeMap::new(),
             used: Resources::default(),
+            idle_since_ms: 0,
             refused: None,
             health: Health::default(),
             lapse_at_ms,
@@ -163,8 +166,9 @@
         self.runs.insert(task, run);
     }
 
-    pub(crate) fn remove(&mut self, task: TaskKey) -> Option<Run> {
+    pub(crate) fn remove(&mut self, task: TaskKey, now_ms: u64) -> Option<Run> {
         let run = self.runs.remove(&task)?;
+        self.idle_since_ms = now_ms;
         // Summed anew, because a saturated sum can't be taken back.
         let footprints = self.runs.values().map(|run| run.footprint);
         self.used = footprints.fold(Resources::default(), Resources::plus);
