--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -185,6 +185,7 @@
         RoundReply {
             tasks,
             wanted: demand.wanted,
+            unusable: demand.unusable,
             idle: demand.idle.into_iter().map(|idle| (idle.id, idle.idle_ms)).collect(),
         }
     }
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -81,6 +81,8 @@
     pub(crate) tasks: Vec<usize>,
     /// How many workers the pool could use.
     pub(crate) wanted: usize,
+    /// The workers that get no new work now.
+    pub(crate) unusable: Vec<SmolStr>,
     /// The workers on which nothing runs, and for how long in ms.
     pub(crate) idle: Vec<(SmolStr, u64)>,
 }
--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -224,11 +224,16 @@
     }
 
     fn vm_state(&self, vm: &ListedVm, replies: &BTreeMap<SmolStr, RoundReply>) -> VmState {
-        let idle = replies.get(&vm.pool).map(|reply| &reply.idle);
-        let idle = idle.into_iter().flatten().find(|(worker, _)| vm.worker.as_ref() == Some(worker));
+        let reply = replies.get(&vm.pool);
+        let idle = reply.map(|reply| &reply.idle).into_iter().flatten();
+        let idle = idle.into_iter().find(|(worker, _)| vm.worker.as_ref() == Some(worker));
+        let is_unusable = reply.is_some_and(|reply| {
+            vm.worker.as_ref().is_some_and(|worker| reply.unusable.contains(worker))
+        });
         let is_promised = self.in_doubt.contains_key(&vm.vm) || self.waves.has_under_way(&vm.vm);
         VmState {
             pool: self.in_doubt.get(&vm.vm).unwrap_or(&vm.pool).clone(),
+            is_of_use: matches!(vm.phase, VmPhase::Up | VmPhase::Moving) && !is_unusable,
             is_movable: vm.phase == VmPhase::Up && !is_promised,
             idle_ms: idle.map(|(_, idle_ms)| *idle_ms),
         }
--- a/crates/pools/src/balance.rs
+++ b/crates/pools/src/balance.rs
@@ -31,6 +31,8 @@
 pub struct VmState {
     /// Its pool, or the one it moves to.
     pub pool: SmolStr,
+    /// Whether it runs tasks of its pool, or will once it is there.
+    pub is_of_use: bool,
     /// Whether it is up and no order on it is under way.
     pub is_movable: bool,
     /// For how long nothing has run there; `None` when something runs or nothing is known.
@@ -57,7 +59,7 @@
 ///     ("quotes".into(), PoolState { is_standby: false, wanted: 1 }),
 ///     ("off".into(), PoolState { is_standby: true, wanted: 0 }),
 /// ]);
-/// let off = VmState { pool: "off".into(), is_movable: true, idle_ms: None };
+/// let off = VmState { pool: "off".into(), is_of_use: true, is_movable: true, idle_ms: None };
 /// let vms = BTreeMap::from([("vm-1".into(), off)]);
 /// let moves = plan_moves(&pools, &vms, 4);
 /// assert_eq!(moves[0].to, "quotes");
@@ -69,7 +71,7 @@
     most: usize,
 ) -> Vec<Move> {
     let mut have: BTreeMap<&SmolStr, usize> = pools.keys().map(|pool| (pool, 0)).collect();
-    for vm in vms.values() {
+    for vm in vms.values().filter(|vm| vm.is_of_use) {
         if let Some(count) = have.get_mut(&vm.pool) {
             *count += 1;
         }
@@ -92,7 +94,7 @@
                 break;
             };
             let (_, vm, from, _) = free.remove(found);
-            *have.entry(from).or_default() -= 1;
+            have.entry(from).and_modify(|count| *count = count.saturating_sub(1));
             *have.entry(to).or_default() += 1;
             moves.push(Move { vm: vm.clone(), from: from.clone(), to: to.clone() });
         }
@@ -101,7 +103,7 @@
         for (idle_ms, vm, from, is_standby) in free {
             let is_surplus = have[from] > pools[from].wanted + SPARE_VMS;
             if !is_standby && is_surplus && idle_ms >= RELEASE_IDLE_MS {
-                *have.entry(from).or_default() -= 1;
+                have.entry(from).and_modify(|count| *count = count.saturating_sub(1));
                 moves.push(Move { vm: vm.clone(), from: from.clone(), to: standby.clone() });
             }
         }
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -39,8 +39,8 @@
 pub struct Demand {
     /// How many workers it could use now, and at the end of a move by the trend.
     pub wanted: usize,
-    /// How many sound workers it has.
-    pub usable: usize,
+    /// The workers that get no new work now: emptied, draining, silent, or avoided.
+    pub unusable: Vec<SmolStr>,
     /// The workers on which nothing runs.
     pub idle: Vec<IdleWorker>,
 }
@@ -86,17 +86,28 @@
         let largest = listed.map(|worker| u64::from(worker.info.capacity.cpu_milli)).max();
         let each = largest.unwrap_or(ASSUMED_CPU_MILLI).max(1000) * FILL_PERCENT / 100;
         let wanted = usize::try_from(cpu_milli.div_ceil(each)).unwrap_or(usize::MAX);
-        let usable = self.workers.values().filter(|worker| worker.is_usable(now.local_ms));
+        let unusable = self.workers.values().filter(|worker| {
+            worker.is_listed && worker.is_proven && !worker.is_usable(now.local_ms)
+        });
         Demand {
-            wanted: wanted.max(lasting_spread).max(LEAST_WORKERS),
-            usable: usable.count(),
+            wanted: wanted.max(lasting_spread).max(self.lasting_places()).max(LEAST_WORKERS),
+            unusable: unusable.map(|worker| worker.info.id.clone()).collect(),
             idle: self.idle_workers(now),
         }
     }
 
+    /// The workers that lasting steps need because of how many of their tasks may run on one.
+    fn lasting_places(&self) -> usize {
+        let jobs = self.lasting.iter().filter_map(|id| self.jobs.get(id));
+        let steps = jobs.flat_map(|job| &job.spec().steps);
+        let limited = steps.filter(|step| step.is_lasting && step.most_per_worker > 0);
+        let places = limited.map(|step| step.tasks.div_ceil(step.most_per_worker));
+        places.max().map_or(0, |places| places as usize)
+    }
+
     fn idle_workers(&self, now: Now) -> Vec<IdleWorker> {
         let idle = self.workers.values().filter(|worker| {
-            worker.is_listed && worker.is_proven && !worker.is_silent && worker.runs.is_empty()
+            worker.is_usable(now.local_ms) && worker.runs.is_empty()
         });
         idle.map(|worker| IdleWorker {
             id: worker.info.id.clone(),
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -104,6 +104,8 @@
     /// How many jobs of each queue have not started.
     pub(crate) pending: BTreeMap<SmolStr, usize>,
     pub(crate) trend: Trend,
+    /// The jobs with lasting tasks that have not ended.
+    pub(crate) lasting: BTreeSet<JobId>,
 }
 
 impl Scheduler {
@@ -125,6 +127,7 @@
             ended: BTreeSet::new(),
             pending: BTreeMap::new(),
             trend: Trend::default(),
+            lasting: BTreeSet::new(),
         }
     }
 
@@ -151,6 +154,8 @@
         }
         if job.has_ended() {
             self.ended.insert((job.ended_at_ms(), id));
+        } else if job.spec().steps.iter().any(|step| step.is_lasting) {
+            self.lasting.insert(id);
         }
         self.jobs.insert(id, job);
         self.unblock(id, now);
@@ -175,6 +180,7 @@
             self.count_pending_out(&job.queue);
         }
         self.ended.remove(&(job.ended_at_ms(), id));
+        self.lasting.remove(&id);
         self.actions.remove(&id);
         for (index, task) in job.tasks() {
             let (occurrence, step, _) = job.place(index);
@@ -497,6 +503,7 @@
 
     /// An ended job waits for nothing, and what still runs of it is stopped.
     fn settle_ended(&mut self, id: JobId) {
+        self.lasting.remove(&id);
         let job = &self.jobs[&id];
         self.ended.insert((job.ended_at_ms(), id));
         self.actions.remove(&id);
