--- a/crates/fleetd/src/front/calls.rs
+++ b/crates/fleetd/src/front/calls.rs
@@ -23,6 +23,9 @@
 /// When to come back to a daemon that does not know who decides for the pool. A takeover takes 3 s.
 const RETRY_AFTER_S: u32 = 1;
 
+/// How long a job waits for a pool's next daemon. A takeover takes 2 s, and callers wait 3 s.
+const TAKEOVER_WAIT: std::time::Duration = std::time::Duration::from_millis(1600);
+
 /// An answer without a body of its own.
 struct Answer {
     status: StatusCode,
@@ -146,8 +149,22 @@
     }
 }
 
-/// Hands a job to the daemon that decides for its pool.
+/// Hands a job to the daemon that decides for its pool. While none does, waits a little for one to take over.
 async fn hand_over(node: &Arc<Node>, handover: Handover) -> HandoverAnswer {
+    let deadline = tokio::time::Instant::now() + TAKEOVER_WAIT;
+    loop {
+        let claims_read = node.claims_read.notified();
+        let answer = hand_over_once(node, handover.clone()).await;
+        if answer != HandoverAnswer::NotOwner || node.is_store_away() {
+            return answer;
+        }
+        if tokio::time::timeout_at(deadline, claims_read).await.is_err() {
+            return answer;
+        }
+    }
+}
+
+async fn hand_over_once(node: &Arc<Node>, handover: Handover) -> HandoverAnswer {
     if let Some(owner) = node.own_pool(&handover.pool) {
         return owner.submit(handover.queue, handover.id, handover.spec).await;
     }
@@ -264,12 +281,13 @@
     }
 }
 
-/// Answers the balancer: a daemon takes connections once it has a configuration, and until it leaves.
+/// Answers the balancer: a daemon takes connections while it has a configuration and the store, until it leaves.
 pub(crate) async fn answer_ready(
     request: Request<Incoming>,
     node: Arc<Node>,
 ) -> Response<Full<Bytes>> {
-    let is_ready = node.in_force.get().is_some() && !node.is_leaving.load(Ordering::Acquire);
+    let is_leaving = node.is_leaving.load(Ordering::Acquire);
+    let is_ready = node.in_force.get().is_some() && !is_leaving && !node.is_store_away();
     let mut response = Response::new(Full::default());
     *response.status_mut() = if request.uri().path() != READY_PATH {
         StatusCode::NOT_FOUND
--- a/crates/fleetd/src/front/server.rs
+++ b/crates/fleetd/src/front/server.rs
@@ -19,8 +19,8 @@
 use crate::front::answer_request;
 use crate::node::Node;
 
-/// How long headers may take to arrive before a configuration says it.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a connection may stay idle, and headers may take to arrive, before a configuration says it.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// The library answers 431 by itself to longer headers. Twice what configurations allow.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
@@ -53,10 +53,12 @@
             tokio::spawn(async move {
                 let served = node.clone();
                 let service = service_fn(move |request| answer(request, served.clone()));
-                let timeout = node.in_force.get().map(|config| config.limits.header_timeout);
+                // The library counts the time between two requests as part of the time for the headers of the second.
+                let limits = node.in_force.get().map(|config| config.limits);
+                let timeout = limits.map(|limits| limits.header_timeout.max(limits.idle_timeout));
                 let connection = http1::Builder::new()
                     .timer(TokioTimer::new())
-                    .header_read_timeout(timeout.unwrap_or(HEADER_TIMEOUT))
+                    .header_read_timeout(timeout.unwrap_or(IDLE_TIMEOUT))
                     .max_buf_size(MAX_BUFFER_BYTES)
                     .serve_connection(TokioIo::new(stream), service);
                 if let Err(err) = connection.await {
@@ -74,7 +76,7 @@
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     node.in_flight.fetch_add(1, Ordering::Relaxed);
     let mut response = answer_request(request, &node).await;
-    if node.is_leaving.load(Ordering::Acquire) {
+    if node.is_leaving.load(Ordering::Acquire) || node.is_store_away() {
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(http::header::CONNECTION, close);
     }
@@ -107,7 +109,7 @@
                 });
                 let connection = http1::Builder::new()
                     .timer(TokioTimer::new())
-                    .header_read_timeout(HEADER_TIMEOUT)
+                    .header_read_timeout(IDLE_TIMEOUT)
                     .serve_connection(TokioIo::new(stream), service);
                 if let Err(err) = connection.await {
                     tracing::debug!(error = %err, "a connection broke");
--- a/crates/fleetd/src/members.rs
+++ b/crates/fleetd/src/members.rs
@@ -30,7 +30,7 @@
 pub(crate) const LONGEST_GAP_MS: u64 = 800;
 
 /// How long a new daemon leaves free units to daemons that it does not see yet.
-const SETTLE_MS: u64 = 1200;
+const SETTLE_MS: u64 = 700;
 
 /// How long a read of the operators' rows waits for a change. A connection that fell silent is noticed within this
 /// and the store's time-out, which is inside the time in which a configuration has to be in force.
@@ -65,6 +65,8 @@
                 }
                 let rows = rows.into_iter().filter_map(daemon_row).collect();
                 node.peers.lock().read(rows, gap_ms);
+                node.store_answered_at_ms.store(read_at_ms, Ordering::Relaxed);
+                node.claims_read.notify_waiters();
                 if local_ms().saturating_sub(started_at_ms) > SETTLE_MS && signed_at_ms > 0 {
                     take_free_units(&node).await;
                 }
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use jsonrpsee::http_client::{HttpClient as PeerClient, HttpClientBuilder};
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use users_platform::{HttpClient, StoreClient, VmClient, WaveOrder, WorkerClient};
 
-use crate::clock::Clock;
+use crate::clock::{Clock, local_ms};
 use crate::config::InForce;
 use crate::metrics::Metrics;
 use crate::pool::PoolOwner;
@@ -22,6 +22,10 @@
 /// slower than usual.
 pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// When the store has not answered for longer, this daemon sends callers elsewhere. It is asked every 0.4 s, and a
+/// slow answer takes 0.3 s.
+const STORE_AWAY_MS: u64 = 1300;
+
 /// How long a call to a peer may take: one transaction there, and once more if its answer is lost.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -63,6 +67,10 @@
     /// Wakes the loop that shows what this daemon holds.
     pub(crate) holds_changed: Notify,
     pub(crate) is_leaving: AtomicBool,
+    /// When the store last answered this daemon.
+    pub(crate) store_answered_at_ms: AtomicU64,
+    /// Wakes requests that wait for a unit to be taken over.
+    pub(crate) claims_read: Notify,
     pub(crate) in_flight: AtomicUsize,
     /// The waves that operators ask for, by key.
     pub(crate) waves: Mutex<BTreeMap<SmolStr, WaveOrder>>,
@@ -91,12 +99,20 @@
             holds: Mutex::new(BTreeMap::new()),
             holds_changed: Notify::new(),
             is_leaving: AtomicBool::new(false),
+            store_answered_at_ms: AtomicU64::new(0),
+            claims_read: Notify::new(),
             in_flight: AtomicUsize::new(0),
             waves: Mutex::new(BTreeMap::new()),
             peer_clients: Mutex::new(HashMap::new()),
         }
     }
 
+    /// Whether the store has not answered this daemon for a while, so that it can accept nothing.
+    pub(crate) fn is_store_away(&self) -> bool {
+        let answered_at_ms = self.store_answered_at_ms.load(Ordering::Relaxed);
+        local_ms().saturating_sub(answered_at_ms) > STORE_AWAY_MS
+    }
+
     /// The pool's owner, if it is this daemon.
     pub(crate) fn own_pool(&self, pool: &str) -> Option<Arc<PoolOwner>> {
         self.pools.lock().get(pool).cloned()
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -114,5 +114,5 @@
 pub(crate) fn is_without_effect(err: &ClientError) -> bool {
     // The library tells connection failures from lost answers in its message only.
     let text = err.to_string();
-    text.contains("Connection refused") || text.contains("tcp connect error")
+    text.contains("(Connect)")
 }
