--- a/crates/scheduler/src/looks.rs
+++ b/crates/scheduler/src/looks.rs
@@ -66,6 +66,10 @@
             return;
         };
         worker.note_clock(look.clock_ms, now.local_ms);
+        if !worker.is_proven && look.running.is_empty() {
+            // Nothing that an earlier owner started holds a lease there.
+            worker.lapse_at_ms = now.local_ms;
+        }
         worker.is_proven = true;
         worker.forgotten_end = worker.forgotten_end.max(look.recorded_end);
         for end in look.ended {
--- /dev/null
+++ b/crates/scheduler/tests/placement.rs
@@ -0,0 +1,81 @@
+//! What starts where, and what is taken off.
+
+mod support;
+
+use submission::{JobId, Resources, RunEnd, StepSpec};
+use support::{Pool, job, lasting, starts, step, stops};
+
+struct Case {
+    name: &'static str,
+    steps: Vec<StepSpec>,
+    workers: &'static [&'static str],
+    started: usize,
+}
+
+fn check(case: Case) {
+    let mut pool = Pool::new(case.workers);
+    pool.submit(1, job(case.steps));
+    let started = starts(&pool.round());
+    assert_eq!(started.len(), case.started, "{}", case.name);
+}
+
+#[test]
+fn tasks_start_where_they_fit() {
+    let big = Resources { cpu_milli: 5000, memory_mb: 1, gpus: 0 };
+    check(Case { name: "all fit", steps: vec![step(4)], workers: &["one"], started: 4 });
+    check(Case { name: "no more than fit", steps: vec![step(6)], workers: &["one"], started: 4 });
+    check(Case { name: "too large", steps: vec![StepSpec { needs: big, ..step(1) }], workers: &["one"], started: 0 });
+    check(Case { name: "a step after another", steps: vec![step(1), StepSpec { after: vec![0], ..step(1) }], workers: &["one"], started: 1 });
+    check(Case { name: "one on a worker", steps: vec![StepSpec { most_per_worker: 1, ..step(3) }], workers: &["one", "two"], started: 2 });
+    check(Case { name: "a label nobody has", steps: vec![StepSpec { required_label: "b".into(), ..step(1) }], workers: &["one"], started: 0 });
+    check(Case { name: "a gang that fits", steps: vec![StepSpec { is_gang: true, ..step(5) }], workers: &["one", "two"], started: 5 });
+    check(Case { name: "a gang that does not fit", steps: vec![StepSpec { is_gang: true, ..step(9) }], workers: &["one", "two"], started: 0 });
+    check(Case { name: "a filler beside a full worker", steps: vec![step(4), StepSpec { is_filler: true, ..step(1) }], workers: &["one"], started: 5 });
+}
+
+#[test]
+fn one_lasting_task_of_a_step_is_taken_off_at_a_time_even_before_looks_show_it_at_work() {
+    let mut pool = Pool::new(&["one", "two", "three"]);
+    pool.submit(1, job(vec![lasting(2, 1)]));
+    let actions = pool.round();
+    let started = pool.started(&actions);
+    let keys: Vec<_> = started.iter().map(|(worker, _, _)| pool.key(worker)).collect();
+    // A look long ago showed neither at work; both may be by now.
+    for key in &keys {
+        pool.scheduler.evacuate(*key, pool.now());
+    }
+    assert!(stops(&pool.round()).len() <= 1);
+}
+
+#[test]
+fn a_pool_wants_a_worker_for_each_lasting_task_that_may_not_share_one() {
+    let mut pool = Pool::new(&["one", "two"]);
+    pool.submit(1, job(vec![lasting(5, 1)]));
+    let _ = pool.round();
+    assert_eq!(pool.scheduler.demand(pool.now()).wanted, 5);
+}
+
+#[test]
+fn a_job_fails_when_a_task_has_failed_as_often_as_its_queue_allows() {
+    let mut pool = Pool::new(&["one"]);
+    let id = pool.submit(1, job(vec![step(1)]));
+    for number in 1..=2 {
+        let actions = pool.round();
+        let (_, task, run) = pool.started(&actions)[0].clone();
+        let name = pool.name(task);
+        pool.pass(10);
+        pool.look("one", &[], &[(number, name, run, RunEnd::Failed)]);
+    }
+    assert!(starts(&pool.round()).is_empty());
+    assert!(pool.scheduler.job(id).unwrap().has_ended());
+}
+
+#[test]
+fn a_known_job_is_not_taken_twice() {
+    let mut pool = Pool::new(&["one"]);
+    pool.submit(1, job(vec![step(1)]));
+    let _ = pool.round();
+    pool.submit(1, job(vec![step(4)]));
+    assert!(starts(&pool.round()).is_empty());
+    assert_eq!(pool.scheduler.job(JobId(1)).unwrap().tasks().count(), 1);
+}
