--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -184,7 +184,9 @@
         self.changed.notify_one();
         RoundReply {
             tasks,
+            urgent: demand.urgent,
             wanted: demand.wanted,
+            steady: demand.steady,
             unusable: demand.unusable,
             idle: demand.idle.into_iter().map(|idle| (idle.id, idle.idle_ms)).collect(),
         }
--- a/crates/fleetd/src/pool/sequence.rs
+++ b/crates/fleetd/src/pool/sequence.rs
@@ -18,8 +18,9 @@
 /// The first time-out of a try is this many times the usual time of an answer, so that a lost one costs little.
 const TIMEOUT_FACTOR: u32 = 6;
 
-/// The shortest time-out of a try. Answers take 8 ms to 18 ms on a calm store.
-const LEAST_TIMEOUT: Duration = Duration::from_millis(120);
+/// The shortest time-out of a try. Answers take 8 ms to 18 ms on a calm store, and 0.3 s on one that is 60 times
+/// slower: tries sent again too early would only add to its load.
+const LEAST_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The row that each transaction of a part rewrites.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,7 +55,7 @@
             unit,
             row: SequenceRow { term, number: 0 },
             version,
-            usual: LEAST_TIMEOUT / TIMEOUT_FACTOR,
+            usual: Duration::ZERO,
         }
     }
 
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -79,8 +79,12 @@
 pub(crate) struct RoundReply {
     /// How many tasks there are on each of the workers to empty.
     pub(crate) tasks: Vec<usize>,
-    /// How many workers the pool could use.
+    /// How many workers the pool could use for work that can be on time.
+    pub(crate) urgent: usize,
+    /// How many workers the pool could use for all its work.
     pub(crate) wanted: usize,
+    /// The workers on which lasting tasks run.
+    pub(crate) steady: Vec<SmolStr>,
     /// The workers that get no new work now.
     pub(crate) unusable: Vec<SmolStr>,
     /// The workers on which nothing runs, and for how long in ms.
--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -44,6 +44,8 @@
     over: BTreeMap<SmolStr, Vec<SmolStr>>,
     /// The workers that are not moved after all, by pool.
     kept: BTreeMap<SmolStr, Vec<SmolStr>>,
+    /// The VMs that pools are emptying for other pools.
+    reclaimed: BTreeSet<SmolStr>,
     /// Moves whose answers were lost, with the VM's pool to be. They are sent again until answered.
     in_doubt: BTreeMap<SmolStr, SmolStr>,
 }
@@ -66,6 +68,7 @@
         emptying: BTreeMap::new(),
         over: BTreeMap::new(),
         kept: BTreeMap::new(),
+        reclaimed: BTreeSet::new(),
         in_doubt: BTreeMap::new(),
     };
     let renewal = tokio::spawn(renew(node.clone(), steward.sequence.clone(), lease));
@@ -114,10 +117,11 @@
         let standby = self.standby_pools();
         let replies = self.ask_pools(&standby).await;
         let list = wave_vms(&listed, &standby, &self.emptying, &replies);
-        let (empty, mut orders) = self.waves.next(&list);
+        let (mut empty, mut orders) = self.waves.next(&list);
         let lives = lives(&listed);
-        self.set_emptying(&listed, &empty);
         orders.extend(self.moves(&listed, &standby, &replies).await);
+        empty.extend(self.reclaimed.iter().cloned());
+        self.set_emptying(&listed, &empty);
         for (order, result) in self.sender.send_all(orders).await {
             self.take_result(&order, result, &lives);
         }
@@ -194,7 +198,11 @@
             .map(|(vm, pool)| Order::Move { vm: vm.clone(), pool: pool.clone() })
             .collect();
         let vms = listed.iter().map(|vm| (vm.vm.clone(), self.vm_state(vm, replies))).collect();
-        let planned = plan_moves(&pool_states(standby, replies), &vms, MOST_MOVES);
+        let pools = pool_states(standby, replies);
+        let steps = plan_moves(&pools, &vms, MOST_MOVES);
+        log_pools(&pools, &vms);
+        self.reclaimed = steps.reclaim.into_iter().collect();
+        let planned = steps.moves;
         let mut promised: BTreeMap<SmolStr, Vec<(SmolStr, SmolStr)>> = BTreeMap::new();
         for planned in &planned {
             let worker = listed.iter().find(|vm| vm.vm == planned.vm).and_then(|vm| vm.worker.clone());
@@ -227,15 +235,18 @@
         let reply = replies.get(&vm.pool);
         let idle = reply.map(|reply| &reply.idle).into_iter().flatten();
         let idle = idle.into_iter().find(|(worker, _)| vm.worker.as_ref() == Some(worker));
-        let is_unusable = reply.is_some_and(|reply| {
-            vm.worker.as_ref().is_some_and(|worker| reply.unusable.contains(worker))
-        });
+        let is_reclaimed = self.reclaimed.contains(&vm.vm);
+        let is_emptied = is_reclaimed && tasks_left(vm, &self.emptying, replies) == Some(0);
+        let has = |workers: &Vec<SmolStr>| vm.worker.as_ref().is_some_and(|worker| workers.contains(worker));
+        let is_unusable = reply.is_some_and(|reply| has(&reply.unusable));
         let is_promised = self.in_doubt.contains_key(&vm.vm) || self.waves.has_under_way(&vm.vm);
         VmState {
             pool: self.in_doubt.get(&vm.vm).unwrap_or(&vm.pool).clone(),
             is_of_use: matches!(vm.phase, VmPhase::Up | VmPhase::Moving) && !is_unusable,
             is_movable: vm.phase == VmPhase::Up && !is_promised,
-            idle_ms: idle.map(|(_, idle_ms)| *idle_ms),
+            is_steady: reply.is_some_and(|reply| has(&reply.steady)),
+            is_reclaimed,
+            idle_ms: if is_emptied { Some(0) } else { idle.map(|(_, idle_ms)| *idle_ms) },
         }
     }
 
@@ -287,6 +298,17 @@
     }
 }
 
+fn log_pools(pools: &BTreeMap<SmolStr, PoolState>, vms: &BTreeMap<SmolStr, VmState>) {
+    for (pool, state) in pools {
+        let of_pool = vms.values().filter(|vm| vm.pool == *pool);
+        let (useful, other): (Vec<_>, Vec<_>) = of_pool.partition(|vm| vm.is_of_use);
+        let idle = useful.iter().filter(|vm| vm.idle_ms.is_some()).count();
+        let (urgent, wanted) = (state.urgent, state.wanted);
+        let (useful, other) = (useful.len(), other.len());
+        tracing::info!(pool = pool.as_str(), urgent, wanted, useful, idle, other, "a pool's VMs");
+    }
+}
+
 /// The pool and the life of the worker on each VM.
 fn lives(listed: &[ListedVm]) -> BTreeMap<SmolStr, (SmolStr, SmolStr)> {
     let lives = listed.iter().filter_map(|vm| {
@@ -300,12 +322,17 @@
     standby: &BTreeSet<SmolStr>,
     replies: &BTreeMap<SmolStr, RoundReply>,
 ) -> BTreeMap<SmolStr, PoolState> {
-    let standby = standby.iter().map(|pool| (pool.clone(), 0, true));
-    let asked = replies.iter().map(|(pool, reply)| (pool.clone(), reply.wanted, false));
-    let states = standby.chain(asked);
-    states
-        .map(|(pool, wanted, is_standby)| (pool, PoolState { is_standby, wanted }))
-        .collect()
+    let off = PoolState { is_standby: true, urgent: 0, wanted: 0 };
+    let standby = standby.iter().map(|pool| (pool.clone(), off.clone()));
+    let asked = replies.iter().map(|(pool, reply)| {
+        let state = PoolState {
+            is_standby: false,
+            urgent: reply.urgent,
+            wanted: reply.wanted,
+        };
+        (pool.clone(), state)
+    });
+    standby.chain(asked).collect()
 }
 
 /// The VMs as waves want to know them.
@@ -315,15 +342,9 @@
     emptying: &BTreeMap<SmolStr, BTreeSet<SmolStr>>,
     replies: &BTreeMap<SmolStr, RoundReply>,
 ) -> BTreeMap<SmolStr, WaveVm> {
-    let mut left = BTreeMap::new();
-    for (pool, workers) in emptying {
-        if let Some(reply) = replies.get(pool) {
-            left.extend(workers.iter().zip(reply.tasks.iter().copied()));
-        }
-    }
     let vm = |vm: &ListedVm| {
         let is_standby = standby.contains(&vm.pool);
-        let tasks = vm.worker.as_ref().and_then(|worker| left.get(worker)).copied();
+        let tasks = tasks_left(vm, emptying, replies);
         let reply = replies.get(&vm.pool);
         let is_idle = reply.is_some_and(|reply| {
             reply.idle.iter().any(|(worker, _)| vm.worker.as_ref() == Some(worker))
@@ -338,3 +359,14 @@
     };
     listed.iter().map(vm).collect()
 }
+
+/// How many tasks are left on a VM that its pool was asked to empty.
+fn tasks_left(
+    vm: &ListedVm,
+    emptying: &BTreeMap<SmolStr, BTreeSet<SmolStr>>,
+    replies: &BTreeMap<SmolStr, RoundReply>,
+) -> Option<usize> {
+    // The reply has the workers in the order in which they were asked for.
+    let place = emptying.get(&vm.pool)?.iter().position(|worker| vm.worker.as_ref() == Some(worker))?;
+    replies.get(&vm.pool)?.tasks.get(place).copied()
+}
--- a/crates/pools/src/lib.rs
+++ b/crates/pools/src/lib.rs
@@ -5,5 +5,5 @@
 mod balance;
 mod wave;
 
-pub use balance::{Move, PoolState, VmState, plan_moves};
+pub use balance::{BalanceSteps, Move, PoolState, VmState, plan_moves};
 pub use wave::{OrderResult, Wave, WaveSteps, WaveVm};
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -37,8 +37,12 @@
 /// What the pool wants.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Demand {
-    /// How many workers it could use now, and at the end of a move by the trend.
+    /// How many workers it could use for work that can be on time, now and at the end of a move by the trend.
+    pub urgent: usize,
+    /// How many it could use for all its work.
     pub wanted: usize,
+    /// The workers on which lasting tasks run.
+    pub steady: Vec<SmolStr>,
     /// The workers that get no new work now: emptied, draining, silent, or avoided.
     pub unusable: Vec<SmolStr>,
     /// The workers on which nothing runs.
@@ -69,28 +73,24 @@
 impl Scheduler {
     /// What the pool wants now.
     pub fn demand(&mut self, now: Now) -> Demand {
-        let (on_time, late) = self.waiting_cpu();
-        let mut running = 0;
-        let mut lasting_spread = 0;
-        for worker in self.workers.values().filter(|worker| worker.is_listed) {
-            running += u64::from(worker.used.cpu_milli);
-            let has_lasting = worker.runs.keys().any(|task| {
-                self.jobs.get(&task.job).is_some_and(|job| job.step(task.index).is_lasting)
-            });
-            lasting_spread += usize::from(has_lasting);
-        }
-        self.trend.note(running + on_time, now.local_ms);
+        let (waiting, waiting_late) = self.waiting_cpu();
+        let (running, running_late, steady) = self.running_cpu(now);
+        self.trend.note(running + waiting, now.local_ms);
         let ahead = self.trend.growth_milli_per_s * AHEAD_MS / 1000;
-        let cpu_milli = running + on_time + ahead + late * LATE_SHARE_PERCENT / 100;
+        let on_time = running + waiting + ahead;
+        let late = running_late + waiting_late * LATE_SHARE_PERCENT / 100;
         let listed = self.workers.values().filter(|worker| worker.is_listed);
         let largest = listed.map(|worker| u64::from(worker.info.capacity.cpu_milli)).max();
         let each = largest.unwrap_or(ASSUMED_CPU_MILLI).max(1000) * FILL_PERCENT / 100;
-        let wanted = usize::try_from(cpu_milli.div_ceil(each)).unwrap_or(usize::MAX);
+        let workers = |cpu: u64| usize::try_from(cpu.div_ceil(each)).unwrap_or(usize::MAX);
+        let least = steady.len().max(self.lasting_places()).max(LEAST_WORKERS);
         let unusable = self.workers.values().filter(|worker| {
             worker.is_listed && worker.is_proven && !worker.is_usable(now.local_ms)
         });
         Demand {
-            wanted: wanted.max(lasting_spread).max(self.lasting_places()).max(LEAST_WORKERS),
+            urgent: workers(on_time).max(least),
+            wanted: workers(on_time + late).max(least),
+            steady,
             unusable: unusable.map(|worker| worker.info.id.clone()).collect(),
             idle: self.idle_workers(now),
         }
@@ -105,6 +105,29 @@
         places.max().map_or(0, |places| places as usize)
     }
 
+    /// The processors in use by work that can be on time and by work that is late, and the workers with lasting tasks.
+    fn running_cpu(&self, now: Now) -> (u64, u64, Vec<SmolStr>) {
+        let (mut on_time, mut late) = (0, 0);
+        let mut steady = Vec::new();
+        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+            let mut is_steady = false;
+            for (task, run) in &worker.runs {
+                let cpu = u64::from(run.footprint.cpu_milli);
+                let Some(job) = self.jobs.get(&task.job) else {
+                    continue;
+                };
+                let is_lasting = job.step(task.index).is_lasting;
+                is_steady |= is_lasting;
+                let is_late = !is_lasting && self.due_ms(job) < now.store_ms;
+                if is_late { late += cpu } else { on_time += cpu }
+            }
+            if is_steady {
+                steady.push(worker.info.id.clone());
+            }
+        }
+        (on_time, late, steady)
+    }
+
     fn idle_workers(&self, now: Now) -> Vec<IdleWorker> {
         let idle = self.workers.values().filter(|worker| {
             worker.is_usable(now.local_ms) && worker.runs.is_empty()
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -22,6 +22,8 @@
     /// Lasting tasks come first: each second without them is lost.
     pub(crate) is_brief: bool,
     pub(crate) priority: u32,
+    /// Jobs that have begun go before those that have not: what is half done has earned nothing yet.
+    pub(crate) is_untouched: bool,
     /// The latest start, by the estimates, that meets the objective; on the store's clock.
     pub(crate) latest_start_ms: u64,
 }
@@ -31,19 +33,26 @@
 pub(crate) struct Ready {
     order: BTreeSet<(Rank, StepKey)>,
     ranks: HashMap<StepKey, Rank>,
+    /// The brief steps that are not late, by their latest start.
+    by_latest_start: BTreeSet<(u64, StepKey)>,
 }
 
 impl Ready {
     pub(crate) fn insert(&mut self, step: StepKey, rank: Rank) {
         if let Some(before) = self.ranks.insert(step, rank) {
             self.order.remove(&(before, step));
+            self.by_latest_start.remove(&(before.latest_start_ms, step));
         }
         self.order.insert((rank, step));
+        if rank.is_brief && !rank.is_late {
+            self.by_latest_start.insert((rank.latest_start_ms, step));
+        }
     }
 
     pub(crate) fn remove(&mut self, step: StepKey) {
         if let Some(rank) = self.ranks.remove(&step) {
             self.order.remove(&(rank, step));
+            self.by_latest_start.remove(&(rank.latest_start_ms, step));
         }
     }
 
@@ -53,9 +62,9 @@
 
     /// The steps whose latest start has passed, and which are not yet ranked as late.
     pub(crate) fn turned_late(&self, store_ms: u64) -> Vec<(Rank, StepKey)> {
-        let on_time = self.order.iter().take_while(|(rank, _)| !rank.is_late);
-        let passed = on_time.filter(|(rank, _)| rank.is_brief && rank.latest_start_ms < store_ms);
-        passed.copied().collect()
+        let passed = self.by_latest_start.iter().take_while(|(latest_ms, _)| *latest_ms < store_ms);
+        let ranked = passed.filter_map(|(_, step)| Some((*self.ranks.get(step)?, *step)));
+        ranked.collect()
     }
 
     /// The steps with their ranks, in order.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -15,6 +15,9 @@
 /// How long a size that a worker refused is not offered to it again, unless something ends there.
 const ROOM_REFUSAL_MS: u64 = 400;
 
+/// What a chain of tasks takes of its estimate, in percent: a step ends with its slowest task.
+const CHAIN_PERCENT: u64 = 115;
+
 /// The present, on the three clocks that matter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Now {
@@ -565,24 +568,31 @@
         self.ready.insert(key, rank);
     }
 
+    /// When a job has to be done to meet its objective, on the store's clock.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         clippy::cast_precision_loss,
         reason = "run times are far below the limits of the types"
     )]
-    fn rank(&self, job: &Job, key: StepKey, now: Now) -> Rank {
+    pub(crate) fn due_ms(&self, job: &Job) -> u64 {
         let rules = self.rules.get(&job.queue);
         let stretch = rules.map_or(1.0, |rules| rules.stretch);
         let objective_ms = rules.map_or(0, |rules| rules.objective_ms);
         let stretched_ms = (job.full_chain_ms() as f64 * stretch) as u64;
-        let due_ms = job.accepted_at_ms + stretched_ms + objective_ms;
-        let latest_start_ms = due_ms.saturating_sub(job.chain_ms(key.occurrence));
+        job.accepted_at_ms + stretched_ms + objective_ms
+    }
+
+    fn rank(&self, job: &Job, key: StepKey, now: Now) -> Rank {
+        let left_ms = job.chain_ms(key.occurrence) * CHAIN_PERCENT / 100;
+        let latest_start_ms = self.due_ms(job).saturating_sub(left_ms);
         let is_lasting = job.spec().steps[usize::from(key.step)].is_lasting;
+        let rules = self.rules.get(&job.queue);
         Rank {
             is_late: !is_lasting && latest_start_ms < now.store_ms,
             is_brief: !is_lasting,
             priority: rules.map_or(u32::MAX, |rules| rules.priority),
+            is_untouched: job.state() == JobState::Queued,
             latest_start_ms,
         }
     }
