--- a/crates/fleetd/src/front/calls.rs
+++ b/crates/fleetd/src/front/calls.rs
@@ -8,6 +8,8 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use jsonrpsee::http_client::HttpClient as PeerClient;
+use ownership::Claim;
 use smol_str::SmolStr;
 use submission::{Job, JobId};
 use users_platform::{
@@ -168,9 +170,7 @@
     if let Some(owner) = node.own_pool(&handover.pool) {
         return owner.submit(handover.queue, handover.id, handover.spec).await;
     }
-    let claim = node.claim(&handover.pool);
-    let peer = claim.and_then(|claim| node.peer(&claim.addr));
-    let Some(peer) = peer else {
+    let Some((claim, peer)) = claimant(node, &handover.pool) else {
         return HandoverAnswer::NotOwner;
     };
     let job = handover.id;
@@ -178,11 +178,19 @@
         Ok(answer) => answer,
         Err(err) => {
             tracing::info!(job = %job, error = %err, "the pool's daemon does not answer");
+            node.suspect(&claim);
             if is_without_effect(&err) { HandoverAnswer::NotOwner } else { HandoverAnswer::Unknown }
         }
     }
 }
 
+/// The daemon that claims a pool, and a client of it.
+fn claimant(node: &Node, pool: &str) -> Option<(Claim, PeerClient)> {
+    let claim = node.claim(pool)?;
+    let peer = node.peer(&claim.addr)?;
+    Some((claim, peer))
+}
+
 async fn state(node: &Arc<Node>, queue: &Queue, id: JobId) -> Answer {
     let reply = match node.own_pool(&queue.pool) {
         Some(owner) => owner.state(id),
@@ -197,11 +205,14 @@
 }
 
 async fn ask_peer_state(node: &Arc<Node>, pool: &SmolStr, id: JobId) -> JobReply {
-    let claim = node.claim(pool);
-    let Some(peer) = claim.and_then(|claim| node.peer(&claim.addr)) else {
+    let Some((claim, peer)) = claimant(node, pool) else {
         return JobReply::NotOwner;
     };
-    peer.state(pool.clone(), id).await.unwrap_or(JobReply::NotOwner)
+    peer.state(pool.clone(), id).await.unwrap_or_else(|err| {
+        tracing::debug!(job = %id, error = %err, "the pool's daemon does not tell of a job");
+        node.suspect(&claim);
+        JobReply::NotOwner
+    })
 }
 
 /// Where a job is by the rows in the store. Only the store can tell that there is none.
@@ -240,16 +251,17 @@
 async fn cancel(node: &Arc<Node>, queue: &Queue, id: JobId) -> Answer {
     let reply = match node.own_pool(&queue.pool) {
         Some(owner) => owner.cancel(id).await,
-        None => {
-            let claim = node.claim(&queue.pool);
-            match claim.and_then(|claim| node.peer(&claim.addr)) {
-                Some(peer) => {
-                    let reply = peer.cancel(queue.pool.clone(), id).await;
-                    reply.unwrap_or(JobReply::Unknown)
-                }
-                None => JobReply::NotOwner,
+        None => match claimant(node, &queue.pool) {
+            Some((claim, peer)) => {
+                let reply = peer.cancel(queue.pool.clone(), id).await;
+                reply.unwrap_or_else(|err| {
+                    tracing::info!(job = %id, error = %err, "the pool's daemon does not cancel");
+                    node.suspect(&claim);
+                    JobReply::Unknown
+                })
             }
-        }
+            None => JobReply::NotOwner,
+        },
     };
     match reply {
         JobReply::State(_) => Answer::new(StatusCode::OK).with_body("{}".into()),
@@ -264,16 +276,17 @@
 async fn pending(node: &Arc<Node>, queue: &Queue) -> Answer {
     let count = match node.own_pool(&queue.pool) {
         Some(owner) => Some(owner.pending(&queue.name)),
-        None => {
-            let claim = node.claim(&queue.pool);
-            match claim.and_then(|claim| node.peer(&claim.addr)) {
-                Some(peer) => {
-                    let count = peer.pending(queue.pool.clone(), queue.name.clone()).await;
-                    count.ok().flatten()
-                }
-                None => None,
+        None => match claimant(node, &queue.pool) {
+            Some((claim, peer)) => {
+                let count = peer.pending(queue.pool.clone(), queue.name.clone()).await;
+                count.unwrap_or_else(|err| {
+                    tracing::debug!(queue = queue.name.as_str(), error = %err, "the pool's daemon does not count");
+                    node.suspect(&claim);
+                    None
+                })
             }
-        }
+            None => None,
+        },
     };
     match count {
         Some(count) => Answer::new(StatusCode::OK).with_body(pending_body(count)),
--- a/crates/fleetd/src/members.rs
+++ b/crates/fleetd/src/members.rs
@@ -26,6 +26,9 @@
 /// A daemon whose row is unchanged for longer is dead: it missed two signs, and reads are 0.4 s apart.
 pub(crate) const DEAD_AFTER_MS: u64 = 1800;
 
+/// A daemon to which a call failed is dead when its row is unchanged for longer: it missed one sign.
+pub(crate) const SUSPECT_DEAD_AFTER_MS: u64 = 900;
+
 /// The longest gap between two reads that counts in full. Longer ones mean that the store did not answer.
 pub(crate) const LONGEST_GAP_MS: u64 = 800;
 
@@ -50,7 +53,9 @@
     let mut is_away = false;
     loop {
         let is_due = local_ms().saturating_sub(signed_at_ms) >= SIGN_PERIOD_MS;
-        if is_due || signed_at_ms == 0 {
+        // The row tells when the process started on the store's clock, which the first answer shows.
+        let is_clock_known = node.store_answered_at_ms.load(Ordering::Relaxed) > 0;
+        if is_clock_known && (is_due || signed_at_ms == 0) {
             let sent_at_ms = local_ms();
             if sign(&node).await {
                 signed_at_ms = sent_at_ms;
@@ -79,7 +84,9 @@
             }
         }
         // The wait ends early when this daemon holds something new, so that peers learn of it.
-        if tokio::time::timeout(READ_PERIOD, node.holds_changed.notified()).await.is_ok() {
+        let is_first = signed_at_ms == 0 && !is_away;
+        let pause = if is_first { FAILURE_PAUSE } else { READ_PERIOD };
+        if tokio::time::timeout(pause, node.holds_changed.notified()).await.is_ok() {
             signed_at_ms = 0;
         }
     }
@@ -101,6 +108,7 @@
     let row = DaemonRow {
         incarnation: node.incarnation.clone(),
         addr: node.settings.peer_addr().to_string().into(),
+        started_at_ms: node.started_at_store_ms(),
         is_leaving: node.is_leaving.load(Ordering::Acquire),
         holds: node.holds.lock().clone(),
     };
@@ -131,7 +139,7 @@
         let taken = if unit == FLEET_UNIT {
             take_fleet(node, &unit).await
         } else {
-            take_pool(node, &unit).await
+            take_pool(node, &unit, false).await
         };
         if let Err(err) = taken {
             tracing::warn!(unit = unit.as_str(), error = %err, "a unit can't be taken over");
@@ -140,7 +148,7 @@
 }
 
 async fn take_fleet(node: &Arc<Node>, unit: &SmolStr) -> Result<bool, Error> {
-    let Some(taken) = take_over(node, unit).await? else {
+    let Some(taken) = take_over(node, unit, false).await? else {
         return Ok(false);
     };
     node.set_hold(unit, Some(taken.term));
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -53,6 +53,7 @@
     pub(crate) settings: FleetSettings,
     /// This life of the process.
     pub(crate) incarnation: SmolStr,
+    started_at_ms: u64,
     pub(crate) clock: Clock,
     pub(crate) store: StoreClient,
     pub(crate) workers: WorkerClient,
@@ -91,6 +92,7 @@
             vms: VmClient::new(http.clone(), &settings.vms_addr),
             settings,
             incarnation,
+            started_at_ms: local_ms(),
             clock: Clock::default(),
             in_force: InForce::default(),
             metrics,
@@ -107,6 +109,18 @@
         }
     }
 
+    /// When this process started, on the store's clock as far as it is known.
+    pub(crate) fn started_at_store_ms(&self) -> u64 {
+        let now = self.clock.now();
+        let up_ms = now.local_ms.saturating_sub(self.started_at_ms);
+        now.store_ms.saturating_sub(up_ms)
+    }
+
+    /// A call to the daemon that claims a unit failed: its row decides sooner whether it is dead.
+    pub(crate) fn suspect(&self, claim: &Claim) {
+        self.peers.lock().suspect(&claim.daemon);
+    }
+
     /// Whether the store has not answered this daemon for a while, so that it can accept nothing.
     pub(crate) fn is_store_away(&self) -> bool {
         let answered_at_ms = self.store_answered_at_ms.load(Ordering::Relaxed);
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -10,6 +10,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use ownership::Lease;
 use parking_lot::Mutex;
@@ -20,7 +21,7 @@
 
 use crate::clock::local_ms;
 use crate::node::Node;
-use crate::rpc::{HandoverAnswer, JobReply, RoundAsk, RoundReply, WireState};
+use crate::rpc::{HandoverAnswer, JobReply, PoolClient, RoundAsk, RoundReply, WireState};
 
 pub(crate) use sequence::Sequence;
 pub(crate) use takeover::{Taken, jobs_of, read_all, take_over, take_pool};
@@ -32,6 +33,13 @@
 /// When the store has not answered for longer, jobs are refused at once instead of held.
 const STORE_AWAY_MS: u64 = 700;
 
+/// How often an owner looks whether it should hand its pool over.
+const HAND_OVER_PERIOD: Duration = Duration::from_millis(200);
+
+/// When the store has failed an owner for longer, it hands its pool over to a daemon that the store serves. Above the
+/// time of a slow answer, of 0.3 s, and of a lost one, of 0.4 s.
+const HAND_OVER_AFTER_MS: u64 = 600;
+
 /// When to come back when the store is away. Outages last from 3 s to 9 s.
 const RETRY_AFTER_OUTAGE_S: u32 = 2;
 
@@ -192,6 +200,36 @@
         }
     }
 
+    /// Hands the pool to another daemon when the store serves that one and not this.
+    pub(crate) async fn hand_over_when_refused(self: Arc<Self>) {
+        while !self.is_over() {
+            tokio::time::sleep(HAND_OVER_PERIOD).await;
+            let since_ms = self.failing_since_ms.load(Ordering::Relaxed);
+            if since_ms == 0 || local_ms().saturating_sub(since_ms) < HAND_OVER_AFTER_MS {
+                continue;
+            }
+            let other = self.node.peers.lock().least_loaded_other(&self.node.settings.daemon);
+            let Some((other, peer)) = other.and_then(|other| {
+                let peer = self.node.peer(&other.addr)?;
+                Some((other, peer))
+            }) else {
+                continue;
+            };
+            match peer.take(self.pool.clone()).await {
+                Ok(true) => {
+                    let (pool, daemon) = (self.pool.as_str(), other.daemon.as_str());
+                    tracing::warn!(pool, daemon, "handed over, as the store serves that daemon");
+                    self.end();
+                }
+                Ok(false) => {}
+                Err(err) => {
+                    tracing::info!(daemon = other.daemon.as_str(), error = %err, "a peer does not take a pool");
+                    self.node.suspect(&other);
+                }
+            }
+        }
+    }
+
     /// Ends this daemon's part. Waiters learn that the outcome is unknown.
     pub(crate) fn end(&self) {
         self.is_over.store(true, Ordering::Release);
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -31,10 +31,16 @@
     pub(crate) term: u64,
     pub(crate) sequence: Sequence,
     pub(crate) sent_at_ms: u64,
+    /// The holder before.
+    pub(crate) before: Option<OwnerRow>,
 }
 
-/// Takes a unit whose holder is gone. `None` when it is not, or when another daemon was faster.
-pub(crate) async fn take_over(node: &Node, unit: &SmolStr) -> Result<Option<Taken>, Error> {
+/// Takes a unit whose holder is gone, or hands it over. `None` when another daemon was faster, or the holder is there.
+pub(crate) async fn take_over(
+    node: &Node,
+    unit: &SmolStr,
+    is_handed_over: bool,
+) -> Result<Option<Taken>, Error> {
     let owner_key = RowKey::new(tables::OWNER, unit.clone(), ONLY_KEY);
     let range = KeyRange {
         table: tables::OWNER,
@@ -51,7 +57,7 @@
     if let Some(owner) = &before {
         let is_other = owner.incarnation != node.incarnation;
         let is_serving = node.peers.lock().is_serving(&owner.daemon, &owner.incarnation);
-        if is_other && !owner.is_released && is_serving {
+        if is_other && !is_handed_over && !owner.is_released && is_serving {
             return Ok(None);
         }
     }
@@ -80,14 +86,19 @@
                 term,
                 sequence: Sequence::new(unit.clone(), term, version),
                 sent_at_ms,
+                before,
             }))
         }
     }
 }
 
 /// Takes a pool over and starts to decide for it.
-pub(crate) async fn take_pool(node: &Arc<Node>, pool: &SmolStr) -> Result<bool, Error> {
-    let Some(taken) = take_over(node, pool).await? else {
+pub(crate) async fn take_pool(
+    node: &Arc<Node>,
+    pool: &SmolStr,
+    is_handed_over: bool,
+) -> Result<bool, Error> {
+    let Some(taken) = take_over(node, pool, is_handed_over).await? else {
         return Ok(false);
     };
     let mut rows = read_all(node, tables::JOB, pool).await?;
@@ -115,6 +126,7 @@
     node.pools.lock().insert(pool.clone(), owner.clone());
     node.set_hold(pool, Some(taken.term));
     tokio::spawn(owner.clone().record(taken.sequence));
+    tokio::spawn(owner.clone().hand_over_when_refused());
     tokio::spawn(owner.watch_registry());
     Ok(true)
 }
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -109,6 +109,10 @@
     #[method(name = "pending")]
     async fn pending(&self, pool: SmolStr, queue: SmolStr) -> RpcResult<Option<usize>>;
 
+    /// Takes a pool over from the daemon that asks, which the store no longer serves. True when it was taken.
+    #[method(name = "take")]
+    async fn take(&self, pool: SmolStr) -> RpcResult<bool>;
+
     /// Does what a steward asks; nothing from a daemon that does not decide for the pool.
     #[method(name = "round")]
     async fn round(&self, pool: SmolStr, ask: RoundAsk) -> RpcResult<Option<RoundReply>>;
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -16,7 +16,9 @@
 use users_platform::HttpClient;
 
 use crate::front::{answer_metrics, answer_ready, serve, serve_simple};
-use crate::members::{DEAD_AFTER_MS, LONGEST_GAP_MS, follow_operators, keep_membership, sign};
+use crate::members::{
+    DEAD_AFTER_MS, LONGEST_GAP_MS, SUSPECT_DEAD_AFTER_MS, follow_operators, keep_membership, sign,
+};
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::rpc::{Handover, HandoverAnswer, JobReply, PoolServer, RoundAsk, RoundReply};
@@ -90,7 +92,7 @@
     let http = HttpClient::new(CONNECT_TIMEOUT, SILENCE).context(ClientSnafu)?;
     let life: u64 = rand::rng().random();
     let incarnation = format_smolstr!("{life:016x}");
-    let peers = Peers::new(DEAD_AFTER_MS, LONGEST_GAP_MS);
+    let peers = Peers::new(DEAD_AFTER_MS, SUSPECT_DEAD_AFTER_MS, LONGEST_GAP_MS);
     let node = Arc::new(Node::new(settings, incarnation, &http, metrics, peers));
     tracing::info!(
         daemon = node.settings.daemon.as_str(),
@@ -185,6 +187,17 @@
         Ok(owner.map(|owner| owner.pending(&queue)))
     }
 
+    async fn take(&self, pool: SmolStr) -> RpcResult<bool> {
+        if self.node.is_leaving.load(Ordering::Acquire) || self.node.is_store_away() {
+            return Ok(false);
+        }
+        let taken = pool::take_pool(&self.node, &pool, true).await;
+        if let Err(err) = &taken {
+            tracing::warn!(pool = pool.as_str(), error = %err, "a pool that is handed over can't be taken");
+        }
+        Ok(taken.unwrap_or(false))
+    }
+
     async fn round(&self, pool: SmolStr, ask: RoundAsk) -> RpcResult<Option<RoundReply>> {
         let owner = self.node.own_pool(&pool);
         Ok(owner.map(|owner| owner.round(&ask)))
--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ownership::Lease;
+use ownership::{Lease, OwnerRow};
 use parking_lot::Mutex;
 use pools::{OrderResult, PoolState, VmState, WaveVm, plan_moves};
 use smol_str::SmolStr;
@@ -72,11 +72,7 @@
         in_doubt: BTreeMap::new(),
     };
     let renewal = tokio::spawn(renew(node.clone(), steward.sequence.clone(), lease));
-    if term > 1 {
-        // The steward before may have given an order until the end of its span, and orders of two have to be apart.
-        let gap_ms = ORDER_SPAN_MS + node.settings.bounds.steward_gap_ms + GAP_RESERVE_MS;
-        tokio::time::sleep(Duration::from_millis(gap_ms)).await;
-    }
+    tokio::time::sleep(gap_after(&node, taken.before.as_ref())).await;
     while !renewal.is_finished() {
         steward.round().await;
         tokio::time::sleep(ROUND_PERIOD).await;
@@ -85,6 +81,22 @@
     node.set_hold(&FLEET_UNIT.into(), None);
 }
 
+/// How long a new steward leaves after the one before, because orders of two have to be apart.
+fn gap_after(node: &Node, before: Option<&OwnerRow>) -> Duration {
+    let Some(before) = before else {
+        return Duration::ZERO;
+    };
+    let gap_ms = node.settings.bounds.steward_gap_ms + GAP_RESERVE_MS;
+    let restarted = node.peers.lock().restarted_at_ms(&before.daemon, &before.incarnation);
+    let gap_ms = match restarted {
+        // The process that gave the last order had ended when the next one started.
+        Some(at_ms) => (at_ms + gap_ms).saturating_sub(node.clock.now().store_ms),
+        // It may give orders until the end of its span.
+        None => gap_ms + ORDER_SPAN_MS,
+    };
+    Duration::from_millis(gap_ms)
+}
+
 /// Renews the lease until another daemon has taken it over.
 async fn renew(
     node: Arc<Node>,
@@ -293,6 +305,7 @@
         Err(err) => {
             let daemon = claim.daemon.as_str();
             tracing::warn!(pool = pool.as_str(), daemon, error = %err, "a pool's daemon does not answer");
+            node.suspect(&claim);
             None
         }
     }
--- a/crates/ownership/src/peers.rs
+++ b/crates/ownership/src/peers.rs
@@ -13,6 +13,8 @@
     pub incarnation: SmolStr,
     /// Where it answers its peers.
     pub addr: SmolStr,
+    /// When the process started, on the store's clock.
+    pub started_at_ms: u64,
     /// Whether it is about to end and takes nothing more.
     pub is_leaving: bool,
     /// The units that it holds, with its terms.
@@ -49,6 +51,8 @@
     version: u64,
     /// For how long the row has not changed, counting only time in which the store answered.
     unchanged_ms: u64,
+    /// Whether a call to it failed since its row last changed.
+    is_suspect: bool,
 }
 
 /// The daemons, by their rows.
@@ -56,17 +60,20 @@
 pub struct Peers {
     peers: BTreeMap<SmolStr, Peer>,
     dead_after_ms: u64,
+    suspect_dead_after_ms: u64,
     longest_gap_ms: u64,
 }
 
 impl Peers {
-    /// No daemons yet. One is dead when its row is unchanged for `dead_after_ms`, in which gaps between two reads
-    /// count for at most `longest_gap_ms`: in a longer one the store may have been away, for the daemon too.
+    /// No daemons yet. One is dead when its row is unchanged for `dead_after_ms`, or, once a call to it has failed,
+    /// for `suspect_dead_after_ms`. Gaps between two reads count for at most `longest_gap_ms`: in a longer one the
+    /// store may have been away, for the daemon too.
     #[must_use]
-    pub fn new(dead_after_ms: u64, longest_gap_ms: u64) -> Self {
+    pub fn new(dead_after_ms: u64, suspect_dead_after_ms: u64, longest_gap_ms: u64) -> Self {
         Self {
             peers: BTreeMap::new(),
             dead_after_ms,
+            suspect_dead_after_ms,
             longest_gap_ms,
         }
     }
@@ -78,7 +85,9 @@
         for (daemon, version, row) in rows {
             let before = self.peers.get(&daemon).filter(|peer| peer.version == version);
             let unchanged_ms = before.map_or(0, |peer| peer.unchanged_ms + gap_ms);
+            let is_suspect = before.is_some_and(|peer| peer.is_suspect);
             let peer = Peer {
+                is_suspect,
                 row,
                 version,
                 unchanged_ms,
@@ -88,6 +97,34 @@
         self.peers = peers;
     }
 
+    /// A call to a daemon failed.
+    pub fn suspect(&mut self, daemon: &str) {
+        if let Some(peer) = self.peers.get_mut(daemon) {
+            peer.is_suspect = true;
+        }
+    }
+
+    /// When the present life of a daemon started, on the store's clock; `None` when that is still the life named.
+    #[must_use]
+    pub fn restarted_at_ms(&self, daemon: &str, incarnation: &str) -> Option<u64> {
+        let row = &self.peers.get(daemon)?.row;
+        (row.incarnation != incarnation).then_some(row.started_at_ms)
+    }
+
+    /// Another daemon that is alive and stays, the one that holds the least.
+    #[must_use]
+    pub fn least_loaded_other(&self, daemon: &str) -> Option<Claim> {
+        let others = self.peers.iter().filter(|(name, peer)| {
+            name.as_str() != daemon && self.is_alive(peer) && !peer.row.is_leaving && !peer.is_suspect
+        });
+        let least = others.min_by_key(|(_, peer)| peer.row.holds.len())?;
+        Some(Claim {
+            daemon: least.0.clone(),
+            addr: least.1.row.addr.clone(),
+            term: 0,
+        })
+    }
+
     /// Whether that life of a daemon is alive and stays.
     #[must_use]
     pub fn is_serving(&self, daemon: &str, incarnation: &str) -> bool {
@@ -97,7 +134,12 @@
     }
 
     fn is_alive(&self, peer: &Peer) -> bool {
-        peer.unchanged_ms < self.dead_after_ms
+        let dead_after_ms = if peer.is_suspect {
+            self.suspect_dead_after_ms
+        } else {
+            self.dead_after_ms
+        };
+        peer.unchanged_ms < dead_after_ms
     }
 
     /// The claim of the highest term to a unit, whether its daemon is alive or not.
--- a/crates/pools/src/wave.rs
+++ b/crates/pools/src/wave.rs
@@ -186,7 +186,7 @@
         let left_ms = self.planned_end_ms.saturating_sub(now_ms).max(1);
         let each_ms = EMPTYING_MS + self.maintenance_ms;
         let busy = u64::try_from(busy).unwrap_or(u64::MAX);
-        usize::try_from(busy.saturating_mul(each_ms) / left_ms).unwrap_or(usize::MAX)
+        usize::try_from(busy.saturating_mul(each_ms).div_ceil(left_ms)).unwrap_or(usize::MAX)
     }
 
     fn note_list(&mut self, list: &BTreeMap<SmolStr, WaveVm>, now_ms: u64) {
