--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -26,6 +26,10 @@
 /// slow answer takes 0.3 s.
 const STORE_AWAY_MS: u64 = 1300;
 
+/// A holder that has not shown for longer that it holds a unit does not. It rewrites its row at once when it does, and
+/// a lost answer takes 1 s.
+const UNANNOUNCED_MS: u64 = 2000;
+
 /// How long a call to a peer may take: one transaction there, and once more if its answer is lost.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -75,6 +79,8 @@
     pub(crate) in_flight: AtomicUsize,
     /// The waves that operators ask for, by key.
     pub(crate) waves: Mutex<BTreeMap<SmolStr, WaveOrder>>,
+    /// Units whose holder by the owner row does not show that it holds them: the row's version, and since when.
+    unannounced: Mutex<BTreeMap<SmolStr, (u64, u64)>>,
     peer_clients: Mutex<HashMap<SmolStr, PeerClient>>,
 }
 
@@ -105,6 +111,7 @@
             claims_read: Notify::new(),
             in_flight: AtomicUsize::new(0),
             waves: Mutex::new(BTreeMap::new()),
+            unannounced: Mutex::new(BTreeMap::new()),
             peer_clients: Mutex::new(HashMap::new()),
         }
     }
@@ -116,6 +123,18 @@
         now.store_ms.saturating_sub(up_ms)
     }
 
+    /// Whether a unit's holder by an owner row of that version has not shown for a while that it holds the unit. It
+    /// may have lost the answer that made it the holder.
+    pub(crate) fn is_unannounced(&self, unit: &SmolStr, version: u64) -> bool {
+        let now_ms = local_ms();
+        let mut unannounced = self.unannounced.lock();
+        let seen = unannounced.entry(unit.clone()).or_insert((version, now_ms));
+        if seen.0 != version {
+            *seen = (version, now_ms);
+        }
+        now_ms.saturating_sub(seen.1) > UNANNOUNCED_MS
+    }
+
     /// A call to the daemon that claims a unit failed: its row decides sooner whether it is dead.
     pub(crate) fn suspect(&self, claim: &Claim) {
         self.peers.lock().suspect(&claim.daemon);
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -36,8 +36,8 @@
 /// How often an owner looks whether it should hand its pool over.
 const HAND_OVER_PERIOD: Duration = Duration::from_millis(200);
 
-/// When the store has failed an owner for longer, it hands its pool over to a daemon that the store serves. Above the
-/// time of a slow answer, of 0.3 s, and of a lost one, of 0.4 s.
+/// When the store has refused an owner for longer, it hands its pool over to a daemon that the store serves. An owner
+/// whose calls only take long keeps it, as the store may be slow for all.
 const HAND_OVER_AFTER_MS: u64 = 600;
 
 /// When to come back when the store is away. Outages last from 3 s to 9 s.
@@ -55,6 +55,8 @@
     is_over: AtomicBool,
     /// When the store first failed a transaction that has not succeeded since; 0 for not.
     failing_since_ms: AtomicU64,
+    /// When the store first refused one, or could not be reached, without a success since; 0 for not.
+    refused_since_ms: AtomicU64,
     waiters: Mutex<HashMap<JobId, Vec<oneshot::Sender<HandoverAnswer>>>>,
     hold_wakers: Mutex<HashMap<WorkerKey, Arc<Notify>>>,
     order_slots: Mutex<HashMap<WorkerKey, Arc<tokio::sync::Semaphore>>>,
@@ -71,6 +73,7 @@
             changed: Notify::new(),
             is_over: AtomicBool::new(false),
             failing_since_ms: AtomicU64::new(0),
+            refused_since_ms: AtomicU64::new(0),
             waiters: Mutex::new(HashMap::new()),
             hold_wakers: Mutex::new(HashMap::new()),
             order_slots: Mutex::new(HashMap::new()),
@@ -204,7 +207,7 @@
     pub(crate) async fn hand_over_when_refused(self: Arc<Self>) {
         while !self.is_over() {
             tokio::time::sleep(HAND_OVER_PERIOD).await;
-            let since_ms = self.failing_since_ms.load(Ordering::Relaxed);
+            let since_ms = self.refused_since_ms.load(Ordering::Relaxed);
             if since_ms == 0 || local_ms().saturating_sub(since_ms) < HAND_OVER_AFTER_MS {
                 continue;
             }
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -93,6 +93,15 @@
     }
 
     fn note_store_failure(&self, err: &users_platform::Error) {
+        if err.is_without_effect() {
+            // Kept from the first one on.
+            let _ = self.refused_since_ms.compare_exchange(
+                0,
+                local_ms(),
+                Ordering::Relaxed,
+                Ordering::Relaxed,
+            );
+        }
         let before = self.failing_since_ms.compare_exchange(
             0,
             local_ms(),
@@ -105,6 +114,7 @@
     }
 
     fn note_store_success(&self) {
+        self.refused_since_ms.store(0, Ordering::Relaxed);
         let since_ms = self.failing_since_ms.swap(0, Ordering::Relaxed);
         if since_ms > 0 {
             let lost_ms = local_ms().saturating_sub(since_ms);
--- a/crates/fleetd/src/pool/sequence.rs
+++ b/crates/fleetd/src/pool/sequence.rs
@@ -18,9 +18,9 @@
 /// The first time-out of a try is this many times the usual time of an answer, so that a lost one costs little.
 const TIMEOUT_FACTOR: u32 = 6;
 
-/// The shortest time-out of a try. Answers take 8 ms to 18 ms on a calm store, and 0.3 s on one that is 60 times
+/// The shortest time-out of a try. Answers take 8 ms to 18 ms on a calm store, and up to 0.6 s on one that is 60 times
 /// slower: tries sent again too early would only add to its load.
-const LEAST_TIMEOUT: Duration = Duration::from_millis(400);
+const LEAST_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The row that each transaction of a part rewrites.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ownership::{Lease, OwnerRow};
 use scheduler::{Limits, Scheduler};
@@ -23,6 +24,9 @@
 /// By how much workers' clocks may be slow, by the platform's description, and half a percent for rounding.
 const SLOW_CLOCK_PERCENT: u64 = 3;
 
+/// The pause after a failed read of a pool's rows.
+const READ_PAUSE: Duration = Duration::from_millis(100);
+
 /// The most rows that a read returns.
 const PAGE_ROWS: u32 = 500;
 
@@ -57,7 +61,8 @@
     if let Some(owner) = &before {
         let is_other = owner.incarnation != node.incarnation;
         let is_serving = node.peers.lock().is_serving(&owner.daemon, &owner.incarnation);
-        if is_other && !is_handed_over && !owner.is_released && is_serving {
+        let is_free = is_handed_over || owner.is_released || node.is_unannounced(unit, version);
+        if is_other && !is_free && is_serving {
             return Ok(None);
         }
     }
@@ -101,8 +106,22 @@
     let Some(taken) = take_over(node, pool, is_handed_over).await? else {
         return Ok(false);
     };
-    let mut rows = read_all(node, tables::JOB, pool).await?;
-    rows.extend(read_all(node, tables::PROGRESS, pool).await?);
+    node.set_hold(pool, Some(taken.term));
+    tokio::spawn(start(node.clone(), pool.clone(), taken));
+    Ok(true)
+}
+
+/// Reads what the owner before left, however long it takes, and starts to decide.
+async fn start(node: Arc<Node>, pool: SmolStr, taken: Taken) {
+    let rows = loop {
+        match read_jobs(&node, &pool).await {
+            Ok(rows) => break rows,
+            Err(err) => {
+                tracing::warn!(pool = pool.as_str(), error = %err, "the rows of a pool can't be read yet");
+                tokio::time::sleep(READ_PAUSE).await;
+            }
+        }
+    };
     let bounds = node.settings.bounds;
     let mut scheduler = Scheduler::new(Limits {
         lease_ms: LEASE_MS.min(bounds.longest_lease_ms),
@@ -123,12 +142,16 @@
     let lease = Lease::new(taken.sent_at_ms);
     let owner = PoolOwner::new(node.clone(), pool.clone(), taken.term, scheduler, lease);
     let owner = Arc::new(owner);
-    node.pools.lock().insert(pool.clone(), owner.clone());
-    node.set_hold(pool, Some(taken.term));
+    node.pools.lock().insert(pool, owner.clone());
     tokio::spawn(owner.clone().record(taken.sequence));
     tokio::spawn(owner.clone().hand_over_when_refused());
     tokio::spawn(owner.watch_registry());
-    Ok(true)
+}
+
+async fn read_jobs(node: &Node, pool: &str) -> Result<Vec<Row>, Error> {
+    let mut rows = read_all(node, tables::JOB, pool).await?;
+    rows.extend(read_all(node, tables::PROGRESS, pool).await?);
+    Ok(rows)
 }
 
 pub(crate) async fn read_all(node: &Node, table: &str, part: &str) -> Result<Vec<Row>, Error> {
