--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -26,9 +26,9 @@
 pub(crate) use sequence::Sequence;
 pub(crate) use takeover::{Taken, jobs_of, read_all, take_over, take_pool};
 
-/// How long an owner goes on to renew workers' leases after its last recorded write. Covers the usual outages of
-/// the store, of 4.5 s; a successor counts on it when a worker stays silent.
-pub(crate) const OWNER_GRACE_MS: u64 = 6000;
+/// How long an owner goes on to renew workers' leases after its last recorded write. With the lease of 5 s, what runs
+/// outlasts the usual outages of the store, of 4.5 s; a successor waits for it when a worker stays silent.
+pub(crate) const OWNER_GRACE_MS: u64 = 4000;
 
 /// When the store has not answered for longer, jobs are refused at once instead of held.
 const STORE_AWAY_MS: u64 = 700;
@@ -199,6 +199,7 @@
             wanted: demand.wanted,
             steady: demand.steady,
             unusable: demand.unusable,
+            silent: demand.silent,
             idle: demand.idle.into_iter().map(|idle| (idle.id, idle.idle_ms)).collect(),
         }
     }
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -125,7 +125,6 @@
     let bounds = node.settings.bounds;
     let mut scheduler = Scheduler::new(Limits {
         lease_ms: LEASE_MS.min(bounds.longest_lease_ms),
-        longest_lease_ms: bounds.longest_lease_ms,
         owner_grace_ms: OWNER_GRACE_MS,
         slow_clock_percent: SLOW_CLOCK_PERCENT,
         keep_ended_ms: bounds.keep_ended_s * 1000,
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -85,6 +85,8 @@
     pub(crate) wanted: usize,
     /// The workers on which lasting tasks run.
     pub(crate) steady: Vec<SmolStr>,
+    /// The workers that do not answer, and on which something runs or may run.
+    pub(crate) silent: Vec<SmolStr>,
     /// The workers that get no new work now.
     pub(crate) unusable: Vec<SmolStr>,
     /// The workers on which nothing runs, and for how long in ms.
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -188,6 +188,10 @@
     }
 
     async fn take(&self, pool: SmolStr) -> RpcResult<bool> {
+        if self.node.holds.lock().contains_key(&pool) {
+            // The answer to the same call before was lost.
+            return Ok(true);
+        }
         if self.node.is_leaving.load(Ordering::Acquire) || self.node.is_store_away() {
             return Ok(false);
         }
--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -42,6 +42,8 @@
     emptying: BTreeMap<SmolStr, BTreeSet<SmolStr>>,
     /// The workers whose life an order has ended, by pool; told with the next round.
     over: BTreeMap<SmolStr, Vec<SmolStr>>,
+    /// The workers that did not answer their pool in the last round, by pool.
+    silent: BTreeMap<SmolStr, Vec<SmolStr>>,
     /// The workers that are not moved after all, by pool.
     kept: BTreeMap<SmolStr, Vec<SmolStr>>,
     /// The VMs that pools are emptying for other pools.
@@ -67,6 +69,7 @@
         waves: Waves::default(),
         emptying: BTreeMap::new(),
         over: BTreeMap::new(),
+        silent: BTreeMap::new(),
         kept: BTreeMap::new(),
         reclaimed: BTreeSet::new(),
         in_doubt: BTreeMap::new(),
@@ -127,7 +130,10 @@
             }
         };
         let standby = self.standby_pools();
+        self.find_ended_lives(&listed);
         let replies = self.ask_pools(&standby).await;
+        let silent = replies.iter().map(|(pool, reply)| (pool.clone(), reply.silent.clone()));
+        self.silent = silent.collect();
         let list = wave_vms(&listed, &standby, &self.emptying, &replies);
         let (mut empty, mut orders) = self.waves.next(&list);
         let lives = lives(&listed);
@@ -140,6 +146,21 @@
         self.waves.write(&self.node, &self.sequence).await;
     }
 
+    /// Workers that did not answer, and that the list, read since, does not have on any VM: their life is over.
+    fn find_ended_lives(&mut self, listed: &[ListedVm]) {
+        for (pool, workers) in std::mem::take(&mut self.silent) {
+            let ended = workers.into_iter().filter(|worker| {
+                let vm = listed.iter().find(|vm| vm.worker.as_ref() == Some(worker));
+                vm.is_none_or(|vm| vm.phase == VmPhase::Down)
+            });
+            let ended: Vec<_> = ended.collect();
+            if !ended.is_empty() {
+                tracing::info!(pool = pool.as_str(), workers = ?ended, "the list of VMs no longer has these workers");
+                self.over.entry(pool).or_default().extend(ended);
+            }
+        }
+    }
+
     fn standby_pools(&self) -> BTreeSet<SmolStr> {
         let document = self.node.in_force.get();
         let services = document.iter().flat_map(|document| &document.services);
--- a/crates/scheduler/src/adopt.rs
+++ b/crates/scheduler/src/adopt.rs
@@ -39,9 +39,7 @@
             capacity: submission::Resources::default(),
             is_draining: false,
         };
-        // An earlier owner may have granted its last lease at the end of its grace.
-        let granted_ms = now.local_ms + self.limits.owner_grace_ms;
-        let lapse_at_ms = self.surely_lapsed(granted_ms, self.limits.longest_lease_ms);
+        let lapse_at_ms = self.earlier_lapsed(now.local_ms);
         let mut worker = Worker::new(info, lapse_at_ms);
         worker.is_listed = false;
         let key = self.workers.insert(worker);
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -45,6 +45,8 @@
     pub steady: Vec<SmolStr>,
     /// The workers that get no new work now: emptied, draining, silent, or avoided.
     pub unusable: Vec<SmolStr>,
+    /// The workers that do not answer, and on which something runs or may run.
+    pub silent: Vec<SmolStr>,
     /// The workers on which nothing runs.
     pub idle: Vec<IdleWorker>,
 }
@@ -87,7 +89,11 @@
         let unusable = self.workers.values().filter(|worker| {
             worker.is_listed && worker.is_proven && !worker.is_usable(now.local_ms)
         });
+        let silent = self.workers.values().filter(|worker| {
+            !worker.runs.is_empty() && (worker.is_silent || worker.info.addr.is_empty())
+        });
         Demand {
+            silent: silent.map(|worker| worker.info.id.clone()).collect(),
             urgent: workers(on_time).max(least),
             wanted: workers(on_time + late).max(least),
             steady,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -32,10 +32,8 @@
 /// The figures of a deployment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
-    /// How long a granted lease lasts.
+    /// How long a granted lease lasts, whichever daemon grants it.
     pub lease_ms: u64,
-    /// The longest lease that a worker accepts, whoever grants it.
-    pub longest_lease_ms: u64,
     /// How long an owner grants leases after its last recorded write.
     pub owner_grace_ms: u64,
     /// By how much a worker's clock may be slow.
@@ -276,8 +274,7 @@
 
     /// The present registry entries of the pool. Workers that are not among them get no new work.
     pub fn set_workers(&mut self, infos: Vec<WorkerInfo>, now: Now) {
-        let longest_ms = self.limits.longest_lease_ms;
-        let lapse_at_ms = self.surely_lapsed(now.local_ms, longest_ms);
+        let lapse_at_ms = self.earlier_lapsed(now.local_ms);
         for worker in self.workers.values_mut() {
             worker.is_listed = false;
         }
@@ -305,8 +302,10 @@
         }
     }
 
-    pub(crate) fn surely_lapsed(&self, now_ms: u64, lease_ms: u64) -> u64 {
-        now_ms + lease_ms * 100 / (100 - self.limits.slow_clock_percent) + 1
+    /// When the last lease that an earlier owner may have granted, at the end of its grace, has surely lapsed.
+    pub(crate) fn earlier_lapsed(&self, now_ms: u64) -> u64 {
+        let limits = self.limits;
+        now_ms + limits.owner_grace_ms + limits.lease_ms * 100 / (100 - limits.slow_clock_percent) + 1
     }
 
     fn remove_worker(&mut self, key: WorkerKey) {
