--- /dev/null
+++ b/crates/trefoilpassd/tests/fleet.rs
@@ -0,0 +1,303 @@
+//! Real daemons on a stand-in of the users' platform: the whole path, under kills, outages and lost answers.
+
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use platform_stand_in::{PlatformStandIn, StoreFaults};
+use reqwest::Client;
+use serde_json::{Value, json};
+
+/// How long any of these tests may take to see what it waits for. Generous, for a busy machine.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+struct Daemon {
+    process: Child,
+    callers: String,
+    ready: String,
+    settings: std::path::PathBuf,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().port()
+}
+
+fn daemon(platform: &PlatformStandIn, name: &str) -> Daemon {
+    let (callers, ready) = (free_port(), free_port());
+    let settings = format!(
+        "daemon: {name}\nip: 127.0.0.1\nzone: z\ncallers_addr: 127.0.0.1:{callers}\nready_addr: 127.0.0.1:{ready}\n\
+         peer_port: {}\nmetrics_port: {}\nstore_addr: {}\nvms_addr: {}\nnew_field: ignored\n\
+         bounds: {{ grace_s: 6, longest_lease_ms: 10000, stop_ms: 200, keep_ended_s: 120, steward_gap_ms: 3000, \
+         notice_ms: 4500, move_s: 1.5, maintenance_s: 0.4 }}\n",
+        free_port(),
+        free_port(),
+        platform.store_addr,
+        platform.vms_addr,
+    );
+    let path = std::env::temp_dir().join(format!("trefoilpass-{}-{name}-{callers}.yaml", std::process::id()));
+    std::fs::write(&path, settings).unwrap();
+    let process = Command::new(env!("CARGO_BIN_EXE_trefoilpassd"))
+        .arg("--fleet")
+        .arg("--config")
+        .arg(&path)
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    Daemon {
+        process,
+        callers: format!("127.0.0.1:{callers}"),
+        ready: format!("http://127.0.0.1:{ready}/v1/ready"),
+        settings: path,
+    }
+}
+
+fn configure(platform: &PlatformStandIn) {
+    let config = json!({
+        "version": 3,
+        "routes": [{
+            "name": "r-1", "host": "jobs.example", "prefix": "/q/", "kind": "mutating", "timeoutMs": 3000,
+            "sloMs": 600, "priority": 0, "service": "work", "attempts": 3, "stretch": 1.6,
+        }],
+        "services": [{"name": "work", "rejectsOverload": true}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 20000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    });
+    platform.store.put("op", "config", &config);
+}
+
+async fn call(method: reqwest::Method, daemon: &Daemon, path: &str, body: Option<String>) -> (u16, Value) {
+    let client = Client::builder().no_proxy().timeout(Duration::from_secs(8)).build().unwrap();
+    let url = format!("http://{}{path}", daemon.callers);
+    let request = client.request(method, url).header("host", "jobs.example");
+    let request = match body {
+        Some(body) => request.header("content-type", "application/json").body(body),
+        None => request,
+    };
+    match request.send().await {
+        Ok(response) => {
+            let status = response.status().as_u16();
+            (status, response.json().await.unwrap_or(Value::Null))
+        }
+        Err(_) => (0, Value::Null),
+    }
+}
+
+async fn submit(daemon: &Daemon, id: u64, tasks: u32) -> u16 {
+    let body = json!({"spec": "x", "steps": [{"count": tasks, "cpu": 500, "memMb": 10, "estMs": 300}]});
+    let path = format!("/q/{id:016x}");
+    call(reqwest::Method::POST, daemon, &path, Some(body.to_string())).await.0
+}
+
+/// Submits until a daemon accepts. Returns how often it was refused.
+async fn submit_surely(daemons: &[Daemon], id: u64, tasks: u32) -> u32 {
+    let start = Instant::now();
+    let mut refusals = 0;
+    for daemon in daemons.iter().cycle() {
+        match submit(daemon, id, tasks).await {
+            200 => return refusals,
+            status => {
+                assert!(matches!(status, 0 | 503 | 504), "status {status}");
+                refusals += 1;
+            }
+        }
+        assert!(start.elapsed() < PATIENCE, "job {id} is never accepted");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    unreachable!("a cycle does not end")
+}
+
+async fn done(daemons: &[Daemon], id: u64) {
+    let start = Instant::now();
+    for daemon in daemons.iter().cycle() {
+        let (status, body) = call(reqwest::Method::GET, daemon, &format!("/q/{id:016x}"), None).await;
+        assert_ne!(status, 410, "an accepted job is not known");
+        if status == 200 && body["state"] == "done" {
+            return;
+        }
+        assert_ne!(body["state"], "failed");
+        assert!(start.elapsed() < PATIENCE, "job {id} is never done: {status} {body}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn ready(daemon: &Daemon) {
+    let start = Instant::now();
+    let client = Client::builder().no_proxy().build().unwrap();
+    loop {
+        let answer = client.get(&daemon.ready).send().await;
+        if answer.is_ok_and(|answer| answer.status() == 200) {
+            return;
+        }
+        assert!(start.elapsed() < PATIENCE, "a daemon is never ready");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// No task ran twice at the same time, and none again after it was done.
+fn check_runs(platform: &PlatformStandIn, tasks: usize) {
+    let mut by_task: BTreeMap<String, Vec<_>> = BTreeMap::new();
+    for run in platform.runs() {
+        by_task.entry(run.task.clone()).or_default().push(run);
+    }
+    assert_eq!(by_task.len(), tasks);
+    for (task, mut runs) in by_task {
+        runs.sort_by_key(|run| run.began);
+        for pair in runs.windows(2) {
+            let (ended, how) = pair[0].ended.unwrap_or_else(|| panic!("{task} ran twice at once"));
+            assert!(ended <= pair[1].began, "{task} ran twice at once");
+            assert_ne!(how, "done", "{task} ran again after it was done");
+        }
+    }
+}
+
+async fn start(workers: usize, daemons: usize) -> (PlatformStandIn, Vec<Daemon>) {
+    let platform = PlatformStandIn::start(workers).await;
+    configure(&platform);
+    let daemons: Vec<_> = (0..daemons).map(|number| daemon(&platform, &format!("d{number}"))).collect();
+    for daemon in &daemons {
+        ready(daemon).await;
+    }
+    (platform, daemons)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_are_accepted_run_once_and_shown_done_by_any_daemon() {
+    let (platform, daemons) = start(2, 2).await;
+    for id in 1..=5 {
+        submit_surely(&daemons, id, 4).await;
+        assert_eq!(submit(&daemons[1], id, 4).await, 200, "a repeat is accepted");
+    }
+    for id in 1..=5 {
+        done(&daemons, id).await;
+    }
+    check_runs(&platform, 20);
+    let (status, body) = call(reqwest::Method::GET, &daemons[0], "/q/", None).await;
+    assert_eq!((status, &body["pending"]), (200, &json!(0)));
+    let (status, _) = call(reqwest::Method::GET, &daemons[0], "/q/00000000000000aa", None).await;
+    assert_eq!(status, 410);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_daemon_loses_and_doubles_nothing() {
+    let (platform, mut daemons) = start(2, 3).await;
+    for id in 1..=6 {
+        submit_surely(&daemons, id, 4).await;
+    }
+    // Two of three, so that the pool's daemon is among them most times.
+    drop(daemons.remove(0));
+    drop(daemons.remove(0));
+    for id in 1..=6 {
+        done(&daemons, id).await;
+    }
+    submit_surely(&daemons, 7, 4).await;
+    done(&daemons, 7).await;
+    check_runs(&platform, 28);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_outage_and_lost_answers_of_the_store_lose_and_double_nothing() {
+    let (platform, daemons) = start(2, 2).await;
+    submit_surely(&daemons, 1, 4).await;
+    platform.store.set_faults(StoreFaults { is_down: true, lost_one_in: 0 });
+    // Longer than doubling time-outs took to overflow once.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    platform.store.set_faults(StoreFaults { is_down: false, lost_one_in: 3 });
+    for id in 2..=5 {
+        submit_surely(&daemons, id, 4).await;
+    }
+    platform.store.set_faults(StoreFaults::default());
+    for id in 1..=5 {
+        done(&daemons, id).await;
+    }
+    check_runs(&platform, 20);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_requests_get_a_clear_answer_and_store_nothing() {
+    let (platform, daemons) = start(1, 1).await;
+    submit_surely(&daemons, 1, 1).await;
+    let long = json!({"spec": "x".repeat(4001), "steps": [{"count": 1}]}).to_string();
+    let huge = json!({"spec": "x".repeat(30_000), "steps": [{"count": 1}]}).to_string();
+    let cases = [
+        ("not JSON", "/q/00000000000000b1", "{", 400),
+        ("a wrong type", "/q/00000000000000b2", r#"{"steps":[{"count":"two"}]}"#, 400),
+        ("no steps", "/q/00000000000000b3", r#"{"spec":"x","steps":[]}"#, 400),
+        ("no tasks", "/q/00000000000000b4", r#"{"steps":[{"count":0}]}"#, 400),
+        ("a step after itself", "/q/00000000000000b5", r#"{"steps":[{"count":1,"after":[0]}]}"#, 400),
+        ("a negative size", "/q/00000000000000b6", r#"{"steps":[{"count":1,"cpu":-1}]}"#, 400),
+        ("a huge count", "/q/00000000000000b7", r#"{"steps":[{"count":4000000000}]}"#, 400),
+        ("a long text", "/q/00000000000000b8", long.as_str(), 400),
+        ("a body over the limit", "/q/00000000000000b9", huge.as_str(), 413),
+        ("no id", "/q/xyz", r#"{"steps":[{"count":1}]}"#, 400),
+        ("no queue", "/other/00000000000000ba", r#"{"steps":[{"count":1}]}"#, 404),
+    ];
+    for (name, path, body, expected) in cases {
+        let (status, answer) = call(reqwest::Method::POST, &daemons[0], path, Some(body.to_owned())).await;
+        assert_eq!(status, expected, "{name}: {answer}");
+        if expected == 400 {
+            assert!(answer["error"].as_str().is_some_and(|why| !why.is_empty()), "{name}");
+        }
+    }
+    done(&daemons, 1).await;
+    check_runs(&platform, 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_wave_maintains_each_vm_once_under_its_cap_and_is_reported() {
+    let (platform, daemons) = start(3, 1).await;
+    let wave = json!({"wave": 1, "machines": ["m-0", "m-1", "m-2", "m-gone"], "deadlineS": 20, "cap": 1});
+    platform.store.put("op", "wave/1", &wave);
+    let start = Instant::now();
+    while platform.store.get("status", "wave/1").is_none_or(|status| status["state"] != "done") {
+        assert!(start.elapsed() < PATIENCE, "the wave is never done");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let mut maintained = platform.maintained();
+    maintained.sort();
+    assert_eq!(maintained, ["m-0", "m-1", "m-2"]);
+    assert_eq!(platform.most_maintained(), 1);
+    drop(daemons);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancelled_job_stops_and_stays_cancelled() {
+    let (platform, daemons) = start(1, 2).await;
+    submit_surely(&daemons, 1, 1).await;
+    let body = json!({"spec": "x", "steps": [{"count": 1, "cpu": 500, "longRunning": true}]}).to_string();
+    let path = "/q/00000000000000c1";
+    let (status, _) = call(reqwest::Method::POST, &daemons[0], path, Some(body)).await;
+    assert_eq!(status, 200);
+    let (status, _) = call(reqwest::Method::DELETE, &daemons[1], path, None).await;
+    assert_eq!(status, 200);
+    let (_, body) = call(reqwest::Method::GET, &daemons[0], path, None).await;
+    assert_eq!(body["state"], "canceled");
+    let start = Instant::now();
+    while platform.runs().iter().any(|run| run.task.contains("c1.") && run.ended.is_none()) {
+        assert!(start.elapsed() < PATIENCE, "the task is never stopped");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[test]
+fn settings_are_checked_and_missing_fields_are_named() {
+    let path = std::env::temp_dir().join(format!("trefoilpass-bad-{}.yaml", std::process::id()));
+    std::fs::write(&path, "daemon: d\nip: 127.0.0.1\n").unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_trefoilpassd"))
+        .args(["--fleet", "--check", "--config"])
+        .arg(&path)
+        .output()
+        .unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("missing field `zone`"));
+}
