--- a/crates/fleetd/src/config.rs
+++ b/crates/fleetd/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration in force: only ever replaced by a later one.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use parking_lot::RwLock;
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct InForce {
     document: RwLock<Option<Arc<ConfigDocument>>>,
+    /// The pools that each queue has been sent to since this process started.
+    pools: RwLock<BTreeMap<SmolStr, BTreeSet<SmolStr>>>,
 }
 
 impl InForce {
@@ -24,6 +26,10 @@
         if in_force.as_ref().is_some_and(|before| before.epoch >= document.epoch) {
             return false;
         }
+        let mut pools = self.pools.write();
+        for queue in &document.queues {
+            pools.entry(queue.name.clone()).or_default().insert(queue.pool.clone());
+        }
         *in_force = Some(Arc::new(document));
         true
     }
@@ -32,6 +38,13 @@
         self.document.read().clone()
     }
 
+    /// The other pools that a queue was sent to before: jobs handed in then are there.
+    pub(crate) fn earlier_pools(&self, queue: &Queue) -> Vec<SmolStr> {
+        let pools = self.pools.read();
+        let pools = pools.get(&queue.name).into_iter().flatten();
+        pools.filter(|pool| **pool != queue.pool).cloned().collect()
+    }
+
     /// The units: the pools, and the fleet.
     pub(crate) fn units(&self) -> Vec<SmolStr> {
         let Some(document) = self.get() else {
@@ -69,6 +82,7 @@
             attempts: queue.attempts.max(1),
             stretch: queue.stretch,
             objective_ms: queue.objective_ms,
+            has_policy: queue.advice.is_some(),
         };
         (queue.name.clone(), rules)
     });
--- a/crates/fleetd/src/front/calls.rs
+++ b/crates/fleetd/src/front/calls.rs
@@ -17,7 +17,7 @@
     state_body,
 };
 
-use crate::config::find_queue;
+use crate::config::{FLEET_UNIT, find_queue};
 use crate::node::{Node, STORE_TIMEOUT, tables};
 use crate::pool::jobs_of;
 use crate::rpc::{Handover, HandoverAnswer, JobReply, PoolClient, WireState, is_without_effect};
@@ -137,6 +137,17 @@
     if let Err(err) = spec.check() {
         return Answer::bad_request(&err.to_string());
     }
+    for pool in node.in_force.earlier_pools(queue) {
+        // A job that is handed in again after its queue was sent to another pool stays where it is.
+        match stored_job(node, &pool, id).await {
+            Ok(Some(_)) => return Answer::new(StatusCode::OK).with_body("{}".into()),
+            Ok(None) => {}
+            Err(err) => {
+                tracing::info!(job = %id, error = %err, "it can't be known whether a job is in an earlier pool");
+                return Answer::refused(RETRY_AFTER_S);
+            }
+        }
+    }
     let handover = Handover {
         pool: queue.pool.clone(),
         queue: queue.name.clone(),
@@ -217,8 +228,8 @@
 
 /// Where a job is by the rows in the store. Only the store can tell that there is none.
 async fn stored_state(node: &Arc<Node>, queue: &Queue, id: JobId) -> Answer {
-    match stored_job(node, &queue.pool, id).await {
-        Ok(Some(job)) => Answer::new(StatusCode::OK).with_body(state_body(job.state())),
+    match find_job(node, queue, id).await {
+        Ok(Some((_, job))) => Answer::new(StatusCode::OK).with_body(state_body(job.state())),
         Ok(None) => Answer::new(StatusCode::GONE),
         Err(err) => {
             tracing::info!(job = %id, error = %err, "neither the pool's daemon nor the store tells of a job");
@@ -227,6 +238,23 @@
     }
 }
 
+/// A job by the rows in the store, in the queue's pool or in any other: queues are sent elsewhere at times.
+async fn find_job(
+    node: &Arc<Node>,
+    queue: &Queue,
+    id: JobId,
+) -> Result<Option<(SmolStr, Job)>, users_platform::Error> {
+    let mut pools = node.in_force.units();
+    pools.retain(|pool| pool != FLEET_UNIT && *pool != queue.pool);
+    pools.insert(0, queue.pool.clone());
+    for pool in pools {
+        if let Some(job) = stored_job(node, &pool, id).await? {
+            return Ok(Some((pool, job)));
+        }
+    }
+    Ok(None)
+}
+
 async fn stored_job(
     node: &Arc<Node>,
     pool: &str,
@@ -249,30 +277,37 @@
 }
 
 async fn cancel(node: &Arc<Node>, queue: &Queue, id: JobId) -> Answer {
-    let reply = match node.own_pool(&queue.pool) {
-        Some(owner) => owner.cancel(id).await,
-        None => match claimant(node, &queue.pool) {
-            Some((claim, peer)) => {
-                let reply = peer.cancel(queue.pool.clone(), id).await;
-                reply.unwrap_or_else(|err| {
-                    tracing::info!(job = %id, error = %err, "the pool's daemon does not cancel");
-                    node.suspect(&claim);
-                    JobReply::Unknown
-                })
+    let mut reply = cancel_in(node, &queue.pool, id).await;
+    if reply == JobReply::Absent {
+        reply = match find_job(node, queue, id).await {
+            Ok(None) => return Answer::new(StatusCode::GONE),
+            Ok(Some((pool, _))) => cancel_in(node, &pool, id).await,
+            Err(err) => {
+                tracing::info!(job = %id, error = %err, "the store does not tell of a job to cancel");
+                JobReply::Unknown
             }
-            None => JobReply::NotOwner,
-        },
-    };
+        };
+    }
     match reply {
         JobReply::State(_) => Answer::new(StatusCode::OK).with_body("{}".into()),
-        JobReply::Absent => match stored_job(node, &queue.pool, id).await {
-            Ok(None) => Answer::new(StatusCode::GONE),
-            _ => Answer::refused(RETRY_AFTER_S),
-        },
-        JobReply::NotOwner | JobReply::Unknown => Answer::refused(RETRY_AFTER_S),
+        _ => Answer::refused(RETRY_AFTER_S),
     }
 }
 
+async fn cancel_in(node: &Arc<Node>, pool: &SmolStr, id: JobId) -> JobReply {
+    if let Some(owner) = node.own_pool(pool) {
+        return owner.cancel(id).await;
+    }
+    let Some((claim, peer)) = claimant(node, pool) else {
+        return JobReply::NotOwner;
+    };
+    peer.cancel(pool.clone(), id).await.unwrap_or_else(|err| {
+        tracing::info!(job = %id, error = %err, "the pool's daemon does not cancel");
+        node.suspect(&claim);
+        JobReply::Unknown
+    })
+}
+
 async fn pending(node: &Arc<Node>, queue: &Queue) -> Answer {
     let count = match node.own_pool(&queue.pool) {
         Some(owner) => Some(owner.pending(&queue.name)),
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
-use users_platform::{HttpClient, StoreClient, VmClient, WaveOrder, WorkerClient};
+use users_platform::{AdviceClient, HttpClient, StoreClient, VmClient, WaveOrder, WorkerClient};
 
 use crate::clock::{Clock, local_ms};
 use crate::config::InForce;
@@ -62,6 +62,7 @@
     pub(crate) store: StoreClient,
     pub(crate) workers: WorkerClient,
     pub(crate) vms: VmClient,
+    pub(crate) advice: Option<AdviceClient>,
     pub(crate) in_force: InForce,
     pub(crate) metrics: Metrics,
     pub(crate) peers: Mutex<Peers>,
@@ -96,6 +97,11 @@
             store: StoreClient::new(http.clone(), &settings.store_addr),
             workers: WorkerClient::new(http.clone()),
             vms: VmClient::new(http.clone(), &settings.vms_addr),
+            advice: settings
+                .advice_addr
+                .as_ref()
+                .filter(|addr| !addr.is_empty())
+                .map(|addr| AdviceClient::new(http.clone(), addr)),
             settings,
             incarnation,
             started_at_ms: local_ms(),
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -1,5 +1,6 @@
 //! Drives the scheduler of one pool: records what it decides, then carries it out.
 
+mod advice;
 mod holds;
 mod orders;
 mod recorder;
--- a/crates/fleetd/src/pool/orders.rs
+++ b/crates/fleetd/src/pool/orders.rs
@@ -12,15 +12,15 @@
 use crate::pool::PoolOwner;
 use crate::pool::recorder::task_name;
 
-/// How long a worker may take to answer an order. A hundred times its usual time.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a worker may take to answer an order. Fifty times its usual time; a lost one costs the caller as much.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Orders to one worker that are under way at the same time. New connections are dear, and one lost order must not
 /// hold up the others.
 const ORDERS_PER_WORKER: usize = 2;
 
 /// How often an order to start is sent before its effect is ruled out by an order to stop.
-const START_TRIES: u32 = 2;
+const START_TRIES: u32 = 3;
 
 /// The pause before an order to stop is sent again.
 const STOP_PAUSE: Duration = Duration::from_millis(250);
@@ -77,7 +77,7 @@
             return;
         };
         for sent in 0..START_TRIES {
-            let Some((lease_until_ms, name, payload)) = self.start_order(worker, task, run) else {
+            let Some((lease_until_ms, name, payload, ticket)) = self.start_order(worker, task, run) else {
                 if sent == 0 {
                     self.start_outcome(worker, task, run, StartOutcome::Refused, None);
                     return;
@@ -91,7 +91,7 @@
                 lease_until_ms,
                 term: self.term,
                 checkpoint: &checkpoint,
-                ticket: None,
+                ticket: ticket.as_deref(),
             };
             let start = self.node.workers.start(&info.addr, &info.id, &order, ORDER_TIMEOUT);
             let answer = start.await;
@@ -113,7 +113,7 @@
         worker: WorkerKey,
         task: TaskKey,
         run: u32,
-    ) -> Option<(u64, SmolStr, Arc<submission::JobSpec>)> {
+    ) -> Option<(u64, SmolStr, Arc<submission::JobSpec>, Option<SmolStr>)> {
         if !self.may_order() {
             return None;
         }
@@ -124,7 +124,8 @@
         }
         let lease_until_ms = scheduler.start_lease(worker, now)?;
         let job = scheduler.job(task.job)?;
-        Some((lease_until_ms, job.task_name(task.index), job.spec().clone()))
+        let ticket = scheduler.ticket(worker, task, now);
+        Some((lease_until_ms, job.task_name(task.index), job.spec().clone(), ticket))
     }
 
     fn started(
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -144,6 +144,7 @@
     node.pools.lock().insert(pool, owner.clone());
     tokio::spawn(owner.clone().record(taken.sequence));
     tokio::spawn(owner.clone().hand_over_when_refused());
+    tokio::spawn(owner.clone().ask_for_advice());
     tokio::spawn(owner.watch_registry());
 }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate does no I/O and reads no clock.
 
 mod adopt;
+mod advice;
 mod batch;
 mod demand;
 mod evacuation;
@@ -14,6 +15,7 @@
 mod scheduler;
 mod worker;
 
+pub use advice::AdviceRequest;
 pub use batch::{Action, Batch, RowChange};
 pub use demand::{Demand, IdleWorker};
 pub use looks::{End, Look, RunningTask};
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -108,6 +108,7 @@
         let usable = self.workers.iter().filter(|(worker_key, worker)| {
             worker.is_usable(now.local_ms)
                 && has_label(worker, &step.required_label)
+                && self.is_allowed(&job.queue, key, &worker.info.id, now)
                 && self.fits(worker, step, *worker_key, taken, now)
                 && has_place(worker, job, step, key, *worker_key, taken)
         });
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 use submission::{Job, JobId, JobSpec, JobState, Phase, RunEnd, TaskKey};
 
+use crate::advice::Advice;
 use crate::batch::Action;
 use crate::demand::Trend;
 use crate::ready::{Rank, Ready, StepKey};
@@ -53,6 +54,8 @@
     pub stretch: f64,
     /// See `stretch`.
     pub objective_ms: u64,
+    /// Whether a policy service has to allow workers.
+    pub has_policy: bool,
 }
 
 /// What is known of a job.
@@ -105,6 +108,8 @@
     /// How many jobs of each queue have not started.
     pub(crate) pending: BTreeMap<SmolStr, usize>,
     pub(crate) trend: Trend,
+    /// What the policy service said, by step.
+    pub(crate) advice: HashMap<StepKey, Advice>,
     /// The jobs with lasting tasks that have not ended.
     pub(crate) lasting: BTreeSet<JobId>,
 }
@@ -128,6 +133,7 @@
             ended: BTreeSet::new(),
             pending: BTreeMap::new(),
             trend: Trend::default(),
+            advice: HashMap::new(),
             lasting: BTreeSet::new(),
         }
     }
@@ -411,7 +417,11 @@
                 worker.health.refused(now.local_ms);
                 self.end_run(key, task, number, RunEnd::Lost, now);
             }
-            StartOutcome::Refused => self.end_run(key, task, number, RunEnd::Lost, now),
+            StartOutcome::Refused => {
+                // Whatever the worker has against the order, it has for a while.
+                worker.health.refused(now.local_ms);
+                self.end_run(key, task, number, RunEnd::Lost, now);
+            }
         }
     }
 
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -61,7 +61,7 @@
     /// A pool of workers that have answered.
     pub fn new(workers: &[&str]) -> Self {
         let mut pool = Self { scheduler: Scheduler::new(limits()), now_ms: 1_000_000 };
-        let rules = QueueRules { priority: 0, attempts: 2, stretch: 1.5, objective_ms: 600 };
+        let rules = QueueRules { priority: 0, attempts: 2, stretch: 1.5, objective_ms: 600, has_policy: false };
         pool.scheduler.set_rules(HashMap::from([("queue".into(), rules)]));
         pool.list(workers);
         for name in workers {
