--- a/crates/fleetd/src/pool/holds.rs
+++ b/crates/fleetd/src/pool/holds.rs
@@ -11,14 +11,15 @@
 use crate::clock::local_ms;
 use crate::pool::PoolOwner;
 
-/// How long a worker may take to answer, beyond the time it is asked to wait for an end.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a worker may take to answer, beyond the time it is asked to wait for an end. Fifty times its usual time.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How long a look waits for an end. At two fifths of a lease, one look may be lost before the lease lapses.
 const LOOK_WAIT_MS: u64 = 2000;
 
-/// How long it waits where tasks that fill run beside others, whose load changes within half a second.
-const SHARED_LOOK_WAIT_MS: u64 = 400;
+/// How long it waits where brief tasks run, or tasks that fill beside others. While a look is lost no end is seen, and
+/// brief tasks take 0.6 s to 1.3 s.
+const LIVELY_LOOK_WAIT_MS: u64 = 300;
 
 /// The pause after a look that got no answer.
 const SILENT_PAUSE: Duration = Duration::from_millis(150);
@@ -119,7 +120,7 @@
     fn hold_order(&self, plan: HoldPlan) -> HoldOrder {
         let wait_ms = match plan {
             HoldPlan { is_busy: false, .. } => 0,
-            HoldPlan { is_shared: true, .. } => SHARED_LOOK_WAIT_MS,
+            HoldPlan { is_lively: true, .. } => LIVELY_LOOK_WAIT_MS,
             _ => LOOK_WAIT_MS,
         };
         HoldOrder {
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -51,6 +51,9 @@
         let mut scheduler = self.scheduler.lock();
         scheduler.tick(now);
         scheduler.plan(now);
+        for note in scheduler.take_notes() {
+            tracing::warn!(pool = self.pool.as_str(), note = ?note, "a worker is believed to be unfit");
+        }
         scheduler.take_batch(MOST_JOBS)
     }
 
--- a/crates/scheduler/src/adopt.rs
+++ b/crates/scheduler/src/adopt.rs
@@ -13,13 +13,12 @@
         let mut runs = Vec::new();
         for (index, task) in job.tasks() {
             if let Phase::Assigned { worker } = &task.phase {
-                let footprint = job.step(index).footprint();
-                runs.push((worker.clone(), TaskKey { job: id, index }, task.run, footprint));
+                let task_key = TaskKey { job: id, index };
+                runs.push((worker.clone(), task_key, Run::new(task.run, job.step(index), now.local_ms)));
             }
         }
-        for (worker, task, number, footprint) in runs {
+        for (worker, task, mut run) in runs {
             let key = self.worker_or_unlisted(&worker, now);
-            let mut run = Run::new(number, footprint, now.local_ms);
             // The first look carries this owner's term: an earlier owner's order can't take effect after it.
             run.settled_at_ms = Some(0);
             self.workers[key].insert(task, run);
--- a/crates/scheduler/src/health.rs
+++ b/crates/scheduler/src/health.rs
@@ -4,8 +4,9 @@
 
 use submission::JobId;
 
-/// Distinct jobs that fail in a row before a worker is avoided. One job that can't be done fails anywhere.
-const FAILED_JOBS: usize = 2;
+/// Distinct jobs that fail in a row before a worker is avoided. Jobs that can't be done fail anywhere, and up to a
+/// tenth of a queue's jobs are of that kind at times: three in a row by chance are one in a thousand.
+const FAILED_JOBS: usize = 3;
 
 /// Distinct jobs whose tasks stood still in a row before a worker is avoided.
 const STALLED_JOBS: usize = 1;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -19,5 +19,5 @@
 pub use batch::{Action, Batch, RowChange};
 pub use demand::{Demand, IdleWorker};
 pub use looks::{End, Look, RunningTask};
-pub use scheduler::{JobAnswer, Limits, Now, QueueRules, Scheduler, StartOutcome};
+pub use scheduler::{JobAnswer, Limits, Note, Now, QueueRules, Scheduler, StartOutcome};
 pub use worker::{HoldPlan, WorkerInfo, WorkerKey};
--- a/crates/scheduler/src/looks.rs
+++ b/crates/scheduler/src/looks.rs
@@ -4,7 +4,7 @@
 use submission::{JobId, RunEnd, TaskKey};
 
 use crate::batch::Action;
-use crate::scheduler::{Now, Scheduler};
+use crate::scheduler::{Note, Now, Scheduler};
 use crate::worker::WorkerKey;
 
 /// A brief task that shows no progress for longer stands still. Progress is in percent, so that the longest tasks,
@@ -110,10 +110,7 @@
         }
         match end.end {
             RunEnd::Done => self.workers[key].health.succeeded(),
-            RunEnd::Failed => {
-                let may_avoid = self.may_avoid_one_more(now);
-                self.workers[key].health.failed(task.job, may_avoid, now.local_ms);
-            }
+            RunEnd::Failed => self.note_failure(key, task, now),
             RunEnd::Lost => {}
         }
         self.end_run(key, task, end.run, end.end, now);
@@ -122,6 +119,18 @@
         }
     }
 
+    /// A failure speaks against the worker only while the job has not failed before: else the job may be the cause.
+    fn note_failure(&mut self, key: WorkerKey, task: TaskKey, now: Now) {
+        let job = self.jobs.get(&task.job);
+        let has_failed_before = job.is_some_and(|job| job.tasks().any(|(_, task)| task.failures > 0));
+        let may_avoid = self.may_avoid_one_more(now);
+        let worker = &mut self.workers[key];
+        if !has_failed_before && worker.health.failed(task.job, may_avoid, now.local_ms) {
+            let worker = worker.info.id.clone();
+            self.notes.push(Note::Avoided { worker, cause: "its runs fail" });
+        }
+    }
+
     /// One member's end as done stands for its whole gang.
     fn end_gang(&mut self, task: TaskKey, now: Now) {
         let Some(job) = self.jobs.get(&task.job) else {
@@ -173,7 +182,10 @@
         } else if may_stall && stalled_ms > STALL_MS && !was_stopping {
             let may_avoid = self.may_avoid_one_more(now);
             let worker = &mut self.workers[key];
-            worker.health.stalled(task.job, may_avoid, now.local_ms);
+            if worker.health.stalled(task.job, may_avoid, now.local_ms) {
+                let worker = worker.info.id.clone();
+                self.notes.push(Note::Avoided { worker, cause: "its tasks stand still" });
+            }
             self.order_stop(key, task, number);
         }
         Some(task)
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -16,8 +16,12 @@
 /// How long a size that a worker refused is not offered to it again, unless something ends there.
 const ROOM_REFUSAL_MS: u64 = 400;
 
-/// What a chain of tasks takes of its estimate, in percent: a step ends with its slowest task.
-const CHAIN_PERCENT: u64 = 115;
+/// What the rest of a chain that has begun takes of its estimate, in percent: a step ends with its slowest task.
+const BEGUN_CHAIN_PERCENT: u64 = 115;
+
+/// The same for a chain that has not begun. Under overload every job starts at its latest start, so that one that is
+/// set too late makes all of them late; estimates are off by a fifth to a half.
+const UNTOUCHED_CHAIN_PERCENT: u64 = 140;
 
 /// The present, on the three clocks that matter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -58,6 +62,25 @@
     pub has_policy: bool,
 }
 
+/// A change of what the scheduler believes, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Note {
+    /// A worker is given nothing for a while.
+    Avoided {
+        /// The worker.
+        worker: SmolStr,
+        /// What spoke against it.
+        cause: &'static str,
+    },
+    /// A worker's leases have lapsed without an answer; what it ran is free to start again.
+    Lapsed {
+        /// The worker.
+        worker: SmolStr,
+        /// How many runs it had.
+        runs: usize,
+    },
+}
+
 /// What is known of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobAnswer {
@@ -107,6 +130,7 @@
     pub(crate) ended: BTreeSet<(u64, JobId)>,
     /// How many jobs of each queue have not started.
     pub(crate) pending: BTreeMap<SmolStr, usize>,
+    pub(crate) notes: Vec<Note>,
     pub(crate) trend: Trend,
     /// What the policy service said, by step.
     pub(crate) advice: HashMap<StepKey, Advice>,
@@ -132,12 +156,18 @@
             recorded: HashMap::new(),
             ended: BTreeSet::new(),
             pending: BTreeMap::new(),
+            notes: Vec::new(),
             trend: Trend::default(),
             advice: HashMap::new(),
             lasting: BTreeSet::new(),
         }
     }
 
+    /// What has changed in the scheduler's beliefs since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Takes over what a configuration says of the queues.
     pub fn set_rules(&mut self, rules: HashMap<SmolStr, QueueRules>) {
         self.rules = rules;
@@ -372,7 +402,7 @@
             lease_until_ms,
             recorded_end: worker.recorded_end,
             is_busy: worker.is_proven && lease_until_ms.is_some(),
-            is_shared: worker.runs.values().any(|run| run.footprint.cpu_milli == 0),
+            is_lively: worker.runs.values().any(|run| !run.is_lasting || run.footprint.cpu_milli == 0),
         })
     }
 
@@ -476,6 +506,10 @@
             .iter()
             .map(|(task, run)| (*task, run.run))
             .collect();
+        if !runs.is_empty() {
+            let worker = self.workers[key].info.id.clone();
+            self.notes.push(Note::Lapsed { worker, runs: runs.len() });
+        }
         for (task, run) in runs {
             self.end_run(key, task, run, RunEnd::Lost, now);
         }
@@ -593,7 +627,9 @@
     }
 
     fn rank(&self, job: &Job, key: StepKey, now: Now) -> Rank {
-        let left_ms = job.chain_ms(key.occurrence) * CHAIN_PERCENT / 100;
+        let is_untouched = job.state() == JobState::Queued;
+        let percent = if is_untouched { UNTOUCHED_CHAIN_PERCENT } else { BEGUN_CHAIN_PERCENT };
+        let left_ms = job.chain_ms(key.occurrence) * percent / 100;
         let latest_start_ms = self.due_ms(job).saturating_sub(left_ms);
         let is_lasting = job.spec().steps[usize::from(key.step)].is_lasting;
         let rules = self.rules.get(&job.queue);
@@ -601,7 +637,7 @@
             is_late: !is_lasting && latest_start_ms < now.store_ms,
             is_brief: !is_lasting,
             priority: rules.map_or(u32::MAX, |rules| rules.priority),
-            is_untouched: job.state() == JobState::Queued,
+            is_untouched,
             latest_start_ms,
         }
     }
@@ -613,8 +649,7 @@
         };
         let was_queued = job.state() == JobState::Queued;
         let run = job.assign(task.index, worker.info.id.clone(), least_run);
-        let footprint = job.step(task.index).footprint();
-        worker.insert(task, Run::new(run, footprint, now.local_ms));
+        worker.insert(task, Run::new(run, job.step(task.index), now.local_ms));
         let checkpoint = job.task(task.index).map(|task| task.checkpoint.clone());
         let action = Action::Start {
             worker: key,
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
-use submission::{Resources, TaskKey};
+use submission::{Resources, StepSpec, TaskKey};
 
 use crate::health::Health;
 
@@ -57,10 +57,11 @@
     pub(crate) pace_percent: u32,
     pub(crate) is_stopping: bool,
     pub(crate) footprint: Resources,
+    pub(crate) is_lasting: bool,
 }
 
 impl Run {
-    pub(crate) fn new(run: u32, footprint: Resources, now_ms: u64) -> Self {
+    pub(crate) fn new(run: u32, step: &StepSpec, now_ms: u64) -> Self {
         Self {
             run,
             settled_at_ms: None,
@@ -70,7 +71,8 @@
             load: 0,
             pace_percent: 100,
             is_stopping: false,
-            footprint,
+            footprint: step.footprint(),
+            is_lasting: step.is_lasting,
         }
     }
 }
@@ -114,8 +116,8 @@
     pub recorded_end: u64,
     /// Whether something runs there, so that waiting for an end makes sense.
     pub is_busy: bool,
-    /// Whether its load has to be looked at often.
-    pub is_shared: bool,
+    /// Whether it has to be looked at often: brief tasks run there, which end soon, or tasks that fill beside others.
+    pub is_lively: bool,
 }
 
 impl Worker {
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -79,3 +79,33 @@
     assert!(starts(&pool.round()).is_empty());
     assert_eq!(pool.scheduler.job(JobId(1)).unwrap().tasks().count(), 1);
 }
+
+/// Lets runs of jobs end on the only worker; returns whether it still gets work.
+fn is_used_after(failures: &[(u64, u32)]) -> bool {
+    let mut pool = Pool::new(&["one", "two", "three"]);
+    pool.list(&["one"]);
+    let mut number = 0;
+    for (id, times) in failures {
+        pool.submit(*id, job(vec![step(1)]));
+        for _ in 0..*times {
+            let actions = pool.round();
+            let Some((_, task, run)) = pool.started(&actions).first().cloned() else {
+                return false;
+            };
+            let name = pool.name(task);
+            pool.pass(10);
+            number += 1;
+            pool.look("one", &[], &[(number, name, run, RunEnd::Failed)]);
+        }
+        pool.scheduler.cancel(JobId(*id), pool.now());
+    }
+    pool.submit(99, job(vec![step(1)]));
+    !starts(&pool.round()).is_empty()
+}
+
+#[test]
+fn a_worker_is_avoided_for_failures_of_different_jobs_and_not_for_jobs_that_fail_anywhere() {
+    assert!(is_used_after(&[(1, 2)]));
+    assert!(is_used_after(&[(1, 2), (2, 2)]));
+    assert!(!is_used_after(&[(1, 1), (2, 1), (3, 1)]));
+}
