--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ownership::{Lease, OwnerRow};
@@ -12,10 +13,10 @@
 use pools::{OrderResult, PoolState, VmState, WaveVm, plan_moves};
 use smol_str::SmolStr;
 use tokio::task::JoinSet;
-use users_platform::{ListedVm, Transaction, VmPhase};
+use users_platform::{ListedVm, RowKey, Transaction, VmPhase};
 
 use crate::config::FLEET_UNIT;
-use crate::node::{Node, STORE_TIMEOUT};
+use crate::node::{Node, ONLY_KEY, STORE_TIMEOUT, tables};
 use crate::pool::{Sequence, Taken};
 use crate::rpc::{PoolClient, RoundAsk, RoundReply};
 use crate::steward::orders::{ORDER_SPAN_MS, Order, Sender};
@@ -48,6 +49,8 @@
     kept: BTreeMap<SmolStr, Vec<SmolStr>>,
     /// The VMs that pools are emptying for other pools.
     reclaimed: BTreeSet<SmolStr>,
+    /// When the last order was answered, or given up, on the store's clock.
+    last_order_at_ms: u64,
     /// Moves whose answers were lost, with the VM's pool to be. They are sent again until answered.
     in_doubt: BTreeMap<SmolStr, SmolStr>,
 }
@@ -72,11 +75,17 @@
         silent: BTreeMap::new(),
         kept: BTreeMap::new(),
         reclaimed: BTreeSet::new(),
+        last_order_at_ms: node.clock.now().store_ms,
         in_doubt: BTreeMap::new(),
     };
     let renewal = tokio::spawn(renew(node.clone(), steward.sequence.clone(), lease));
     tokio::time::sleep(gap_after(&node, taken.before.as_ref())).await;
     while !renewal.is_finished() {
+        if node.is_leaving.load(Ordering::Acquire) {
+            steward.release().await;
+            renewal.abort();
+            break;
+        }
         steward.round().await;
         tokio::time::sleep(ROUND_PERIOD).await;
     }
@@ -90,6 +99,10 @@
         return Duration::ZERO;
     };
     let gap_ms = node.settings.bounds.steward_gap_ms + GAP_RESERVE_MS;
+    if before.is_released {
+        let next_at_ms = before.last_order_at_ms + gap_ms;
+        return Duration::from_millis(next_at_ms.saturating_sub(node.clock.now().store_ms));
+    }
     let restarted = node.peers.lock().restarted_at_ms(&before.daemon, &before.incarnation);
     let gap_ms = match restarted {
         // The process that gave the last order had ended when the next one started.
@@ -117,6 +130,24 @@
 }
 
 impl Steward {
+    /// Gives the unit up in order, and tells a successor when the last order was given.
+    async fn release(&mut self) {
+        let owner = OwnerRow {
+            daemon: self.node.settings.daemon.clone(),
+            incarnation: self.node.incarnation.clone(),
+            term: self.sender.term,
+            is_released: true,
+            last_order_at_ms: self.last_order_at_ms,
+        };
+        let key = RowKey::new(tables::OWNER, FLEET_UNIT, ONLY_KEY);
+        // Plain data, which can always be written.
+        let value = serde_json::to_vec(&owner).unwrap_or_default();
+        let transaction = Transaction::default().with_write(key, value);
+        let mut sequence = self.sequence.lock().await;
+        let released = sequence.commit(&self.node, transaction, |_| {}).await.is_ok();
+        tracing::info!(released, last_order_at_ms = self.last_order_at_ms, "gives the stewardship up");
+    }
+
     async fn round(&mut self) {
         if !self.sender.may_order() {
             return;
@@ -140,9 +171,13 @@
         orders.extend(self.moves(&listed, &standby, &replies).await);
         empty.extend(self.reclaimed.iter().cloned());
         self.set_emptying(&listed, &empty);
+        let has_orders = !orders.is_empty();
         for (order, result) in self.sender.send_all(orders).await {
             self.take_result(&order, result, &lives);
         }
+        if has_orders {
+            self.last_order_at_ms = self.node.clock.now().store_ms;
+        }
         self.waves.write(&self.node, &self.sequence).await;
     }
 
--- a/crates/ownership/src/peers.rs
+++ b/crates/ownership/src/peers.rs
@@ -32,6 +32,9 @@
     pub term: u64,
     /// Whether the holder gave it up in order.
     pub is_released: bool,
+    /// When a holder that gave it up in order had given its last order, on the store's clock.
+    #[serde(default)]
+    pub last_order_at_ms: u64,
 }
 
 /// Who claims a unit.
@@ -170,8 +173,12 @@
             .peers
             .iter()
             .filter(|(_, peer)| self.is_alive(peer) && !peer.row.is_leaving);
-        let mut loads: BTreeMap<&SmolStr, usize> = serving
-            .map(|(daemon, peer)| (daemon, peer.row.holds.len()))
+        // Of those that hold as much, the youngest: when daemons are restarted in turn, it was restarted already.
+        let mut loads: BTreeMap<&SmolStr, (usize, u64)> = serving
+            .map(|(daemon, peer)| {
+                let age_s = u64::MAX - peer.row.started_at_ms / 1000;
+                (daemon, (peer.row.holds.len(), age_s))
+            })
             .collect();
         let mut wanted = Vec::new();
         for unit in units.iter().filter(|unit| !self.is_held(unit)) {
@@ -181,7 +188,7 @@
             let Some((chosen, load)) = least else {
                 return wanted;
             };
-            *load += 1;
+            load.0 += 1;
             if chosen.as_str() == daemon {
                 wanted.push(unit.clone());
             }
