--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -170,6 +170,7 @@
         let lives = lives(&listed);
         orders.extend(self.moves(&listed, &standby, &replies).await);
         empty.extend(self.reclaimed.iter().cloned());
+        empty.extend(self.in_doubt.keys().cloned());
         self.set_emptying(&listed, &empty);
         let has_orders = !orders.is_empty();
         for (order, result) in self.sender.send_all(orders).await {
--- a/crates/scheduler/src/evacuation.rs
+++ b/crates/scheduler/src/evacuation.rs
@@ -8,6 +8,10 @@
 /// A lasting task is at work when its progress is this.
 const AT_WORK_PERCENT: u32 = 100;
 
+/// For how long a worker that is to be empty is given nothing. Stewards ask again every 0.3 s, and an order to a VM
+/// takes 0.8 s at the most; a steward that is gone leaves no worker unused for longer.
+const PROMISE_MS: u64 = 1500;
+
 /// How many tasks of a step may be away that does not say it: one at a time, as a worker could not be emptied else.
 const LEAST_MAY_MISS: u32 = 1;
 
@@ -15,12 +19,12 @@
 const BRIEF_PATIENCE_MS: u64 = 1200;
 
 impl Scheduler {
-    /// Gives a worker nothing more, and takes off what may be taken off now. Returns how many tasks are left.
+    /// Gives a worker nothing for a while, and takes off what may be taken off now. Returns how many tasks are left.
     pub fn evacuate(&mut self, key: WorkerKey, now: Now) -> usize {
         let Some(worker) = self.workers.get_mut(key) else {
             return 0;
         };
-        worker.is_evacuating = true;
+        worker.evacuated_until_ms = now.local_ms + PROMISE_MS;
         let runs: Vec<_> = worker
             .runs
             .iter()
@@ -39,7 +43,7 @@
     /// Lets a worker be given work again.
     pub fn keep(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.is_evacuating = false;
+            worker.evacuated_until_ms = 0;
         }
     }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -87,8 +87,8 @@
     pub(crate) is_proven: bool,
     /// Whether its last order got no answer.
     pub(crate) is_silent: bool,
-    /// Whether it is to be empty soon.
-    pub(crate) is_evacuating: bool,
+    /// Until when it is given nothing, because it is to be empty.
+    pub(crate) evacuated_until_ms: u64,
     /// What runs there, or may run there.
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) used: Resources,
@@ -127,7 +127,7 @@
             is_listed: true,
             is_proven: false,
             is_silent: false,
-            is_evacuating: false,
+            evacuated_until_ms: 0,
             runs: BTreeMap::new(),
             used: Resources::default(),
             idle_since_ms: 0,
@@ -146,7 +146,7 @@
         self.is_listed
             && self.is_proven
             && !self.is_silent
-            && !self.is_evacuating
+            && now_ms >= self.evacuated_until_ms
             && !self.info.is_draining
             && !self.health.is_avoided(now_ms)
     }
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -109,3 +109,15 @@
     assert!(is_used_after(&[(1, 2), (2, 2)]));
     assert!(!is_used_after(&[(1, 1), (2, 1), (3, 1)]));
 }
+
+#[test]
+fn a_worker_that_nobody_asks_to_be_empty_any_more_is_used_again() {
+    let mut pool = Pool::new(&["one"]);
+    let key = pool.key("one");
+    pool.scheduler.evacuate(key, pool.now());
+    pool.submit(1, job(vec![step(1)]));
+    assert!(starts(&pool.round()).is_empty());
+    // The steward that asked is gone.
+    pool.pass(2000);
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
