--- a/crates/fleetd/src/clock.rs
+++ b/crates/fleetd/src/clock.rs
@@ -30,7 +30,9 @@
         Now {
             local_ms,
             store_ms: local_ms.saturating_add_signed(self.store_offset_ms.load(Ordering::Relaxed)),
-            unix_ms: unix.map_or(0, |unix| u64::try_from(unix.as_millis()).unwrap_or(u64::MAX)),
+            unix_ms: unix.map_or(0, |unix| {
+                u64::try_from(unix.as_millis()).unwrap_or(u64::MAX)
+            }),
         }
     }
 
--- a/crates/fleetd/src/config.rs
+++ b/crates/fleetd/src/config.rs
@@ -23,12 +23,18 @@
     /// Takes a configuration with a higher epoch. False for others.
     pub(crate) fn take(&self, document: ConfigDocument) -> bool {
         let mut in_force = self.document.write();
-        if in_force.as_ref().is_some_and(|before| before.epoch >= document.epoch) {
+        if in_force
+            .as_ref()
+            .is_some_and(|before| before.epoch >= document.epoch)
+        {
             return false;
         }
         let mut pools = self.pools.write();
         for queue in &document.queues {
-            pools.entry(queue.name.clone()).or_default().insert(queue.pool.clone());
+            pools
+                .entry(queue.name.clone())
+                .or_default()
+                .insert(queue.pool.clone());
         }
         *in_force = Some(Arc::new(document));
         true
@@ -82,7 +88,7 @@
             attempts: queue.attempts.max(1),
             stretch: queue.stretch,
             objective_ms: queue.objective_ms,
-            has_policy: queue.advice.is_some(),
+            has_policy: queue.has_policy,
         };
         (queue.name.clone(), rules)
     });
--- a/crates/fleetd/src/front/calls.rs
+++ b/crates/fleetd/src/front/calls.rs
@@ -70,7 +70,10 @@
     let start = Instant::now();
     let (call, id, answer) = decide(request, node).await;
     let status = answer.status.as_u16();
-    node.metrics.answers.with_label_values(&[call, &status.to_string()]).inc();
+    node.metrics
+        .answers
+        .with_label_values(&[call, &status.to_string()])
+        .inc();
     node.metrics.answer_s.observe(start.elapsed().as_secs_f64());
     let ms = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
     if call != "state" || status != 200 {
@@ -82,7 +85,9 @@
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, json);
     if let Some(seconds) = answer.retry_after_s {
-        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        response
+            .headers_mut()
+            .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     }
     response
 }
@@ -92,7 +97,10 @@
         return ("none", SmolStr::default(), Answer::refused(RETRY_AFTER_S));
     };
     let (parts, body) = request.into_parts();
-    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
     let path = parts.uri.path();
     let Some(queue) = find_queue(&config, host.unwrap_or_default(), path) else {
         return ("none", path.into(), Answer::new(StatusCode::NOT_FOUND));
@@ -112,20 +120,28 @@
                     return ("submit", id.to_string().into(), answer);
                 }
             };
-            ("submit", id.to_string().into(), submit(node, queue, id, &body).await)
+            (
+                "submit",
+                id.to_string().into(),
+                submit(node, queue, id, &body).await,
+            )
         }
         CallerRequest::State(id) => ("state", id.to_string().into(), state(node, queue, id).await),
-        CallerRequest::Cancel(id) => {
-            ("cancel", id.to_string().into(), cancel(node, queue, id).await)
-        }
+        CallerRequest::Cancel(id) => (
+            "cancel",
+            id.to_string().into(),
+            cancel(node, queue, id).await,
+        ),
         CallerRequest::Pending => ("pending", queue.name.clone(), pending(node, queue).await),
         CallerRequest::Unknown if parts.method == Method::GET || parts.method == Method::POST => {
             let why = "the path does not end with a job id of 16 hexadecimal digits";
             ("unknown", rest.into(), Answer::bad_request(why))
         }
-        CallerRequest::Unknown => {
-            ("unknown", rest.into(), Answer::new(StatusCode::METHOD_NOT_ALLOWED))
-        }
+        CallerRequest::Unknown => (
+            "unknown",
+            rest.into(),
+            Answer::new(StatusCode::METHOD_NOT_ALLOWED),
+        ),
     }
 }
 
@@ -171,7 +187,10 @@
         if answer != HandoverAnswer::NotOwner || node.is_store_away() {
             return answer;
         }
-        if tokio::time::timeout_at(deadline, claims_read).await.is_err() {
+        if tokio::time::timeout_at(deadline, claims_read)
+            .await
+            .is_err()
+        {
             return answer;
         }
     }
@@ -179,7 +198,9 @@
 
 async fn hand_over_once(node: &Arc<Node>, handover: Handover) -> HandoverAnswer {
     if let Some(owner) = node.own_pool(&handover.pool) {
-        return owner.submit(handover.queue, handover.id, handover.spec).await;
+        return owner
+            .submit(handover.queue, handover.id, handover.spec)
+            .await;
     }
     let Some((claim, peer)) = claimant(node, &handover.pool) else {
         return HandoverAnswer::NotOwner;
@@ -190,7 +211,11 @@
         Err(err) => {
             tracing::info!(job = %job, error = %err, "the pool's daemon does not answer");
             node.suspect(&claim);
-            if is_without_effect(&err) { HandoverAnswer::NotOwner } else { HandoverAnswer::Unknown }
+            if is_without_effect(&err) {
+                HandoverAnswer::NotOwner
+            } else {
+                HandoverAnswer::Unknown
+            }
         }
     }
 }
@@ -211,7 +236,9 @@
         JobReply::State(WireState(state)) => {
             Answer::new(StatusCode::OK).with_body(state_body(state))
         }
-        JobReply::Absent | JobReply::NotOwner | JobReply::Unknown => stored_state(node, queue, id).await,
+        JobReply::Absent | JobReply::NotOwner | JobReply::Unknown => {
+            stored_state(node, queue, id).await
+        }
     }
 }
 
--- a/crates/fleetd/src/front/server.rs
+++ b/crates/fleetd/src/front/server.rs
@@ -78,7 +78,9 @@
     let mut response = answer_request(request, &node).await;
     if node.is_leaving.load(Ordering::Acquire) || node.is_store_away() {
         let close = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(http::header::CONNECTION, close);
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
     }
     node.in_flight.fetch_sub(1, Ordering::Relaxed);
     Ok(response)
--- a/crates/fleetd/src/members.rs
+++ b/crates/fleetd/src/members.rs
@@ -70,7 +70,8 @@
                 }
                 let rows = rows.into_iter().filter_map(daemon_row).collect();
                 node.peers.lock().read(rows, gap_ms);
-                node.store_answered_at_ms.store(read_at_ms, Ordering::Relaxed);
+                node.store_answered_at_ms
+                    .store(read_at_ms, Ordering::Relaxed);
                 node.claims_read.notify_waiters();
                 if local_ms().saturating_sub(started_at_ms) > SETTLE_MS && signed_at_ms > 0 {
                     take_free_units(&node).await;
@@ -86,7 +87,10 @@
         // The wait ends early when this daemon holds something new, so that peers learn of it.
         let is_first = signed_at_ms == 0 && !is_away;
         let pause = if is_first { FAILURE_PAUSE } else { READ_PERIOD };
-        if tokio::time::timeout(pause, node.holds_changed.notified()).await.is_ok() {
+        if tokio::time::timeout(pause, node.holds_changed.notified())
+            .await
+            .is_ok()
+        {
             signed_at_ms = 0;
         }
     }
@@ -166,7 +170,9 @@
                 (rows, newest)
             }),
             Some(after) => {
-                let feed = node.store.feed(OPERATOR_TABLE, after, FEED_WAIT, FEED_TIMEOUT);
+                let feed = node
+                    .store
+                    .feed(OPERATOR_TABLE, after, FEED_WAIT, FEED_TIMEOUT);
                 feed.await.map(|feed| {
                     node.clock.note_store(feed.store_ms);
                     (feed.rows, feed.version)
@@ -210,7 +216,12 @@
         }
         match decode_wave(value) {
             Ok(wave) => {
-                tracing::info!(wave = wave.number, vms = wave.vms.len(), most_down = wave.most_down, "a wave is asked for");
+                tracing::info!(
+                    wave = wave.number,
+                    vms = wave.vms.len(),
+                    most_down = wave.most_down,
+                    "a wave is asked for"
+                );
                 node.waves.lock().insert(key.clone(), wave);
             }
             Err(err) => tracing::error!(key = key.as_str(), error = %err, "a wave can't be read"),
--- a/crates/fleetd/src/metrics.rs
+++ b/crates/fleetd/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Counters and latency histograms, in the text format of Prometheus.
 
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+};
 
 /// Upper bounds of the latency buckets, in seconds; up to the longest time a caller waits.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0];
@@ -43,8 +45,15 @@
         Ok(Self {
             answers: labelled("answers_total", "Answers to callers.", &["call", "status"])?,
             answer_s: histogram("answer_seconds", "From a request's headers to its answer.")?,
-            commits: labelled("commits_total", "Transactions of pools, by outcome.", &["outcome"])?,
-            commit_s: histogram("commit_seconds", "From a transaction's first try to its outcome.")?,
+            commits: labelled(
+                "commits_total",
+                "Transactions of pools, by outcome.",
+                &["outcome"],
+            )?,
+            commit_s: histogram(
+                "commit_seconds",
+                "From a transaction's first try to its outcome.",
+            )?,
             orders: labelled("orders_total", "Orders to workers.", &["order", "outcome"])?,
             ends: labelled("run_ends_total", "Runs that ended on workers.", &["end"])?,
             takeovers: counter("takeovers_total", "Units taken over.")?,
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -20,7 +20,7 @@
 
 /// How long a call to the store may take. Thirty times its usual time, and more than it takes when it is 50 times
 /// slower than usual.
-pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
+pub(crate) const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// When the store has not answered for longer, this daemon sends callers elsewhere. It is asked every 0.4 s, and a
 /// slow answer takes 0.3 s.
--- a/crates/fleetd/src/pool/advice.rs
+++ b/crates/fleetd/src/pool/advice.rs
@@ -44,7 +44,9 @@
             Ok((allowed, valid_ms)) => {
                 tracing::info!(step, allowed = allowed.len(), valid_ms, "advised on a step");
                 let now = self.node.clock.now();
-                self.scheduler.lock().advise(request.task, allowed, valid_ms, now);
+                self.scheduler
+                    .lock()
+                    .advise(request.task, allowed, valid_ms, now);
                 self.changed.notify_one();
             }
             Err(err) => tracing::info!(step, error = %err, "no advice on a step"),
--- a/crates/fleetd/src/pool/holds.rs
+++ b/crates/fleetd/src/pool/holds.rs
@@ -68,11 +68,18 @@
             };
             let order = self.hold_order(plan);
             let sent_at_ms = local_ms();
-            let hold = self.node.workers.hold(&info.addr, &info.id, &order, HOLD_TIMEOUT);
+            let hold = self
+                .node
+                .workers
+                .hold(&info.addr, &info.id, &order, HOLD_TIMEOUT);
             let answer = hold.await;
             let orders = &self.node.metrics.orders;
             match answer {
-                Ok(HoldAnswer::Held { clock_ms, running, ended }) => {
+                Ok(HoldAnswer::Held {
+                    clock_ms,
+                    running,
+                    ended,
+                }) => {
                     orders.with_label_values(&["hold", "answered"]).inc();
                     let has_ends = !ended.is_empty();
                     let look = Look {
@@ -89,14 +96,21 @@
                 }
                 Ok(HoldAnswer::OtherLife) => {
                     orders.with_label_values(&["hold", "other life"]).inc();
-                    tracing::info!(worker = info.id.as_str(), "another life answers: this one is over");
+                    tracing::info!(
+                        worker = info.id.as_str(),
+                        "another life answers: this one is over"
+                    );
                     self.scheduler.lock().life_over(key, self.node.clock.now());
                     self.changed.notify_one();
                     break;
                 }
                 Ok(HoldAnswer::Refused) => {
                     orders.with_label_values(&["hold", "refused"]).inc();
-                    tracing::warn!(worker = info.id.as_str(), term = self.term, "a worker has seen a later term");
+                    tracing::warn!(
+                        worker = info.id.as_str(),
+                        term = self.term,
+                        "a worker has seen a later term"
+                    );
                     self.scheduler.lock().unanswered(key);
                     tokio::time::sleep(SILENT_PAUSE).await;
                 }
@@ -120,7 +134,9 @@
     fn hold_order(&self, plan: HoldPlan) -> HoldOrder {
         let wait_ms = match plan {
             HoldPlan { is_busy: false, .. } => 0,
-            HoldPlan { is_lively: true, .. } => LIVELY_LOOK_WAIT_MS,
+            HoldPlan {
+                is_lively: true, ..
+            } => LIVELY_LOOK_WAIT_MS,
             _ => LOOK_WAIT_MS,
         };
         HoldOrder {
@@ -152,7 +168,13 @@
             TaskEndKind::Gang => (RunEnd::Lost, "gang"),
         };
         self.node.metrics.ends.with_label_values(&[name]).inc();
-        tracing::info!(task = ended.task.as_str(), run = ended.run, end = name, number = ended.number, "a run ended");
+        tracing::info!(
+            task = ended.task.as_str(),
+            run = ended.run,
+            end = name,
+            number = ended.number,
+            "a run ended"
+        );
         End {
             number: ended.number,
             name: ended.task,
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -41,6 +41,12 @@
 /// whose calls only take long keeps it, as the store may be slow for all.
 const HAND_OVER_AFTER_MS: u64 = 600;
 
+/// How long a daemon that ends goes on to record jobs that wait for it. Some twenty transactions.
+const RELEASE_WAIT: Duration = Duration::from_millis(400);
+
+/// How often it looks whether any are left.
+const RELEASE_STEP: Duration = Duration::from_millis(10);
+
 /// When to come back when the store is away. Outages last from 3 s to 9 s.
 const RETRY_AFTER_OUTAGE_S: u32 = 2;
 
@@ -92,12 +98,7 @@
     }
 
     /// Takes a job in, and answers once its row is written.
-    pub(crate) async fn submit(
-        &self,
-        queue: SmolStr,
-        id: JobId,
-        spec: JobSpec,
-    ) -> HandoverAnswer {
+    pub(crate) async fn submit(&self, queue: SmolStr, id: JobId, spec: JobSpec) -> HandoverAnswer {
         if self.is_over() {
             return HandoverAnswer::NotOwner;
         }
@@ -180,10 +181,20 @@
     pub(crate) fn round(&self, ask: &RoundAsk) -> RoundReply {
         let now = self.node.clock.now();
         let mut scheduler = self.scheduler.lock();
-        for key in ask.over.iter().filter_map(|id| scheduler.worker_key(id)).collect::<Vec<_>>() {
+        for key in ask
+            .over
+            .iter()
+            .filter_map(|id| scheduler.worker_key(id))
+            .collect::<Vec<_>>()
+        {
             scheduler.life_over(key, now);
         }
-        for key in ask.keep.iter().filter_map(|id| scheduler.worker_key(id)).collect::<Vec<_>>() {
+        for key in ask
+            .keep
+            .iter()
+            .filter_map(|id| scheduler.worker_key(id))
+            .collect::<Vec<_>>()
+        {
             scheduler.keep(key);
         }
         let tasks = ask.empty.iter().map(|id| match scheduler.worker_key(id) {
@@ -201,7 +212,11 @@
             steady: demand.steady,
             unusable: demand.unusable,
             silent: demand.silent,
-            idle: demand.idle.into_iter().map(|idle| (idle.id, idle.idle_ms)).collect(),
+            idle: demand
+                .idle
+                .into_iter()
+                .map(|idle| (idle.id, idle.idle_ms))
+                .collect(),
         }
     }
 
@@ -213,7 +228,11 @@
             if since_ms == 0 || local_ms().saturating_sub(since_ms) < HAND_OVER_AFTER_MS {
                 continue;
             }
-            let other = self.node.peers.lock().least_loaded_other(&self.node.settings.daemon);
+            let other = self
+                .node
+                .peers
+                .lock()
+                .least_loaded_other(&self.node.settings.daemon);
             let Some((other, peer)) = other.and_then(|other| {
                 let peer = self.node.peer(&other.addr)?;
                 Some((other, peer))
@@ -244,7 +263,10 @@
             waker.notify_one();
         }
         let mut pools = self.node.pools.lock();
-        if pools.get(&self.pool).is_some_and(|owner| owner.term == self.term) {
+        if pools
+            .get(&self.pool)
+            .is_some_and(|owner| owner.term == self.term)
+        {
             pools.remove(&self.pool);
         }
         drop(pools);
@@ -252,10 +274,14 @@
     }
 }
 
-/// Gives up all pools, so that other daemons take them at once.
+/// Gives up all pools, so that other daemons take them at once. Jobs that wait for their row get a moment for it.
 pub(crate) async fn release_all(node: &Arc<Node>) {
     let owners: Vec<_> = node.pools.lock().values().cloned().collect();
+    let deadline = tokio::time::Instant::now() + RELEASE_WAIT;
     for owner in owners {
+        while !owner.waiters.lock().is_empty() && tokio::time::Instant::now() < deadline {
+            tokio::time::sleep(RELEASE_STEP).await;
+        }
         owner.end();
     }
 }
--- a/crates/fleetd/src/pool/orders.rs
+++ b/crates/fleetd/src/pool/orders.rs
@@ -67,7 +67,13 @@
         self.scheduler.lock().worker(worker).cloned()
     }
 
-    async fn start(self: Arc<Self>, worker: WorkerKey, task: TaskKey, run: u32, checkpoint: SmolStr) {
+    async fn start(
+        self: Arc<Self>,
+        worker: WorkerKey,
+        task: TaskKey,
+        run: u32,
+        checkpoint: SmolStr,
+    ) {
         let Some(info) = self.worker_info(worker) else {
             return;
         };
@@ -77,7 +83,8 @@
             return;
         };
         for sent in 0..START_TRIES {
-            let Some((lease_until_ms, name, payload, ticket)) = self.start_order(worker, task, run) else {
+            let Some((lease_until_ms, name, payload, ticket)) = self.start_order(worker, task, run)
+            else {
                 if sent == 0 {
                     self.start_outcome(worker, task, run, StartOutcome::Refused, None);
                     return;
@@ -93,16 +100,28 @@
                 checkpoint: &checkpoint,
                 ticket: ticket.as_deref(),
             };
-            let start = self.node.workers.start(&info.addr, &info.id, &order, ORDER_TIMEOUT);
+            let start = self
+                .node
+                .workers
+                .start(&info.addr, &info.id, &order, ORDER_TIMEOUT);
             let answer = start.await;
             if let Ok(answer) = &answer {
                 self.started(worker, task, run, &info, answer);
                 return;
             }
-            self.node.metrics.orders.with_label_values(&["start", "unanswered"]).inc();
+            self.node
+                .metrics
+                .orders
+                .with_label_values(&["start", "unanswered"])
+                .inc();
         }
         let name = task_name(&self.scheduler.lock(), task);
-        tracing::warn!(task = name.as_str(), run, worker = info.id.as_str(), "an order to start got no answer");
+        tracing::warn!(
+            task = name.as_str(),
+            run,
+            worker = info.id.as_str(),
+            "an order to start got no answer"
+        );
         self.start_outcome(worker, task, run, StartOutcome::Unanswered, None);
         self.stop(worker, name, Some(task), run).await;
     }
@@ -125,7 +144,12 @@
         let lease_until_ms = scheduler.start_lease(worker, now)?;
         let job = scheduler.job(task.job)?;
         let ticket = scheduler.ticket(worker, task, now);
-        Some((lease_until_ms, job.task_name(task.index), job.spec().clone(), ticket))
+        Some((
+            lease_until_ms,
+            job.task_name(task.index),
+            job.spec().clone(),
+            ticket,
+        ))
     }
 
     fn started(
@@ -138,24 +162,43 @@
     ) {
         let (outcome, clock_ms, label) = match *answer {
             StartAnswer::Started { clock_ms } => (StartOutcome::Started, Some(clock_ms), "started"),
-            StartAnswer::Refused { refusal: Refusal::NoRoom, clock_ms } => {
-                (StartOutcome::NoRoom, Some(clock_ms), "no room")
-            }
-            StartAnswer::Refused { refusal: Refusal::OldRun, clock_ms } => {
+            StartAnswer::Refused {
+                refusal: Refusal::NoRoom,
+                clock_ms,
+            } => (StartOutcome::NoRoom, Some(clock_ms), "no room"),
+            StartAnswer::Refused {
+                refusal: Refusal::OldRun,
+                clock_ms,
+            } => {
                 // The run was there and has ended, or was stopped: the next look tells.
                 (StartOutcome::Started, Some(clock_ms), "old run")
             }
-            StartAnswer::Refused { clock_ms, .. } => (StartOutcome::Refused, Some(clock_ms), "refused"),
+            StartAnswer::Refused { clock_ms, .. } => {
+                (StartOutcome::Refused, Some(clock_ms), "refused")
+            }
             StartAnswer::Unhealthy { .. } => (StartOutcome::Unhealthy, None, "unhealthy"),
             StartAnswer::OtherLife => {
-                self.scheduler.lock().life_over(worker, self.node.clock.now());
+                self.scheduler
+                    .lock()
+                    .life_over(worker, self.node.clock.now());
                 self.changed.notify_one();
                 return;
             }
         };
-        self.node.metrics.orders.with_label_values(&["start", label]).inc();
+        self.node
+            .metrics
+            .orders
+            .with_label_values(&["start", label])
+            .inc();
         let name = task_name(&self.scheduler.lock(), task);
-        tracing::info!(task = name.as_str(), run, worker = info.id.as_str(), outcome = label, term = self.term, "ordered a start");
+        tracing::info!(
+            task = name.as_str(),
+            run,
+            worker = info.id.as_str(),
+            outcome = label,
+            term = self.term,
+            "ordered a start"
+        );
         self.start_outcome(worker, task, run, outcome, clock_ms);
     }
 
@@ -177,7 +220,13 @@
         }
     }
 
-    async fn stop(self: Arc<Self>, worker: WorkerKey, name: SmolStr, task: Option<TaskKey>, run: u32) {
+    async fn stop(
+        self: Arc<Self>,
+        worker: WorkerKey,
+        name: SmolStr,
+        task: Option<TaskKey>,
+        run: u32,
+    ) {
         loop {
             let Some(info) = self.worker_info(worker) else {
                 return;
@@ -187,12 +236,29 @@
                 return;
             }
             let order = (name.as_str(), run);
-            let stop = self.node.workers.stop(&info.addr, &info.id, order, self.term, ORDER_TIMEOUT);
+            let stop =
+                self.node
+                    .workers
+                    .stop(&info.addr, &info.id, order, self.term, ORDER_TIMEOUT);
             let answer = stop.await;
-            let label = if answer.is_ok() { "answered" } else { "unanswered" };
-            self.node.metrics.orders.with_label_values(&["stop", label]).inc();
+            let label = if answer.is_ok() {
+                "answered"
+            } else {
+                "unanswered"
+            };
+            self.node
+                .metrics
+                .orders
+                .with_label_values(&["stop", label])
+                .inc();
             if let Ok(is_taken) = answer {
-                tracing::info!(task = name.as_str(), run, worker = info.id.as_str(), is_taken, "ordered a stop");
+                tracing::info!(
+                    task = name.as_str(),
+                    run,
+                    worker = info.id.as_str(),
+                    is_taken,
+                    "ordered a stop"
+                );
                 if let Some(task) = task.filter(|_| is_taken) {
                     let now = self.node.clock.now();
                     self.scheduler.lock().stop_taken(worker, task, run, now);
@@ -221,8 +287,16 @@
             ORDER_TIMEOUT,
         );
         let answer = pace.await;
-        let label = if answer.is_ok() { "answered" } else { "unanswered" };
-        self.node.metrics.orders.with_label_values(&["pace", label]).inc();
+        let label = if answer.is_ok() {
+            "answered"
+        } else {
+            "unanswered"
+        };
+        self.node
+            .metrics
+            .orders
+            .with_label_values(&["pace", label])
+            .inc();
         if answer.is_err() {
             // The next look finds the pace unknown and sets it again.
             self.scheduler.lock().pace_unknown(worker, &name);
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -68,26 +68,48 @@
             self.note_store_success();
             match committed {
                 Ok(sent_at_ms) => {
-                    self.node.metrics.commit_s.observe(start.elapsed().as_secs_f64());
-                    self.node.metrics.commits.with_label_values(&["written"]).inc();
+                    self.node
+                        .metrics
+                        .commit_s
+                        .observe(start.elapsed().as_secs_f64());
+                    self.node
+                        .metrics
+                        .commits
+                        .with_label_values(&["written"])
+                        .inc();
                     for id in known {
                         self.load_again(id).await;
                     }
                     return Some(sent_at_ms);
                 }
                 Err(SequenceError::Conflict(rows)) => {
-                    self.node.metrics.commits.with_label_values(&["conflict"]).inc();
+                    self.node
+                        .metrics
+                        .commits
+                        .with_label_values(&["conflict"])
+                        .inc();
                     let before = known.len();
                     known.extend(existing_jobs(&rows));
                     if known.len() == before {
-                        tracing::error!(pool = self.pool.as_str(), "a conflict names no row of the transaction");
+                        tracing::error!(
+                            pool = self.pool.as_str(),
+                            "a conflict names no row of the transaction"
+                        );
                         self.end();
                         return None;
                     }
                 }
                 Err(SequenceError::Deposed) => {
-                    self.node.metrics.commits.with_label_values(&["deposed"]).inc();
-                    tracing::warn!(pool = self.pool.as_str(), term = self.term, "another daemon has taken the pool over");
+                    self.node
+                        .metrics
+                        .commits
+                        .with_label_values(&["deposed"])
+                        .inc();
+                    tracing::warn!(
+                        pool = self.pool.as_str(),
+                        term = self.term,
+                        "another daemon has taken the pool over"
+                    );
                     self.end();
                     return None;
                 }
@@ -121,7 +143,11 @@
         let since_ms = self.failing_since_ms.swap(0, Ordering::Relaxed);
         if since_ms > 0 {
             let lost_ms = local_ms().saturating_sub(since_ms);
-            tracing::info!(pool = self.pool.as_str(), lost_ms, "the store takes transactions again");
+            tracing::info!(
+                pool = self.pool.as_str(),
+                lost_ms,
+                "the store takes transactions again"
+            );
         }
     }
 
--- a/crates/fleetd/src/pool/registry.rs
+++ b/crates/fleetd/src/pool/registry.rs
@@ -21,13 +21,18 @@
         let mut version = None;
         while !self.is_over() {
             let read = match version {
-                None => takeover::read_all(&self.node, WORKER_TABLE, "").await.map(|rows| {
-                    let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
-                    entries.clear();
-                    (rows, newest)
-                }),
+                None => takeover::read_all(&self.node, WORKER_TABLE, "")
+                    .await
+                    .map(|rows| {
+                        let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
+                        entries.clear();
+                        (rows, newest)
+                    }),
                 Some(after) => {
-                    let feed = self.node.store.feed(WORKER_TABLE, after, Duration::ZERO, STORE_TIMEOUT);
+                    let feed =
+                        self.node
+                            .store
+                            .feed(WORKER_TABLE, after, Duration::ZERO, STORE_TIMEOUT);
                     feed.await.map(|feed| {
                         self.node.clock.note_store(feed.store_ms);
                         (feed.rows, feed.version)
--- a/crates/fleetd/src/pool/sequence.rs
+++ b/crates/fleetd/src/pool/sequence.rs
@@ -95,7 +95,10 @@
                     let Some(own) = own.filter(|row| row.version != self.version) else {
                         return Err(SequenceError::Conflict(rows));
                     };
-                    let found = own.value.as_deref().map(serde_json::from_slice::<SequenceRow>);
+                    let found = own
+                        .value
+                        .as_deref()
+                        .map(serde_json::from_slice::<SequenceRow>);
                     if !matches!(found, Some(Ok(row)) if row == next) {
                         return Err(SequenceError::Deposed);
                     }
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -60,7 +60,10 @@
     let before: Option<OwnerRow> = before.and_then(|value| serde_json::from_slice(value).ok());
     if let Some(owner) = &before {
         let is_other = owner.incarnation != node.incarnation;
-        let is_serving = node.peers.lock().is_serving(&owner.daemon, &owner.incarnation);
+        let is_serving = node
+            .peers
+            .lock()
+            .is_serving(&owner.daemon, &owner.incarnation);
         let is_free = is_handed_over || owner.is_released || node.is_unannounced(unit, version);
         if is_other && !is_free && is_serving {
             return Ok(None);
@@ -87,7 +90,13 @@
         Commit::Committed { version } => {
             node.metrics.takeovers.inc();
             let from = before.as_ref().map_or("", |owner| owner.daemon.as_str());
-            tracing::info!(unit = unit.as_str(), term, from, version, "took a unit over");
+            tracing::info!(
+                unit = unit.as_str(),
+                term,
+                from,
+                version,
+                "took a unit over"
+            );
             Ok(Some(Taken {
                 term,
                 sequence: Sequence::new(unit.clone(), term, version),
@@ -135,7 +144,12 @@
     }
     let now = node.clock.now();
     let jobs = jobs_of(rows);
-    tracing::info!(pool = pool.as_str(), term = taken.term, jobs = jobs.len(), "adopts the pool's jobs");
+    tracing::info!(
+        pool = pool.as_str(),
+        term = taken.term,
+        jobs = jobs.len(),
+        "adopts the pool's jobs"
+    );
     for job in jobs {
         scheduler.adopt(job, now);
     }
@@ -182,7 +196,9 @@
         let id = JobId::parse(&row.key.key);
         let value = row.value.as_deref().unwrap_or_default();
         let is_spec = row.key.table == tables::JOB;
-        let spec = serde_json::from_slice::<JobRow>(value).ok().filter(|_| is_spec);
+        let spec = serde_json::from_slice::<JobRow>(value)
+            .ok()
+            .filter(|_| is_spec);
         match (id, spec, read_progress(value)) {
             (Some(id), Some(spec), _) if spec.spec.check().is_ok() => specs.push((id, spec)),
             (Some(id), _, Some(record)) if !is_spec => {
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -130,7 +130,9 @@
     let handle = server.start(PeerCalls { node: node.clone() }.into_rpc());
     tokio::spawn(handle.stopped());
     let addr = settings.callers_addr;
-    serve(addr, node.clone()).await.context(ListenSnafu { addr })
+    serve(addr, node.clone())
+        .await
+        .context(ListenSnafu { addr })
 }
 
 /// The settings are read at the start only: what can change while a process runs is in the operators' rows.
@@ -165,7 +167,11 @@
 impl PoolServer for PeerCalls {
     async fn submit(&self, handover: Handover) -> RpcResult<HandoverAnswer> {
         Ok(match self.node.own_pool(&handover.pool) {
-            Some(owner) => owner.submit(handover.queue, handover.id, handover.spec).await,
+            Some(owner) => {
+                owner
+                    .submit(handover.queue, handover.id, handover.spec)
+                    .await
+            }
             None => HandoverAnswer::NotOwner,
         })
     }
--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -103,7 +103,10 @@
         let next_at_ms = before.last_order_at_ms + gap_ms;
         return Duration::from_millis(next_at_ms.saturating_sub(node.clock.now().store_ms));
     }
-    let restarted = node.peers.lock().restarted_at_ms(&before.daemon, &before.incarnation);
+    let restarted = node
+        .peers
+        .lock()
+        .restarted_at_ms(&before.daemon, &before.incarnation);
     let gap_ms = match restarted {
         // The process that gave the last order had ended when the next one started.
         Some(at_ms) => (at_ms + gap_ms).saturating_sub(node.clock.now().store_ms),
@@ -121,7 +124,11 @@
 ) {
     loop {
         tokio::time::sleep(RENEWAL_PERIOD).await;
-        let renewed = sequence.lock().await.commit(&node, Transaction::default(), |_| {}).await;
+        let renewed = sequence
+            .lock()
+            .await
+            .commit(&node, Transaction::default(), |_| {})
+            .await;
         match renewed {
             Ok(sent_at_ms) => lease.lock().renewed(sent_at_ms),
             Err(_) => return,
@@ -144,8 +151,15 @@
         let value = serde_json::to_vec(&owner).unwrap_or_default();
         let transaction = Transaction::default().with_write(key, value);
         let mut sequence = self.sequence.lock().await;
-        let released = sequence.commit(&self.node, transaction, |_| {}).await.is_ok();
-        tracing::info!(released, last_order_at_ms = self.last_order_at_ms, "gives the stewardship up");
+        let released = sequence
+            .commit(&self.node, transaction, |_| {})
+            .await
+            .is_ok();
+        tracing::info!(
+            released,
+            last_order_at_ms = self.last_order_at_ms,
+            "gives the stewardship up"
+        );
     }
 
     async fn round(&mut self) {
@@ -163,7 +177,9 @@
         let standby = self.standby_pools();
         self.find_ended_lives(&listed);
         let replies = self.ask_pools(&standby).await;
-        let silent = replies.iter().map(|(pool, reply)| (pool.clone(), reply.silent.clone()));
+        let silent = replies
+            .iter()
+            .map(|(pool, reply)| (pool.clone(), reply.silent.clone()));
         self.silent = silent.collect();
         let list = wave_vms(&listed, &standby, &self.emptying, &replies);
         let (mut empty, mut orders) = self.waves.next(&list);
@@ -207,7 +223,9 @@
     /// One exchange with each pool's daemon.
     async fn ask_pools(&mut self, standby: &BTreeSet<SmolStr>) -> BTreeMap<SmolStr, RoundReply> {
         let units = self.node.in_force.units();
-        let pools = units.into_iter().filter(|unit| unit != FLEET_UNIT && !standby.contains(unit));
+        let pools = units
+            .into_iter()
+            .filter(|unit| unit != FLEET_UNIT && !standby.contains(unit));
         let mut asked = JoinSet::new();
         for pool in pools {
             let empty = self.emptying.get(&pool);
@@ -242,7 +260,9 @@
         }
         for (pool, workers) in before {
             let now = self.emptying.get(&pool);
-            let dropped = workers.into_iter().filter(|worker| now.is_none_or(|now| !now.contains(worker)));
+            let dropped = workers
+                .into_iter()
+                .filter(|worker| now.is_none_or(|now| !now.contains(worker)));
             // Those whose order follows stay empty; they are told of as over once it is answered.
             let ordered = dropped.filter(|worker| {
                 let vm = listed.iter().find(|vm| vm.worker.as_ref() == Some(worker));
@@ -264,9 +284,15 @@
     ) -> Vec<Order> {
         let again = self.in_doubt.iter();
         let mut orders: Vec<_> = again
-            .map(|(vm, pool)| Order::Move { vm: vm.clone(), pool: pool.clone() })
+            .map(|(vm, pool)| Order::Move {
+                vm: vm.clone(),
+                pool: pool.clone(),
+            })
+            .collect();
+        let vms = listed
+            .iter()
+            .map(|vm| (vm.vm.clone(), self.vm_state(vm, replies)))
             .collect();
-        let vms = listed.iter().map(|vm| (vm.vm.clone(), self.vm_state(vm, replies))).collect();
         let pools = pool_states(standby, replies);
         let steps = plan_moves(&pools, &vms, MOST_MOVES);
         log_pools(&pools, &vms);
@@ -274,25 +300,37 @@
         let planned = steps.moves;
         let mut promised: BTreeMap<SmolStr, Vec<(SmolStr, SmolStr)>> = BTreeMap::new();
         for planned in &planned {
-            let worker = listed.iter().find(|vm| vm.vm == planned.vm).and_then(|vm| vm.worker.clone());
+            let worker = listed
+                .iter()
+                .find(|vm| vm.vm == planned.vm)
+                .and_then(|vm| vm.worker.clone());
             match worker.filter(|_| !standby.contains(&planned.from)) {
                 Some(worker) => {
                     let asked = promised.entry(planned.from.clone()).or_default();
                     asked.push((planned.vm.clone(), worker));
                 }
-                None => orders.push(Order::Move { vm: planned.vm.clone(), pool: planned.to.clone() }),
+                None => orders.push(Order::Move {
+                    vm: planned.vm.clone(),
+                    pool: planned.to.clone(),
+                }),
             }
         }
         for (pool, asked) in promised {
             let empty: Vec<_> = asked.iter().map(|(_, worker)| worker.clone()).collect();
-            let ask = RoundAsk { empty, ..RoundAsk::default() };
+            let ask = RoundAsk {
+                empty,
+                ..RoundAsk::default()
+            };
             let Some(reply) = ask_pool(&self.node, &pool, ask).await else {
                 continue;
             };
             for ((vm, worker), tasks) in asked.into_iter().zip(reply.tasks) {
                 let to = planned.iter().find(|planned| planned.vm == vm);
                 match to.filter(|_| tasks == 0) {
-                    Some(to) => orders.push(Order::Move { vm, pool: to.to.clone() }),
+                    Some(to) => orders.push(Order::Move {
+                        vm,
+                        pool: to.to.clone(),
+                    }),
                     None => self.kept.entry(pool.clone()).or_default().push(worker),
                 }
             }
@@ -303,10 +341,16 @@
     fn vm_state(&self, vm: &ListedVm, replies: &BTreeMap<SmolStr, RoundReply>) -> VmState {
         let reply = replies.get(&vm.pool);
         let idle = reply.map(|reply| &reply.idle).into_iter().flatten();
-        let idle = idle.into_iter().find(|(worker, _)| vm.worker.as_ref() == Some(worker));
+        let idle = idle
+            .into_iter()
+            .find(|(worker, _)| vm.worker.as_ref() == Some(worker));
         let is_reclaimed = self.reclaimed.contains(&vm.vm);
         let is_emptied = is_reclaimed && tasks_left(vm, &self.emptying, replies) == Some(0);
-        let has = |workers: &Vec<SmolStr>| vm.worker.as_ref().is_some_and(|worker| workers.contains(worker));
+        let has = |workers: &Vec<SmolStr>| {
+            vm.worker
+                .as_ref()
+                .is_some_and(|worker| workers.contains(worker))
+        };
         let is_unusable = reply.is_some_and(|reply| has(&reply.unusable));
         let is_promised = self.in_doubt.contains_key(&vm.vm) || self.waves.has_under_way(&vm.vm);
         VmState {
@@ -315,7 +359,11 @@
             is_movable: vm.phase == VmPhase::Up && !is_promised,
             is_steady: reply.is_some_and(|reply| has(&reply.steady)),
             is_reclaimed,
-            idle_ms: if is_emptied { Some(0) } else { idle.map(|(_, idle_ms)| *idle_ms) },
+            idle_ms: if is_emptied {
+                Some(0)
+            } else {
+                idle.map(|(_, idle_ms)| *idle_ms)
+            },
         }
     }
 
@@ -342,9 +390,16 @@
             return;
         };
         match result {
-            OrderResult::Begun => self.over.entry(pool.clone()).or_default().push(worker.clone()),
+            OrderResult::Begun => self
+                .over
+                .entry(pool.clone())
+                .or_default()
+                .push(worker.clone()),
             OrderResult::Busy | OrderResult::Impossible => {
-                self.kept.entry(pool.clone()).or_default().push(worker.clone());
+                self.kept
+                    .entry(pool.clone())
+                    .or_default()
+                    .push(worker.clone());
             }
             OrderResult::Unanswered => {}
         }
@@ -375,7 +430,15 @@
         let idle = useful.iter().filter(|vm| vm.idle_ms.is_some()).count();
         let (urgent, wanted) = (state.urgent, state.wanted);
         let (useful, other) = (useful.len(), other.len());
-        tracing::info!(pool = pool.as_str(), urgent, wanted, useful, idle, other, "a pool's VMs");
+        tracing::info!(
+            pool = pool.as_str(),
+            urgent,
+            wanted,
+            useful,
+            idle,
+            other,
+            "a pool's VMs"
+        );
     }
 }
 
@@ -392,7 +455,11 @@
     standby: &BTreeSet<SmolStr>,
     replies: &BTreeMap<SmolStr, RoundReply>,
 ) -> BTreeMap<SmolStr, PoolState> {
-    let off = PoolState { is_standby: true, urgent: 0, wanted: 0 };
+    let off = PoolState {
+        is_standby: true,
+        urgent: 0,
+        wanted: 0,
+    };
     let standby = standby.iter().map(|pool| (pool.clone(), off.clone()));
     let asked = replies.iter().map(|(pool, reply)| {
         let state = PoolState {
@@ -417,7 +484,10 @@
         let tasks = tasks_left(vm, emptying, replies);
         let reply = replies.get(&vm.pool);
         let is_idle = reply.is_some_and(|reply| {
-            reply.idle.iter().any(|(worker, _)| vm.worker.as_ref() == Some(worker))
+            reply
+                .idle
+                .iter()
+                .any(|(worker, _)| vm.worker.as_ref() == Some(worker))
         });
         let state = WaveVm {
             is_up: vm.phase == VmPhase::Up,
@@ -437,6 +507,9 @@
     replies: &BTreeMap<SmolStr, RoundReply>,
 ) -> Option<usize> {
     // The reply has the workers in the order in which they were asked for.
-    let place = emptying.get(&vm.pool)?.iter().position(|worker| vm.worker.as_ref() == Some(worker))?;
+    let place = emptying
+        .get(&vm.pool)?
+        .iter()
+        .position(|worker| vm.worker.as_ref() == Some(worker))?;
     replies.get(&vm.pool)?.tasks.get(place).copied()
 }
--- a/crates/fleetd/src/steward/orders.rs
+++ b/crates/fleetd/src/steward/orders.rs
@@ -25,7 +25,11 @@
     /// Move it to a pool.
     Move { vm: SmolStr, pool: SmolStr },
     /// Maintain it as part of a wave, which has a key and a number.
-    Maintain { vm: SmolStr, wave: SmolStr, number: u64 },
+    Maintain {
+        vm: SmolStr,
+        wave: SmolStr,
+        number: u64,
+    },
 }
 
 /// What sending orders takes.
@@ -56,7 +60,9 @@
         while let Some(joined) = sent.join_next().await {
             match joined {
                 Ok(result) => results.push(result),
-                Err(err) => tracing::error!(error = %err, "an order to a VM was not carried through"),
+                Err(err) => {
+                    tracing::error!(error = %err, "an order to a VM was not carried through");
+                }
             }
         }
         results
--- a/crates/fleetd/src/steward/waves.rs
+++ b/crates/fleetd/src/steward/waves.rs
@@ -70,7 +70,14 @@
             let maintenance = Duration::try_from_secs_f64(seconds).unwrap_or_default();
             let maintenance_ms = u64::try_from(maintenance.as_millis()).unwrap_or(0);
             let now_ms = local_ms();
-            let wave = Wave::new(order.vms, &row.begun, order.most_down, maintenance_ms, now_ms, left_ms);
+            let wave = Wave::new(
+                order.vms,
+                &row.begun,
+                order.most_down,
+                maintenance_ms,
+                now_ms,
+                left_ms,
+            );
             if !row.is_done {
                 write_status(node, &key, false).await;
             }
@@ -80,11 +87,18 @@
     }
 
     /// The VMs to empty and the orders to send.
-    pub(super) fn next(&mut self, list: &BTreeMap<SmolStr, WaveVm>) -> (BTreeSet<SmolStr>, Vec<Order>) {
+    pub(super) fn next(
+        &mut self,
+        list: &BTreeMap<SmolStr, WaveVm>,
+    ) -> (BTreeSet<SmolStr>, Vec<Order>) {
         let now_ms = local_ms();
         let mut empty = BTreeSet::new();
         let mut orders = Vec::new();
-        for (key, known) in self.known.iter_mut().filter(|(_, known)| !known.row.is_done) {
+        for (key, known) in self
+            .known
+            .iter_mut()
+            .filter(|(_, known)| !known.row.is_done)
+        {
             let next = known.wave.next(list, now_ms);
             empty.extend(next.empty);
             let order = |vm| Order::Maintain {
@@ -124,7 +138,11 @@
             // Plain data, which can always be written.
             let value = serde_json::to_vec(&row).unwrap_or_default();
             let transaction = Transaction::default().with_write(row_key, value);
-            let written = sequence.lock().await.commit(node, transaction, |_| {}).await;
+            let written = sequence
+                .lock()
+                .await
+                .commit(node, transaction, |_| {})
+                .await;
             if written.is_err() {
                 return;
             }
@@ -141,6 +159,11 @@
     let value = format!(r#"{{"state":"{state}"}}"#).into_bytes();
     let transaction = Transaction::default().with_write(RowKey::new(STATUS_TABLE, "", key), value);
     let written = node.store.commit(&transaction, STORE_TIMEOUT).await;
-    tracing::info!(wave = key, state, is_written = written.is_ok(), "a wave's state is reported");
+    tracing::info!(
+        wave = key,
+        state,
+        is_written = written.is_ok(),
+        "a wave's state is reported"
+    );
     written.is_ok()
 }
--- a/crates/ownership/src/peers.rs
+++ b/crates/ownership/src/peers.rs
@@ -61,7 +61,7 @@
 /// The daemons, by their rows.
 #[derive(Debug, Clone)]
 pub struct Peers {
-    peers: BTreeMap<SmolStr, Peer>,
+    by_daemon: BTreeMap<SmolStr, Peer>,
     dead_after_ms: u64,
     suspect_dead_after_ms: u64,
     longest_gap_ms: u64,
@@ -74,7 +74,7 @@
     #[must_use]
     pub fn new(dead_after_ms: u64, suspect_dead_after_ms: u64, longest_gap_ms: u64) -> Self {
         Self {
-            peers: BTreeMap::new(),
+            by_daemon: BTreeMap::new(),
             dead_after_ms,
             suspect_dead_after_ms,
             longest_gap_ms,
@@ -84,25 +84,28 @@
     /// Takes in all rows, read `gap_ms` after those before.
     pub fn read(&mut self, rows: Vec<(SmolStr, u64, DaemonRow)>, gap_ms: u64) {
         let gap_ms = gap_ms.min(self.longest_gap_ms);
-        let mut peers = BTreeMap::new();
+        let mut by_daemon = BTreeMap::new();
         for (daemon, version, row) in rows {
-            let before = self.peers.get(&daemon).filter(|peer| peer.version == version);
+            let before = self
+                .by_daemon
+                .get(&daemon)
+                .filter(|peer| peer.version == version);
             let unchanged_ms = before.map_or(0, |peer| peer.unchanged_ms + gap_ms);
             let is_suspect = before.is_some_and(|peer| peer.is_suspect);
             let peer = Peer {
-                is_suspect,
                 row,
                 version,
                 unchanged_ms,
+                is_suspect,
             };
-            peers.insert(daemon, peer);
+            by_daemon.insert(daemon, peer);
         }
-        self.peers = peers;
+        self.by_daemon = by_daemon;
     }
 
     /// A call to a daemon failed.
     pub fn suspect(&mut self, daemon: &str) {
-        if let Some(peer) = self.peers.get_mut(daemon) {
+        if let Some(peer) = self.by_daemon.get_mut(daemon) {
             peer.is_suspect = true;
         }
     }
@@ -110,15 +113,18 @@
     /// When the present life of a daemon started, on the store's clock; `None` when that is still the life named.
     #[must_use]
     pub fn restarted_at_ms(&self, daemon: &str, incarnation: &str) -> Option<u64> {
-        let row = &self.peers.get(daemon)?.row;
+        let row = &self.by_daemon.get(daemon)?.row;
         (row.incarnation != incarnation).then_some(row.started_at_ms)
     }
 
     /// Another daemon that is alive and stays, the one that holds the least.
     #[must_use]
     pub fn least_loaded_other(&self, daemon: &str) -> Option<Claim> {
-        let others = self.peers.iter().filter(|(name, peer)| {
-            name.as_str() != daemon && self.is_alive(peer) && !peer.row.is_leaving && !peer.is_suspect
+        let others = self.by_daemon.iter().filter(|(name, peer)| {
+            name.as_str() != daemon
+                && self.is_alive(peer)
+                && !peer.row.is_leaving
+                && !peer.is_suspect
         });
         let least = others.min_by_key(|(_, peer)| peer.row.holds.len())?;
         Some(Claim {
@@ -131,7 +137,7 @@
     /// Whether that life of a daemon is alive and stays.
     #[must_use]
     pub fn is_serving(&self, daemon: &str, incarnation: &str) -> bool {
-        self.peers.get(daemon).is_some_and(|peer| {
+        self.by_daemon.get(daemon).is_some_and(|peer| {
             peer.row.incarnation == incarnation && self.is_alive(peer) && !peer.row.is_leaving
         })
     }
@@ -148,7 +154,7 @@
     /// The claim of the highest term to a unit, whether its daemon is alive or not.
     #[must_use]
     pub fn claim(&self, unit: &str) -> Option<Claim> {
-        let claims = self.peers.iter().filter_map(|(daemon, peer)| {
+        let claims = self.by_daemon.iter().filter_map(|(daemon, peer)| {
             let term = *peer.row.holds.get(unit)?;
             Some(Claim {
                 daemon: daemon.clone(),
@@ -161,7 +167,7 @@
 
     fn is_held(&self, unit: &str) -> bool {
         let claim = self.claim(unit);
-        let peer = claim.and_then(|claim| self.peers.get(&claim.daemon));
+        let peer = claim.and_then(|claim| self.by_daemon.get(&claim.daemon));
         peer.is_some_and(|peer| self.is_alive(peer) && !peer.row.is_leaving)
     }
 
@@ -170,7 +176,7 @@
     #[must_use]
     pub fn to_take(&self, daemon: &str, units: &[SmolStr]) -> Vec<SmolStr> {
         let serving = self
-            .peers
+            .by_daemon
             .iter()
             .filter(|(_, peer)| self.is_alive(peer) && !peer.row.is_leaving);
         // Of those that hold as much, the youngest: when daemons are restarted in turn, it was restarted already.
--- a/crates/ownership/tests/peers.rs
+++ b/crates/ownership/tests/peers.rs
@@ -10,7 +10,10 @@
 const GAP_MS: u64 = 400;
 
 fn row(daemon: &str, life: &str, holds: &[(&str, u64)]) -> (SmolStr, DaemonRow) {
-    let holds: BTreeMap<SmolStr, u64> = holds.iter().map(|(unit, term)| ((*unit).into(), *term)).collect();
+    let holds: BTreeMap<SmolStr, u64> = holds
+        .iter()
+        .map(|(unit, term)| ((*unit).into(), *term))
+        .collect();
     let row = DaemonRow {
         incarnation: life.into(),
         addr: format_smolstr!("{daemon}:1"),
@@ -22,7 +25,9 @@
 }
 
 fn read(peers: &mut Peers, version: u64, rows: &[(SmolStr, DaemonRow)], gap_ms: u64) {
-    let rows = rows.iter().map(|(daemon, row)| (daemon.clone(), version, row.clone()));
+    let rows = rows
+        .iter()
+        .map(|(daemon, row)| (daemon.clone(), version, row.clone()));
     peers.read(rows.collect(), gap_ms);
 }
 
@@ -73,7 +78,11 @@
 #[test]
 fn free_units_are_divided_and_all_daemons_agree() {
     let mut peers = peers();
-    let rows = [row("a", "1", &[]), row("b", "1", &[("p1", 3)]), row("c", "1", &[])];
+    let rows = [
+        row("a", "1", &[]),
+        row("b", "1", &[("p1", 3)]),
+        row("c", "1", &[]),
+    ];
     read(&mut peers, 1, &rows, 0);
     let units: Vec<SmolStr> = ["p1", "p2", "p3"].map(SmolStr::from).to_vec();
     let takers = ["a", "b", "c"].map(|daemon| peers.to_take(daemon, &units).len());
@@ -83,7 +92,12 @@
 #[test]
 fn the_highest_term_is_the_claim() {
     let mut peers = peers();
-    read(&mut peers, 1, &[row("a", "1", &[("p1", 3)]), row("b", "1", &[("p1", 4)])], 0);
+    read(
+        &mut peers,
+        1,
+        &[row("a", "1", &[("p1", 3)]), row("b", "1", &[("p1", 4)])],
+        0,
+    );
     assert_eq!(peers.claim("p1").unwrap().daemon, "b");
     assert_eq!(peers.claim("p2"), None);
 }
--- a/crates/pools/src/balance.rs
+++ b/crates/pools/src/balance.rs
@@ -132,7 +132,8 @@
             };
             let spare = free.remove(found);
             if !spare.is_reclaimed {
-                have.entry(spare.pool.clone()).and_modify(|count| *count = count.saturating_sub(1));
+                have.entry(spare.pool.clone())
+                    .and_modify(|count| *count = count.saturating_sub(1));
             }
             have.entry(to.clone()).and_modify(|count| *count += 1);
             steps.moves.push(spare.to(to));
@@ -159,7 +160,8 @@
         let is_surplus = have[spare.pool] > shares[spare.pool] + SPARE_VMS;
         let is_releasable = !spare.is_standby && !spare.is_reclaimed;
         if is_releasable && is_surplus && spare.idle_ms >= RELEASE_IDLE_MS {
-            have.entry(spare.pool.clone()).and_modify(|count| *count = count.saturating_sub(1));
+            have.entry(spare.pool.clone())
+                .and_modify(|count| *count = count.saturating_sub(1));
             steps.moves.push(spare.to(standby));
         }
     }
@@ -173,7 +175,10 @@
     have: &Counts,
     lacking: usize,
 ) -> Vec<SmolStr> {
-    let under_way = vms.iter().filter(|(_, vm)| vm.is_reclaimed).map(|(vm, _)| vm.clone());
+    let under_way = vms
+        .iter()
+        .filter(|(_, vm)| vm.is_reclaimed)
+        .map(|(vm, _)| vm.clone());
     let mut reclaimed: Vec<SmolStr> = under_way.take(lacking).collect();
     for (pool, state) in pools.iter().filter(|(_, pool)| !pool.is_standby) {
         let surplus = have[pool].saturating_sub(shares[pool].max(state.urgent));
@@ -195,7 +200,9 @@
     let urgent = pools.iter().map(|(name, pool)| (name, pool.urgent));
     let mut shares = divide(urgent, total);
     let left = total.saturating_sub(shares.values().sum());
-    let rest = pools.iter().map(|(name, pool)| (name, pool.wanted.saturating_sub(pool.urgent)));
+    let rest = pools
+        .iter()
+        .map(|(name, pool)| (name, pool.wanted.saturating_sub(pool.urgent)));
     for (pool, more) in divide(rest, left) {
         shares.entry(pool).and_modify(|share| *share += more);
     }
@@ -206,8 +213,17 @@
 fn divide<'a>(asked: impl Iterator<Item = (&'a SmolStr, usize)>, total: usize) -> Counts {
     let asked: Vec<_> = asked.collect();
     let sum: usize = asked.iter().map(|(_, asked)| asked).sum();
-    let part = |asked: usize| if sum <= total { asked } else { asked * total / sum.max(1) };
-    asked.into_iter().map(|(pool, asked)| (pool.clone(), part(asked))).collect()
+    let part = |asked: usize| {
+        if sum <= total {
+            asked
+        } else {
+            asked * total / sum.max(1)
+        }
+    };
+    asked
+        .into_iter()
+        .map(|(pool, asked)| (pool.clone(), part(asked)))
+        .collect()
 }
 
 /// A VM that could be moved.
@@ -221,7 +237,11 @@
 
 impl Spare<'_> {
     fn to(&self, pool: &SmolStr) -> Move {
-        Move { vm: self.vm.clone(), from: self.pool.clone(), to: pool.clone() }
+        Move {
+            vm: self.vm.clone(),
+            from: self.pool.clone(),
+            to: pool.clone(),
+        }
     }
 }
 
@@ -230,18 +250,21 @@
     pools: &BTreeMap<SmolStr, PoolState>,
     vms: &'a BTreeMap<SmolStr, VmState>,
 ) -> Vec<Spare<'a>> {
-    let spare = vms.iter().filter(|(_, vm)| vm.is_movable).filter_map(|(name, vm)| {
-        let is_standby = pools.get(&vm.pool)?.is_standby;
-        let idle_ms = if is_standby { u64::MAX } else { vm.idle_ms? };
-        let is_spare = is_standby || vm.is_reclaimed || idle_ms >= LEND_IDLE_MS;
-        is_spare.then_some(Spare {
-            idle_ms,
-            vm: name,
-            pool: &vm.pool,
-            is_standby,
-            is_reclaimed: vm.is_reclaimed,
-        })
-    });
+    let spare = vms
+        .iter()
+        .filter(|(_, vm)| vm.is_movable)
+        .filter_map(|(name, vm)| {
+            let is_standby = pools.get(&vm.pool)?.is_standby;
+            let idle_ms = if is_standby { u64::MAX } else { vm.idle_ms? };
+            let is_spare = is_standby || vm.is_reclaimed || idle_ms >= LEND_IDLE_MS;
+            is_spare.then_some(Spare {
+                idle_ms,
+                vm: name,
+                pool: &vm.pool,
+                is_standby,
+                is_reclaimed: vm.is_reclaimed,
+            })
+        });
     let mut spare: Vec<_> = spare.collect();
     spare.sort_by_key(|spare| (std::cmp::Reverse(spare.idle_ms), spare.vm));
     spare
--- a/crates/pools/src/wave.rs
+++ b/crates/pools/src/wave.rs
@@ -6,6 +6,7 @@
 
 /// A VM of a wave as the list shows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts")]
 pub struct WaveVm {
     /// Whether it runs, and no order on it is under way.
     pub is_up: bool,
@@ -86,7 +87,11 @@
         left_ms: u64,
     ) -> Self {
         let step = |vm: &SmolStr| {
-            if begun.contains(vm) { Step::Over } else { Step::Waiting { not_before_ms: 0 } }
+            if begun.contains(vm) {
+                Step::Over
+            } else {
+                Step::Waiting { not_before_ms: 0 }
+            }
         };
         Self {
             most_down: most_down.max(1),
@@ -98,9 +103,10 @@
 
     /// The VMs whose maintenance has begun.
     pub fn begun(&self) -> impl Iterator<Item = &SmolStr> {
-        let begun = self.steps.iter().filter(|(_, step)| {
-            matches!(step, Step::Begun { .. } | Step::Over)
-        });
+        let begun = self
+            .steps
+            .iter()
+            .filter(|(_, step)| matches!(step, Step::Begun { .. } | Step::Over));
         begun.map(|(vm, _)| vm)
     }
 
@@ -122,7 +128,10 @@
     #[must_use]
     pub fn down(&self) -> usize {
         let down = self.steps.values().filter(|step| {
-            matches!(step, Step::Ordered | Step::InDoubt { .. } | Step::Begun { .. })
+            matches!(
+                step,
+                Step::Ordered | Step::InDoubt { .. } | Step::Begun { .. }
+            )
         });
         down.count()
     }
@@ -134,7 +143,9 @@
         let mut room = self.most_down.saturating_sub(self.down());
         for (vm, step) in &mut self.steps {
             let is_due = match *step {
-                Step::Emptying => list.get(vm).is_some_and(|vm| vm.is_empty && vm.is_up) && room > 0,
+                Step::Emptying => {
+                    list.get(vm).is_some_and(|vm| vm.is_empty && vm.is_up) && room > 0
+                }
                 Step::InDoubt { not_before_ms } => now_ms >= not_before_ms,
                 _ => false,
             };
@@ -145,14 +156,21 @@
             }
         }
         self.choose(list, now_ms);
-        let emptying = self.steps.iter().filter(|(_, step)| **step == Step::Emptying);
+        let emptying = self
+            .steps
+            .iter()
+            .filter(|(_, step)| **step == Step::Emptying);
         next.empty = emptying.map(|(vm, _)| vm.clone()).collect();
         next
     }
 
     /// Chooses the VMs to empty next, while others are down, so that the wave does not wait for them.
     fn choose(&mut self, list: &BTreeMap<SmolStr, WaveVm>, now_ms: u64) {
-        let emptying = self.steps.values().filter(|step| **step == Step::Emptying).count();
+        let emptying = self
+            .steps
+            .values()
+            .filter(|step| **step == Step::Emptying)
+            .count();
         let mut free = (2 * self.most_down).saturating_sub(self.down() + emptying);
         let waiting = self.steps.iter().filter(|(_, step)| match step {
             Step::Waiting { not_before_ms } => now_ms >= *not_before_ms,
@@ -176,9 +194,14 @@
     }
 
     fn easy_under_way(&self, list: &BTreeMap<SmolStr, WaveVm>) -> usize {
-        let emptying = self.steps.iter().filter(|(_, step)| **step == Step::Emptying);
+        let emptying = self
+            .steps
+            .iter()
+            .filter(|(_, step)| **step == Step::Emptying);
         let listed = emptying.filter_map(|(vm, _)| list.get(vm));
-        listed.filter(|vm| vm.is_standby || vm.is_idle || vm.is_empty).count()
+        listed
+            .filter(|vm| vm.is_standby || vm.is_idle || vm.is_empty)
+            .count()
     }
 
     /// How many busy VMs have to be emptied at once for all of them to be done in the planned time.
--- a/crates/pools/tests/balance.rs
+++ b/crates/pools/tests/balance.rs
@@ -12,12 +12,26 @@
 
 impl Fleet {
     fn new() -> Self {
-        let off = PoolState { is_standby: true, urgent: 0, wanted: 0 };
-        Self { pools: BTreeMap::from([("off".into(), off)]), vms: BTreeMap::new() }
+        let off = PoolState {
+            is_standby: true,
+            urgent: 0,
+            wanted: 0,
+        };
+        Self {
+            pools: BTreeMap::from([("off".into(), off)]),
+            vms: BTreeMap::new(),
+        }
     }
 
     fn with_pool(mut self, name: &str, urgent: usize, wanted: usize) -> Self {
-        self.pools.insert(name.into(), PoolState { is_standby: false, urgent, wanted });
+        self.pools.insert(
+            name.into(),
+            PoolState {
+                is_standby: false,
+                urgent,
+                wanted,
+            },
+        );
         self
     }
 
@@ -31,7 +45,8 @@
                 is_reclaimed: false,
                 idle_ms,
             };
-            self.vms.insert(format_smolstr!("vm-{:02}", self.vms.len()), vm);
+            self.vms
+                .insert(format_smolstr!("vm-{:02}", self.vms.len()), vm);
         }
         self
     }
@@ -43,7 +58,11 @@
 
 fn check(name: &str, fleet: &Fleet, moves: &[(&str, &str)], reclaimed: usize) {
     let steps = fleet.plan();
-    let found: Vec<_> = steps.moves.iter().map(|done| (done.from.as_str(), done.to.as_str())).collect();
+    let found: Vec<_> = steps
+        .moves
+        .iter()
+        .map(|done| (done.from.as_str(), done.to.as_str()))
+        .collect();
     assert_eq!(found, moves, "{name}");
     assert_eq!(steps.reclaim.len(), reclaimed, "{name}");
 }
@@ -52,21 +71,48 @@
 fn vms_go_where_work_can_still_be_on_time() {
     let turn = Fleet::new().with_pool("a", 2, 2).with_vms("off", 3, None);
     check("from standby", &turn, &[("off", "a"), ("off", "a")], 0);
-    let lent = Fleet::new().with_pool("a", 2, 2).with_pool("b", 1, 1).with_vms("b", 3, Some(400));
-    check("from a pool that has more than it wants", &lent, &[("b", "a"), ("b", "a")], 0);
-    let fresh = Fleet::new().with_pool("a", 1, 1).with_pool("b", 1, 1).with_vms("b", 3, Some(100));
+    let lent = Fleet::new()
+        .with_pool("a", 2, 2)
+        .with_pool("b", 1, 1)
+        .with_vms("b", 3, Some(400));
+    check(
+        "from a pool that has more than it wants",
+        &lent,
+        &[("b", "a"), ("b", "a")],
+        0,
+    );
+    let fresh = Fleet::new()
+        .with_pool("a", 1, 1)
+        .with_pool("b", 1, 1)
+        .with_vms("b", 3, Some(100));
     check("not at the first pause", &fresh, &[], 0);
-    let over = Fleet::new().with_pool("a", 1, 1).with_vms("a", 4, Some(2000));
-    check("back to standby but for one", &over, &[("a", "off"), ("a", "off")], 0);
-    let late = Fleet::new().with_pool("a", 6, 6).with_pool("b", 2, 8).with_vms("b", 8, None);
+    let over = Fleet::new()
+        .with_pool("a", 1, 1)
+        .with_vms("a", 4, Some(2000));
+    check(
+        "back to standby but for one",
+        &over,
+        &[("a", "off"), ("a", "off")],
+        0,
+    );
+    let late = Fleet::new()
+        .with_pool("a", 6, 6)
+        .with_pool("b", 2, 8)
+        .with_vms("b", 8, None);
     check("busy with late work for work on time", &late, &[], 6);
-    let both = Fleet::new().with_pool("a", 8, 8).with_pool("b", 8, 8).with_vms("b", 8, None);
+    let both = Fleet::new()
+        .with_pool("a", 8, 8)
+        .with_pool("b", 8, 8)
+        .with_vms("b", 8, None);
     check("half each under overload", &both, &[], 0);
 }
 
 #[test]
 fn vms_with_lasting_tasks_are_not_reclaimed() {
-    let mut fleet = Fleet::new().with_pool("a", 6, 6).with_pool("b", 2, 8).with_vms("b", 8, None);
+    let mut fleet = Fleet::new()
+        .with_pool("a", 6, 6)
+        .with_pool("b", 2, 8)
+        .with_vms("b", 8, None);
     for vm in fleet.vms.values_mut().take(5) {
         vm.is_steady = true;
     }
@@ -75,7 +121,10 @@
 
 #[test]
 fn a_reclaimed_vm_that_is_empty_goes_to_the_pool_that_lacks_it() {
-    let mut fleet = Fleet::new().with_pool("a", 6, 6).with_pool("b", 2, 8).with_vms("b", 8, None);
+    let mut fleet = Fleet::new()
+        .with_pool("a", 6, 6)
+        .with_pool("b", 2, 8)
+        .with_vms("b", 8, None);
     let first = fleet.vms.values_mut().next().unwrap();
     first.is_reclaimed = true;
     first.is_of_use = false;
--- a/crates/pools/tests/wave.rs
+++ b/crates/pools/tests/wave.rs
@@ -12,13 +12,25 @@
 }
 
 fn busy() -> WaveVm {
-    WaveVm { is_up: true, is_standby: false, is_empty: false, is_idle: false }
+    WaveVm {
+        is_up: true,
+        is_standby: false,
+        is_empty: false,
+        is_idle: false,
+    }
 }
 
 /// Plays a wave over busy VMs, each empty 1 s after it was asked to be; returns when it was done, and the most that
-/// were down at once. Every `lost` order gets no answer at first.
-fn play(count: usize, most_down: usize, left_ms: u64, lost: usize) -> (u64, usize) {
-    let mut wave = Wave::new(names(count), &BTreeSet::new(), most_down, MAINTENANCE_MS, 0, left_ms);
+/// were down at once. Every `unanswered`th order gets no answer at first.
+fn play(count: usize, most_down: usize, left_ms: u64, unanswered: usize) -> (u64, usize) {
+    let mut wave = Wave::new(
+        names(count),
+        &BTreeSet::new(),
+        most_down,
+        MAINTENANCE_MS,
+        0,
+        left_ms,
+    );
     let mut asked: BTreeMap<SmolStr, u64> = BTreeMap::new();
     let mut back: BTreeMap<SmolStr, u64> = BTreeMap::new();
     let (mut now_ms, mut most, mut orders) = (0, 0, 0);
@@ -26,7 +38,14 @@
         let list = names(count).into_iter().map(|vm| {
             let is_up = back.get(&vm).is_none_or(|at_ms| now_ms >= *at_ms);
             let is_empty = asked.get(&vm).is_some_and(|at_ms| now_ms >= at_ms + 1000);
-            (vm, WaveVm { is_up, is_empty, ..busy() })
+            (
+                vm,
+                WaveVm {
+                    is_up,
+                    is_empty,
+                    ..busy()
+                },
+            )
         });
         let next = wave.next(&list.collect(), now_ms);
         for vm in next.empty {
@@ -34,9 +53,13 @@
         }
         for vm in next.order {
             orders += 1;
-            let is_lost = lost > 0 && orders % lost == 0;
+            let is_lost = unanswered > 0 && orders % unanswered == 0;
             back.entry(vm.clone()).or_insert(now_ms + MAINTENANCE_MS);
-            let result = if is_lost { OrderResult::Unanswered } else { OrderResult::Begun };
+            let result = if is_lost {
+                OrderResult::Unanswered
+            } else {
+                OrderResult::Begun
+            };
             wave.ordered(&vm, result, now_ms);
         }
         most = most.max(back.values().filter(|at_ms| now_ms < **at_ms).count());
@@ -47,8 +70,10 @@
 
 #[test]
 fn a_wave_of_busy_vms_is_done_in_time_and_under_its_cap() {
-    for (count, most_down, lost) in [(1, 1, 0), (22, 8, 0), (22, 8, 3), (24, 9, 2), (10, 1, 0)] {
-        let (done_ms, most) = play(count, most_down, 34_000, lost);
+    for (count, most_down, unanswered) in
+        [(1, 1, 0), (22, 8, 0), (22, 8, 3), (24, 9, 2), (10, 1, 0)]
+    {
+        let (done_ms, most) = play(count, most_down, 34_000, unanswered);
         assert!(done_ms <= 34_000, "{count} VMs took {done_ms} ms");
         assert!(most <= most_down, "{most} of {most_down} were down");
     }
@@ -76,7 +101,11 @@
 #[test]
 fn an_order_without_an_answer_counts_as_down_until_it_is_answered() {
     let mut wave = Wave::new(names(2), &BTreeSet::new(), 1, MAINTENANCE_MS, 0, 5000);
-    let empty = WaveVm { is_empty: true, is_idle: true, ..busy() };
+    let empty = WaveVm {
+        is_empty: true,
+        is_idle: true,
+        ..busy()
+    };
     let list: BTreeMap<_, _> = names(2).into_iter().map(|vm| (vm, empty.clone())).collect();
     let _ = wave.next(&list, 0);
     let ordered = wave.next(&list, 100).order;
--- a/crates/scheduler/src/adopt.rs
+++ b/crates/scheduler/src/adopt.rs
@@ -3,7 +3,8 @@
 use smol_str::SmolStr;
 use submission::{Job, Phase, TaskKey};
 
-use crate::scheduler::{Now, Scheduler};
+use crate::scheduler::Scheduler;
+use crate::types::Now;
 use crate::worker::{Run, Worker, WorkerInfo, WorkerKey};
 
 impl Scheduler {
@@ -14,7 +15,11 @@
         for (index, task) in job.tasks() {
             if let Phase::Assigned { worker } = &task.phase {
                 let task_key = TaskKey { job: id, index };
-                runs.push((worker.clone(), task_key, Run::new(task.run, job.step(index), now.local_ms)));
+                runs.push((
+                    worker.clone(),
+                    task_key,
+                    Run::new(task.run, job.step(index), now.local_ms),
+                ));
             }
         }
         for (worker, task, mut run) in runs {
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -5,7 +5,8 @@
 use smol_str::SmolStr;
 use submission::Phase;
 
-use crate::scheduler::{Now, Scheduler};
+use crate::scheduler::Scheduler;
+use crate::types::Now;
 
 /// How far ahead the demand is wanted: a VM takes 1.5 s to move, and half a second until its worker is known.
 const AHEAD_MS: u64 = 1500;
@@ -82,7 +83,9 @@
         let on_time = running + waiting + ahead;
         let late = running_late + waiting_late * LATE_SHARE_PERCENT / 100;
         let listed = self.workers.values().filter(|worker| worker.is_listed);
-        let largest = listed.map(|worker| u64::from(worker.info.capacity.cpu_milli)).max();
+        let largest = listed
+            .map(|worker| u64::from(worker.info.capacity.cpu_milli))
+            .max();
         let each = largest.unwrap_or(ASSUMED_CPU_MILLI).max(1000) * FILL_PERCENT / 100;
         let workers = |cpu: u64| usize::try_from(cpu.div_ceil(each)).unwrap_or(usize::MAX);
         let least = steady.len().max(self.lasting_places()).max(LEAST_WORKERS);
@@ -125,7 +128,11 @@
                 let is_lasting = job.step(task.index).is_lasting;
                 is_steady |= is_lasting;
                 let is_late = !is_lasting && self.due_ms(job) < now.store_ms;
-                if is_late { late += cpu } else { on_time += cpu }
+                if is_late {
+                    late += cpu;
+                } else {
+                    on_time += cpu;
+                }
             }
             if is_steady {
                 steady.push(worker.info.id.clone());
@@ -135,9 +142,10 @@
     }
 
     fn idle_workers(&self, now: Now) -> Vec<IdleWorker> {
-        let idle = self.workers.values().filter(|worker| {
-            worker.is_usable(now.local_ms) && worker.runs.is_empty()
-        });
+        let idle = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_usable(now.local_ms) && worker.runs.is_empty());
         idle.map(|worker| IdleWorker {
             id: worker.info.id.clone(),
             idle_ms: now.local_ms.saturating_sub(worker.idle_since_ms),
@@ -154,11 +162,16 @@
             };
             let step = usize::from(key.step);
             let idle = job.step_tasks(key.occurrence, step).filter(|&index| {
-                job.task(index).is_some_and(|task| task.phase == Phase::Idle)
+                job.task(index)
+                    .is_some_and(|task| task.phase == Phase::Idle)
             });
             let each = u64::from(job.spec().steps[step].footprint().cpu_milli);
             let cpu = each * u64::try_from(idle.count()).unwrap_or(u64::MAX);
-            if rank.is_late { late += cpu } else { on_time += cpu }
+            if rank.is_late {
+                late += cpu;
+            } else {
+                on_time += cpu;
+            }
         }
         (on_time, late)
     }
--- a/crates/scheduler/src/evacuation.rs
+++ b/crates/scheduler/src/evacuation.rs
@@ -2,7 +2,8 @@
 
 use submission::{Job, TaskKey};
 
-use crate::scheduler::{Now, Scheduler};
+use crate::scheduler::Scheduler;
+use crate::types::Now;
 use crate::worker::WorkerKey;
 
 /// A lasting task is at work when its progress is this.
@@ -29,7 +30,7 @@
             .runs
             .iter()
             .filter(|(_, run)| !run.is_stopping)
-            .map(|(task, run)| (*task, run.run, run.assigned_at_ms))
+            .map(|(task, run)| (*task, run.number, run.assigned_at_ms))
             .collect();
         for (task, run, assigned_at_ms) in runs {
             let age_ms = now.local_ms.saturating_sub(assigned_at_ms);
@@ -62,9 +63,14 @@
     /// The other tasks of a lasting step that are not at work, as far as the last looks show.
     pub(crate) fn others_away(&self, job: &Job, task: TaskKey) -> u32 {
         let (occurrence, step, _) = job.place(task.index);
-        let others = job.step_tasks(occurrence, step).filter(|&index| index != task.index);
+        let others = job
+            .step_tasks(occurrence, step)
+            .filter(|&index| index != task.index);
         let away = others.filter(|&index| {
-            let other = TaskKey { job: task.job, index };
+            let other = TaskKey {
+                job: task.job,
+                index,
+            };
             !self.workers.values().any(|worker| {
                 let run = worker.runs.get(&other);
                 let at_work =
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -13,11 +13,14 @@
 mod plan;
 mod ready;
 mod scheduler;
+mod types;
 mod worker;
+mod workers;
 
 pub use advice::AdviceRequest;
 pub use batch::{Action, Batch, RowChange};
 pub use demand::{Demand, IdleWorker};
 pub use looks::{End, Look, RunningTask};
-pub use scheduler::{JobAnswer, Limits, Note, Now, QueueRules, Scheduler, StartOutcome};
+pub use scheduler::Scheduler;
+pub use types::{JobAnswer, Limits, Note, Now, QueueRules, StartOutcome};
 pub use worker::{HoldPlan, WorkerInfo, WorkerKey};
--- a/crates/scheduler/src/looks.rs
+++ b/crates/scheduler/src/looks.rs
@@ -4,7 +4,8 @@
 use submission::{JobId, RunEnd, TaskKey};
 
 use crate::batch::Action;
-use crate::scheduler::{Note, Now, Scheduler};
+use crate::scheduler::Scheduler;
+use crate::types::{Note, Now};
 use crate::worker::WorkerKey;
 
 /// A brief task that shows no progress for longer stands still. Progress is in percent, so that the longest tasks,
@@ -101,7 +102,10 @@
             return;
         };
         let worker = &mut self.workers[key];
-        let is_ours = worker.runs.get(&task).is_some_and(|run| run.run == end.run);
+        let is_ours = worker
+            .runs
+            .get(&task)
+            .is_some_and(|run| run.number == end.run);
         if !is_ours {
             return;
         }
@@ -122,12 +126,16 @@
     /// A failure speaks against the worker only while the job has not failed before: else the job may be the cause.
     fn note_failure(&mut self, key: WorkerKey, task: TaskKey, now: Now) {
         let job = self.jobs.get(&task.job);
-        let has_failed_before = job.is_some_and(|job| job.tasks().any(|(_, task)| task.failures > 0));
+        let has_failed_before =
+            job.is_some_and(|job| job.tasks().any(|(_, task)| task.failures > 0));
         let may_avoid = self.may_avoid_one_more(now);
         let worker = &mut self.workers[key];
         if !has_failed_before && worker.health.failed(task.job, may_avoid, now.local_ms) {
             let worker = worker.info.id.clone();
-            self.notes.push(Note::Avoided { worker, cause: "its runs fail" });
+            self.notes.push(Note::Avoided {
+                worker,
+                cause: "its runs fail",
+            });
         }
     }
 
@@ -142,10 +150,14 @@
         let (occurrence, step, _) = job.place(task.index);
         let others = job.step_tasks(occurrence, step);
         for index in others {
-            let member = TaskKey { job: task.job, index };
-            let holder = self.workers.iter().find_map(|(key, worker)| {
-                worker.runs.get(&member).map(|run| (key, run.run))
-            });
+            let member = TaskKey {
+                job: task.job,
+                index,
+            };
+            let holder = self
+                .workers
+                .iter()
+                .find_map(|(key, worker)| worker.runs.get(&member).map(|run| (key, run.number)));
             if let Some((key, run)) = holder {
                 self.end_run(key, member, run, RunEnd::Done, now);
             }
@@ -157,7 +169,7 @@
         let task = self.task_of(&running.name);
         let worker = &mut self.workers[key];
         let expected = task.and_then(|task| worker.runs.get_mut(&task).map(|run| (task, run)));
-        let Some((task, run)) = expected.filter(|(_, run)| run.run == running.run) else {
+        let Some((task, run)) = expected.filter(|(_, run)| run.number == running.run) else {
             self.stop_stray(key, running, task);
             return None;
         };
@@ -171,7 +183,7 @@
         run.load = running.load;
         let stalled_ms = now.local_ms.saturating_sub(run.percent_since_ms);
         let was_stopping = run.is_stopping;
-        let number = run.run;
+        let number = run.number;
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return Some(task);
         };
@@ -184,7 +196,10 @@
             let worker = &mut self.workers[key];
             if worker.health.stalled(task.job, may_avoid, now.local_ms) {
                 let worker = worker.info.id.clone();
-                self.notes.push(Note::Avoided { worker, cause: "its tasks stand still" });
+                self.notes.push(Note::Avoided {
+                    worker,
+                    cause: "its tasks stand still",
+                });
             }
             self.order_stop(key, task, number);
         }
@@ -224,14 +239,17 @@
         let gone = worker.runs.iter().filter(|(task, run)| {
             run.settled_at_ms.is_some_and(|at_ms| at_ms < sent_at_ms) && !listed.contains(task)
         });
-        let gone: Vec<_> = gone.map(|(task, run)| (*task, run.run)).collect();
+        let gone: Vec<_> = gone.map(|(task, run)| (*task, run.number)).collect();
         for (task, run) in gone {
             self.end_run(key, task, run, RunEnd::Lost, now);
         }
     }
 
     fn may_avoid_one_more(&self, now: Now) -> bool {
-        let avoided = self.workers.values().filter(|worker| worker.health.is_avoided(now.local_ms));
+        let avoided = self
+            .workers
+            .values()
+            .filter(|worker| worker.health.is_avoided(now.local_ms));
         (avoided.count() + 1) * 100 <= self.workers.len() * MOST_AVOIDED_PERCENT
     }
 }
--- a/crates/scheduler/src/pacing.rs
+++ b/crates/scheduler/src/pacing.rs
@@ -24,7 +24,10 @@
         let Some(task) = self.task_of(name) else {
             return;
         };
-        let run = self.workers.get_mut(key).and_then(|worker| worker.runs.get_mut(&task));
+        let run = self
+            .workers
+            .get_mut(key)
+            .and_then(|worker| worker.runs.get_mut(&task));
         if let Some(run) = run {
             run.pace_percent = 100;
         }
@@ -39,9 +42,14 @@
             };
             let step = job.step(task.index);
             if step.is_filler {
-                fillers.push((*task, run.run, run.pace_percent, job.task_name(task.index)));
-            } else if step.tail_target_ms > 0 {
-                worst_percent = worst_percent.max(run.load * 100 / step.tail_target_ms);
+                fillers.push((
+                    *task,
+                    run.number,
+                    run.pace_percent,
+                    job.task_name(task.index),
+                ));
+            } else if let Some(percent) = (run.load * 100).checked_div(step.tail_target_ms) {
+                worst_percent = worst_percent.max(percent);
             }
         }
         for (task, number, pace, name) in fillers {
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -7,7 +7,8 @@
 use submission::{Job, Phase, StepSpec, TaskKey};
 
 use crate::ready::StepKey;
-use crate::scheduler::{Now, Scheduler};
+use crate::scheduler::Scheduler;
+use crate::types::Now;
 use crate::worker::{Worker, WorkerKey};
 
 /// How many steps that fit nowhere are passed over in a round. Bounds a round under overload.
@@ -44,7 +45,8 @@
         }
         let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
         let idle = tasks.filter(|&index| {
-            job.task(index).is_some_and(|task| task.phase == Phase::Idle)
+            job.task(index)
+                .is_some_and(|task| task.phase == Phase::Idle)
         });
         let mut placed = Placed::default();
         for index in idle.collect::<Vec<_>>() {
@@ -54,7 +56,10 @@
                 placed.is_left = true;
                 break;
             };
-            let task = TaskKey { job: key.job, index };
+            let task = TaskKey {
+                job: key.job,
+                index,
+            };
             self.assign(worker, task, 0, now);
             placed.started += 1;
         }
@@ -66,9 +71,10 @@
         let job = &self.jobs[&key.job];
         let step = &job.spec().steps[usize::from(key.step)];
         let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
-        let all_idle = tasks
-            .clone()
-            .all(|index| job.task(index).is_some_and(|task| task.phase == Phase::Idle));
+        let all_idle = tasks.clone().all(|index| {
+            job.task(index)
+                .is_some_and(|task| task.phase == Phase::Idle)
+        });
         let missed = Placed {
             started: 0,
             is_left: true,
@@ -83,10 +89,16 @@
             };
             chosen.push(worker);
         }
-        let last_run = tasks.clone().filter_map(|index| job.task(index)).map(|task| task.run);
+        let last_run = tasks
+            .clone()
+            .filter_map(|index| job.task(index))
+            .map(|task| task.run);
         let run = last_run.max().unwrap_or(0) + 1;
         for (index, worker) in tasks.zip(chosen) {
-            let task = TaskKey { job: key.job, index };
+            let task = TaskKey {
+                job: key.job,
+                index,
+            };
             self.assign(worker, task, run, now);
         }
         Placed {
@@ -109,34 +121,22 @@
             worker.is_usable(now.local_ms)
                 && has_label(worker, &step.required_label)
                 && self.is_allowed(&job.queue, key, &worker.info.id, now)
-                && self.fits(worker, step, *worker_key, taken, now)
+                && fits(worker, step, *worker_key, taken, now)
                 && has_place(worker, job, step, key, *worker_key, taken)
         });
         usable
             .max_by_key(|(_, worker)| {
                 let is_near = worker.info.rack() == preferred_rack;
                 // The fullest that has room: what stays empty can be moved to where it is needed.
-                (is_near, !worker.runs.is_empty(), u32::MAX - worker.room().cpu_milli)
+                (
+                    is_near,
+                    !worker.runs.is_empty(),
+                    u32::MAX - worker.room().cpu_milli,
+                )
             })
             .map(|(worker_key, _)| worker_key)
     }
 
-    fn fits(
-        &self,
-        worker: &Worker,
-        step: &StepSpec,
-        key: WorkerKey,
-        taken: &[WorkerKey],
-        now: Now,
-    ) -> bool {
-        let copies = taken.iter().filter(|other| **other == key).count();
-        let mut needs = step.footprint();
-        for _ in 0..copies {
-            needs = needs.plus(step.footprint());
-        }
-        worker.may_fit(needs, now.local_ms)
-    }
-
     /// The rack where tasks of the step are fastest; empty for any.
     fn preferred_rack(
         &self,
@@ -194,9 +194,24 @@
         return true;
     }
     let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
-    let first = TaskKey { job: key.job, index: tasks.start };
-    let end = TaskKey { job: key.job, index: tasks.end };
+    let first = TaskKey {
+        job: key.job,
+        index: tasks.start,
+    };
+    let end = TaskKey {
+        job: key.job,
+        index: tasks.end,
+    };
     let there = worker.runs.range(first..end).count();
     let chosen = taken.iter().filter(|other| **other == worker_key).count();
     there + chosen < step.most_per_worker as usize
 }
+
+fn fits(worker: &Worker, step: &StepSpec, key: WorkerKey, taken: &[WorkerKey], now: Now) -> bool {
+    let copies = taken.iter().filter(|other| **other == key).count();
+    let mut needs = step.footprint();
+    for _ in 0..copies {
+        needs = needs.plus(step.footprint());
+    }
+    worker.may_fit(needs, now.local_ms)
+}
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -62,7 +62,10 @@
 
     /// The steps whose latest start has passed, and which are not yet ranked as late.
     pub(crate) fn turned_late(&self, store_ms: u64) -> Vec<(Rank, StepKey)> {
-        let passed = self.by_latest_start.iter().take_while(|(latest_ms, _)| *latest_ms < store_ms);
+        let passed = self
+            .by_latest_start
+            .iter()
+            .take_while(|(latest_ms, _)| *latest_ms < store_ms);
         let ranked = passed.filter_map(|(_, step)| Some((*self.ranks.get(step)?, *step)));
         ranked.collect()
     }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -11,10 +11,8 @@
 use crate::batch::Action;
 use crate::demand::Trend;
 use crate::ready::{Rank, Ready, StepKey};
-use crate::worker::{HoldPlan, Run, Worker, WorkerInfo, WorkerKey};
-
-/// How long a size that a worker refused is not offered to it again, unless something ends there.
-const ROOM_REFUSAL_MS: u64 = 400;
+use crate::types::{JobAnswer, Limits, Note, Now, QueueRules};
+use crate::worker::{Run, Worker, WorkerKey};
 
 /// What the rest of a chain that has begun takes of its estimate, in percent: a step ends with its slowest task.
 const BEGUN_CHAIN_PERCENT: u64 = 115;
@@ -23,90 +21,6 @@
 /// set too late makes all of them late; estimates are off by a fifth to a half.
 const UNTOUCHED_CHAIN_PERCENT: u64 = 140;
 
-/// The present, on the three clocks that matter.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Now {
-    /// This daemon's clock, which also counts suspensions.
-    pub local_ms: u64,
-    /// The store's steady clock, as far as it is known.
-    pub store_ms: u64,
-    /// Milliseconds since 1970. Only times that callers set are compared with it.
-    pub unix_ms: u64,
-}
-
-/// The figures of a deployment.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Limits {
-    /// How long a granted lease lasts, whichever daemon grants it.
-    pub lease_ms: u64,
-    /// How long an owner grants leases after its last recorded write.
-    pub owner_grace_ms: u64,
-    /// By how much a worker's clock may be slow.
-    pub slow_clock_percent: u64,
-    /// How long ended jobs are kept.
-    pub keep_ended_ms: u64,
-}
-
-/// What a configuration says of a queue.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct QueueRules {
-    /// 0 goes first.
-    pub priority: u32,
-    /// How many runs of a task may fail.
-    pub attempts: u32,
-    /// The objective is this many times the longest chain, and `objective_ms` more.
-    pub stretch: f64,
-    /// See `stretch`.
-    pub objective_ms: u64,
-    /// Whether a policy service has to allow workers.
-    pub has_policy: bool,
-}
-
-/// A change of what the scheduler believes, for the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Note {
-    /// A worker is given nothing for a while.
-    Avoided {
-        /// The worker.
-        worker: SmolStr,
-        /// What spoke against it.
-        cause: &'static str,
-    },
-    /// A worker's leases have lapsed without an answer; what it ran is free to start again.
-    Lapsed {
-        /// The worker.
-        worker: SmolStr,
-        /// How many runs it had.
-        runs: usize,
-    },
-}
-
-/// What is known of a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum JobAnswer {
-    /// Its state by the rows written.
-    Recorded(JobState),
-    /// Its rows are about to be written.
-    NotYetRecorded,
-    /// It is not among this pool's jobs.
-    Unknown,
-}
-
-/// What came of an order to start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StartOutcome {
-    /// It runs.
-    Started,
-    /// It does not fit.
-    NoRoom,
-    /// It does not run, for a reason of the worker.
-    Unhealthy,
-    /// It does not run, for a reason of the order.
-    Refused,
-    /// No answer: it may run, now or later.
-    Unanswered,
-}
-
 /// Decides for the jobs and workers of one pool.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -275,21 +189,6 @@
         state.is_some() && state == self.recorded.get(&id).copied()
     }
 
-    /// Whether a run is assigned to a worker.
-    #[must_use]
-    pub fn is_there(&self, key: WorkerKey, task: TaskKey, number: u32) -> bool {
-        let run = self.workers.get(key).and_then(|worker| worker.runs.get(&task));
-        run.is_some_and(|run| run.run == number)
-    }
-
-    /// Whether a run that is assigned to a worker is still to be started.
-    #[must_use]
-    pub fn is_wanted(&self, key: WorkerKey, task: TaskKey, number: u32) -> bool {
-        let has_ended = self.jobs.get(&task.job).is_none_or(Job::has_ended);
-        let draining = self.workers.get(key).is_none_or(|worker| worker.info.is_draining);
-        self.is_there(key, task, number) && !has_ended && !draining
-    }
-
     /// How many jobs of a queue have not started.
     #[must_use]
     pub fn pending(&self, queue: &str) -> usize {
@@ -308,169 +207,6 @@
         self.jobs.get(&id)
     }
 
-    /// The present registry entries of the pool. Workers that are not among them get no new work.
-    pub fn set_workers(&mut self, infos: Vec<WorkerInfo>, now: Now) {
-        let lapse_at_ms = self.earlier_lapsed(now.local_ms);
-        for worker in self.workers.values_mut() {
-            worker.is_listed = false;
-        }
-        for info in infos {
-            match self.by_id.get(&info.id) {
-                Some(&key) => {
-                    let worker = &mut self.workers[key];
-                    worker.info = info;
-                    worker.is_listed = true;
-                }
-                None => {
-                    let id = info.id.clone();
-                    let mut worker = Worker::new(info, lapse_at_ms);
-                    worker.idle_since_ms = now.local_ms;
-                    let key = self.workers.insert(worker);
-                    self.by_id.insert(id, key);
-                }
-            }
-        }
-        let gone = self.workers.iter().filter(|(_, worker)| {
-            !worker.is_listed && worker.runs.is_empty() && now.local_ms > worker.lapse_at_ms
-        });
-        for key in gone.map(|(key, _)| key).collect::<Vec<_>>() {
-            self.remove_worker(key);
-        }
-    }
-
-    /// When the last lease that an earlier owner may have granted, at the end of its grace, has surely lapsed.
-    pub(crate) fn earlier_lapsed(&self, now_ms: u64) -> u64 {
-        let limits = self.limits;
-        now_ms + limits.owner_grace_ms + limits.lease_ms * 100 / (100 - limits.slow_clock_percent) + 1
-    }
-
-    fn remove_worker(&mut self, key: WorkerKey) {
-        if let Some(worker) = self.workers.remove(key) {
-            self.by_id.remove(&worker.info.id);
-        }
-    }
-
-    /// A life of a worker is over, and what ran there with it.
-    pub fn life_over(&mut self, key: WorkerKey, now: Now) {
-        let Some(worker) = self.workers.get(key) else {
-            return;
-        };
-        let runs: Vec<_> = worker.runs.iter().map(|(task, run)| (*task, run.run)).collect();
-        for (task, run) in runs {
-            self.end_run(key, task, run, RunEnd::Lost, now);
-        }
-        self.remove_worker(key);
-    }
-
-    /// The keys of the workers that are known.
-    #[must_use]
-    pub fn worker_keys(&self) -> Vec<WorkerKey> {
-        self.workers.keys().collect()
-    }
-
-    /// A worker's registration.
-    #[must_use]
-    pub fn worker(&self, key: WorkerKey) -> Option<&WorkerInfo> {
-        self.workers.get(key).map(|worker| &worker.info)
-    }
-
-    /// The worker with that id.
-    #[must_use]
-    pub fn worker_key(&self, id: &str) -> Option<WorkerKey> {
-        self.by_id.get(id).copied()
-    }
-
-    /// What the next hold of a worker carries; `None` when it needs none now.
-    pub fn hold_plan(&mut self, key: WorkerKey, now: Now) -> Option<HoldPlan> {
-        let limits = self.limits;
-        let worker = self.workers.get_mut(key)?;
-        let has_ends = worker.recorded_end > worker.forgotten_end;
-        if worker.info.addr.is_empty() {
-            return None;
-        }
-        if worker.is_proven && worker.runs.is_empty() && !has_ends && !worker.is_silent {
-            return None;
-        }
-        // A silent worker is only looked at: renewals that may or may not arrive would put off for ever the moment
-        // at which its leases have surely lapsed.
-        let lease_until_ms = if worker.runs.is_empty() || worker.is_silent {
-            None
-        } else {
-            worker.grant(limits.lease_ms, limits.slow_clock_percent, now.local_ms)
-        };
-        Some(HoldPlan {
-            lease_until_ms,
-            recorded_end: worker.recorded_end,
-            is_busy: worker.is_proven && lease_until_ms.is_some(),
-            is_lively: worker.runs.values().any(|run| !run.is_lasting || run.footprint.cpu_milli == 0),
-        })
-    }
-
-    /// The end of the lease that an order to start carries, on the worker's clock.
-    pub fn start_lease(&mut self, key: WorkerKey, now: Now) -> Option<u64> {
-        let limits = self.limits;
-        let worker = self.workers.get_mut(key)?;
-        worker.grant(limits.lease_ms, limits.slow_clock_percent, now.local_ms)
-    }
-
-    /// An order to start got its answer, or none.
-    pub fn start_answered(
-        &mut self,
-        key: WorkerKey,
-        task: TaskKey,
-        number: u32,
-        outcome: StartOutcome,
-        clock_ms: Option<u64>,
-        now: Now,
-    ) {
-        let Some(worker) = self.workers.get_mut(key) else {
-            return;
-        };
-        if let Some(clock_ms) = clock_ms {
-            worker.note_clock(clock_ms, now.local_ms);
-        }
-        let Some(run) = worker.runs.get_mut(&task).filter(|run| run.run == number) else {
-            return;
-        };
-        match outcome {
-            StartOutcome::Started => run.settled_at_ms = Some(now.local_ms),
-            StartOutcome::Unanswered => worker.is_silent = true,
-            StartOutcome::NoRoom => {
-                worker.refused = Some((run.footprint, now.local_ms + ROOM_REFUSAL_MS));
-                let refused = worker.refused;
-                self.end_run(key, task, number, RunEnd::Lost, now);
-                if let Some(worker) = self.workers.get_mut(key) {
-                    worker.refused = refused;
-                }
-            }
-            StartOutcome::Unhealthy => {
-                worker.health.refused(now.local_ms);
-                self.end_run(key, task, number, RunEnd::Lost, now);
-            }
-            StartOutcome::Refused => {
-                // Whatever the worker has against the order, it has for a while.
-                worker.health.refused(now.local_ms);
-                self.end_run(key, task, number, RunEnd::Lost, now);
-            }
-        }
-    }
-
-    /// A worker took an order to stop: the run ends, or can't start any more. The next look tells which.
-    pub fn stop_taken(&mut self, key: WorkerKey, task: TaskKey, number: u32, now: Now) {
-        let worker = self.workers.get_mut(key);
-        let run = worker.and_then(|worker| worker.runs.get_mut(&task));
-        if let Some(run) = run.filter(|run| run.run == number && run.settled_at_ms.is_none()) {
-            run.settled_at_ms = Some(now.local_ms);
-        }
-    }
-
-    /// A hold or an order got no answer.
-    pub fn unanswered(&mut self, key: WorkerKey) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.is_silent = true;
-        }
-    }
-
     /// Time has passed: leases lapse, steps come due, late jobs go back in the order, old jobs are removed.
     pub fn tick(&mut self, now: Now) {
         let lapsed = self.workers.iter().filter(|(_, worker)| {
@@ -500,24 +236,6 @@
         }
     }
 
-    fn lapse(&mut self, key: WorkerKey, now: Now) {
-        let runs: Vec<_> = self.workers[key]
-            .runs
-            .iter()
-            .map(|(task, run)| (*task, run.run))
-            .collect();
-        if !runs.is_empty() {
-            let worker = self.workers[key].info.id.clone();
-            self.notes.push(Note::Lapsed { worker, runs: runs.len() });
-        }
-        for (task, run) in runs {
-            self.end_run(key, task, run, RunEnd::Lost, now);
-        }
-        if !self.workers[key].is_listed {
-            self.remove_worker(key);
-        }
-    }
-
     /// Takes in the end of a run that was assigned to a worker.
     pub(crate) fn end_run(
         &mut self,
@@ -528,14 +246,20 @@
         now: Now,
     ) {
         if let Some(worker) = self.workers.get_mut(key)
-            && worker.runs.get(&task).is_some_and(|run| run.run == number)
+            && worker
+                .runs
+                .get(&task)
+                .is_some_and(|run| run.number == number)
         {
             worker.remove(task, now.local_ms);
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let attempts = self.rules.get(&job.queue).map_or(u32::MAX, |rules| rules.attempts);
+        let attempts = self
+            .rules
+            .get(&job.queue)
+            .map_or(u32::MAX, |rules| rules.attempts);
         if !job.end_run(task.index, number, end, attempts, now.store_ms) {
             return;
         }
@@ -582,7 +306,8 @@
         }
         let occurrences = job.spec().occurrences.max(1);
         let steps = job.spec().steps.len();
-        let all = (0..occurrences).flat_map(|occurrence| (0..steps).map(move |step| (occurrence, step)));
+        let all =
+            (0..occurrences).flat_map(|occurrence| (0..steps).map(move |step| (occurrence, step)));
         for (occurrence, step) in all {
             self.offer(step_key(id, occurrence, step), now);
         }
@@ -595,8 +320,10 @@
         };
         let step = usize::from(key.step);
         let mut tasks = job.step_tasks(key.occurrence, step);
-        let has_idle =
-            tasks.any(|index| job.task(index).is_some_and(|task| task.phase == Phase::Idle));
+        let has_idle = tasks.any(|index| {
+            job.task(index)
+                .is_some_and(|task| task.phase == Phase::Idle)
+        });
         if job.has_ended() || !has_idle || !job.is_unblocked(key.occurrence, step) {
             self.ready.remove(key);
             return;
@@ -628,7 +355,11 @@
 
     fn rank(&self, job: &Job, key: StepKey, now: Now) -> Rank {
         let is_untouched = job.state() == JobState::Queued;
-        let percent = if is_untouched { UNTOUCHED_CHAIN_PERCENT } else { BEGUN_CHAIN_PERCENT };
+        let percent = if is_untouched {
+            UNTOUCHED_CHAIN_PERCENT
+        } else {
+            BEGUN_CHAIN_PERCENT
+        };
         let left_ms = job.chain_ms(key.occurrence) * percent / 100;
         let latest_start_ms = self.due_ms(job).saturating_sub(left_ms);
         let is_lasting = job.spec().steps[usize::from(key.step)].is_lasting;
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -46,7 +46,7 @@
 /// A run on a worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
-    pub(crate) run: u32,
+    pub(crate) number: u32,
     /// When an answer showed that the order has had its effect or can't have it any more. Only a look that was sent
     /// later can show that the run is gone.
     pub(crate) settled_at_ms: Option<u64>,
@@ -61,9 +61,9 @@
 }
 
 impl Run {
-    pub(crate) fn new(run: u32, step: &StepSpec, now_ms: u64) -> Self {
+    pub(crate) fn new(number: u32, step: &StepSpec, now_ms: u64) -> Self {
         Self {
-            run,
+            number,
             settled_at_ms: None,
             assigned_at_ms: now_ms,
             percent: 0,
--- a/crates/scheduler/tests/advice.rs
+++ b/crates/scheduler/tests/advice.rs
@@ -9,9 +9,15 @@
 
 fn pool() -> Pool {
     let mut pool = Pool::new(&["one", "two"]);
-    let rules =
-        QueueRules { priority: 0, attempts: 2, stretch: 1.5, objective_ms: 600, has_policy: true };
-    pool.scheduler.set_rules(HashMap::from([("queue".into(), rules)]));
+    let rules = QueueRules {
+        priority: 0,
+        attempts: 2,
+        stretch: 1.5,
+        objective_ms: 600,
+        has_policy: true,
+    };
+    pool.scheduler
+        .set_rules(HashMap::from([("queue".into(), rules)]));
     pool
 }
 
@@ -23,13 +29,24 @@
     let requests = pool.scheduler.advice_requests(pool.now());
     assert_eq!(requests.len(), 1);
     assert_eq!(requests[0].step, "0000000000000001.0.0");
-    assert!(pool.scheduler.advice_requests(pool.now()).is_empty(), "asked once");
-    pool.scheduler.advise(requests[0].task, vec![("two".into(), "t-2".into())], 500, pool.now());
+    assert!(
+        pool.scheduler.advice_requests(pool.now()).is_empty(),
+        "asked once"
+    );
+    pool.scheduler.advise(
+        requests[0].task,
+        vec![("two".into(), "t-2".into())],
+        500,
+        pool.now(),
+    );
     let started = starts(&pool.round());
     assert_eq!(started.len(), 2);
     for (worker, task, _) in started {
         assert_eq!(worker, pool.key("two"));
-        assert_eq!(pool.scheduler.ticket(worker, task, pool.now()).as_deref(), Some("t-2"));
+        assert_eq!(
+            pool.scheduler.ticket(worker, task, pool.now()).as_deref(),
+            Some("t-2")
+        );
     }
 }
 
@@ -38,7 +55,12 @@
     let mut pool = pool();
     pool.submit(1, job(vec![step(9)]));
     let requests = pool.scheduler.advice_requests(pool.now());
-    pool.scheduler.advise(requests[0].task, vec![("one".into(), "t-1".into())], 500, pool.now());
+    pool.scheduler.advise(
+        requests[0].task,
+        vec![("one".into(), "t-1".into())],
+        500,
+        pool.now(),
+    );
     assert_eq!(starts(&pool.round()).len(), 4);
     pool.pass(501);
     assert!(starts(&pool.round()).is_empty());
--- a/crates/scheduler/tests/leases.rs
+++ b/crates/scheduler/tests/leases.rs
@@ -17,7 +17,11 @@
     let mut waited_ms = 0;
     // Each look gets no answer. The lease lapses all the same.
     let is_idle = |pool: &Pool| {
-        let task = pool.scheduler.job(JobId(1)).and_then(|job| job.task(0)).cloned();
+        let task = pool
+            .scheduler
+            .job(JobId(1))
+            .and_then(|job| job.task(0))
+            .cloned();
         task.is_some_and(|task| task.phase == Phase::Idle)
     };
     while !is_idle(&pool) {
@@ -28,7 +32,10 @@
         waited_ms += 150;
         assert!(waited_ms < 2 * LEASE_MS, "the lease never lapses");
     }
-    assert!(waited_ms > LEASE_MS, "freed after {waited_ms} ms, before the lease has lapsed");
+    assert!(
+        waited_ms > LEASE_MS,
+        "freed after {waited_ms} ms, before the lease has lapsed"
+    );
 }
 
 #[test]
@@ -71,7 +78,10 @@
     pool.answer(worker, task, run, StartOutcome::Unanswered);
     pool.pass(10);
     pool.look("one", &[], &[]);
-    assert!(starts(&pool.round()).is_empty(), "the start may still be carried out");
+    assert!(
+        starts(&pool.round()).is_empty(),
+        "the start may still be carried out"
+    );
     pool.scheduler.stop_taken(worker, task, run, pool.now());
     pool.pass(10);
     pool.look("one", &[], &[]);
@@ -86,11 +96,18 @@
     let (_, task, run) = pool.started(&actions)[0].clone();
     let name = pool.name(task);
     pool.pass(10);
-    pool.look("one", &[(name.clone(), run, 5)], &[(1, name.clone(), run + 1, RunEnd::Done)]);
+    pool.look(
+        "one",
+        &[(name.clone(), run, 5)],
+        &[(1, name.clone(), run + 1, RunEnd::Done)],
+    );
     assert_ne!(pool.scheduler.job(id).unwrap().state(), JobState::Done);
     pool.look("one", &[], &[(2, name, run, RunEnd::Done)]);
     let _ = pool.round();
-    assert_eq!(pool.scheduler.answer(id), JobAnswer::Recorded(JobState::Done));
+    assert_eq!(
+        pool.scheduler.answer(id),
+        JobAnswer::Recorded(JobState::Done)
+    );
 }
 
 #[test]
@@ -100,7 +117,10 @@
     let actions = pool.round();
     pool.started(&actions);
     pool.scheduler.cancel(id, pool.now());
-    assert!(pool.scheduler.take_urgent().is_empty(), "nothing before the row");
+    assert!(
+        pool.scheduler.take_urgent().is_empty(),
+        "nothing before the row"
+    );
     let actions = pool.round();
     assert_eq!(stops(&actions).len(), 2);
     assert!(starts(&actions).is_empty());
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -21,16 +21,92 @@
 
 #[test]
 fn tasks_start_where_they_fit() {
-    let big = Resources { cpu_milli: 5000, memory_mb: 1, gpus: 0 };
-    check(Case { name: "all fit", steps: vec![step(4)], workers: &["one"], started: 4 });
-    check(Case { name: "no more than fit", steps: vec![step(6)], workers: &["one"], started: 4 });
-    check(Case { name: "too large", steps: vec![StepSpec { needs: big, ..step(1) }], workers: &["one"], started: 0 });
-    check(Case { name: "a step after another", steps: vec![step(1), StepSpec { after: vec![0], ..step(1) }], workers: &["one"], started: 1 });
-    check(Case { name: "one on a worker", steps: vec![StepSpec { most_per_worker: 1, ..step(3) }], workers: &["one", "two"], started: 2 });
-    check(Case { name: "a label nobody has", steps: vec![StepSpec { required_label: "b".into(), ..step(1) }], workers: &["one"], started: 0 });
-    check(Case { name: "a gang that fits", steps: vec![StepSpec { is_gang: true, ..step(5) }], workers: &["one", "two"], started: 5 });
-    check(Case { name: "a gang that does not fit", steps: vec![StepSpec { is_gang: true, ..step(9) }], workers: &["one", "two"], started: 0 });
-    check(Case { name: "a filler beside a full worker", steps: vec![step(4), StepSpec { is_filler: true, ..step(1) }], workers: &["one"], started: 5 });
+    let big = Resources {
+        cpu_milli: 5000,
+        memory_mb: 1,
+        gpus: 0,
+    };
+    check(Case {
+        name: "all fit",
+        steps: vec![step(4)],
+        workers: &["one"],
+        started: 4,
+    });
+    check(Case {
+        name: "no more than fit",
+        steps: vec![step(6)],
+        workers: &["one"],
+        started: 4,
+    });
+    check(Case {
+        name: "too large",
+        steps: vec![StepSpec {
+            needs: big,
+            ..step(1)
+        }],
+        workers: &["one"],
+        started: 0,
+    });
+    check(Case {
+        name: "a step after another",
+        steps: vec![
+            step(1),
+            StepSpec {
+                after: vec![0],
+                ..step(1)
+            },
+        ],
+        workers: &["one"],
+        started: 1,
+    });
+    check(Case {
+        name: "one on a worker",
+        steps: vec![StepSpec {
+            most_per_worker: 1,
+            ..step(3)
+        }],
+        workers: &["one", "two"],
+        started: 2,
+    });
+    check(Case {
+        name: "a label nobody has",
+        steps: vec![StepSpec {
+            required_label: "b".into(),
+            ..step(1)
+        }],
+        workers: &["one"],
+        started: 0,
+    });
+    check(Case {
+        name: "a gang that fits",
+        steps: vec![StepSpec {
+            is_gang: true,
+            ..step(5)
+        }],
+        workers: &["one", "two"],
+        started: 5,
+    });
+    check(Case {
+        name: "a gang that does not fit",
+        steps: vec![StepSpec {
+            is_gang: true,
+            ..step(9)
+        }],
+        workers: &["one", "two"],
+        started: 0,
+    });
+    check(Case {
+        name: "a filler beside a full worker",
+        steps: vec![
+            step(4),
+            StepSpec {
+                is_filler: true,
+                ..step(1)
+            },
+        ],
+        workers: &["one"],
+        started: 5,
+    });
 }
 
 #[test]
@@ -39,7 +115,10 @@
     pool.submit(1, job(vec![lasting(2, 1)]));
     let actions = pool.round();
     let started = pool.started(&actions);
-    let keys: Vec<_> = started.iter().map(|(worker, _, _)| pool.key(worker)).collect();
+    let keys: Vec<_> = started
+        .iter()
+        .map(|(worker, _, _)| pool.key(worker))
+        .collect();
     // A look long ago showed neither at work; both may be by now.
     for key in &keys {
         pool.scheduler.evacuate(*key, pool.now());
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -35,7 +35,11 @@
         id: name.into(),
         addr: format_smolstr!("{name}:1"),
         labels: vec!["a".into(), "rack-1".into()],
-        capacity: Resources { cpu_milli: 4000, memory_mb: 8000, gpus: 0 },
+        capacity: Resources {
+            cpu_milli: 4000,
+            memory_mb: 8000,
+            gpus: 0,
+        },
         is_draining: false,
     }
 }
@@ -43,26 +47,49 @@
 pub fn step(tasks: u32) -> StepSpec {
     StepSpec {
         tasks,
-        needs: Resources { cpu_milli: 1000, memory_mb: 100, gpus: 0 },
+        needs: Resources {
+            cpu_milli: 1000,
+            memory_mb: 100,
+            gpus: 0,
+        },
         estimate_ms: 500,
         ..StepSpec::default()
     }
 }
 
 pub fn lasting(tasks: u32, may_miss: u32) -> StepSpec {
-    StepSpec { is_lasting: true, most_per_worker: 1, may_miss, ..step(tasks) }
+    StepSpec {
+        is_lasting: true,
+        most_per_worker: 1,
+        may_miss,
+        ..step(tasks)
+    }
 }
 
 pub fn job(steps: Vec<StepSpec>) -> JobSpec {
-    JobSpec { payload: "payload".into(), steps, ..JobSpec::default() }
+    JobSpec {
+        payload: "payload".into(),
+        steps,
+        ..JobSpec::default()
+    }
 }
 
 impl Pool {
     /// A pool of workers that have answered.
     pub fn new(workers: &[&str]) -> Self {
-        let mut pool = Self { scheduler: Scheduler::new(limits()), now_ms: 1_000_000 };
-        let rules = QueueRules { priority: 0, attempts: 2, stretch: 1.5, objective_ms: 600, has_policy: false };
-        pool.scheduler.set_rules(HashMap::from([("queue".into(), rules)]));
+        let mut pool = Self {
+            scheduler: Scheduler::new(limits()),
+            now_ms: 1_000_000,
+        };
+        let rules = QueueRules {
+            priority: 0,
+            attempts: 2,
+            stretch: 1.5,
+            objective_ms: 600,
+            has_policy: false,
+        };
+        pool.scheduler
+            .set_rules(HashMap::from([("queue".into(), rules)]));
         pool.list(workers);
         for name in workers {
             pool.look(name, &[], &[]);
@@ -71,7 +98,11 @@
     }
 
     pub fn now(&self) -> Now {
-        Now { local_ms: self.now_ms, store_ms: self.now_ms, unix_ms: self.now_ms }
+        Now {
+            local_ms: self.now_ms,
+            store_ms: self.now_ms,
+            unix_ms: self.now_ms,
+        }
     }
 
     pub fn list(&mut self, workers: &[&str]) {
@@ -85,7 +116,8 @@
 
     pub fn submit(&mut self, id: u64, spec: JobSpec) -> JobId {
         let id = JobId(id);
-        self.scheduler.submit(id, "queue".into(), Arc::new(spec), self.now());
+        self.scheduler
+            .submit(id, "queue".into(), Arc::new(spec), self.now());
         id
     }
 
@@ -115,7 +147,10 @@
     pub fn started(&mut self, actions: &[Action]) -> Vec<(SmolStr, TaskKey, u32)> {
         let mut started = Vec::new();
         for action in actions {
-            if let Action::Start { worker, task, run, .. } = action {
+            if let Action::Start {
+                worker, task, run, ..
+            } = action
+            {
                 let id = self.scheduler.worker(*worker).expect("a worker").id.clone();
                 self.answer(*worker, *task, *run, StartOutcome::Started);
                 started.push((id, *task, *run));
@@ -127,7 +162,8 @@
     pub fn answer(&mut self, worker: WorkerKey, task: TaskKey, run: u32, outcome: StartOutcome) {
         self.scheduler.start_lease(worker, self.now());
         let clock = (outcome != StartOutcome::Unanswered).then_some(self.now_ms);
-        self.scheduler.start_answered(worker, task, run, outcome, clock, self.now());
+        self.scheduler
+            .start_answered(worker, task, run, outcome, clock, self.now());
     }
 
     pub fn name(&self, task: TaskKey) -> SmolStr {
@@ -136,7 +172,12 @@
     }
 
     /// A look at a worker that lists runs and ends.
-    pub fn look(&mut self, worker: &str, running: &[(SmolStr, u32, u32)], ended: &[(u64, SmolStr, u32, RunEnd)]) {
+    pub fn look(
+        &mut self,
+        worker: &str,
+        running: &[(SmolStr, u32, u32)],
+        ended: &[(u64, SmolStr, u32, RunEnd)],
+    ) {
         let key = self.key(worker);
         let running = running.iter().map(|(name, run, percent)| RunningTask {
             name: name.clone(),
@@ -166,7 +207,9 @@
 /// The orders to start among actions.
 pub fn starts(actions: &[Action]) -> Vec<(WorkerKey, TaskKey, u32)> {
     let starts = actions.iter().filter_map(|action| match action {
-        Action::Start { worker, task, run, .. } => Some((*worker, *task, *run)),
+        Action::Start {
+            worker, task, run, ..
+        } => Some((*worker, *task, *run)),
         _ => None,
     });
     starts.collect()
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -152,7 +152,11 @@
                 Phase::Assigned { worker } => (false, worker.clone()),
                 Phase::Done => (true, SmolStr::default()),
             };
-            let checkpoint = if is_done { SmolStr::default() } else { task.checkpoint.clone() };
+            let checkpoint = if is_done {
+                SmolStr::default()
+            } else {
+                task.checkpoint.clone()
+            };
             TaskRecord(task.run, task.failures, is_done, worker, checkpoint)
         };
         JobRecord {
@@ -270,7 +274,9 @@
     pub fn is_unblocked(&self, occurrence: u32, step: usize) -> bool {
         let first = occurrence as usize * self.spec.steps.len();
         let after = &self.spec.steps[step].after;
-        after.iter().all(|&step| self.open[first + usize::from(step)] == 0)
+        after
+            .iter()
+            .all(|&step| self.open[first + usize::from(step)] == 0)
     }
 
     /// When an occurrence is due, in ms since 1970; `None` when it is due at once.
@@ -288,7 +294,11 @@
         let mut ends = Vec::with_capacity(self.spec.steps.len());
         for (step, spec) in self.spec.steps.iter().enumerate() {
             let before = spec.after.iter().map(|&step| ends[usize::from(step)]);
-            let own = if self.open[first + step] == 0 { 0 } else { spec.estimate_ms };
+            let own = if self.open[first + step] == 0 {
+                0
+            } else {
+                spec.estimate_ms
+            };
             let end: u64 = before.max().unwrap_or(0) + own;
             ends.push(end);
         }
--- a/crates/submission/src/spec.rs
+++ b/crates/submission/src/spec.rs
@@ -103,7 +103,10 @@
 /// A step: tasks that are alike.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
-#[expect(clippy::struct_excessive_bools, reason = "independent attributes that callers set")]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent attributes that callers set"
+)]
 pub struct StepSpec {
     /// How many tasks.
     pub tasks: u32,
@@ -155,7 +158,11 @@
     /// What a task takes of a worker's room.
     #[must_use]
     pub fn footprint(&self) -> Resources {
-        let cpu_milli = if self.is_filler { 0 } else { self.needs.cpu_milli };
+        let cpu_milli = if self.is_filler {
+            0
+        } else {
+            self.needs.cpu_milli
+        };
         Resources {
             cpu_milli,
             ..self.needs
@@ -163,12 +170,18 @@
     }
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
 fn is_false(value: &bool) -> bool {
     !value
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
 fn is_zero(value: &u32) -> bool {
     *value == 0
 }
--- a/crates/submission/tests/jobs.rs
+++ b/crates/submission/tests/jobs.rs
@@ -5,11 +5,19 @@
 use submission::{Error, Job, JobId, JobSpec, JobState, Phase, RunEnd, StepSpec};
 
 fn step(tasks: u32, after: &[u16]) -> StepSpec {
-    StepSpec { tasks, after: after.to_vec(), estimate_ms: 100, ..StepSpec::default() }
+    StepSpec {
+        tasks,
+        after: after.to_vec(),
+        estimate_ms: 100,
+        ..StepSpec::default()
+    }
 }
 
 fn spec(steps: Vec<StepSpec>) -> JobSpec {
-    JobSpec { steps, ..JobSpec::default() }
+    JobSpec {
+        steps,
+        ..JobSpec::default()
+    }
 }
 
 fn job(steps: Vec<StepSpec>) -> Job {
@@ -24,10 +32,24 @@
     check(&spec(vec![step(1, &[])]), None);
     check(&spec(vec![]), Some(&Error::Steps { steps: 0 }));
     check(&spec(vec![step(0, &[])]), Some(&Error::NoTasks { step: 0 }));
-    check(&spec(vec![step(1, &[0])]), Some(&Error::NotEarlier { step: 0, after: 0 }));
-    check(&spec(vec![step(1, &[]), step(1, &[2])]), Some(&Error::NotEarlier { step: 1, after: 2 }));
-    check(&spec(vec![step(u32::MAX, &[])]), Some(&Error::TooManyTasks { tasks: u64::from(u32::MAX) }));
-    let long = JobSpec { payload: "x".repeat(4001), ..spec(vec![step(1, &[])]) };
+    check(
+        &spec(vec![step(1, &[0])]),
+        Some(&Error::NotEarlier { step: 0, after: 0 }),
+    );
+    check(
+        &spec(vec![step(1, &[]), step(1, &[2])]),
+        Some(&Error::NotEarlier { step: 1, after: 2 }),
+    );
+    check(
+        &spec(vec![step(u32::MAX, &[])]),
+        Some(&Error::TooManyTasks {
+            tasks: u64::from(u32::MAX),
+        }),
+    );
+    let long = JobSpec {
+        payload: "x".repeat(4001),
+        ..spec(vec![step(1, &[])])
+    };
     check(&long, Some(&Error::PayloadTooLong { bytes: 4001 }));
 }
 
@@ -56,7 +78,10 @@
 #[test]
 fn lost_runs_are_not_failures_and_lasting_tasks_never_use_up_attempts() {
     fn check(is_lasting: bool, end: RunEnd, expected: JobState) {
-        let mut job = job(vec![StepSpec { is_lasting, ..step(1, &[]) }]);
+        let mut job = job(vec![StepSpec {
+            is_lasting,
+            ..step(1, &[])
+        }]);
         for _ in 0..2 {
             let run = job.assign(0, "worker".into(), 0);
             job.end_run(0, run, end, 2, 5);
@@ -87,7 +112,10 @@
 
 #[test]
 fn names_and_places_of_tasks_match() {
-    let spec = JobSpec { occurrences: 2, ..spec(vec![step(2, &[]), step(3, &[0])]) };
+    let spec = JobSpec {
+        occurrences: 2,
+        ..spec(vec![step(2, &[]), step(3, &[0])])
+    };
     let job = Job::new(JobId(7), "queue".into(), Arc::new(spec), 1);
     for (index, _) in job.tasks() {
         assert_eq!(job.task_index(&job.task_name(index)), Some(index));
--- a/crates/trefoilpassd/tests/fleet.rs
+++ b/crates/trefoilpassd/tests/fleet.rs
@@ -45,7 +45,10 @@
         platform.store_addr,
         platform.vms_addr,
     );
-    let path = std::env::temp_dir().join(format!("trefoilpass-{}-{name}-{callers}.yaml", std::process::id()));
+    let path = std::env::temp_dir().join(format!(
+        "trefoilpass-{}-{name}-{callers}.yaml",
+        std::process::id()
+    ));
     std::fs::write(&path, settings).unwrap();
     let process = Command::new(env!("CARGO_BIN_EXE_trefoilpassd"))
         .arg("--fleet")
@@ -75,12 +78,23 @@
     platform.store.put("op", "config", &config);
 }
 
-async fn call(method: reqwest::Method, daemon: &Daemon, path: &str, body: Option<String>) -> (u16, Value) {
-    let client = Client::builder().no_proxy().timeout(Duration::from_secs(8)).build().unwrap();
+async fn call(
+    method: reqwest::Method,
+    daemon: &Daemon,
+    path: &str,
+    body: Option<String>,
+) -> (u16, Value) {
+    let client = Client::builder()
+        .no_proxy()
+        .timeout(Duration::from_secs(8))
+        .build()
+        .unwrap();
     let url = format!("http://{}{path}", daemon.callers);
     let request = client.request(method, url).header("host", "jobs.example");
     let request = match body {
-        Some(body) => request.header("content-type", "application/json").body(body),
+        Some(body) => request
+            .header("content-type", "application/json")
+            .body(body),
         None => request,
     };
     match request.send().await {
@@ -93,9 +107,12 @@
 }
 
 async fn submit(daemon: &Daemon, id: u64, tasks: u32) -> u16 {
-    let body = json!({"spec": "x", "steps": [{"count": tasks, "cpu": 500, "memMb": 10, "estMs": 300}]});
+    let body =
+        json!({"spec": "x", "steps": [{"count": tasks, "cpu": 500, "memMb": 10, "estMs": 300}]});
     let path = format!("/q/{id:016x}");
-    call(reqwest::Method::POST, daemon, &path, Some(body.to_string())).await.0
+    call(reqwest::Method::POST, daemon, &path, Some(body.to_string()))
+        .await
+        .0
 }
 
 /// Submits until a daemon accepts. Returns how often it was refused.
@@ -119,13 +136,17 @@
 async fn done(daemons: &[Daemon], id: u64) {
     let start = Instant::now();
     for daemon in daemons.iter().cycle() {
-        let (status, body) = call(reqwest::Method::GET, daemon, &format!("/q/{id:016x}"), None).await;
+        let (status, body) =
+            call(reqwest::Method::GET, daemon, &format!("/q/{id:016x}"), None).await;
         assert_ne!(status, 410, "an accepted job is not known");
         if status == 200 && body["state"] == "done" {
             return;
         }
         assert_ne!(body["state"], "failed");
-        assert!(start.elapsed() < PATIENCE, "job {id} is never done: {status} {body}");
+        assert!(
+            start.elapsed() < PATIENCE,
+            "job {id} is never done: {status} {body}"
+        );
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
@@ -153,7 +174,9 @@
     for (task, mut runs) in by_task {
         runs.sort_by_key(|run| run.began);
         for pair in runs.windows(2) {
-            let (ended, how) = pair[0].ended.unwrap_or_else(|| panic!("{task} ran twice at once"));
+            let (ended, how) = pair[0]
+                .ended
+                .unwrap_or_else(|| panic!("{task} ran twice at once"));
             assert!(ended <= pair[1].began, "{task} ran twice at once");
             assert_ne!(how, "done", "{task} ran again after it was done");
         }
@@ -163,7 +186,9 @@
 async fn start(workers: usize, daemons: usize) -> (PlatformStandIn, Vec<Daemon>) {
     let platform = PlatformStandIn::start(workers).await;
     configure(&platform);
-    let daemons: Vec<_> = (0..daemons).map(|number| daemon(&platform, &format!("d{number}"))).collect();
+    let daemons: Vec<_> = (0..daemons)
+        .map(|number| daemon(&platform, &format!("d{number}")))
+        .collect();
     for daemon in &daemons {
         ready(daemon).await;
     }
@@ -175,7 +200,11 @@
     let (platform, daemons) = start(2, 2).await;
     for id in 1..=5 {
         submit_surely(&daemons, id, 4).await;
-        assert_eq!(submit(&daemons[1], id, 4).await, 200, "a repeat is accepted");
+        assert_eq!(
+            submit(&daemons[1], id, 4).await,
+            200,
+            "a repeat is accepted"
+        );
     }
     for id in 1..=5 {
         done(&daemons, id).await;
@@ -183,7 +212,13 @@
     check_runs(&platform, 20);
     let (status, body) = call(reqwest::Method::GET, &daemons[0], "/q/", None).await;
     assert_eq!((status, &body["pending"]), (200, &json!(0)));
-    let (status, _) = call(reqwest::Method::GET, &daemons[0], "/q/00000000000000aa", None).await;
+    let (status, _) = call(
+        reqwest::Method::GET,
+        &daemons[0],
+        "/q/00000000000000aa",
+        None,
+    )
+    .await;
     assert_eq!(status, 410);
 }
 
@@ -208,10 +243,16 @@
 async fn an_outage_and_lost_answers_of_the_store_lose_and_double_nothing() {
     let (platform, daemons) = start(2, 2).await;
     submit_surely(&daemons, 1, 4).await;
-    platform.store.set_faults(StoreFaults { is_down: true, lost_one_in: 0 });
+    platform.store.set_faults(StoreFaults {
+        is_down: true,
+        lost_one_in: 0,
+    });
     // Longer than doubling time-outs took to overflow once.
     tokio::time::sleep(Duration::from_secs(5)).await;
-    platform.store.set_faults(StoreFaults { is_down: false, lost_one_in: 3 });
+    platform.store.set_faults(StoreFaults {
+        is_down: false,
+        lost_one_in: 3,
+    });
     for id in 2..=5 {
         submit_surely(&daemons, id, 4).await;
     }
@@ -230,22 +271,71 @@
     let huge = json!({"spec": "x".repeat(30_000), "steps": [{"count": 1}]}).to_string();
     let cases = [
         ("not JSON", "/q/00000000000000b1", "{", 400),
-        ("a wrong type", "/q/00000000000000b2", r#"{"steps":[{"count":"two"}]}"#, 400),
-        ("no steps", "/q/00000000000000b3", r#"{"spec":"x","steps":[]}"#, 400),
-        ("no tasks", "/q/00000000000000b4", r#"{"steps":[{"count":0}]}"#, 400),
-        ("a step after itself", "/q/00000000000000b5", r#"{"steps":[{"count":1,"after":[0]}]}"#, 400),
-        ("a negative size", "/q/00000000000000b6", r#"{"steps":[{"count":1,"cpu":-1}]}"#, 400),
-        ("a huge count", "/q/00000000000000b7", r#"{"steps":[{"count":4000000000}]}"#, 400),
+        (
+            "a wrong type",
+            "/q/00000000000000b2",
+            r#"{"steps":[{"count":"two"}]}"#,
+            400,
+        ),
+        (
+            "no steps",
+            "/q/00000000000000b3",
+            r#"{"spec":"x","steps":[]}"#,
+            400,
+        ),
+        (
+            "no tasks",
+            "/q/00000000000000b4",
+            r#"{"steps":[{"count":0}]}"#,
+            400,
+        ),
+        (
+            "a step after itself",
+            "/q/00000000000000b5",
+            r#"{"steps":[{"count":1,"after":[0]}]}"#,
+            400,
+        ),
+        (
+            "a negative size",
+            "/q/00000000000000b6",
+            r#"{"steps":[{"count":1,"cpu":-1}]}"#,
+            400,
+        ),
+        (
+            "a huge count",
+            "/q/00000000000000b7",
+            r#"{"steps":[{"count":4000000000}]}"#,
+            400,
+        ),
         ("a long text", "/q/00000000000000b8", long.as_str(), 400),
-        ("a body over the limit", "/q/00000000000000b9", huge.as_str(), 413),
+        (
+            "a body over the limit",
+            "/q/00000000000000b9",
+            huge.as_str(),
+            413,
+        ),
         ("no id", "/q/xyz", r#"{"steps":[{"count":1}]}"#, 400),
-        ("no queue", "/other/00000000000000ba", r#"{"steps":[{"count":1}]}"#, 404),
+        (
+            "no queue",
+            "/other/00000000000000ba",
+            r#"{"steps":[{"count":1}]}"#,
+            404,
+        ),
     ];
     for (name, path, body, expected) in cases {
-        let (status, answer) = call(reqwest::Method::POST, &daemons[0], path, Some(body.to_owned())).await;
+        let (status, answer) = call(
+            reqwest::Method::POST,
+            &daemons[0],
+            path,
+            Some(body.to_owned()),
+        )
+        .await;
         assert_eq!(status, expected, "{name}: {answer}");
         if expected == 400 {
-            assert!(answer["error"].as_str().is_some_and(|why| !why.is_empty()), "{name}");
+            assert!(
+                answer["error"].as_str().is_some_and(|why| !why.is_empty()),
+                "{name}"
+            );
         }
     }
     done(&daemons, 1).await;
@@ -255,10 +345,15 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_wave_maintains_each_vm_once_under_its_cap_and_is_reported() {
     let (platform, daemons) = start(3, 1).await;
-    let wave = json!({"wave": 1, "machines": ["m-0", "m-1", "m-2", "m-gone"], "deadlineS": 20, "cap": 1});
+    let wave =
+        json!({"wave": 1, "machines": ["m-0", "m-1", "m-2", "m-gone"], "deadlineS": 20, "cap": 1});
     platform.store.put("op", "wave/1", &wave);
     let start = Instant::now();
-    while platform.store.get("status", "wave/1").is_none_or(|status| status["state"] != "done") {
+    while platform
+        .store
+        .get("status", "wave/1")
+        .is_none_or(|status| status["state"] != "done")
+    {
         assert!(start.elapsed() < PATIENCE, "the wave is never done");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
@@ -273,7 +368,8 @@
 async fn a_cancelled_job_stops_and_stays_cancelled() {
     let (platform, daemons) = start(1, 2).await;
     submit_surely(&daemons, 1, 1).await;
-    let body = json!({"spec": "x", "steps": [{"count": 1, "cpu": 500, "longRunning": true}]}).to_string();
+    let body =
+        json!({"spec": "x", "steps": [{"count": 1, "cpu": 500, "longRunning": true}]}).to_string();
     let path = "/q/00000000000000c1";
     let (status, _) = call(reqwest::Method::POST, &daemons[0], path, Some(body)).await;
     assert_eq!(status, 200);
@@ -282,7 +378,11 @@
     let (_, body) = call(reqwest::Method::GET, &daemons[0], path, None).await;
     assert_eq!(body["state"], "canceled");
     let start = Instant::now();
-    while platform.runs().iter().any(|run| run.task.contains("c1.") && run.ended.is_none()) {
+    while platform
+        .runs()
+        .iter()
+        .any(|run| run.task.contains("c1.") && run.ended.is_none())
+    {
         assert!(start.elapsed() < PATIENCE, "the task is never stopped");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
--- a/xtask/tests/tidy.rs
+++ b/xtask/tests/tidy.rs
@@ -4,8 +4,12 @@
 use std::path::{Path, PathBuf};
 
 /// Crates whose decisions hold no socket, clock, task or random source of their own.
-const DECISION_CRATES: [&str; 8] = [
+const DECISION_CRATES: [&str; 12] = [
     "domain",
+    "submission",
+    "scheduler",
+    "pools",
+    "ownership",
     "settings",
     "routing",
     "once",
@@ -16,7 +20,9 @@
 ];
 
 /// Libraries by which a crate would do I/O.
-const IO_LIBRARIES: [&str; 9] = [
+const IO_LIBRARIES: [&str; 11] = [
+    "rustix",
+    "users-platform",
     "tokio",
     "reqwest",
     "warp",
@@ -29,7 +35,32 @@
 ];
 
 /// Crates that no shipped program may contain.
-const SCAFFOLDING: [&str; 3] = ["test-support", "spec", "xtask"];
+const SCAFFOLDING: [&str; 4] = ["test-support", "spec", "xtask", "platform-stand-in"];
+
+/// Names on the users' wire, which only the adapter speaks.
+const WIRE_NAMES: [&str; 18] = [
+    concat!("run-", "start"),
+    concat!("run-", "stop"),
+    concat!("rows-", "tx"),
+    concat!("rows-", "feed"),
+    concat!("rows-", "get"),
+    concat!("machine-", "upkeep"),
+    concat!("machine-", "move"),
+    concat!("until", "Ms"),
+    concat!("last", "Seen"),
+    concat!("expect", "Rev"),
+    concat!("Fencing-", "Token"),
+    concat!("Lease-", "Holder"),
+    concat!("Expect-", "Instance"),
+    concat!("checkpoint", "Data"),
+    concat!("rejects", "Overload"),
+    concat!("latencyTarget", "Ms"),
+    concat!("more", "Pages"),
+    concat!("next", "Token"),
+];
+
+/// Test files that hand a daemon what callers and operators write, which is in the users' words.
+const WIRE_TESTS: [&str; 1] = ["crates/trefoilpassd/tests/fleet.rs"];
 
 /// The longest source file, in lines that are not blank.
 const MAX_LINES: usize = 500;
@@ -154,6 +185,46 @@
     }
 }
 
+#[test]
+fn only_the_adapter_speaks_the_users_wire() {
+    for (path, text) in all_sources() {
+        if WIRE_TESTS.iter().any(|test| path.ends_with(test)) {
+            continue;
+        }
+        for name in WIRE_NAMES {
+            assert!(!text.contains(name), "{} has {name}", path.display());
+        }
+    }
+}
+
+#[test]
+fn the_adapter_decides_nothing() {
+    let manifest = fs::read_to_string(root().join("platform/Cargo.toml")).unwrap();
+    for library in listed(&manifest, "[dependencies]") {
+        let is_allowed = !DECISION_CRATES.contains(&library.as_str())
+            || ["domain", "submission"].contains(&library.as_str());
+        assert!(is_allowed, "the adapter depends on {library}");
+    }
+    let mut found = Vec::new();
+    sources(&root().join("platform"), &mut found);
+    for path in found {
+        let text = fs::read_to_string(&path).unwrap();
+        assert!(
+            text.starts_with("//! "),
+            "{} does not say what it is for",
+            path.display()
+        );
+        for word in ["sleep(", "Instant::now", "loop {\n            match"] {
+            let is_stand_in = path.components().any(|part| part.as_os_str() == "stand-in");
+            assert!(
+                is_stand_in || !text.contains(word),
+                "{} has {word}",
+                path.display()
+            );
+        }
+    }
+}
+
 #[test]
 fn documents_that_readers_look_for_are_there() {
     let documents = [
@@ -165,6 +236,9 @@
         "docs/MEASUREMENTS.md",
         "docs/PROOF.md",
         "docs/developers.md",
+        "docs/OPERATIONS.md",
+        "docs/questions.md",
+        "docs/design/platform.md",
     ];
     for document in documents {
         let text = fs::read_to_string(root().join(document)).unwrap_or_default();
