--- a/crates/fleetd/src/members.rs
+++ b/crates/fleetd/src/members.rs
@@ -141,7 +141,7 @@
             continue;
         }
         let taken = if unit == FLEET_UNIT {
-            take_fleet(node, &unit).await
+            take_fleet(node, None).await
         } else {
             take_pool(node, &unit, false).await
         };
@@ -151,11 +151,20 @@
     }
 }
 
-async fn take_fleet(node: &Arc<Node>, unit: &SmolStr) -> Result<bool, Error> {
-    let Some(taken) = take_over(node, unit, false).await? else {
+/// Takes the stewardship; `last_order_at_ms` is when the one who hands it over gave its last order.
+pub(crate) async fn take_fleet(
+    node: &Arc<Node>,
+    last_order_at_ms: Option<u64>,
+) -> Result<bool, Error> {
+    let unit = SmolStr::from(FLEET_UNIT);
+    let Some(mut taken) = take_over(node, &unit, last_order_at_ms.is_some()).await? else {
         return Ok(false);
     };
-    node.set_hold(unit, Some(taken.term));
+    if let (Some(at_ms), Some(before)) = (last_order_at_ms, &mut taken.before) {
+        before.is_released = true;
+        before.last_order_at_ms = at_ms;
+    }
+    node.set_hold(&unit, Some(taken.term));
     tokio::spawn(steward::run(node.clone(), taken));
     Ok(true)
 }
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -132,11 +132,7 @@
         if self.is_over() {
             return JobReply::NotOwner;
         }
-        match self.scheduler.lock().answer(id) {
-            JobAnswer::Recorded(state) => JobReply::State(WireState(state)),
-            JobAnswer::NotYetRecorded => JobReply::Unknown,
-            JobAnswer::Unknown => JobReply::Absent,
-        }
+        reply(&self.scheduler.lock(), id)
     }
 
     /// Cancels a job, and answers once its row is written.
@@ -150,7 +146,7 @@
                 return JobReply::Absent;
             }
             if scheduler.is_written(id) {
-                return self.reply(&scheduler, id);
+                return reply(&scheduler, id);
             }
             let (sender, receiver) = oneshot::channel();
             self.waiters.lock().entry(id).or_default().push(sender);
@@ -158,20 +154,11 @@
         };
         self.changed.notify_one();
         match receiver.await {
-            Ok(HandoverAnswer::Accepted) => self.reply(&self.scheduler.lock(), id),
+            Ok(HandoverAnswer::Accepted) => reply(&self.scheduler.lock(), id),
             _ => JobReply::Unknown,
         }
     }
 
-    #[expect(clippy::unused_self, reason = "kept beside the calls that it answers")]
-    fn reply(&self, scheduler: &Scheduler, id: JobId) -> JobReply {
-        match scheduler.answer(id) {
-            JobAnswer::Recorded(state) => JobReply::State(WireState(state)),
-            JobAnswer::NotYetRecorded => JobReply::Unknown,
-            JobAnswer::Unknown => JobReply::Absent,
-        }
-    }
-
     /// How many jobs of a queue have not started.
     pub(crate) fn pending(&self, queue: &str) -> usize {
         self.scheduler.lock().pending(queue)
@@ -274,6 +261,15 @@
     }
 }
 
+/// Where a job is, by the rows written.
+fn reply(scheduler: &Scheduler, id: JobId) -> JobReply {
+    match scheduler.answer(id) {
+        JobAnswer::Recorded(state) => JobReply::State(WireState(state)),
+        JobAnswer::NotYetRecorded => JobReply::Unknown,
+        JobAnswer::Unknown => JobReply::Absent,
+    }
+}
+
 /// Gives up all pools, so that other daemons take them at once. Jobs that wait for their row get a moment for it.
 pub(crate) async fn release_all(node: &Arc<Node>) {
     let owners: Vec<_> = node.pools.lock().values().cloned().collect();
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -115,6 +115,11 @@
     #[method(name = "take")]
     async fn take(&self, pool: SmolStr) -> RpcResult<bool>;
 
+    /// Takes the stewardship over from the daemon that asks, which gave its last order at that time on the store's
+    /// clock. True when it was taken.
+    #[method(name = "take_fleet")]
+    async fn take_fleet(&self, last_order_at_ms: u64) -> RpcResult<bool>;
+
     /// Does what a steward asks; nothing from a daemon that does not decide for the pool.
     #[method(name = "round")]
     async fn round(&self, pool: SmolStr, ask: RoundAsk) -> RpcResult<Option<RoundReply>>;
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -15,9 +15,11 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use users_platform::HttpClient;
 
+use crate::config::FLEET_UNIT;
 use crate::front::{answer_metrics, answer_ready, serve, serve_simple};
 use crate::members::{
     DEAD_AFTER_MS, LONGEST_GAP_MS, SUSPECT_DEAD_AFTER_MS, follow_operators, keep_membership, sign,
+    take_fleet,
 };
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -208,6 +210,21 @@
         Ok(taken.unwrap_or(false))
     }
 
+    async fn take_fleet(&self, last_order_at_ms: u64) -> RpcResult<bool> {
+        if self.node.holds.lock().contains_key(FLEET_UNIT) {
+            // The answer to the same call before was lost.
+            return Ok(true);
+        }
+        if self.node.is_leaving.load(Ordering::Acquire) || self.node.is_store_away() {
+            return Ok(false);
+        }
+        let taken = take_fleet(&self.node, Some(last_order_at_ms)).await;
+        if let Err(err) = &taken {
+            tracing::warn!(error = %err, "the stewardship that is handed over can't be taken");
+        }
+        Ok(taken.unwrap_or(false))
+    }
+
     async fn round(&self, pool: SmolStr, ask: RoundAsk) -> RpcResult<Option<RoundReply>> {
         let owner = self.node.own_pool(&pool);
         Ok(owner.map(|owner| owner.round(&ask)))
--- a/crates/fleetd/src/settings.rs
+++ b/crates/fleetd/src/settings.rs
@@ -42,16 +42,10 @@
     pub grace_s: f64,
     /// The longest lease that a worker accepts.
     pub longest_lease_ms: u64,
-    /// How long a stop may take.
-    pub stop_ms: u64,
     /// How long ended jobs are kept.
     pub keep_ended_s: u64,
     /// How long orders to VMs of two stewards have to be apart.
     pub steward_gap_ms: u64,
-    /// How long a lasting task may be away before it counts as such.
-    pub notice_ms: u64,
-    /// How long a VM takes to move.
-    pub move_s: f64,
     /// How long the maintenance of a VM takes.
     pub maintenance_s: f64,
 }
--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use ownership::{Lease, OwnerRow};
@@ -15,10 +15,11 @@
 use tokio::task::JoinSet;
 use users_platform::{ListedVm, RowKey, Transaction, VmPhase};
 
+use crate::clock::local_ms;
 use crate::config::FLEET_UNIT;
 use crate::node::{Node, ONLY_KEY, STORE_TIMEOUT, tables};
 use crate::pool::{Sequence, Taken};
-use crate::rpc::{PoolClient, RoundAsk, RoundReply};
+use crate::rpc::{PoolClient, RoundAsk, RoundReply, is_without_effect};
 use crate::steward::orders::{ORDER_SPAN_MS, Order, Sender};
 use crate::steward::waves::Waves;
 
@@ -28,6 +29,9 @@
 /// How often the steward renews its lease. Two renewals fit in the span for orders.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(600);
 
+/// When the store has refused the steward for longer, it hands over to a daemon that the store serves.
+const HAND_OVER_AFTER_MS: u64 = 600;
+
 /// What a successor adds to the gap between two stewards' orders, for the time they take on their way.
 const GAP_RESERVE_MS: u64 = 300;
 
@@ -78,7 +82,9 @@
         last_order_at_ms: node.clock.now().store_ms,
         in_doubt: BTreeMap::new(),
     };
-    let renewal = tokio::spawn(renew(node.clone(), steward.sequence.clone(), lease));
+    let refused_since_ms = Arc::new(AtomicU64::new(0));
+    let renewed = (steward.sequence.clone(), lease, refused_since_ms.clone());
+    let renewal = tokio::spawn(renew(node.clone(), renewed));
     tokio::time::sleep(gap_after(&node, taken.before.as_ref())).await;
     while !renewal.is_finished() {
         if node.is_leaving.load(Ordering::Acquire) {
@@ -86,6 +92,12 @@
             renewal.abort();
             break;
         }
+        let since_ms = refused_since_ms.load(Ordering::Relaxed);
+        let is_refused = since_ms > 0 && local_ms().saturating_sub(since_ms) > HAND_OVER_AFTER_MS;
+        if is_refused && steward.hand_over().await {
+            renewal.abort();
+            break;
+        }
         steward.round().await;
         tokio::time::sleep(ROUND_PERIOD).await;
     }
@@ -119,16 +131,25 @@
 /// Renews the lease until another daemon has taken it over.
 async fn renew(
     node: Arc<Node>,
-    sequence: Arc<tokio::sync::Mutex<Sequence>>,
-    lease: Arc<Mutex<Lease>>,
+    (sequence, lease, refused_since_ms): (
+        Arc<tokio::sync::Mutex<Sequence>>,
+        Arc<Mutex<Lease>>,
+        Arc<AtomicU64>,
+    ),
 ) {
     loop {
         tokio::time::sleep(RENEWAL_PERIOD).await;
+        let on_failure = |err: &users_platform::Error| {
+            if err.is_without_effect() && refused_since_ms.load(Ordering::Relaxed) == 0 {
+                refused_since_ms.store(local_ms(), Ordering::Relaxed);
+            }
+        };
+        let mut sequence = sequence.lock().await;
         let renewed = sequence
-            .lock()
-            .await
-            .commit(&node, Transaction::default(), |_| {})
+            .commit(&node, Transaction::default(), on_failure)
             .await;
+        drop(sequence);
+        refused_since_ms.store(0, Ordering::Relaxed);
         match renewed {
             Ok(sent_at_ms) => lease.lock().renewed(sent_at_ms),
             Err(_) => return,
@@ -162,6 +183,30 @@
         );
     }
 
+    /// Hands the stewardship to a daemon that the store serves. No order is under way between two rounds. True also
+    /// when the answer is lost: the other may be the steward now.
+    async fn hand_over(&self) -> bool {
+        let other = self
+            .node
+            .peers
+            .lock()
+            .least_loaded_other(&self.node.settings.daemon);
+        let Some((other, peer)) = other.and_then(|other| {
+            let peer = self.node.peer(&other.addr)?;
+            Some((other, peer))
+        }) else {
+            return false;
+        };
+        match peer.take_fleet(self.last_order_at_ms).await {
+            Ok(is_taken) => is_taken,
+            Err(err) => {
+                tracing::info!(daemon = other.daemon.as_str(), error = %err, "a peer does not take the stewardship");
+                self.node.suspect(&other);
+                !is_without_effect(&err)
+            }
+        }
+    }
+
     async fn round(&mut self) {
         if !self.sender.may_order() {
             return;
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -22,7 +22,7 @@
     pub fn plan(&mut self, now: Now) {
         let mut misses = 0;
         let mut starts = 0;
-        for key in self.ready.steps() {
+        for key in self.ready.first(MOST_STARTS + MOST_MISSES) {
             if misses >= MOST_MISSES || starts >= MOST_STARTS {
                 return;
             }
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -75,8 +75,12 @@
         self.order.iter().copied()
     }
 
-    /// The steps in order.
-    pub(crate) fn steps(&self) -> Vec<StepKey> {
-        self.order.iter().map(|(_, step)| *step).collect()
+    /// The first `most` steps in order.
+    pub(crate) fn first(&self, most: usize) -> Vec<StepKey> {
+        self.order
+            .iter()
+            .take(most)
+            .map(|(_, step)| *step)
+            .collect()
     }
 }
--- a/crates/trefoilpassd/tests/fleet.rs
+++ b/crates/trefoilpassd/tests/fleet.rs
@@ -38,8 +38,8 @@
     let settings = format!(
         "daemon: {name}\nip: 127.0.0.1\nzone: z\ncallers_addr: 127.0.0.1:{callers}\nready_addr: 127.0.0.1:{ready}\n\
          peer_port: {}\nmetrics_port: {}\nstore_addr: {}\nvms_addr: {}\nnew_field: ignored\n\
-         bounds: {{ grace_s: 6, longest_lease_ms: 10000, stop_ms: 200, keep_ended_s: 120, steward_gap_ms: 3000, \
-         notice_ms: 4500, move_s: 1.5, maintenance_s: 0.4 }}\n",
+         bounds: {{ grace_s: 6, longest_lease_ms: 10000, keep_ended_s: 120, steward_gap_ms: 3000, \
+         maintenance_s: 0.4 }}\n",
         free_port(),
         free_port(),
         platform.store_addr,
