--- a/crates/fleetd/src/front/server.rs
+++ b/crates/fleetd/src/front/server.rs
@@ -14,7 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::front::answer_request;
 use crate::node::Node;
@@ -40,15 +40,23 @@
     socket.listen(BACKLOG)
 }
 
+/// The next connection. Failures are waited out, as descriptors in use come back.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(err) => tracing::warn!(error = %err, "a connection can't be accepted"),
+        }
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
+
 /// Serves callers until the process ends. Connections are closed after their request once the daemon is leaving.
 pub(crate) async fn serve(addr: SocketAddr, node: Arc<Node>) -> std::io::Result<()> {
     let listener = listen(addr)?;
     tokio::spawn(async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
+            let stream = accept(&listener).await;
             let node = node.clone();
             tokio::spawn(async move {
                 let served = node.clone();
@@ -99,10 +107,7 @@
     let listener = listen(addr)?;
     tokio::spawn(async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
+            let stream = accept(&listener).await;
             let (node, answer) = (node.clone(), answer.clone());
             tokio::spawn(async move {
                 let service = service_fn(move |request| {
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -183,6 +183,16 @@
         }
     }
 
+    /// Another daemon to hand a unit to, and a client of it.
+    pub(crate) fn other_daemon(&self) -> Option<(Claim, PeerClient)> {
+        let other = self
+            .peers
+            .lock()
+            .least_loaded_other(&self.settings.daemon)?;
+        let peer = self.peer(&other.addr)?;
+        Some((other, peer))
+    }
+
     /// Shows peers that this daemon holds a unit, or no longer does.
     pub(crate) fn set_hold(&self, unit: &SmolStr, term: Option<u64>) {
         let mut holds = self.holds.lock();
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -215,15 +215,7 @@
             if since_ms == 0 || local_ms().saturating_sub(since_ms) < HAND_OVER_AFTER_MS {
                 continue;
             }
-            let other = self
-                .node
-                .peers
-                .lock()
-                .least_loaded_other(&self.node.settings.daemon);
-            let Some((other, peer)) = other.and_then(|other| {
-                let peer = self.node.peer(&other.addr)?;
-                Some((other, peer))
-            }) else {
+            let Some((other, peer)) = self.node.other_daemon() else {
                 continue;
             };
             match peer.take(self.pool.clone()).await {
--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -188,15 +188,7 @@
     /// Hands the stewardship to a daemon that the store serves. No order is under way between two rounds. True also
     /// when the answer is lost: the other may be the steward now.
     async fn hand_over(&self) -> bool {
-        let other = self
-            .node
-            .peers
-            .lock()
-            .least_loaded_other(&self.node.settings.daemon);
-        let Some((other, peer)) = other.and_then(|other| {
-            let peer = self.node.peer(&other.addr)?;
-            Some((other, peer))
-        }) else {
+        let Some((other, peer)) = self.node.other_daemon() else {
             return false;
         };
         match peer.take_fleet(self.last_order_at_ms).await {
--- a/crates/trefoilpassd/src/main.rs
+++ b/crates/trefoilpassd/src/main.rs
@@ -11,6 +11,7 @@
 mod traces;
 mod traffic;
 
+use std::fmt::Display;
 use std::process::ExitCode;
 
 use clap::Parser;
@@ -18,30 +19,19 @@
 fn main() -> ExitCode {
     let args = args::Args::parse();
     if args.fleet {
-        return run_fleet(&args);
-    }
-    let settings = match args.settings() {
-        Ok(settings) => settings,
-        Err(err) => {
-            eprintln!("trefoilpassd: {err}");
-            return ExitCode::from(args::EXIT_BAD_SETTINGS);
-        }
-    };
-    if args.check {
-        println!("{}: ok", args.config.display());
-        return ExitCode::SUCCESS;
-    }
-    match run::run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(err) => {
-            eprintln!("trefoilpassd: {err}");
-            ExitCode::FAILURE
-        }
+        start(&args, args.fleet_settings(), fleetd::run)
+    } else {
+        start(&args, args.settings(), run::run)
     }
 }
 
-fn run_fleet(args: &args::Args) -> ExitCode {
-    let settings = match args.fleet_settings() {
+/// Checks the settings, and runs the daemon with them unless only the check was asked for.
+fn start<S, E: Display>(
+    args: &args::Args,
+    settings: args::Result<S>,
+    run: impl FnOnce(S) -> Result<(), E>,
+) -> ExitCode {
+    let settings = match settings {
         Ok(settings) => settings,
         Err(err) => {
             eprintln!("trefoilpassd: {err}");
@@ -52,7 +42,7 @@
         println!("{}: ok", args.config.display());
         return ExitCode::SUCCESS;
     }
-    match fleetd::run(settings) {
+    match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("trefoilpassd: {err}");
