--- a/crates/fleetd/src/members.rs
+++ b/crates/fleetd/src/members.rs
@@ -114,6 +114,7 @@
         addr: node.settings.peer_addr().to_string().into(),
         started_at_ms: node.started_at_store_ms(),
         is_leaving: node.is_leaving.load(Ordering::Acquire),
+        capacity: node.settings.machine.capacity(),
         holds: node.holds.lock().clone(),
     };
     let key = RowKey::new(tables::DAEMON, "", node.settings.daemon.clone());
--- a/crates/fleetd/src/settings.rs
+++ b/crates/fleetd/src/settings.rs
@@ -7,6 +7,10 @@
 use smol_str::SmolStr;
 use snafu::{ResultExt, Snafu};
 
+/// The thousandths of a core that one Mbit/s is worth. A pool's daemon filled a link of 10 Mbit/s while it used a
+/// twentieth of a core.
+const CAPACITY_PER_MBPS: f64 = 5.0;
+
 /// What a daemon is told at its start.
 #[derive(Debug, Clone, Deserialize)]
 pub struct FleetSettings {
@@ -31,10 +35,47 @@
     /// The policy service; empty where there is none.
     #[serde(default)]
     pub advice_addr: Option<SmolStr>,
+    /// What this daemon's VM can do.
+    #[serde(default)]
+    pub machine: Machine,
     /// The deployment's figures.
     pub bounds: Bounds,
 }
 
+/// What a daemon's VM can do.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub struct Machine {
+    /// The share of a core that the process may use.
+    pub cpu_share: f64,
+    /// How fast the core is, against the usual.
+    pub speed: f64,
+    /// What its network link carries, in Mbit/s.
+    pub link_mbps: f64,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Self {
+            cpu_share: 1.0,
+            speed: 1.0,
+            link_mbps: 1000.0,
+        }
+    }
+}
+
+impl Machine {
+    /// How much work it can hold, in thousandths of a core; a narrow link counts as a small share of a core.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "float casts saturate"
+    )]
+    pub(crate) fn capacity(self) -> u32 {
+        let cpu = self.cpu_share * self.speed * 1000.0;
+        cpu.min(self.link_mbps * CAPACITY_PER_MBPS) as u32
+    }
+}
+
 /// The deployment's figures.
 #[derive(Debug, Clone, Copy, Deserialize)]
 pub struct Bounds {
--- a/crates/ownership/src/peers.rs
+++ b/crates/ownership/src/peers.rs
@@ -6,6 +6,9 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+/// Loads are compared in millionths of a unit, so that capacities of up to some thousands differ.
+const LOAD_SCALE: u64 = 1_000_000;
+
 /// The row by which a daemon shows that it is alive, and what it holds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DaemonRow {
@@ -17,10 +20,18 @@
     pub started_at_ms: u64,
     /// Whether it is about to end and takes nothing more.
     pub is_leaving: bool,
+    /// How much work it can hold, against that of others.
+    #[serde(default = "usual_capacity")]
+    pub capacity: u32,
     /// The units that it holds, with its terms.
     pub holds: BTreeMap<SmolStr, u64>,
 }
 
+/// The capacity of a daemon whose row doesn't name one.
+fn usual_capacity() -> u32 {
+    1
+}
+
 /// The row that makes a daemon the holder of a unit.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerRow {
@@ -117,7 +128,7 @@
         (row.incarnation != incarnation).then_some(row.started_at_ms)
     }
 
-    /// Another daemon that is alive and stays, the one that holds the least.
+    /// Another daemon that is alive and stays, the one that holds the least for its capacity.
     #[must_use]
     pub fn least_loaded_other(&self, daemon: &str) -> Option<Claim> {
         let others = self.by_daemon.iter().filter(|(name, peer)| {
@@ -126,7 +137,8 @@
                 && !peer.row.is_leaving
                 && !peer.is_suspect
         });
-        let least = others.min_by_key(|(_, peer)| peer.row.holds.len())?;
+        let least =
+            others.min_by_key(|(_, peer)| load(peer.row.holds.len() + 1, peer.row.capacity))?;
         Some(Claim {
             daemon: least.0.clone(),
             addr: least.1.row.addr.clone(),
@@ -171,8 +183,8 @@
         peer.is_some_and(|peer| self.is_alive(peer) && !peer.row.is_leaving)
     }
 
-    /// The units that `daemon` is to take: the free ones go in turn to the daemon that holds the least, so that
-    /// all daemons that see the same rows agree.
+    /// The units that `daemon` is to take: the free ones go in turn to the daemon that would hold the least for its
+    /// capacity, so that all daemons that see the same rows agree.
     #[must_use]
     pub fn to_take(&self, daemon: &str, units: &[SmolStr]) -> Vec<SmolStr> {
         let serving = self
@@ -180,22 +192,25 @@
             .iter()
             .filter(|(_, peer)| self.is_alive(peer) && !peer.row.is_leaving);
         // Of those that hold as much, the youngest: when daemons are restarted in turn, it was restarted already.
-        let mut loads: BTreeMap<&SmolStr, (usize, u64)> = serving
-            .map(|(daemon, peer)| {
-                let age_s = u64::MAX - peer.row.started_at_ms / 1000;
-                (daemon, (peer.row.holds.len(), age_s))
+        let mut candidates: Vec<Candidate<'_>> = serving
+            .map(|(daemon, peer)| Candidate {
+                daemon,
+                holds: peer.row.holds.len(),
+                capacity: peer.row.capacity,
+                age_s: u64::MAX - peer.row.started_at_ms / 1000,
             })
             .collect();
         let mut wanted = Vec::new();
         for unit in units.iter().filter(|unit| !self.is_held(unit)) {
-            let least = loads
-                .iter_mut()
-                .min_by_key(|(daemon, load)| (**load, spread(daemon, unit)));
-            let Some((chosen, load)) = least else {
+            let least = candidates.iter_mut().min_by_key(|candidate| {
+                let load = load(candidate.holds + 1, candidate.capacity);
+                (load, candidate.age_s, spread(candidate.daemon, unit))
+            });
+            let Some(chosen) = least else {
                 return wanted;
             };
-            load.0 += 1;
-            if chosen.as_str() == daemon {
+            chosen.holds += 1;
+            if chosen.daemon.as_str() == daemon {
                 wanted.push(unit.clone());
             }
         }
@@ -203,6 +218,20 @@
     }
 }
 
+/// A daemon that may take a free unit.
+struct Candidate<'a> {
+    daemon: &'a SmolStr,
+    holds: usize,
+    capacity: u32,
+    age_s: u64,
+}
+
+/// What a daemon holds for its capacity.
+fn load(holds: usize, capacity: u32) -> u64 {
+    let holds = u64::try_from(holds).unwrap_or(u64::MAX);
+    holds.saturating_mul(LOAD_SCALE) / u64::from(capacity.max(1))
+}
+
 /// A number that differs by unit, so that not all ties fall to one daemon.
 fn spread(daemon: &str, unit: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/ownership/tests/peers.rs
+++ b/crates/ownership/tests/peers.rs
@@ -19,6 +19,7 @@
         addr: format_smolstr!("{daemon}:1"),
         started_at_ms: 5,
         is_leaving: false,
+        capacity: 250,
         holds,
     };
     (daemon.into(), row)
@@ -75,6 +76,30 @@
     assert!(peers.is_serving("a", "1"));
 }
 
+#[test]
+fn free_units_go_to_large_daemons_until_small_ones_hold_less_for_their_capacity() {
+    let check = |capacities: [u32; 3], expected: [usize; 3]| {
+        let names = ["a", "b", "c"];
+        let rows = names.iter().zip(capacities).map(|(name, capacity)| {
+            let (daemon, mut row) = row(name, "1", &[]);
+            row.capacity = capacity;
+            (daemon, row)
+        });
+        let mut peers = peers();
+        read(&mut peers, 1, &rows.collect::<Vec<_>>(), 0);
+        let units: Vec<SmolStr> = (0..5).map(|n| format_smolstr!("unit-{n}")).collect();
+        let mut taken = names.map(|name| peers.to_take(name, &units).len());
+        // Which of two that are as large takes one more is a matter of names.
+        taken.sort_unstable_by(|a, b| b.cmp(a));
+        assert_eq!(taken, expected, "capacities {capacities:?}");
+    };
+    check([500, 500, 120], [3, 2, 0]);
+    check([500, 120, 120], [4, 1, 0]);
+    check([200, 120, 120], [3, 1, 1]);
+    // A row of an older version shows no capacity.
+    check([0, 0, 120], [5, 0, 0]);
+}
+
 #[test]
 fn free_units_are_divided_and_all_daemons_agree() {
     let mut peers = peers();
