Moves in a round follow the limit of the control of VMs

Cause: a round moved 12 VMs at most, whatever the fleet; in its turn a pool of grown hlc wanted 263 VMs and had 112. Now 0.3 of the orders a second that the settings name.

--- a/crates/fleetd/src/settings.rs
+++ b/crates/fleetd/src/settings.rs
@@ -32,6 +32,9 @@
     pub store_addr: SmolStr,
     /// The platform's control of VMs.
     pub vms_addr: SmolStr,
+    /// How many orders per second the control of VMs takes from all daemons; left out where there is no limit.
+    #[serde(default)]
+    pub vm_orders_per_s: Option<f64>,
     /// The policy service; empty where there is none.
     #[serde(default)]
     pub advice_addr: Option<SmolStr>,
--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -37,8 +37,12 @@
 /// What a successor adds to the gap between two stewards' orders, for the time they take on their way.
 const GAP_RESERVE_MS: u64 = 300;
 
-/// The most moves in a round: a VM moved is lost for a while, and the demand may have changed in the next.
-const MOST_MOVES: usize = 12;
+/// The share of the orders per second that the control of VMs takes which a round may use for moves; the
+/// rest of a round of 0.36 s is left to maintenance.
+const MOVES_SHARE: f64 = 0.3;
+
+/// The most moves in a round on a deployment that names no limit.
+const USUAL_MOST_MOVES: usize = 12;
 
 struct Steward {
     node: Arc<Node>,
@@ -252,6 +256,17 @@
         }
     }
 
+    /// The most moves in a round.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "float casts saturate"
+    )]
+    fn most_moves(&self) -> usize {
+        let per_s = self.node.settings.vm_orders_per_s;
+        per_s.map_or(USUAL_MOST_MOVES, |per_s| (per_s * MOVES_SHARE) as usize)
+    }
+
     fn standby_pools(&self) -> BTreeSet<SmolStr> {
         let document = self.node.in_force.get();
         let services = document.iter().flat_map(|document| &document.services);
@@ -333,7 +348,7 @@
             .map(|vm| (vm.vm.clone(), self.vm_state(vm, replies)))
             .collect();
         let pools = pool_states(standby, replies);
-        let steps = plan_moves(&pools, &vms, MOST_MOVES);
+        let steps = plan_moves(&pools, &vms, self.most_moves());
         log_pools(&pools, &vms);
         self.reclaimed = steps.reclaim.into_iter().collect();
         let planned = steps.moves;
