VMs emptied for another pool and moved there are used there

Ruled out: refused orders, silence, avoided workers. Now a pool empties no more than it can spare, and a VM that was moved is off the list. Test fails before.

--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -15,7 +15,7 @@
 
 use ownership::Lease;
 use parking_lot::Mutex;
-use scheduler::{JobAnswer, Scheduler, WorkerKey};
+use scheduler::{JobAnswer, Scheduler, Unusable, WorkerKey};
 use smol_str::SmolStr;
 use submission::{JobId, JobSpec};
 use tokio::sync::{Notify, oneshot};
@@ -192,12 +192,13 @@
         let demand = scheduler.demand(now);
         drop(scheduler);
         self.changed.notify_one();
+        log_unusable(&self.pool, &demand.unusable);
         RoundReply {
             tasks,
             urgent: demand.urgent,
             wanted: demand.wanted,
             steady: demand.steady,
-            unusable: demand.unusable,
+            unusable: demand.unusable.into_iter().map(|(id, _)| id).collect(),
             silent: demand.silent,
             idle: demand
                 .idle
@@ -253,6 +254,21 @@
     }
 }
 
+fn log_unusable(pool: &str, unusable: &[(SmolStr, Unusable)]) {
+    if unusable.is_empty() {
+        return;
+    }
+    let count = |cause| unusable.iter().filter(|(_, other)| *other == cause).count();
+    tracing::info!(
+        pool,
+        silent = count(Unusable::Silent),
+        draining = count(Unusable::Draining),
+        emptied = count(Unusable::Emptied),
+        avoided = count(Unusable::Avoided),
+        "workers that get no new work"
+    );
+}
+
 /// Where a job is, by the rows written.
 fn reply(scheduler: &Scheduler, id: JobId) -> JobReply {
     match scheduler.answer(id) {
--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -429,6 +429,9 @@
     ) {
         let vm = match order {
             Order::Move { vm, pool } => {
+                if result == OrderResult::Begun {
+                    self.reclaimed.remove(vm);
+                }
                 match result {
                     OrderResult::Unanswered => self.in_doubt.insert(vm.clone(), pool.clone()),
                     _ => self.in_doubt.remove(vm),
--- a/crates/pools/src/balance.rs
+++ b/crates/pools/src/balance.rs
@@ -175,11 +175,17 @@
     have: &Counts,
     lacking: usize,
 ) -> Vec<SmolStr> {
-    let under_way = vms
-        .iter()
-        .filter(|(_, vm)| vm.is_reclaimed)
-        .map(|(vm, _)| vm.clone());
-    let mut reclaimed: Vec<SmolStr> = under_way.take(lacking).collect();
+    let mut reclaimed: Vec<SmolStr> = Vec::new();
+    for (pool, count) in have {
+        let of_pool = vms
+            .iter()
+            .filter(|(_, vm)| vm.is_reclaimed && vm.pool == *pool);
+        let under_way: Vec<_> = of_pool.map(|(name, _)| name.clone()).collect();
+        // Those moved since are in a pool that needs them.
+        let spared = (count + under_way.len()).saturating_sub(shares[pool]);
+        let left = lacking.saturating_sub(reclaimed.len());
+        reclaimed.extend(under_way.into_iter().take(spared.min(left)));
+    }
     for (pool, state) in pools.iter().filter(|(_, pool)| !pool.is_standby) {
         let surplus = have[pool].saturating_sub(shares[pool].max(state.urgent));
         if surplus < LEAST_RECLAIM {
--- a/crates/pools/tests/balance.rs
+++ b/crates/pools/tests/balance.rs
@@ -132,3 +132,25 @@
     let steps = fleet.plan();
     assert_eq!((steps.moves.len(), steps.moves[0].to.as_str()), (1, "a"));
 }
+
+#[test]
+fn a_vm_is_emptied_for_others_only_while_its_pool_can_spare_it() {
+    let check = |pool: &str, expected: usize| {
+        let mut fleet = Fleet::new()
+            .with_pool("a", 8, 8)
+            .with_pool("b", 2, 8)
+            .with_vms("a", 4, None)
+            .with_vms("b", 4, None);
+        for vm in fleet.vms.values_mut().filter(|vm| vm.pool == pool) {
+            vm.is_reclaimed = true;
+            vm.is_of_use = false;
+        }
+        let kept = fleet.plan().reclaim;
+        let of_pool = kept.iter().filter(|vm| fleet.vms[*vm].pool == pool);
+        assert_eq!(of_pool.count(), expected, "emptied VMs of {pool}");
+    };
+    // They were moved to the pool that lacks VMs, and serve it now.
+    check("a", 0);
+    // No more than the other pool lacks.
+    check("b", 2);
+}
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -7,6 +7,7 @@
 
 use crate::scheduler::Scheduler;
 use crate::types::Now;
+use crate::worker::Unusable;
 
 /// How far ahead the demand is wanted: a VM takes 1.5 s to move, and half a second until its worker is known.
 const AHEAD_MS: u64 = 1500;
@@ -44,8 +45,8 @@
     pub wanted: usize,
     /// The workers on which lasting tasks run.
     pub steady: Vec<SmolStr>,
-    /// The workers that get no new work now: emptied, draining, silent, or avoided.
-    pub unusable: Vec<SmolStr>,
+    /// The workers that get no new work now, and why.
+    pub unusable: Vec<(SmolStr, Unusable)>,
     /// The workers that do not answer, and on which something runs or may run.
     pub silent: Vec<SmolStr>,
     /// The workers on which nothing runs.
@@ -89,8 +90,13 @@
         let each = largest.unwrap_or(ASSUMED_CPU_MILLI).max(1000) * FILL_PERCENT / 100;
         let workers = |cpu: u64| usize::try_from(cpu.div_ceil(each)).unwrap_or(usize::MAX);
         let least = steady.len().max(self.lasting_places()).max(LEAST_WORKERS);
-        let unusable = self.workers.values().filter(|worker| {
-            worker.is_listed && worker.is_proven && !worker.is_usable(now.local_ms)
+        let proven = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_listed && worker.is_proven);
+        let unusable = proven.filter_map(|worker| {
+            let cause = worker.unusable(now.local_ms)?;
+            Some((worker.info.id.clone(), cause))
         });
         let silent = self.workers.values().filter(|worker| {
             !worker.runs.is_empty() && (worker.is_silent || worker.info.addr.is_empty())
@@ -100,7 +106,7 @@
             urgent: workers(on_time).max(least),
             wanted: workers(on_time + late).max(least),
             steady,
-            unusable: unusable.map(|worker| worker.info.id.clone()).collect(),
+            unusable: unusable.collect(),
             idle: self.idle_workers(now),
         }
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -23,4 +23,4 @@
 pub use looks::{End, Look, RunningTask};
 pub use scheduler::Scheduler;
 pub use types::{JobAnswer, Limits, Note, Now, QueueRules, StartOutcome};
-pub use worker::{HoldPlan, WorkerInfo, WorkerKey};
+pub use worker::{HoldPlan, Unusable, WorkerInfo, WorkerKey};
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -35,6 +35,19 @@
     }
 }
 
+/// Why a worker gets no new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unusable {
+    /// Its last order got no answer.
+    Silent,
+    /// It is about to end.
+    Draining,
+    /// It is to be empty for a move or for maintenance.
+    Emptied,
+    /// Its runs fail, or it refuses orders.
+    Avoided,
+}
+
 /// The clock of a worker, as a sample pairs it with this daemon's.
 #[derive(Debug, Clone, Copy)]
 struct ClockSample {
@@ -143,12 +156,22 @@
 
     /// Whether it may be given new work.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
-        self.is_listed
-            && self.is_proven
-            && !self.is_silent
-            && now_ms >= self.evacuated_until_ms
-            && !self.info.is_draining
-            && !self.health.is_avoided(now_ms)
+        self.is_listed && self.is_proven && self.unusable(now_ms).is_none()
+    }
+
+    /// Why a worker of this pool that has taken an order gets no new work; `None` when it gets some.
+    pub(crate) fn unusable(&self, now_ms: u64) -> Option<Unusable> {
+        if self.is_silent {
+            Some(Unusable::Silent)
+        } else if self.info.is_draining {
+            Some(Unusable::Draining)
+        } else if now_ms < self.evacuated_until_ms {
+            Some(Unusable::Emptied)
+        } else if self.health.is_avoided(now_ms) {
+            Some(Unusable::Avoided)
+        } else {
+            None
+        }
     }
 
     pub(crate) fn room(&self) -> Resources {
