A new steward leaves alone only VMs that were ordered lately

Orders of two holders have to be apart for each VM, so a steward now records the VMs before it orders them, and its successor holds back just these. Waves keep the whole gap, as the list lags behind orders on their way.

--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -47,6 +47,8 @@
     pub(crate) const PROGRESS: &str = "progress";
     /// How far a wave is, by wave, in the fleet's part.
     pub(crate) const WAVE: &str = "wave";
+    /// Which VMs the stewards ordered lately, in the fleet's part.
+    pub(crate) const ORDERED: &str = "ordered";
 }
 
 /// The one key of a table that has one row in a part.
--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -11,7 +11,7 @@
 
 use ownership::{Lease, OwnerRow};
 use parking_lot::Mutex;
-use pools::{OrderResult, VmState, plan_moves};
+use pools::{OrderLog, OrderResult, VmState, plan_moves};
 use smol_str::SmolStr;
 use tokio::task::JoinSet;
 use users_platform::{ListedVm, RowKey, Transaction, VmPhase};
@@ -19,9 +19,9 @@
 use crate::clock::local_ms;
 use crate::config::FLEET_UNIT;
 use crate::node::{Node, ONLY_KEY, STORE_TIMEOUT, tables};
-use crate::pool::{Sequence, Taken};
+use crate::pool::{Sequence, Taken, read_all};
 use crate::rpc::{PoolClient, RoundAsk, RoundReply, is_without_effect};
-use crate::steward::orders::{ORDER_SPAN_MS, Order, Sender};
+use crate::steward::orders::{ORDER_SPAN_MS, ORDER_TIMEOUT, Order, Sender};
 use crate::steward::views::{lives, log_pools, pool_states, tasks_left, wave_vms};
 use crate::steward::waves::Waves;
 
@@ -49,6 +49,11 @@
     sender: Sender,
     sequence: Arc<tokio::sync::Mutex<Sequence>>,
     waves: Waves,
+    /// From when on this steward maintains VMs, on the store's clock. Until then orders of the steward before may be
+    /// on their way, and the list doesn't tell which VMs are down.
+    maintains_from_ms: u64,
+    /// The last orders, also of the stewards before.
+    ordered: OrderLog,
     /// The workers that pools are emptying for waves, by pool.
     emptying: BTreeMap<SmolStr, BTreeSet<SmolStr>>,
     /// The workers whose life an order has ended, by pool; told with the next round.
@@ -75,23 +80,27 @@
         term,
         lease: lease.clone(),
     };
+    let gap_ms = gap_after(&node, taken.before.as_ref());
+    let now_ms = node.clock.now().store_ms;
     let mut steward = Steward {
         node: node.clone(),
         sender,
         sequence: Arc::new(tokio::sync::Mutex::new(taken.sequence)),
         waves: Waves::default(),
+        maintains_from_ms: now_ms + gap_ms,
+        ordered: OrderLog::default(),
         emptying: BTreeMap::new(),
         over: BTreeMap::new(),
         silent: BTreeMap::new(),
         kept: BTreeMap::new(),
         reclaimed: BTreeSet::new(),
-        last_order_at_ms: node.clock.now().store_ms,
+        last_order_at_ms: now_ms,
         in_doubt: BTreeMap::new(),
     };
     let refused_since_ms = Arc::new(AtomicU64::new(0));
     let renewed = (steward.sequence.clone(), lease, refused_since_ms.clone());
     let renewal = tokio::spawn(renew(node.clone(), renewed));
-    tokio::time::sleep(gap_after(&node, taken.before.as_ref())).await;
+    steward.ordered = read_ordered(&node, steward.hold_ms()).await;
     while !renewal.is_finished() {
         if node.is_leaving.load(Ordering::Acquire) {
             steward.release().await;
@@ -111,27 +120,51 @@
     node.set_hold(&FLEET_UNIT.into(), None);
 }
 
-/// How long a new steward leaves after the one before, because orders of two have to be apart.
-fn gap_after(node: &Node, before: Option<&OwnerRow>) -> Duration {
+/// What the stewards before ordered lately.
+async fn read_ordered(node: &Node, hold_ms: u64) -> OrderLog {
+    loop {
+        match read_all(node, tables::ORDERED, FLEET_UNIT).await {
+            Ok(rows) => {
+                let Some(value) = rows.first().and_then(|row| row.value.as_deref()) else {
+                    return OrderLog::default();
+                };
+                match serde_json::from_slice(value) {
+                    Ok(log) => return log,
+                    Err(err) => {
+                        tracing::error!(error = %err, hold_ms, "the last orders to VMs are unreadable: all VMs are left alone for a while");
+                        tokio::time::sleep(Duration::from_millis(hold_ms)).await;
+                        return OrderLog::default();
+                    }
+                }
+            }
+            Err(err) => {
+                tracing::warn!(error = %err, "the last orders to VMs can't be read yet");
+                tokio::time::sleep(ROUND_PERIOD).await;
+            }
+        }
+    }
+}
+
+/// How long a new steward leaves after the one before until it maintains VMs, in ms.
+fn gap_after(node: &Node, before: Option<&OwnerRow>) -> u64 {
     let Some(before) = before else {
-        return Duration::ZERO;
+        return 0;
     };
     let gap_ms = node.settings.bounds.steward_gap_ms + GAP_RESERVE_MS;
     if before.is_released {
         let next_at_ms = before.last_order_at_ms + gap_ms;
-        return Duration::from_millis(next_at_ms.saturating_sub(node.clock.now().store_ms));
+        return next_at_ms.saturating_sub(node.clock.now().store_ms);
     }
     let restarted = node
         .peers
         .lock()
         .restarted_at_ms(&before.daemon, &before.incarnation);
-    let gap_ms = match restarted {
+    match restarted {
         // The process that gave the last order had ended when the next one started.
         Some(at_ms) => (at_ms + gap_ms).saturating_sub(node.clock.now().store_ms),
         // It may give orders until the end of its span.
         None => gap_ms + ORDER_SPAN_MS,
-    };
-    Duration::from_millis(gap_ms)
+    }
 }
 
 /// Renews the lease until another daemon has taken it over.
@@ -209,7 +242,10 @@
         if !self.sender.may_order() {
             return;
         }
-        self.waves.load(&self.node).await;
+        let may_maintain = self.node.clock.now().store_ms >= self.maintains_from_ms;
+        if may_maintain {
+            self.waves.load(&self.node).await;
+        }
         let listed = match self.node.vms.list(STORE_TIMEOUT).await {
             Ok(listed) => listed,
             Err(err) => {
@@ -232,7 +268,10 @@
         empty.extend(self.in_doubt.keys().cloned());
         self.set_emptying(&listed, &empty);
         let has_orders = !orders.is_empty();
-        for (order, result) in self.sender.send_all(orders).await {
+        let Some(recorded_at_ms) = self.record(&orders).await else {
+            return;
+        };
+        for (order, result) in self.sender.send_all(orders, recorded_at_ms).await {
             self.take_result(&order, result, &lives);
         }
         if has_orders {
@@ -241,6 +280,38 @@
         self.waves.write(&self.node, &self.sequence).await;
     }
 
+    /// Records which VMs are about to be ordered, and returns since when. `None` when another daemon is the steward.
+    async fn record(&mut self, orders: &[Order]) -> Option<u64> {
+        let recorded_at_ms = local_ms();
+        if orders.is_empty() {
+            return Some(recorded_at_ms);
+        }
+        let vms = orders.iter().map(|order| order.vm().clone());
+        let now_ms = self.node.clock.now().store_ms;
+        self.ordered
+            .note(vms, self.sender.term, now_ms, self.hold_ms());
+        let key = RowKey::new(tables::ORDERED, FLEET_UNIT, ONLY_KEY);
+        // Plain data, which can always be written.
+        let value = serde_json::to_vec(&self.ordered).unwrap_or_default();
+        let transaction = Transaction::default().with_write(key, value);
+        let mut sequence = self.sequence.lock().await;
+        let committed = sequence.commit(&self.node, transaction, |_| {}).await;
+        committed.is_ok().then_some(recorded_at_ms)
+    }
+
+    /// For how long after another steward recorded an order to a VM this one leaves the VM alone: the time in which
+    /// the order may be sent and carried out, and the gap.
+    fn hold_ms(&self) -> u64 {
+        let order_ms = u64::try_from(ORDER_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
+        ORDER_SPAN_MS + order_ms + self.node.settings.bounds.steward_gap_ms + GAP_RESERVE_MS
+    }
+
+    fn is_held(&self, vm: &str) -> bool {
+        let now_ms = self.node.clock.now().store_ms;
+        self.ordered
+            .is_held(vm, self.sender.term, now_ms, self.hold_ms())
+    }
+
     /// Workers that did not answer, and that the list, read since, does not have on any VM: their life is over.
     fn find_ended_lives(&mut self, listed: &[ListedVm]) {
         for (pool, workers) in std::mem::take(&mut self.silent) {
@@ -410,7 +481,7 @@
         VmState {
             pool: self.in_doubt.get(&vm.vm).unwrap_or(&vm.pool).clone(),
             is_of_use: matches!(vm.phase, VmPhase::Up | VmPhase::Moving) && !is_unusable,
-            is_movable: vm.phase == VmPhase::Up && !is_promised,
+            is_movable: vm.phase == VmPhase::Up && !is_promised && !self.is_held(&vm.vm),
             is_steady: reply.is_some_and(|reply| has(&reply.steady)),
             is_reclaimed,
             idle_ms: if is_emptied {
--- a/crates/fleetd/src/steward/orders.rs
+++ b/crates/fleetd/src/steward/orders.rs
@@ -17,7 +17,7 @@
 
 /// How long the control of VMs may take to answer. Together with the span for orders less than the gap that a
 /// successor leaves.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// An order to a VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -41,18 +41,30 @@
     pub(super) lease: Arc<Mutex<Lease>>,
 }
 
+impl Order {
+    pub(super) fn vm(&self) -> &SmolStr {
+        match self {
+            Self::Move { vm, .. } | Self::Maintain { vm, .. } => vm,
+        }
+    }
+}
+
 impl Sender {
     pub(super) fn may_order(&self) -> bool {
         self.lease.lock().is_held(local_ms(), ORDER_SPAN_MS)
     }
 
-    /// Sends orders at the same time, and returns what came of each.
-    pub(super) async fn send_all(&self, orders: Vec<Order>) -> Vec<(Order, OrderResult)> {
+    /// Sends orders that were recorded at `recorded_at_ms` at the same time, and returns what came of each.
+    pub(super) async fn send_all(
+        &self,
+        orders: Vec<Order>,
+        recorded_at_ms: u64,
+    ) -> Vec<(Order, OrderResult)> {
         let mut sent = JoinSet::new();
         for order in orders {
             let sender = self.clone();
             sent.spawn(async move {
-                let result = sender.send(&order).await;
+                let result = sender.send(&order, recorded_at_ms).await;
                 (order, result)
             });
         }
@@ -68,8 +80,10 @@
         results
     }
 
-    async fn send(&self, order: &Order) -> OrderResult {
-        if !self.may_order() {
+    async fn send(&self, order: &Order, recorded_at_ms: u64) -> OrderResult {
+        // A successor counts the time in which it leaves a VM alone from when the order was recorded.
+        let is_recent = local_ms().saturating_sub(recorded_at_ms) < ORDER_SPAN_MS;
+        if !is_recent || !self.may_order() {
             return OrderResult::Busy;
         }
         let holder = (self.daemon.as_str(), self.term);
