--- a/crates/fleetd/src/steward/views.rs
+++ b/crates/fleetd/src/steward/views.rs
@@ -74,11 +74,17 @@
                 .iter()
                 .any(|(worker, _)| vm.worker.as_ref() == Some(worker))
         });
+        let steady = reply.into_iter().flat_map(|reply| &reply.steady);
+        let is_steady = vm
+            .worker
+            .iter()
+            .any(|worker| steady.clone().any(|id| id == worker));
         let state = WaveVm {
             is_up: vm.phase == VmPhase::Up,
             is_standby,
             is_empty: is_standby || vm.worker.is_none() || tasks == Some(0),
             is_idle,
+            is_steady,
         };
         (vm.vm.clone(), state)
     };
--- a/crates/pools/src/wave.rs
+++ b/crates/pools/src/wave.rs
@@ -16,6 +16,8 @@
     pub is_empty: bool,
     /// Whether nothing runs there at the moment.
     pub is_idle: bool,
+    /// Whether a lasting task runs there.
+    pub is_steady: bool,
 }
 
 /// What came of an order.
@@ -59,6 +61,10 @@
 /// How long it takes to empty a busy VM: its longest brief task, and a lasting one's start elsewhere.
 const EMPTYING_MS: u64 = 3000;
 
+/// The part of the VMs with lasting tasks that is emptied from the start: one in this many. Their tasks are moved one
+/// after another, in 1 s to 2 s each, so that the last of them would be late if they waited for the others.
+const STEADY_PARTS: usize = 12;
+
 /// The part of a wave's time that it is planned to take, in percent; the rest is for what goes wrong.
 const PLANNED_PERCENT: u64 = 55;
 
@@ -180,10 +186,18 @@
         let (easy, busy): (Vec<_>, Vec<_>) =
             listed.partition(|(_, listed)| listed.is_standby || listed.is_idle);
         let easy: Vec<SmolStr> = easy.into_iter().map(|(vm, _)| vm.clone()).collect();
-        let busy: Vec<SmolStr> = busy.into_iter().map(|(vm, _)| vm.clone()).collect();
+        let (steady, brief): (Vec<_>, Vec<_>) =
+            busy.into_iter().partition(|(_, listed)| listed.is_steady);
+        let steady_under_way = self.steady_under_way(list);
+        let steady_asked = (steady.len() + steady_under_way).div_ceil(STEADY_PARTS);
+        let steady_more = steady_asked.saturating_sub(steady_under_way);
+        let steady_more = steady_more.min(steady.len());
+        let busy = steady.into_iter().chain(brief);
+        let busy: Vec<SmolStr> = busy.map(|(vm, _)| vm.clone()).collect();
         let busy_under_way = emptying.saturating_sub(self.easy_under_way(list));
         let asked = self.emptied_at_once(busy.len() + busy_under_way, now_ms);
-        let busy = busy.into_iter().take(asked.saturating_sub(busy_under_way));
+        let more = asked.saturating_sub(busy_under_way).max(steady_more);
+        let busy = busy.into_iter().take(more);
         for vm in easy.into_iter().chain(busy) {
             if free == 0 {
                 return;
@@ -193,6 +207,15 @@
         }
     }
 
+    fn steady_under_way(&self, list: &BTreeMap<SmolStr, WaveVm>) -> usize {
+        let emptying = self
+            .steps
+            .iter()
+            .filter(|(_, step)| **step == Step::Emptying);
+        let listed = emptying.filter_map(|(vm, _)| list.get(vm));
+        listed.filter(|vm| vm.is_steady).count()
+    }
+
     fn easy_under_way(&self, list: &BTreeMap<SmolStr, WaveVm>) -> usize {
         let emptying = self
             .steps
--- a/crates/pools/tests/wave.rs
+++ b/crates/pools/tests/wave.rs
@@ -17,6 +17,7 @@
         is_standby: false,
         is_empty: false,
         is_idle: false,
+        is_steady: false,
     }
 }
 
@@ -114,3 +115,72 @@
     assert_eq!(wave.next(&list, 200).order, Vec::<SmolStr>::new());
     assert_eq!(wave.next(&list, 500).order, ordered);
 }
+
+/// How long it takes to move the lasting tasks of one VM elsewhere, which happens to one VM after another.
+const STEADY_MOVE_MS: u64 = 2000;
+
+/// When a wave is done over busy VMs of which the last `steady` have lasting tasks. The others are empty 1 s after they
+/// were asked to be.
+fn play_steady(count: usize, steady: usize, most_down: usize, left_ms: u64) -> u64 {
+    let all = names(count);
+    let mut wave = Wave::new(
+        all.clone(),
+        &BTreeSet::new(),
+        most_down,
+        MAINTENANCE_MS,
+        0,
+        left_ms,
+    );
+    let mut asked: BTreeMap<SmolStr, u64> = BTreeMap::new();
+    let mut back: BTreeMap<SmolStr, u64> = BTreeMap::new();
+    let mut emptied: BTreeSet<SmolStr> = BTreeSet::new();
+    let mut next_move_ms = 0;
+    let mut now_ms = 0;
+    while !wave.is_done() && now_ms < 10 * left_ms {
+        let is_steady = |index: usize| index >= count - steady;
+        for (index, vm) in all.iter().enumerate() {
+            let Some(asked_ms) = asked.get(vm) else {
+                continue;
+            };
+            if !is_steady(index) && now_ms >= asked_ms + 1000 {
+                emptied.insert(vm.clone());
+            } else if is_steady(index) && !emptied.contains(vm) && now_ms >= next_move_ms {
+                emptied.insert(vm.clone());
+                next_move_ms = now_ms + STEADY_MOVE_MS;
+            }
+        }
+        let list = all.iter().enumerate().map(|(index, vm)| {
+            let state = WaveVm {
+                is_up: back.get(vm).is_none_or(|at_ms| now_ms >= *at_ms),
+                is_empty: emptied.contains(vm),
+                is_steady: is_steady(index) && !emptied.contains(vm),
+                ..busy()
+            };
+            (vm.clone(), state)
+        });
+        let next = wave.next(&list.collect(), now_ms);
+        for vm in next.empty {
+            asked.entry(vm).or_insert(now_ms);
+        }
+        for vm in next.order {
+            back.insert(vm.clone(), now_ms + MAINTENANCE_MS);
+            wave.ordered(&vm, OrderResult::Begun, now_ms);
+        }
+        now_ms += 300;
+    }
+    now_ms
+}
+
+#[test]
+fn a_wave_is_in_time_although_lasting_tasks_move_one_after_another() {
+    let check = |count, steady, most_down, left_ms| {
+        let done_ms = play_steady(count, steady, most_down, left_ms);
+        assert!(
+            done_ms <= left_ms,
+            "{steady} of {count} VMs with lasting tasks: done at {done_ms} of {left_ms} ms"
+        );
+    };
+    check(160, 10, 20, 26_000);
+    check(60, 12, 20, 26_000);
+    check(20, 10, 9, 25_000);
+}
