--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,123 @@
+//! Callers: each hands in one job after another, asks for them, and cancels some.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use platform_stand_in::{Caller, LASTING_PAYLOAD, Shown, Submitted, chain_body, job_body};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::ledger::{JobKind, JobRecord, Ledger, StateSeen};
+
+/// How often a caller tries to hand a job in, as the platform's callers do.
+const TRIES: usize = 5;
+
+/// The pause between two tries.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// The longest pause between two calls of a caller.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
+pub(crate) type SharedLedger = Arc<Mutex<Ledger>>;
+
+/// Calls until `until`. Connections stay open over the whole run.
+pub(crate) async fn call_until(
+    until: Instant,
+    (seed, number): (u64, u64),
+    daemons: Vec<Caller>,
+    ledger: SharedLedger,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(number + 1);
+    let mut job = (number + 1) << 32;
+    while Instant::now() < until {
+        job += 1;
+        let kind = kind(&mut rng);
+        ledger.lock().jobs.insert(job, JobRecord::new(kind));
+        hand_in(job, kind, &mut rng, &daemons, &ledger).await;
+        pause(&mut rng).await;
+        let own = rng.random_range((number + 1) << 32..=job);
+        ask(own.max(job), pick(&daemons, &mut rng), &ledger).await;
+        let is_lasting = matches!(kind, JobKind::Lasting { .. });
+        if is_lasting || rng.random_ratio(1, 10) {
+            pause(&mut rng).await;
+            cancel(job, pick(&daemons, &mut rng), &ledger).await;
+        }
+    }
+}
+
+fn kind(rng: &mut ChaCha8Rng) -> JobKind {
+    match rng.random_range(0..10) {
+        0 => JobKind::Lasting { tasks: 2 },
+        1..=4 => JobKind::Chain {
+            tasks: [rng.random_range(1..4), rng.random_range(1..3)],
+        },
+        _ => JobKind::Single {
+            tasks: rng.random_range(1..5),
+        },
+    }
+}
+
+fn body(kind: JobKind) -> String {
+    match kind {
+        JobKind::Single { tasks } => job_body("x", tasks, false),
+        JobKind::Chain { tasks } => chain_body("x", &tasks),
+        JobKind::Lasting { tasks } => job_body(LASTING_PAYLOAD, tasks, true),
+    }
+}
+
+fn pick<'a>(daemons: &'a [Caller], rng: &mut ChaCha8Rng) -> &'a Caller {
+    daemons.choose(rng).expect("at least one daemon")
+}
+
+async fn pause(rng: &mut ChaCha8Rng) {
+    tokio::time::sleep(rng.random_range(Duration::ZERO..LONGEST_PAUSE)).await;
+}
+
+async fn hand_in(
+    job: u64,
+    kind: JobKind,
+    rng: &mut ChaCha8Rng,
+    daemons: &[Caller],
+    ledger: &SharedLedger,
+) {
+    for _ in 0..TRIES {
+        let outcome = pick(daemons, rng).submit(job, body(kind)).await;
+        if let Some(record) = ledger.lock().jobs.get_mut(&job) {
+            record.is_refused &= outcome == Submitted::Refused;
+            if outcome == Submitted::Accepted {
+                record.accepted = Some(Instant::now());
+                return;
+            }
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Asks for a job's state, and notes the answer.
+pub(crate) async fn ask(job: u64, daemon: &Caller, ledger: &SharedLedger) -> Shown {
+    let asked = Instant::now();
+    let shown = daemon.state(job).await;
+    if let Some(record) = ledger.lock().jobs.get_mut(&job) {
+        record.seen.push(StateSeen {
+            asked,
+            answered: Instant::now(),
+            shown,
+        });
+    }
+    shown
+}
+
+/// Asks to cancel a job, and notes whether that was acknowledged.
+pub(crate) async fn cancel(job: u64, daemon: &Caller, ledger: &SharedLedger) -> bool {
+    if let Some(record) = ledger.lock().jobs.get_mut(&job) {
+        record.cancel_asked.get_or_insert(Instant::now());
+    }
+    let is_cancelled = daemon.cancel(job).await;
+    if let Some(record) = ledger.lock().jobs.get_mut(&job).filter(|_| is_cancelled) {
+        record.cancelled.get_or_insert(Instant::now());
+    }
+    is_cancelled
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,18 @@
+//! A randomized fault soak: real daemons as processes of their own, faults from outside them, and promises checked from
+//! what callers, workers and VMs see.
+//!
+//! A seed decides all faults and all calls. Connections pass loopback proxies that delay, cut, silence and freeze them
+//! one way; processes are killed, paused, ended in order and started again by signals; the store refuses, or loses
+//! answers; workers end and come back as new lives.
+
+mod callers;
+mod checks;
+mod ledger;
+mod plan;
+mod play;
+mod stage;
+
+pub use checks::findings;
+pub use ledger::{JobKind, JobRecord, Ledger, StateSeen};
+pub use plan::{Fault, Planned, Scale, Subject, plan};
+pub use play::{Report, play};
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,187 @@
+//! Which faults come when: a seed decides.
+
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_support::ProxyFault;
+
+/// The shortest time for which a fault lasts. Below the 0.9 s after which a suspect daemon is dead.
+const SHORTEST: Duration = Duration::from_millis(300);
+
+/// The longest time: longer than a lease of 5 s.
+const LONGEST: Duration = Duration::from_millis(6500);
+
+/// How large a run is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Scale {
+    /// How many daemons.
+    pub daemons: usize,
+    /// How many workers.
+    pub workers: usize,
+    /// How many callers, each with one job after another.
+    pub callers: usize,
+    /// For how long faults come.
+    pub faults: Duration,
+    /// The mean pause between two faults.
+    pub pause: Duration,
+}
+
+impl Scale {
+    /// The usual size: three daemons, four workers, faults for 15 s.
+    #[must_use]
+    pub fn usual() -> Self {
+        Self {
+            daemons: 3,
+            workers: 4,
+            callers: 6,
+            faults: Duration::from_secs(15),
+            pause: Duration::from_millis(900),
+        }
+    }
+
+    /// A short run, for every change.
+    #[must_use]
+    pub fn short() -> Self {
+        Self {
+            faults: Duration::from_secs(6),
+            ..Self::usual()
+        }
+    }
+
+    /// A run near the limits of a machine.
+    #[must_use]
+    pub fn large() -> Self {
+        Self {
+            daemons: 24,
+            workers: 40,
+            callers: 24,
+            ..Self::usual()
+        }
+    }
+}
+
+/// What a fault strikes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Subject {
+    /// The connections from a daemon to the store.
+    StoreLink(usize),
+    /// The connections from a daemon to the control of VMs.
+    VmsLink(usize),
+    /// The connections from callers to a daemon.
+    CallersLink(usize),
+    /// The connections from daemons to a worker.
+    WorkerLink(usize),
+}
+
+/// A fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Connections misbehave.
+    Link(Subject, ProxyFault),
+    /// A daemon is killed, and started again at the end.
+    Kill(usize),
+    /// A daemon is asked to end, and started again at the end.
+    Terminate(usize),
+    /// A daemon is paused, and goes on at the end.
+    Pause(usize),
+    /// The store refuses all calls.
+    StoreDown,
+    /// The store loses the answer to one of so many transactions.
+    StoreLosing(u64),
+    /// A worker ends with all that runs there, and comes back as another life.
+    WorkerEnds(usize),
+}
+
+/// A fault and when it comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Planned {
+    /// From when on.
+    pub at: Duration,
+    /// For how long.
+    pub lasts: Duration,
+    /// What.
+    pub fault: Fault,
+}
+
+/// The faults of a seed, in order. They overlap; one process may be struck again while it is still down.
+///
+/// ```
+/// use soak::{Scale, plan};
+/// let faults = plan(7, Scale::usual());
+/// assert_eq!(faults, plan(7, Scale::usual()));
+/// assert!(faults.windows(2).all(|pair| pair[0].at <= pair[1].at));
+/// ```
+#[must_use]
+pub fn plan(seed: u64, scale: Scale) -> Vec<Planned> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(100..1000));
+    while at < scale.faults {
+        let lasts = rng.random_range(SHORTEST..LONGEST);
+        let fault = fault(&mut rng, scale);
+        faults.push(Planned { at, lasts, fault });
+        if rng.random_ratio(1, 5) {
+            // A series: the same kind strikes the daemons one after the other, or all at once.
+            let gap = *[Duration::ZERO, Duration::from_millis(400)]
+                .choose(&mut rng)
+                .unwrap_or(&Duration::ZERO);
+            faults.extend(series(fault, at, lasts, gap, scale));
+        }
+        at += scale.pause.mul_f64(rng.random_range(0.1..2.0));
+    }
+    faults.sort_by_key(|planned| planned.at);
+    faults
+}
+
+/// The same fault for all other daemons; none for faults of other parts.
+fn series(
+    fault: Fault,
+    at: Duration,
+    lasts: Duration,
+    gap: Duration,
+    scale: Scale,
+) -> Vec<Planned> {
+    let (first, make): (usize, fn(usize) -> Fault) = match fault {
+        Fault::Kill(daemon) => (daemon, Fault::Kill),
+        Fault::Terminate(daemon) => (daemon, Fault::Terminate),
+        Fault::Pause(daemon) => (daemon, Fault::Pause),
+        _ => return Vec::new(),
+    };
+    let others = (0..scale.daemons).filter(|daemon| *daemon != first);
+    let planned = others.zip(1u32..).map(|(daemon, place)| Planned {
+        at: at + gap * place,
+        lasts,
+        fault: make(daemon),
+    });
+    planned.collect()
+}
+
+fn fault(rng: &mut ChaCha8Rng, scale: Scale) -> Fault {
+    let daemon = rng.random_range(0..scale.daemons);
+    let worker = rng.random_range(0..scale.workers);
+    match rng.random_range(0..13) {
+        0 | 1 => Fault::Kill(daemon),
+        2 | 3 => Fault::Terminate(daemon),
+        4 | 5 => Fault::Pause(daemon),
+        6 => Fault::StoreDown,
+        7 => Fault::StoreLosing(rng.random_range(2..6)),
+        8 => Fault::WorkerEnds(worker),
+        9 => Fault::Link(Subject::StoreLink(daemon), link_fault(rng)),
+        10 => Fault::Link(Subject::VmsLink(daemon), link_fault(rng)),
+        11 => Fault::Link(Subject::CallersLink(daemon), link_fault(rng)),
+        _ => Fault::Link(Subject::WorkerLink(worker), link_fault(rng)),
+    }
+}
+
+fn link_fault(rng: &mut ChaCha8Rng) -> ProxyFault {
+    match rng.random_range(0..6) {
+        0 => ProxyFault::Delay(Duration::from_millis(rng.random_range(5..400))),
+        1 => ProxyFault::Cut,
+        2 => ProxyFault::Freeze,
+        3 => ProxyFault::FreezeRequests,
+        4 => ProxyFault::FreezeAnswers,
+        _ => ProxyFault::TruncateAnswers(rng.random_range(0..200)),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/play.rs
@@ -0,0 +1,188 @@
+//! Plays a seed: faults while callers call, then calm, then the promises.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use platform_stand_in::{Caller, Shown};
+use tokio::task::JoinSet;
+
+use crate::callers::{SharedLedger, ask, call_until, cancel};
+use crate::checks::findings;
+use crate::ledger::{JobKind, Ledger};
+use crate::plan::{Fault, Planned, Scale, plan};
+use crate::stage::Stage;
+
+/// How long a caller waits for an answer, as the platform's callers do.
+const CALLER_PATIENCE: Duration = Duration::from_secs(3);
+
+/// How long accepted jobs may take to be done once all faults are over. The platform asks for 14 s; a busy machine gets
+/// twice as long.
+const FINISH: Duration = Duration::from_secs(28);
+
+/// How often jobs are asked for at the end.
+const ASK_PAUSE: Duration = Duration::from_millis(200);
+
+/// The deadline of the wave that each run has.
+const WAVE_DEADLINE_S: u64 = 25;
+
+/// What a run showed.
+#[derive(Debug, Clone)]
+pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// The faults.
+    pub faults: Vec<Planned>,
+    /// How many jobs were handed in.
+    pub jobs: usize,
+    /// How many of them were accepted.
+    pub accepted: usize,
+    /// How many runs workers began.
+    pub runs: usize,
+    /// The promises that were broken.
+    pub findings: Vec<String>,
+}
+
+enum Event {
+    Begin(Fault),
+    End(Fault),
+}
+
+/// Plays a seed with daemons of `program`, whose logs go to `logs`.
+///
+/// # Panics
+/// When no processes can be started or no ports are free.
+pub async fn play(seed: u64, scale: Scale, program: &Path, logs: &Path) -> Report {
+    let faults = plan(seed, scale);
+    let mut stage = Stage::start(program, logs, scale).await;
+    let addrs = stage.callers();
+    let callers: Vec<_> = addrs
+        .iter()
+        .map(|addr| Caller::new(*addr, CALLER_PATIENCE))
+        .collect();
+    let ledger = SharedLedger::new(Mutex::new(Ledger::default()));
+    let vms: Vec<_> = (0..scale.workers).map(|vm| format!("m-{vm}")).collect();
+    let vms: Vec<&str> = vms.iter().map(String::as_str).collect();
+    let most_down = scale.workers.div_ceil(4);
+    stage
+        .platform
+        .ask_for_wave(&vms, most_down, WAVE_DEADLINE_S);
+
+    let start = Instant::now();
+    let mut calling = JoinSet::new();
+    for number in 0..scale.callers as u64 {
+        let calls = call_until(
+            start + scale.faults,
+            (seed, number),
+            callers.clone(),
+            ledger.clone(),
+        );
+        calling.spawn(calls);
+    }
+    strike(&mut stage, &faults, start).await;
+    while calling.join_next().await.is_some() {}
+    finish(&callers, &ledger, &mut stage).await;
+
+    let ledger = ledger.lock().clone();
+    let runs = stage.platform.runs();
+    let mut found = findings(&ledger, &runs);
+    found.append(&mut stage.findings);
+    found.extend(wave_findings(&stage, most_down, &vms));
+    let accepted = ledger.jobs.values().filter(|job| job.accepted.is_some());
+    Report {
+        seed,
+        faults,
+        jobs: ledger.jobs.len(),
+        accepted: accepted.count(),
+        runs: runs.len(),
+        findings: found,
+    }
+}
+
+/// Has the faults come and go, each at its time.
+async fn strike(stage: &mut Stage, faults: &[Planned], start: Instant) {
+    let begins = faults
+        .iter()
+        .map(|planned| (planned.at, Event::Begin(planned.fault)));
+    let ends = faults
+        .iter()
+        .map(|planned| (planned.at + planned.lasts, Event::End(planned.fault)));
+    let mut events: Vec<_> = begins.chain(ends).collect();
+    events.sort_by_key(|(at, _)| *at);
+    for (at, event) in events {
+        tokio::time::sleep_until((start + at).into()).await;
+        match event {
+            Event::Begin(fault) => stage.begin(fault).await,
+            Event::End(fault) => stage.end(fault),
+        }
+        stage.look_after().await;
+    }
+}
+
+/// Cancels what lasts, and waits until all other accepted jobs are done.
+async fn finish(callers: &[Caller], ledger: &SharedLedger, stage: &mut Stage) {
+    let jobs: Vec<_> = ledger
+        .lock()
+        .jobs
+        .iter()
+        .map(|(id, job)| (*id, job.clone()))
+        .collect();
+    let mut open: Vec<u64> = Vec::new();
+    let until = Instant::now() + FINISH;
+    let mut turns = callers.iter().cycle();
+    let mut next = || turns.next().expect("at least one daemon");
+    for (id, job) in jobs {
+        let is_lasting = matches!(job.kind, JobKind::Lasting { .. });
+        if is_lasting && job.cancelled.is_none() {
+            while !cancel(id, next(), ledger).await && Instant::now() < until {
+                tokio::time::sleep(ASK_PAUSE).await;
+            }
+        } else if job.accepted.is_some() && job.cancel_asked.is_none() {
+            open.push(id);
+        }
+    }
+    while !open.is_empty() && Instant::now() < until {
+        let mut left = Vec::new();
+        for id in open {
+            if ask(id, next(), ledger).await != Shown::Done {
+                left.push(id);
+            }
+        }
+        open = left;
+        stage.look_after().await;
+        tokio::time::sleep(ASK_PAUSE).await;
+    }
+    let late = open
+        .into_iter()
+        .map(|id| format!("job {id:016x}: it was accepted, and is never done"));
+    stage.findings.extend(late);
+    while !stage.platform.is_wave_done() && Instant::now() < until {
+        tokio::time::sleep(ASK_PAUSE).await;
+    }
+}
+
+fn wave_findings(stage: &Stage, most_down: usize, vms: &[&str]) -> Vec<String> {
+    let mut findings = Vec::new();
+    let most = stage.platform.most_maintained();
+    if most > most_down {
+        findings.push(format!(
+            "{most} VMs were down for a wave that allows {most_down}"
+        ));
+    }
+    let mut maintained = stage.platform.maintained();
+    maintained.sort();
+    let mut expected = vms.to_vec();
+    expected.sort_unstable();
+    let is_done = stage.platform.is_wave_done();
+    if is_done && maintained != expected {
+        findings.push(format!(
+            "the wave is said to be done, and only {maintained:?} were maintained"
+        ));
+    }
+    if !is_done {
+        findings.push(format!(
+            "the wave is never done: {maintained:?} were maintained"
+        ));
+    }
+    findings
+}
--- /dev/null
+++ b/crates/soak/src/stage.rs
@@ -0,0 +1,196 @@
+//! The processes, the proxies between them, and what strikes them.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+
+use platform_stand_in::{PlatformStandIn, StoreFaults};
+use test_support::{Daemon, FaultProxy, FleetDaemonSpec, ProxyFault, free_addrs};
+
+use crate::plan::{Fault, Scale, Subject};
+
+/// How long a daemon may take to end in order: the platform's grace.
+const GRACE: Duration = Duration::from_secs(6);
+
+struct Member {
+    spec: FleetDaemonSpec,
+    process: Option<Daemon>,
+    /// How many faults at present keep it from running.
+    kept_down: usize,
+    /// How many faults at present pause it.
+    paused: usize,
+    log: PathBuf,
+    store: FaultProxy,
+    vms: FaultProxy,
+    callers: FaultProxy,
+}
+
+/// A platform and the daemons on it.
+pub(crate) struct Stage {
+    pub(crate) platform: PlatformStandIn,
+    members: Vec<Member>,
+    workers: Vec<FaultProxy>,
+    program: PathBuf,
+    /// What daemons did that nothing asked them to.
+    pub(crate) findings: Vec<String>,
+}
+
+async fn proxy_to(server: SocketAddr) -> FaultProxy {
+    FaultProxy::start(free_addrs(1)[0], server).await
+}
+
+impl Stage {
+    /// Starts everything; the daemons' logs go to `logs`.
+    pub(crate) async fn start(program: &Path, logs: &Path, scale: Scale) -> Self {
+        let platform = PlatformStandIn::start(scale.workers).await;
+        platform.configure();
+        let mut workers = Vec::new();
+        for worker in &platform.workers {
+            let proxy = proxy_to(worker.addr).await;
+            worker.advertise(proxy.addr);
+            workers.push(proxy);
+        }
+        let mut members = Vec::new();
+        for number in 0..scale.daemons {
+            let name = format!("d{number}");
+            let store = proxy_to(platform.store_addr).await;
+            let vms = proxy_to(platform.vms_addr).await;
+            let spec = FleetDaemonSpec::new(&name, store.addr, vms.addr);
+            let callers = proxy_to(spec.callers).await;
+            members.push(Member {
+                process: None,
+                kept_down: 0,
+                paused: 0,
+                log: logs.join(format!("{name}.log")),
+                spec,
+                store,
+                vms,
+                callers,
+            });
+        }
+        let mut stage = Self {
+            platform,
+            members,
+            workers,
+            program: program.to_path_buf(),
+            findings: Vec::new(),
+        };
+        for member in 0..stage.members.len() {
+            stage.start_process(member);
+        }
+        stage
+    }
+
+    /// Where callers reach each daemon.
+    pub(crate) fn callers(&self) -> Vec<SocketAddr> {
+        self.members
+            .iter()
+            .map(|member| member.callers.addr)
+            .collect()
+    }
+
+    fn start_process(&mut self, number: usize) {
+        let member = &mut self.members[number];
+        let log = File::options().create(true).append(true).open(&member.log);
+        let log = log.map_or_else(|_| Stdio::null(), Stdio::from);
+        member.process = Some(Daemon::start_fleet(&self.program, &member.spec.yaml(), log));
+    }
+
+    /// A daemon that ended although nothing ended it is started again, and noted.
+    pub(crate) async fn look_after(&mut self) {
+        for number in 0..self.members.len() {
+            let member = &mut self.members[number];
+            let Some(process) = &mut member.process else {
+                continue;
+            };
+            if let Some(status) = process.wait(Duration::from_millis(1)).await {
+                self.findings
+                    .push(format!("d{number} ended by itself: {status}"));
+                self.start_process(number);
+            }
+        }
+    }
+
+    pub(crate) async fn begin(&mut self, fault: Fault) {
+        match fault {
+            Fault::Link(subject, fault) => self.link(subject).set(fault),
+            Fault::Kill(daemon) => {
+                self.members[daemon].kept_down += 1;
+                self.members[daemon].process = None;
+            }
+            Fault::Terminate(daemon) => self.terminate(daemon).await,
+            Fault::Pause(daemon) => {
+                let member = &mut self.members[daemon];
+                member.paused += 1;
+                if let Some(process) = &member.process {
+                    process.pause();
+                }
+            }
+            Fault::StoreDown => self.set_store(true, 0),
+            Fault::StoreLosing(lost_one_in) => self.set_store(false, lost_one_in),
+            Fault::WorkerEnds(worker) => self.platform.workers[worker].restart(),
+        }
+    }
+
+    pub(crate) fn end(&mut self, fault: Fault) {
+        match fault {
+            Fault::Link(subject, _) => self.link(subject).set(ProxyFault::None),
+            Fault::Kill(daemon) | Fault::Terminate(daemon) => {
+                let member = &mut self.members[daemon];
+                member.kept_down -= 1;
+                if member.kept_down == 0 && member.process.is_none() {
+                    self.start_process(daemon);
+                }
+            }
+            Fault::Pause(daemon) => {
+                let member = &mut self.members[daemon];
+                member.paused -= 1;
+                if let Some(process) = member.process.as_ref().filter(|_| member.paused == 0) {
+                    process.resume();
+                }
+            }
+            Fault::StoreDown | Fault::StoreLosing(_) => self.set_store(false, 0),
+            Fault::WorkerEnds(_) => {}
+        }
+    }
+
+    async fn terminate(&mut self, daemon: usize) {
+        let member = &mut self.members[daemon];
+        member.kept_down += 1;
+        let Some(mut process) = member.process.take() else {
+            return;
+        };
+        if member.paused > 0 {
+            // A paused process takes no signal but one that kills.
+            return;
+        }
+        process.terminate();
+        match process.wait(GRACE).await {
+            Some(status) if status.success() => {}
+            Some(status) => self
+                .findings
+                .push(format!("d{daemon} ended in order with {status}")),
+            None => self
+                .findings
+                .push(format!("d{daemon} did not end within {GRACE:?}")),
+        }
+    }
+
+    fn set_store(&self, is_down: bool, lost_one_in: u64) {
+        self.platform.store.set_faults(StoreFaults {
+            is_down,
+            lost_one_in,
+        });
+    }
+
+    fn link(&self, subject: Subject) -> &FaultProxy {
+        match subject {
+            Subject::StoreLink(daemon) => &self.members[daemon].store,
+            Subject::VmsLink(daemon) => &self.members[daemon].vms,
+            Subject::CallersLink(daemon) => &self.members[daemon].callers,
+            Subject::WorkerLink(worker) => &self.workers[worker],
+        }
+    }
+}
--- /dev/null
+++ b/crates/test-support/src/fleet_daemon.rs
@@ -0,0 +1,71 @@
+//! A daemon on the users' platform, on free ports of this machine.
+
+use std::net::SocketAddr;
+
+use crate::ports::free_addrs;
+
+/// What a daemon is told at its start. A restarted daemon keeps its addresses.
+#[derive(Debug, Clone)]
+pub struct FleetDaemonSpec {
+    /// Its name.
+    pub name: String,
+    /// Where callers come.
+    pub callers: SocketAddr,
+    /// Where the balancer asks.
+    pub ready: SocketAddr,
+    peers: SocketAddr,
+    metrics: SocketAddr,
+    store: SocketAddr,
+    vms: SocketAddr,
+}
+
+impl FleetDaemonSpec {
+    /// A daemon that reaches the platform at these addresses.
+    ///
+    /// # Panics
+    /// When no ports are free.
+    #[must_use]
+    pub fn new(name: &str, store: SocketAddr, vms: SocketAddr) -> Self {
+        let [callers, ready, peers, metrics] = free_addrs(4)[..] else {
+            unreachable!("four addresses were asked for");
+        };
+        Self {
+            name: name.into(),
+            callers,
+            ready,
+            peers,
+            metrics,
+            store,
+            vms,
+        }
+    }
+
+    /// Its settings.
+    #[must_use]
+    pub fn yaml(&self) -> String {
+        let Self {
+            name,
+            callers,
+            ready,
+            peers,
+            metrics,
+            store,
+            vms,
+        } = self;
+        format!(
+            "daemon: {name}\nip: {}\nzone: z\ncallers_addr: {callers}\nready_addr: {ready}\n\
+             peer_port: {}\nmetrics_port: {}\nstore_addr: {store}\nvms_addr: {vms}\nnew_field: ignored\n\
+             bounds: {{ grace_s: 6, longest_lease_ms: 10000, keep_ended_s: 120, steward_gap_ms: 3000, \
+             maintenance_s: 0.4 }}\n",
+            peers.ip(),
+            peers.port(),
+            metrics.port(),
+        )
+    }
+
+    /// Where the balancer asks whether it takes callers.
+    #[must_use]
+    pub fn ready_url(&self) -> String {
+        format!("http://{}/v1/ready", self.ready)
+    }
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod fault_proxy;
 mod fleet;
+mod fleet_daemon;
 mod load;
 mod platform_stand_in;
 mod platform_store;
@@ -16,6 +17,7 @@
 pub use cluster::{Cluster, PATIENCE, Shape, ZoneShape, refused};
 pub use fault_proxy::{FaultProxy, ProxyFault};
 pub use fleet::{FleetSpec, entry_settings_yaml};
+pub use fleet_daemon::FleetDaemonSpec;
 pub use load::{Load, LoadReport, Outcomes, latency_histogram};
 pub use platform_stand_in::PlatformStandIn;
 pub use platform_store::{Faults, PlatformStore};
--- a/crates/test-support/src/processes.rs
+++ b/crates/test-support/src/processes.rs
@@ -32,16 +32,31 @@
     /// When the process can't be started.
     #[must_use]
     pub fn start(program: &Path, settings_yaml: &str, log: Stdio) -> Self {
+        let mut command = Command::new(program);
+        command.stdout(Stdio::null()).stderr(log);
+        Self::spawn(command, settings_yaml)
+    }
+
+    /// Starts a daemon on the users' platform. Its log goes to `log`, or nowhere.
+    ///
+    /// # Panics
+    /// When the process can't be started.
+    #[must_use]
+    pub fn start_fleet(program: &Path, settings_yaml: &str, log: Stdio) -> Self {
+        let mut command = Command::new(program);
+        command.arg("--fleet").stdout(log).stderr(Stdio::null());
+        Self::spawn(command, settings_yaml)
+    }
+
+    fn spawn(mut command: Command, settings_yaml: &str) -> Self {
         let number: u64 = rand::random();
         let name = format!("trefoilpass-{}-{number:016x}.yaml", std::process::id());
         let settings = std::env::temp_dir().join(name);
         std::fs::write(&settings, settings_yaml).expect("a settings file");
-        let child = Command::new(program)
+        let child = command
             .arg("--config")
             .arg(&settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
             .spawn()
             .expect("a daemon");
         Self { child, settings }
--- a/crates/trefoilpassd/tests/fleet.rs
+++ b/crates/trefoilpassd/tests/fleet.rs
@@ -1,67 +1,32 @@
 //! Real daemons on a stand-in of the users' platform: the whole path, under kills, outages and lost answers.
 
 use std::collections::BTreeMap;
-use std::net::TcpListener;
-use std::process::{Child, Command, Stdio};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 use platform_stand_in::{PlatformStandIn, StoreFaults, job_body};
 use reqwest::Client;
 use serde_json::{Value, json};
+use test_support::{Daemon as Process, FleetDaemonSpec};
 
 /// How long any of these tests may take to see what it waits for. Generous, for a busy machine.
 const PATIENCE: Duration = Duration::from_secs(60);
 
 struct Daemon {
-    process: Child,
-    callers: String,
+    _process: Process,
+    callers: SocketAddr,
     ready: String,
-    settings: std::path::PathBuf,
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        // It may have ended by itself.
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().port()
 }
 
 fn daemon(platform: &PlatformStandIn, name: &str) -> Daemon {
-    let (callers, ready) = (free_port(), free_port());
-    let settings = format!(
-        "daemon: {name}\nip: 127.0.0.1\nzone: z\ncallers_addr: 127.0.0.1:{callers}\nready_addr: 127.0.0.1:{ready}\n\
-         peer_port: {}\nmetrics_port: {}\nstore_addr: {}\nvms_addr: {}\nnew_field: ignored\n\
-         bounds: {{ grace_s: 6, longest_lease_ms: 10000, keep_ended_s: 120, steward_gap_ms: 3000, \
-         maintenance_s: 0.4 }}\n",
-        free_port(),
-        free_port(),
-        platform.store_addr,
-        platform.vms_addr,
-    );
-    let path = std::env::temp_dir().join(format!(
-        "trefoilpass-{}-{name}-{callers}.yaml",
-        std::process::id()
-    ));
-    std::fs::write(&path, settings).unwrap();
-    let process = Command::new(env!("CARGO_BIN_EXE_trefoilpassd"))
-        .arg("--fleet")
-        .arg("--config")
-        .arg(&path)
-        .stdout(Stdio::null())
-        .spawn()
-        .unwrap();
+    let spec = FleetDaemonSpec::new(name, platform.store_addr, platform.vms_addr);
+    let program = Path::new(env!("CARGO_BIN_EXE_trefoilpassd"));
     Daemon {
-        process,
-        callers: format!("127.0.0.1:{callers}"),
-        ready: format!("http://127.0.0.1:{ready}/v1/ready"),
-        settings: path,
+        _process: Process::start_fleet(program, &spec.yaml(), Stdio::null()),
+        callers: spec.callers,
+        ready: spec.ready_url(),
     }
 }
 
