--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -72,7 +72,7 @@
         for pair in runs.windows(2) {
             match pair[0].ended {
                 Some((_, "done")) if pair[0].is_noted => {
-                    findings.push(format!("{task} ran again after it was done"))
+                    findings.push(format!("{task} ran again after it was done"));
                 }
                 Some((ended, _)) if ended <= pair[1].began => {}
                 _ => findings.push(format!("{task} ran twice at once")),
--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,164 @@
+//! Each promise that the soak checks is seen to be broken when it is.
+
+use std::time::{Duration, Instant};
+
+use platform_stand_in::{RunRecord, Shown};
+use soak::{JobKind, JobRecord, Ledger, StateSeen, findings};
+
+const JOB: u64 = 0xa1;
+
+struct Case {
+    start: Instant,
+    record: JobRecord,
+    runs: Vec<RunRecord>,
+}
+
+impl Case {
+    /// A job that was accepted, of two steps of one task.
+    fn new() -> Self {
+        let start = Instant::now();
+        let mut record = JobRecord::new(JobKind::Chain { tasks: [1, 1] });
+        record.is_refused = false;
+        record.accepted = Some(start);
+        Self {
+            start,
+            record,
+            runs: Vec::new(),
+        }
+    }
+
+    fn at(&self, ms: u64) -> Instant {
+        self.start + Duration::from_millis(ms)
+    }
+
+    fn with_run(
+        mut self,
+        task: &str,
+        run: u64,
+        began_ms: u64,
+        ended: Option<(u64, &'static str)>,
+    ) -> Self {
+        self.runs.push(RunRecord {
+            task: format!("00000000000000{task}"),
+            run,
+            is_lasting: false,
+            began: self.at(began_ms),
+            ended: ended.map(|(ms, how)| (self.at(ms), how)),
+            is_noted: ended.is_some_and(|(_, how)| how == "done"),
+        });
+        self
+    }
+
+    fn with_state(mut self, at_ms: u64, shown: Shown) -> Self {
+        let at = self.at(at_ms);
+        self.record.seen.push(StateSeen {
+            asked: at,
+            answered: at,
+            shown,
+        });
+        self
+    }
+
+    fn with_record(mut self, change: impl FnOnce(&mut JobRecord)) -> Self {
+        change(&mut self.record);
+        self
+    }
+}
+
+fn check(name: &str, case: &Case, expected: Option<&str>) {
+    let mut ledger = Ledger::default();
+    ledger.jobs.insert(JOB, case.record.clone());
+    let found = findings(&ledger, &case.runs);
+    match expected {
+        None => assert!(found.is_empty(), "{name}: {found:?}"),
+        Some(expected) => assert!(
+            found.len() == 1 && found[0].contains(expected),
+            "{name}: {found:?}"
+        ),
+    }
+}
+
+fn served() -> Case {
+    Case::new()
+        .with_run("a1.0.0.0", 1, 10, Some((310, "done")))
+        .with_run("a1.0.1.0", 1, 320, Some((620, "done")))
+}
+
+#[test]
+fn a_job_that_was_served_breaks_nothing() {
+    check("served", &served().with_state(700, Shown::Done), None);
+    let again = Case::new()
+        .with_run("a1.0.0.0", 1, 10, Some((100, "lapsed")))
+        .with_run("a1.0.0.0", 2, 110, Some((410, "done")));
+    check("again after a lapse", &again, None);
+    let lost = Case::new().with_state(1000, Shown::Absent);
+    check("not known for a moment", &lost, None);
+    let mut unknown = served().with_run("a1.0.1.0", 2, 5000, None);
+    unknown.runs[1].is_noted = false;
+    check("again after an end that nobody recorded", &unknown, None);
+}
+
+#[test]
+fn broken_promises_are_found() {
+    let twice = Case::new()
+        .with_run("a1.0.0.0", 1, 10, Some((310, "done")))
+        .with_run("a1.0.0.0", 2, 200, Some((500, "lapsed")));
+    check(
+        "two runs at once",
+        &twice,
+        Some("ran again after it was done"),
+    );
+    let twice = Case::new().with_run("a1.0.0.0", 1, 10, None).with_run(
+        "a1.0.0.0",
+        2,
+        200,
+        Some((500, "done")),
+    );
+    check("two runs at once", &twice, Some("ran twice at once"));
+    let again = served().with_run("a1.0.1.0", 2, 900, Some((1200, "done")));
+    check(
+        "again after done",
+        &again,
+        Some("ran again after it was done"),
+    );
+    let order = Case::new()
+        .with_run("a1.0.0.0", 1, 10, Some((310, "done")))
+        .with_run("a1.0.1.0", 1, 300, Some((600, "done")));
+    check(
+        "the second step too early",
+        &order,
+        Some("before the first was done"),
+    );
+    let unasked = served().with_run("b2.0.0.0", 1, 10, None);
+    check("a job of nobody", &unasked, Some("nobody handed it in"));
+    let refused = served().with_record(|record| {
+        record.is_refused = true;
+        record.accepted = None;
+    });
+    check(
+        "refused and run",
+        &refused,
+        Some("every attempt was refused"),
+    );
+    let early = served().with_state(600, Shown::Done);
+    check("done too early", &early, Some("shown as done"));
+    let lost = Case::new().with_state(3100, Shown::Absent);
+    check("lost", &lost, Some("not known"));
+    let failed = Case::new().with_state(100, Shown::Failed);
+    check("failed", &failed, Some("nothing failed"));
+    let cancelled = Case::new().with_state(100, Shown::Cancelled);
+    check(
+        "cancelled by nobody",
+        &cancelled,
+        Some("nobody cancelled it"),
+    );
+    let start = Case::new().start;
+    let after = Case::new()
+        .with_record(|record| record.cancelled = Some(start))
+        .with_run("a1.0.0.0", 1, 3500, None);
+    check(
+        "started after it was cancelled",
+        &after,
+        Some("after the job was cancelled"),
+    );
+}
