--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -51,6 +51,8 @@
                 report.findings.is_empty(),
                 "seed {seed}, {why}: {report:#?}"
             );
+            // Only the logs of a run that failed are of use.
+            let _ = std::fs::remove_dir_all(&logs);
         });
     }
     while !running.is_empty() {
