--- /dev/null
+++ b/crates/scheduler/benches/round.rs
@@ -0,0 +1,135 @@
+//! What a round of a pool costs: planning, and taking the batch to record.
+//!
+//! Answers the load pattern of a turn, in which a queue asks for several times what its pool can do: all workers are
+//! full, most jobs wait, and each round follows an end of one task.
+
+#![allow(missing_docs, reason = "the macro's group has none")]
+
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::sync::Arc;
+
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use scheduler::{End, Limits, Look, Now, QueueRules, Scheduler, WorkerInfo};
+use smol_str::format_smolstr;
+use submission::{JobId, JobSpec, Resources, RunEnd, StepSpec};
+
+/// Tasks of a job; eight is the mean of the platform's queues.
+const TASKS_PER_JOB: u32 = 8;
+
+const NOW: Now = Now {
+    local_ms: 1_000_000,
+    store_ms: 1_000_000,
+    unix_ms: 1_000_000,
+};
+
+/// A pool of full workers with so many tasks, most of which wait.
+fn full_pool(workers: usize, tasks: usize) -> Scheduler {
+    let mut scheduler = Scheduler::new(Limits {
+        lease_ms: 5000,
+        owner_grace_ms: 4000,
+        slow_clock_percent: 3,
+        keep_ended_ms: 120_000,
+    });
+    let rules = QueueRules {
+        priority: 0,
+        attempts: 4,
+        stretch: 1.6,
+        objective_ms: 600,
+        has_policy: false,
+    };
+    scheduler.set_rules(HashMap::from([("queue".into(), rules)]));
+    let infos = (0..workers).map(|number| WorkerInfo {
+        id: format_smolstr!("w-{number}"),
+        addr: format_smolstr!("10.0.0.1:{number}"),
+        labels: vec!["a".into(), format_smolstr!("rack-{}", number / 12)],
+        capacity: Resources {
+            cpu_milli: 32_000,
+            memory_mb: 65_536,
+            gpus: 0,
+        },
+        is_draining: false,
+    });
+    scheduler.set_workers(infos.collect(), NOW);
+    for key in scheduler.worker_keys() {
+        scheduler.looked(key, look(Vec::new()), NOW);
+    }
+    let spec = Arc::new(JobSpec {
+        payload: "payload".into(),
+        steps: vec![StepSpec {
+            tasks: TASKS_PER_JOB,
+            needs: Resources {
+                cpu_milli: 3100,
+                memory_mb: 3200,
+                gpus: 0,
+            },
+            estimate_ms: 800,
+            ..StepSpec::default()
+        }],
+        ..JobSpec::default()
+    });
+    let jobs = u64::try_from(tasks).unwrap_or(u64::MAX) / u64::from(TASKS_PER_JOB);
+    for job in 0..jobs {
+        scheduler.submit(JobId(job), "queue".into(), spec.clone(), NOW);
+    }
+    loop {
+        scheduler.plan(NOW);
+        let batch = scheduler.take_batch(usize::MAX);
+        if batch.actions.is_empty() {
+            return scheduler;
+        }
+        scheduler.committed(&batch);
+    }
+}
+
+fn look(ended: Vec<End>) -> Look {
+    Look {
+        sent_at_ms: 0,
+        clock_ms: 1_000_000,
+        recorded_end: 0,
+        running: Vec::new(),
+        ended,
+    }
+}
+
+/// The end of the first job's first task, wherever it runs.
+fn one_end(scheduler: &mut Scheduler) {
+    let name = scheduler.job(JobId(0)).map(|job| job.task_name(0));
+    let end = End {
+        number: 1,
+        name: name.unwrap_or_default(),
+        run: 1,
+        end: RunEnd::Done,
+        checkpoint: "".into(),
+    };
+    for key in scheduler.worker_keys() {
+        scheduler.looked(key, look(vec![end.clone()]), NOW);
+    }
+}
+
+fn rounds(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("round");
+    group.sample_size(20);
+    for (workers, tasks) in [(50, 1000), (350, 5000), (1500, 20_000)] {
+        let full = full_pool(workers, tasks);
+        let name = BenchmarkId::from_parameter(format!("{workers} workers, {tasks} tasks"));
+        let prepare = || {
+            let mut scheduler = full.clone();
+            one_end(&mut scheduler);
+            scheduler
+        };
+        let round = |mut scheduler: Scheduler| {
+            scheduler.tick(NOW);
+            scheduler.plan(NOW);
+            black_box(scheduler.take_batch(32));
+            scheduler
+        };
+        group.bench_function(name, |bencher| {
+            bencher.iter_batched(prepare, round, BatchSize::LargeInput);
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, rounds);
+criterion_main!(benches);
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -4,7 +4,7 @@
 //! room that stays empty serves nobody.
 
 use smol_str::SmolStr;
-use submission::{Job, Phase, StepSpec, TaskKey};
+use submission::{Job, Phase, Resources, StepSpec, TaskKey};
 
 use crate::ready::StepKey;
 use crate::scheduler::Scheduler;
@@ -22,11 +22,12 @@
     pub fn plan(&mut self, now: Now) {
         let mut misses = 0;
         let mut starts = 0;
+        let mut too_large = Vec::new();
         for key in self.ready.first(MOST_STARTS + MOST_MISSES) {
             if misses >= MOST_MISSES || starts >= MOST_STARTS {
                 return;
             }
-            let placed = self.place_step(key, now);
+            let placed = self.place_step(key, &mut too_large, now);
             starts += placed.started;
             misses += usize::from(placed.is_left);
             if !placed.is_left {
@@ -35,14 +36,30 @@
         }
     }
 
-    fn place_step(&mut self, key: StepKey, now: Now) -> Placed {
+    /// Gives out the tasks of a step. `too_large` has the sizes that fit on no worker in this round, in which room only
+    /// shrinks: under overload most steps are as large, and need not be tried on each worker.
+    fn place_step(&mut self, key: StepKey, too_large: &mut Vec<Resources>, now: Now) -> Placed {
         let Some(job) = self.jobs.get(&key.job) else {
             return Placed::default();
         };
         let step = &job.spec().steps[usize::from(key.step)];
+        let needs = step.footprint();
+        if too_large.iter().any(|size| size.fits(needs)) {
+            return Placed {
+                started: 0,
+                is_left: true,
+            };
+        }
         if step.is_gang {
             return self.place_gang(key, now);
         }
+        // Whether a miss speaks of the size alone.
+        let is_free = step.required_label.is_empty()
+            && step.most_per_worker == 0
+            && !self
+                .rules
+                .get(&job.queue)
+                .is_some_and(|rules| rules.has_policy);
         let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
         let idle = tasks.filter(|&index| {
             job.task(index)
@@ -54,6 +71,9 @@
             let step = &job.spec().steps[usize::from(key.step)];
             let Some(worker) = self.choose(job, step, key, &[], now) else {
                 placed.is_left = true;
+                if is_free {
+                    too_large.push(needs);
+                }
                 break;
             };
             let task = TaskKey {
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -29,7 +29,7 @@
 }
 
 /// The steps with a task that could start.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Ready {
     order: BTreeSet<(Rank, StepKey)>,
     ranks: HashMap<StepKey, Rank>,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -22,7 +22,7 @@
 const UNTOUCHED_CHAIN_PERCENT: u64 = 140;
 
 /// Decides for the jobs and workers of one pool.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Scheduler {
     pub(crate) limits: Limits,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -200,3 +200,31 @@
     pool.pass(2000);
     assert_eq!(starts(&pool.round()).len(), 1);
 }
+
+#[test]
+fn a_size_that_fits_nowhere_keeps_no_smaller_one_and_no_free_one_from_starting() {
+    let sized = |cpu_milli| StepSpec {
+        needs: Resources {
+            cpu_milli,
+            memory_mb: 100,
+            gpus: 0,
+        },
+        ..step(1)
+    };
+    let labelled = StepSpec {
+        required_label: "nobody has it".into(),
+        ..sized(1000)
+    };
+    let mut pool = Pool::new(&["one"]);
+    pool.submit(1, job(vec![sized(3000)]));
+    pool.round();
+    pool.submit(2, job(vec![sized(2000)]));
+    pool.submit(3, job(vec![labelled]));
+    pool.submit(4, job(vec![sized(2500)]));
+    pool.submit(5, job(vec![sized(1000)]));
+    let started: Vec<_> = starts(&pool.round())
+        .iter()
+        .map(|start| start.1.job)
+        .collect();
+    assert_eq!(started, [JobId(5)]);
+}
