--- a/crates/fleetd/src/settings.rs
+++ b/crates/fleetd/src/settings.rs
@@ -45,25 +45,15 @@
     pub bounds: Bounds,
 }
 
-/// What a daemon's VM can do.
-#[derive(Debug, Clone, Copy, Deserialize)]
+/// What a daemon's VM can do. What is left out counts as a whole usual core with a wide link.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
 pub struct Machine {
     /// The share of a core that the process may use.
-    pub cpu_share: f64,
+    pub cpu_share: Option<f64>,
     /// How fast the core is, against the usual.
-    pub speed: f64,
+    pub speed: Option<f64>,
     /// What its network link carries, in Mbit/s.
-    pub link_mbps: f64,
-}
-
-impl Default for Machine {
-    fn default() -> Self {
-        Self {
-            cpu_share: 1.0,
-            speed: 1.0,
-            link_mbps: 1000.0,
-        }
-    }
+    pub link_mbps: Option<f64>,
 }
 
 impl Machine {
@@ -74,8 +64,9 @@
         reason = "float casts saturate"
     )]
     pub(crate) fn capacity(self) -> u32 {
-        let cpu = self.cpu_share * self.speed * 1000.0;
-        cpu.min(self.link_mbps * CAPACITY_PER_MBPS) as u32
+        let cpu = self.cpu_share.unwrap_or(1.0) * self.speed.unwrap_or(1.0) * 1000.0;
+        let link = self.link_mbps.map(|mbps| mbps * CAPACITY_PER_MBPS);
+        link.map_or(cpu, |link| cpu.min(link)) as u32
     }
 }
 
--- a/crates/fleetd/src/steward/mod.rs
+++ b/crates/fleetd/src/steward/mod.rs
@@ -279,7 +279,9 @@
     )]
     fn most_moves(&self) -> usize {
         let per_s = self.node.settings.vm_orders_per_s;
-        per_s.map_or(USUAL_MOST_MOVES, |per_s| (per_s * MOVES_SHARE) as usize)
+        per_s.map_or(USUAL_MOST_MOVES, |per_s| {
+            ((per_s * MOVES_SHARE) as usize).max(1)
+        })
     }
 
     fn standby_pools(&self) -> BTreeSet<SmolStr> {
--- a/crates/trefoilpassd/tests/fleet.rs
+++ b/crates/trefoilpassd/tests/fleet.rs
@@ -349,3 +349,19 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&output.stderr).contains("missing field `zone`"));
 }
+
+#[test]
+fn figures_that_the_platform_does_not_name_may_be_empty() {
+    let path = std::env::temp_dir().join(format!("trefoilpass-empty-{}.yaml", std::process::id()));
+    let addr = "127.0.0.1:1".parse().unwrap();
+    let named = FleetDaemonSpec::new("d", addr, addr).yaml();
+    let empty = "vm_orders_per_s:\nmachine:\n  cpu_share:\n  speed: 1\n  link_mbps:\n";
+    std::fs::write(&path, format!("{named}{empty}")).unwrap();
+    let status = Command::new(env!("CARGO_BIN_EXE_trefoilpassd"))
+        .args(["--fleet", "--check", "--config"])
+        .arg(&path)
+        .status()
+        .unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert!(status.success());
+}
