Read as a newcomer: one way to count orders and to list VMs being emptied; a silent worker is logged

A hold without an answer was logged at a level that is never written, though the operations page names the line; it is now a warning, once for each time a worker falls silent (test).

--- a/crates/fleetd/src/pool/holds.rs
+++ b/crates/fleetd/src/pool/holds.rs
@@ -73,14 +73,13 @@
                 .workers
                 .hold(&info.addr, &info.id, &order, HOLD_TIMEOUT);
             let answer = hold.await;
-            let orders = &self.node.metrics.orders;
             match answer {
                 Ok(HoldAnswer::Held {
                     clock_ms,
                     running,
                     ended,
                 }) => {
-                    orders.with_label_values(&["hold", "answered"]).inc();
+                    self.count_order("hold", "answered");
                     let has_ends = !ended.is_empty();
                     let look = Look {
                         sent_at_ms,
@@ -95,7 +94,7 @@
                     }
                 }
                 Ok(HoldAnswer::OtherLife) => {
-                    orders.with_label_values(&["hold", "other life"]).inc();
+                    self.count_order("hold", "other life");
                     tracing::info!(
                         worker = info.id.as_str(),
                         "another life answers: this one is over"
@@ -105,7 +104,7 @@
                     break;
                 }
                 Ok(HoldAnswer::Refused) => {
-                    orders.with_label_values(&["hold", "refused"]).inc();
+                    self.count_order("hold", "refused");
                     tracing::warn!(
                         worker = info.id.as_str(),
                         term = self.term,
@@ -115,15 +114,17 @@
                     tokio::time::sleep(SILENT_PAUSE).await;
                 }
                 Ok(HoldAnswer::Unhealthy { status }) => {
-                    orders.with_label_values(&["hold", "unhealthy"]).inc();
-                    tracing::debug!(worker = info.id.as_str(), status, "a worker takes no hold");
-                    self.scheduler.lock().unanswered(key);
+                    self.count_order("hold", "unhealthy");
+                    if self.scheduler.lock().unanswered(key) {
+                        tracing::warn!(worker = info.id.as_str(), status, "a worker takes no hold");
+                    }
                     tokio::time::sleep(SILENT_PAUSE).await;
                 }
                 Err(err) => {
-                    orders.with_label_values(&["hold", "unanswered"]).inc();
-                    tracing::debug!(worker = info.id.as_str(), error = %err, "a hold got no answer");
-                    self.scheduler.lock().unanswered(key);
+                    self.count_order("hold", "unanswered");
+                    if self.scheduler.lock().unanswered(key) {
+                        tracing::warn!(worker = info.id.as_str(), error = %err, "a hold got no answer");
+                    }
                     tokio::time::sleep(SILENT_PAUSE).await;
                 }
             }
--- a/crates/fleetd/src/pool/orders.rs
+++ b/crates/fleetd/src/pool/orders.rs
@@ -57,6 +57,12 @@
         }
     }
 
+    /// Counts an order by what came of it.
+    pub(super) fn count_order(&self, order: &str, outcome: &str) {
+        let orders = &self.node.metrics.orders;
+        orders.with_label_values(&[order, outcome]).inc();
+    }
+
     fn slots(&self, worker: WorkerKey) -> Arc<Semaphore> {
         let mut slots = self.order_slots.lock();
         let new = || Arc::new(Semaphore::new(ORDERS_PER_WORKER));
@@ -109,11 +115,7 @@
                 self.started(worker, task, run, &info, answer);
                 return;
             }
-            self.node
-                .metrics
-                .orders
-                .with_label_values(&["start", "unanswered"])
-                .inc();
+            self.count_order("start", "unanswered");
         }
         let name = task_name(&self.scheduler.lock(), task);
         tracing::warn!(
@@ -185,11 +187,7 @@
                 return;
             }
         };
-        self.node
-            .metrics
-            .orders
-            .with_label_values(&["start", label])
-            .inc();
+        self.count_order("start", label);
         let name = task_name(&self.scheduler.lock(), task);
         tracing::info!(
             task = name.as_str(),
@@ -241,16 +239,7 @@
                     .workers
                     .stop(&info.addr, &info.id, order, self.term, ORDER_TIMEOUT);
             let answer = stop.await;
-            let label = if answer.is_ok() {
-                "answered"
-            } else {
-                "unanswered"
-            };
-            self.node
-                .metrics
-                .orders
-                .with_label_values(&["stop", label])
-                .inc();
+            self.count_order("stop", answered(&answer));
             if let Ok(is_taken) = answer {
                 tracing::info!(
                     task = name.as_str(),
@@ -287,19 +276,19 @@
             ORDER_TIMEOUT,
         );
         let answer = pace.await;
-        let label = if answer.is_ok() {
-            "answered"
-        } else {
-            "unanswered"
-        };
-        self.node
-            .metrics
-            .orders
-            .with_label_values(&["pace", label])
-            .inc();
+        self.count_order("pace", answered(&answer));
         if answer.is_err() {
             // The next look finds the pace unknown and sets it again.
             self.scheduler.lock().pace_unknown(worker, &name);
         }
     }
 }
+
+/// The outcome by which an order without one of its own is counted.
+fn answered<T, E>(answer: &Result<T, E>) -> &'static str {
+    if answer.is_ok() {
+        "answered"
+    } else {
+        "unanswered"
+    }
+}
--- a/crates/pools/src/wave.rs
+++ b/crates/pools/src/wave.rs
@@ -162,21 +162,22 @@
             }
         }
         self.choose(list, now_ms);
+        next.empty = self.emptying().cloned().collect();
+        next
+    }
+
+    /// The VMs that are being emptied.
+    fn emptying(&self) -> impl Iterator<Item = &SmolStr> {
         let emptying = self
             .steps
             .iter()
             .filter(|(_, step)| **step == Step::Emptying);
-        next.empty = emptying.map(|(vm, _)| vm.clone()).collect();
-        next
+        emptying.map(|(vm, _)| vm)
     }
 
     /// Chooses the VMs to empty next, while others are down, so that the wave does not wait for them.
     fn choose(&mut self, list: &BTreeMap<SmolStr, WaveVm>, now_ms: u64) {
-        let emptying = self
-            .steps
-            .values()
-            .filter(|step| **step == Step::Emptying)
-            .count();
+        let emptying = self.emptying().count();
         let mut free = (2 * self.most_down).saturating_sub(self.down() + emptying);
         let waiting = self.steps.iter().filter(|(_, step)| match step {
             Step::Waiting { not_before_ms } => now_ms >= *not_before_ms,
@@ -188,7 +189,8 @@
         let easy: Vec<SmolStr> = easy.into_iter().map(|(vm, _)| vm.clone()).collect();
         let (steady, brief): (Vec<_>, Vec<_>) =
             busy.into_iter().partition(|(_, listed)| listed.is_steady);
-        let steady_under_way = self.steady_under_way(list);
+        let under_way = self.emptying().filter_map(|vm| list.get(vm));
+        let steady_under_way = under_way.filter(|vm| vm.is_steady).count();
         let steady_asked = (steady.len() + steady_under_way).div_ceil(STEADY_PARTS);
         let steady_more = steady_asked.saturating_sub(steady_under_way);
         let steady_more = steady_more.min(steady.len());
@@ -207,21 +209,8 @@
         }
     }
 
-    fn steady_under_way(&self, list: &BTreeMap<SmolStr, WaveVm>) -> usize {
-        let emptying = self
-            .steps
-            .iter()
-            .filter(|(_, step)| **step == Step::Emptying);
-        let listed = emptying.filter_map(|(vm, _)| list.get(vm));
-        listed.filter(|vm| vm.is_steady).count()
-    }
-
     fn easy_under_way(&self, list: &BTreeMap<SmolStr, WaveVm>) -> usize {
-        let emptying = self
-            .steps
-            .iter()
-            .filter(|(_, step)| **step == Step::Emptying);
-        let listed = emptying.filter_map(|(vm, _)| list.get(vm));
+        let listed = self.emptying().filter_map(|vm| list.get(vm));
         listed
             .filter(|vm| vm.is_standby || vm.is_idle || vm.is_empty)
             .count()
--- a/crates/pools/tests/wave.rs
+++ b/crates/pools/tests/wave.rs
@@ -11,6 +11,12 @@
     (0..count).map(|vm| format_smolstr!("vm-{vm:02}")).collect()
 }
 
+/// A wave of which nothing has begun.
+fn new_wave(vms: Vec<SmolStr>, most_down: usize, left_ms: u64) -> Wave {
+    let begun = BTreeSet::new();
+    Wave::new(vms, &begun, most_down, MAINTENANCE_MS, 0, left_ms)
+}
+
 fn busy() -> WaveVm {
     WaveVm {
         is_up: true,
@@ -24,14 +30,7 @@
 /// Plays a wave over busy VMs, each empty 1 s after it was asked to be; returns when it was done, and the most that
 /// were down at once. Every `unanswered`th order gets no answer at first.
 fn play(count: usize, most_down: usize, left_ms: u64, unanswered: usize) -> (u64, usize) {
-    let mut wave = Wave::new(
-        names(count),
-        &BTreeSet::new(),
-        most_down,
-        MAINTENANCE_MS,
-        0,
-        left_ms,
-    );
+    let mut wave = new_wave(names(count), most_down, left_ms);
     let mut asked: BTreeMap<SmolStr, u64> = BTreeMap::new();
     let mut back: BTreeMap<SmolStr, u64> = BTreeMap::new();
     let (mut now_ms, mut most, mut orders) = (0, 0, 0);
@@ -123,14 +122,7 @@
 /// were asked to be.
 fn play_steady(count: usize, steady: usize, most_down: usize, left_ms: u64) -> u64 {
     let all = names(count);
-    let mut wave = Wave::new(
-        all.clone(),
-        &BTreeSet::new(),
-        most_down,
-        MAINTENANCE_MS,
-        0,
-        left_ms,
-    );
+    let mut wave = new_wave(all.clone(), most_down, left_ms);
     let mut asked: BTreeMap<SmolStr, u64> = BTreeMap::new();
     let mut back: BTreeMap<SmolStr, u64> = BTreeMap::new();
     let mut emptied: BTreeSet<SmolStr> = BTreeSet::new();
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -185,11 +185,10 @@
         }
     }
 
-    /// A hold or an order got no answer.
-    pub fn unanswered(&mut self, key: WorkerKey) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.is_silent = true;
-        }
+    /// A hold or an order got no answer. True when the one before did.
+    pub fn unanswered(&mut self, key: WorkerKey) -> bool {
+        let worker = self.workers.get_mut(key);
+        worker.is_some_and(|worker| !std::mem::replace(&mut worker.is_silent, true))
     }
 
     pub(crate) fn lapse(&mut self, key: WorkerKey, now: Now) {
--- a/crates/scheduler/tests/leases.rs
+++ b/crates/scheduler/tests/leases.rs
@@ -136,3 +136,14 @@
     pool.list(&["two"]);
     assert_eq!(pool.scheduler.worker_keys().len(), 1);
 }
+
+#[test]
+fn a_worker_falls_silent_once_until_it_answers_again() {
+    let mut pool = Pool::new(&["one"]);
+    let key = pool.key("one");
+    let mut check = |expected: bool| assert_eq!(pool.scheduler.unanswered(key), expected);
+    check(true);
+    check(false);
+    pool.look("one", &[], &[]);
+    assert!(pool.scheduler.unanswered(key), "it answered in between");
+}
