scheduler: a worker is drained or idle only once the ends of its attempts are recorded

The next owner found the attempts in the rows as assigned to a worker that no longer answered, and started them again.

Ruled out: an acknowledgement before the row (no lease renewal carried the number), and a report without the end.

--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -86,7 +86,7 @@
         }
         if self.dirty_jobs.is_empty() {
             let workers = self.workers.iter();
-            let ends = workers.filter(|(_, worker)| worker.received_end > worker.recorded_end);
+            let ends = workers.filter(|(_, worker)| worker.has_unrecorded_ends());
             batch.ends = ends
                 .map(|(key, worker)| (key, worker.received_end))
                 .collect();
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -28,7 +28,7 @@
 /// The capacity of a worker, in thousandths of a core, when no worker is listed.
 const ASSUMED_CPU_MILLI: u64 = 16_000;
 
-/// A worker that could be given tasks and has none.
+/// A worker that could be given tasks, has none, and whose reported ends are all recorded.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct IdleWorker {
     /// The id of the worker's incarnation.
@@ -52,7 +52,7 @@
     pub unavailable: Vec<(SmolStr, UnavailableReason)>,
     /// The ids of the workers that are unresponsive or have no known address, and to which attempts are assigned.
     pub unresponsive: Vec<SmolStr>,
-    /// The workers that could be given tasks and have none.
+    /// The workers that could be given tasks, have none, and whose reported ends are all recorded.
     pub idle: Vec<IdleWorker>,
 }
 
@@ -158,10 +158,11 @@
     }
 
     fn idle_workers(&self, now: Now) -> Vec<IdleWorker> {
-        let idle = self
-            .workers
-            .values()
-            .filter(|worker| worker.is_usable(now.local_ms) && worker.attempts.is_empty());
+        let idle = self.workers.values().filter(|worker| {
+            worker.is_usable(now.local_ms)
+                && worker.attempts.is_empty()
+                && !worker.has_unrecorded_ends()
+        });
         idle.map(|worker| IdleWorker {
             id: worker.info.id.clone(),
             idle_ms: now.local_ms.saturating_sub(worker.idle_since_ms),
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -23,7 +23,7 @@
 
 impl Scheduler {
     /// Starts or renews the drain lease of a worker, and stops the attempts that may be stopped now. Returns the number
-    /// of attempts on the worker, 0 for a removed worker.
+    /// of attempts on the worker, and one more while any reported end is not recorded; 0 for a removed worker.
     pub fn drain(&mut self, key: WorkerKey, now: Now) -> usize {
         let Some(worker) = self.workers.get_mut(key) else {
             return 0;
@@ -41,7 +41,8 @@
                 self.issue_stop(key, task, attempt);
             }
         }
-        self.workers[key].attempts.len()
+        let worker = &self.workers[key];
+        worker.attempts.len() + usize::from(worker.has_unrecorded_ends())
     }
 
     /// Ends the drain lease of a worker, so that the worker may be given tasks again.
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -180,6 +180,12 @@
         }
     }
 
+    /// Whether any reported end is not recorded yet. If the worker's incarnation ended now, a next owner could not learn
+    /// of that end.
+    pub(crate) fn has_unrecorded_ends(&self) -> bool {
+        self.received_end > self.recorded_end
+    }
+
     pub(crate) fn free_capacity(&self) -> Resources {
         self.info.capacity.saturating_sub(self.used)
     }
--- a/crates/scheduler/tests/leases.rs
+++ b/crates/scheduler/tests/leases.rs
@@ -152,3 +152,22 @@
         "the worker responded in between"
     );
 }
+
+#[test]
+fn a_worker_is_neither_idle_nor_drained_until_the_ends_of_its_attempts_are_recorded() {
+    let mut pool = Pool::new(&["one"]);
+    pool.submit(1, job(vec![step(1)]));
+    let commands = pool.round();
+    let (worker, task, attempt) = pool.confirm_starts(&commands)[0].clone();
+    let key = pool.key(&worker);
+    let name = pool.task_name(task);
+    pool.advance(500);
+    pool.report("one", &[], &[(1, name, attempt, AttemptOutcome::Done)]);
+    // The VM may be moved only when this owner's successor can learn of the end from the rows.
+    assert_eq!(pool.scheduler.demand(pool.now()).idle, []);
+    assert_eq!(pool.scheduler.drain(key, pool.now()), 1);
+    pool.round();
+    assert_eq!(pool.scheduler.drain(key, pool.now()), 0);
+    pool.scheduler.cancel_drain(key);
+    assert_eq!(pool.scheduler.demand(pool.now()).idle.len(), 1);
+}
