scheduler: tasks go to workers with service tasks first

Hypothesis: service tasks that are strewn over workers pin a VM each, and batch tasks keep the others busy. Change: of the workers with room, those with service tasks come first, then the fullest.

--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -149,9 +149,11 @@
         usable
             .max_by_key(|(_, worker)| {
                 let is_preferred_rack = worker.info.rack() == preferred_rack;
-                // Prefers the fullest worker, as an idle worker's VM can be moved to another pool.
+                // Workers with service tasks stay in the pool in any case. Other workers become idle sooner when they
+                // are used last, and the fullest of them first, and the VM of an idle worker can leave the pool.
                 (
                     is_preferred_rack,
+                    worker.service_attempts > 0,
                     !worker.attempts.is_empty(),
                     u32::MAX - worker.free_capacity().cpu_milli,
                 )
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -106,6 +106,8 @@
     /// The attempts that run on the worker, or may run there.
     pub(crate) attempts: BTreeMap<TaskKey, AssignedAttempt>,
     pub(crate) used: Resources,
+    /// The number of `attempts` of service tasks.
+    pub(crate) service_attempts: usize,
     /// When an attempt was last removed from the worker, or else when the registry first listed the worker, in ms on
     /// the daemon's clock.
     pub(crate) idle_since_ms: u64,
@@ -148,6 +150,7 @@
             drain_until_ms: 0,
             attempts: BTreeMap::new(),
             used: Resources::default(),
+            service_attempts: 0,
             idle_since_ms: 0,
             refused_size: None,
             health: Health::default(),
@@ -200,11 +203,15 @@
 
     pub(crate) fn insert(&mut self, task: TaskKey, attempt: AssignedAttempt) {
         self.used = self.used.saturating_add(attempt.footprint);
-        self.attempts.insert(task, attempt);
+        self.service_attempts += usize::from(attempt.is_service);
+        if let Some(replaced) = self.attempts.insert(task, attempt) {
+            self.service_attempts -= usize::from(replaced.is_service);
+        }
     }
 
     pub(crate) fn remove(&mut self, task: TaskKey, now_ms: u64) -> Option<AssignedAttempt> {
         let attempt = self.attempts.remove(&task)?;
+        self.service_attempts -= usize::from(attempt.is_service);
         self.idle_since_ms = now_ms;
         // Recomputed, because a saturating sum can't be undone by subtraction.
         let footprints = self.attempts.values().map(|attempt| attempt.footprint);
