scheduler: the demand of a pool follows the rate at which work arrives

Change: the demand is at least the waiting work and the CPU that keeps up with the work that arrived lately.

--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -84,7 +84,8 @@
         let (running, running_past_deadline, service_workers) = self.running_cpu(now);
         self.trend.update(running + waiting, now.local_ms);
         let expected_growth = self.trend.growth_cpu_milli_per_s * FORECAST_MS / 1000;
-        let on_time = running + waiting + expected_growth;
+        let arriving = self.arrivals.cpu_milli(now.local_ms);
+        let on_time = (running + waiting + expected_growth).max(arriving + waiting);
         let past_objective = running_past_deadline
             + waiting_past_latest_start * PAST_LATEST_START_WEIGHT_PERCENT / 100;
         let listed = self.workers.values().filter(|worker| worker.is_listed);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -4,6 +4,7 @@
 //! This crate does no I/O and reads no clock.
 
 mod adopt;
+mod arrivals;
 mod batch;
 mod demand;
 mod draining;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 use submission::{AttemptOutcome, Job, JobId, JobSpec, JobState, TaskKey, TaskPhase};
 
+use crate::arrivals::Arrivals;
 use crate::batch::WorkerCommand;
 use crate::demand::Trend;
 use crate::policy::PolicyDecision;
@@ -50,6 +51,7 @@
     pub(crate) not_started_counts: BTreeMap<SmolStr, usize>,
     pub(crate) events: Vec<SchedulerEvent>,
     pub(crate) trend: Trend,
+    pub(crate) arrivals: Arrivals,
     /// Requests to the policy service and its decisions, by step.
     pub(crate) policy_decisions: HashMap<StepKey, PolicyDecision>,
     /// The remaining jobs with service tasks.
@@ -77,6 +79,7 @@
             not_started_counts: BTreeMap::new(),
             events: Vec::new(),
             trend: Trend::default(),
+            arrivals: Arrivals::default(),
             policy_decisions: HashMap::new(),
             service_jobs: BTreeSet::new(),
         }
@@ -100,6 +103,10 @@
             return false;
         }
         let job = Job::new(id, queue, spec, now.store_ms);
+        if job.spec().occurrences == 0 {
+            self.arrivals
+                .record(job.spec(), job.critical_path_ms(), now.local_ms);
+        }
         self.insert_job(job, now);
         self.dirty_jobs.insert(id);
         true
