ownership: a handover counts only from the term of the owner row

Change: the call names the caller's term, and the called daemon compares it with the owner row. The comparison is a function of the ownership crate, with an example that replays the case. A call of an older daemon names no term and counts as no handover.

--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -177,7 +177,8 @@
         let Some((other, peer)) = self.node.handover_target() else {
             return false;
         };
-        match peer.take_over_fleet(self.last_command_at_ms).await {
+        let taken = peer.take_over_fleet(self.last_command_at_ms, Some(self.sender.term));
+        match taken.await {
             Ok(is_taken) => is_taken,
             Err(err) => {
                 tracing::info!(daemon = other.daemon.as_str(), error = %err, "a peer did not confirm the takeover of the fleet shard");
--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -160,7 +160,7 @@
         let result = if shard == FLEET_SHARD {
             take_over_fleet(node, None).await
         } else {
-            take_over_pool(node, &shard, false).await
+            take_over_pool(node, &shard, None).await
         };
         if let Err(err) = result {
             tracing::warn!(unit = shard.as_str(), error = %err, "failed to take over a shard");
@@ -168,24 +168,33 @@
     }
 }
 
-/// Takes over the fleet shard and starts the leader.
+/// The handover of the fleet shard by the previous leader.
+pub(crate) struct Handover {
+    /// The term of the previous leader.
+    pub(crate) term: u64,
+    /// When the last command of the previous leader ended, in ms of the store's clock.
+    pub(crate) last_command_at_ms: u64,
+}
+
+/// Takes over the fleet shard and starts the leader, on a handover or without one.
 ///
-/// For a handover, `last_command_at_ms` is when the last command of the previous leader ended, in ms of the store's
-/// clock; `None` otherwise. Returns false when another daemon owns the fleet shard, and an error when a call to the
-/// store failed. The owner row may name this daemon even after an error, if the response to the write was lost.
+/// Returns false when another daemon owns the fleet shard, and an error when a call to the store failed. The owner row
+/// may name this daemon even after an error, if the response to the write was lost.
 pub(crate) async fn take_over_fleet(
     node: &Arc<Node>,
-    last_command_at_ms: Option<u64>,
+    handover: Option<Handover>,
 ) -> Result<bool, Error> {
     let shard = SmolStr::from(FLEET_SHARD);
-    let Some(mut takeover) = take_over_shard(node, &shard, last_command_at_ms.is_some()).await?
-    else {
+    let term = handover.as_ref().map(|handover| handover.term);
+    let Some(mut takeover) = take_over_shard(node, &shard, term).await? else {
         return Ok(false);
     };
-    if let (Some(at_ms), Some(previous_owner)) = (last_command_at_ms, &mut takeover.previous_owner)
+    let previous_owner = takeover.previous_owner.as_mut();
+    if let Some(handover) = handover
+        && let Some(owner) = previous_owner.filter(|owner| owner.term == handover.term)
     {
-        previous_owner.is_released = true;
-        previous_owner.last_command_at_ms = at_ms;
+        owner.is_released = true;
+        owner.last_command_at_ms = handover.last_command_at_ms;
     }
     node.set_owned_term(&shard, Some(takeover.term));
     tokio::spawn(leader::run(node.clone(), takeover));
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ownership::{Lease, OwnerRow};
+use ownership::{Lease, OwnerEvidence, OwnerRow};
 use scheduler::{Limits, Scheduler};
 use smol_str::SmolStr;
 use submission::{Job, JobId, JobRecord};
@@ -45,13 +45,13 @@
 }
 
 /// Takes over a shard that has no owner, or whose owner is this process, is not serving, has released the shard, hands
-/// the shard over (`is_handed_over`), or has not announced its ownership to the peers in time. Returns `None` when
+/// the shard over (`handed_over_term` is its term), or has not announced its ownership to the peers in time. Returns `None` when
 /// another daemon was faster, or when the owner still serves the shard. Fails when the store does; the transaction may
 /// then have taken effect.
 pub(crate) async fn take_over_shard(
     node: &Node,
     shard: &SmolStr,
-    is_handed_over: bool,
+    handed_over_term: Option<u64>,
 ) -> Result<Option<Takeover>, Error> {
     let owner_key = RowKey::new(tables::OWNER, shard.clone(), SINGLETON_KEY);
     let range = KeyRange {
@@ -68,14 +68,17 @@
     let previous_owner: Option<OwnerRow> =
         value.and_then(|value| serde_json::from_slice(value).ok());
     if let Some(owner) = &previous_owner {
-        let is_other = owner.incarnation != node.incarnation;
         let is_serving = node
             .peers
             .lock()
             .is_serving(&owner.daemon, &owner.incarnation);
-        let is_available =
-            is_handed_over || owner.is_released || node.is_owner_unannounced(shard, version);
-        if is_other && !is_available && is_serving {
+        let evidence = OwnerEvidence {
+            is_self: owner.incarnation == node.incarnation,
+            is_serving,
+            is_unannounced: node.is_owner_unannounced(shard, version),
+            handed_over_term,
+        };
+        if !owner.may_be_replaced(evidence) {
             return Ok(None);
         }
     }
@@ -124,9 +127,9 @@
 pub(crate) async fn take_over_pool(
     node: &Arc<Node>,
     pool: &SmolStr,
-    is_handed_over: bool,
+    handed_over_term: Option<u64>,
 ) -> Result<bool, Error> {
-    let Some(takeover) = take_over_shard(node, pool, is_handed_over).await? else {
+    let Some(takeover) = take_over_shard(node, pool, handed_over_term).await? else {
         return Ok(false);
     };
     node.set_owned_term(pool, Some(takeover.term));
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -130,16 +130,19 @@
     async fn not_started_jobs(&self, pool: SmolStr, queue: SmolStr) -> RpcResult<Option<usize>>;
 
     /// Takes over a pool from the calling daemon, whose transactions the store refuses or which can't reach the store.
+    /// `term` is the term of the calling daemon: the call has no effect once another daemon has taken the pool over.
     /// Returns whether the called daemon owns the pool now.
     #[method(name = "take")]
-    async fn take_over_pool(&self, pool: SmolStr) -> RpcResult<bool>;
+    async fn take_over_pool(&self, pool: SmolStr, term: Option<u64>) -> RpcResult<bool>;
 
     /// Takes over the fleet shard from the calling daemon, whose last command to a VM ended at the given time on the
-    /// store's clock. Returns whether the called daemon owns the fleet shard now.
+    /// store's clock. `term` is the term of the calling daemon: the call has no effect once another daemon has taken the
+    /// fleet shard over. Returns whether the called daemon owns the fleet shard now.
     #[method(name = "take_fleet")]
     async fn take_over_fleet(
         &self,
         #[argument(rename = "last_order_at_ms")] last_command_at_ms: u64,
+        term: Option<u64>,
     ) -> RpcResult<bool>;
 
     /// Applies the request of the leader to a pool; none if the called daemon does not own the pool.
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -19,7 +19,7 @@
 use crate::config::FLEET_SHARD;
 use crate::membership::{
     DEAD_AFTER_MS, MAX_READ_GAP_MS, UNREACHABLE_DEAD_AFTER_MS, follow_operator_rows,
-    run_membership, take_over_fleet, write_heartbeat,
+    Handover, run_membership, take_over_fleet, write_heartbeat,
 };
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -196,7 +196,7 @@
         Ok(owner.map(|owner| owner.not_started_jobs(&queue)))
     }
 
-    async fn take_over_pool(&self, pool: SmolStr) -> RpcResult<bool> {
+    async fn take_over_pool(&self, pool: SmolStr, term: Option<u64>) -> RpcResult<bool> {
         if self.node.owned_shards.lock().contains_key(&pool) {
             // The peer repeats a call that succeeded, but whose response was lost.
             return Ok(true);
@@ -204,14 +204,18 @@
         if self.node.is_shutting_down.load(Ordering::Acquire) || self.node.is_store_unavailable() {
             return Ok(false);
         }
-        let result = pool::take_over_pool(&self.node, &pool, true).await;
+        let result = pool::take_over_pool(&self.node, &pool, term).await;
         if let Err(err) = &result {
             tracing::warn!(pool = pool.as_str(), error = %err, "failed to take over a pool from a peer");
         }
         Ok(result.unwrap_or(false))
     }
 
-    async fn take_over_fleet(&self, last_command_at_ms: u64) -> RpcResult<bool> {
+    async fn take_over_fleet(
+        &self,
+        last_command_at_ms: u64,
+        term: Option<u64>,
+    ) -> RpcResult<bool> {
         if self.node.owned_shards.lock().contains_key(FLEET_SHARD) {
             // The peer repeats a call that succeeded, but whose response was lost.
             return Ok(true);
@@ -219,7 +223,11 @@
         if self.node.is_shutting_down.load(Ordering::Acquire) || self.node.is_store_unavailable() {
             return Ok(false);
         }
-        let result = take_over_fleet(&self.node, Some(last_command_at_ms)).await;
+        let handover = term.map(|term| Handover {
+            term,
+            last_command_at_ms,
+        });
+        let result = take_over_fleet(&self.node, handover).await;
         if let Err(err) = &result {
             tracing::warn!(error = %err, "failed to take over the fleet shard from a peer");
         }
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -10,4 +10,4 @@
 mod peers;
 
 pub use lease::Lease;
-pub use peers::{DaemonRow, OwnerRow, Peers, ShardOwner};
+pub use peers::{DaemonRow, OwnerEvidence, OwnerRow, Peers, ShardOwner};
--- a/crates/ownership/src/peers.rs
+++ b/crates/ownership/src/peers.rs
@@ -56,6 +56,47 @@
     pub last_command_at_ms: u64,
 }
 
+/// What a daemon knows about the owner that a shard's row names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct OwnerEvidence {
+    /// Whether the row names the incarnation of the daemon that decides.
+    pub is_self: bool,
+    /// Whether the owner is alive and not shutting down.
+    pub is_serving: bool,
+    /// Whether the owner has not announced the shard in its heartbeat row in time.
+    pub is_unannounced: bool,
+    /// The term of the daemon that hands the shard over; `None` when no daemon does.
+    pub handed_over_term: Option<u64>,
+}
+
+impl OwnerRow {
+    /// Whether another term may replace the one of this row. A handover counts only from the term of this row: a daemon
+    /// that was cut off may hand over a shard that another daemon has taken over since.
+    ///
+    /// ```
+    /// use ownership::{OwnerEvidence, OwnerRow};
+    /// let row = OwnerRow {
+    ///     daemon: "b".into(),
+    ///     incarnation: "b-1".into(),
+    ///     term: 3,
+    ///     is_released: false,
+    ///     last_command_at_ms: 0,
+    /// };
+    /// let serving = OwnerEvidence { is_serving: true, ..OwnerEvidence::default() };
+    /// assert!(!row.may_be_replaced(serving));
+    /// assert!(row.may_be_replaced(OwnerEvidence { handed_over_term: Some(3), ..serving }));
+    /// assert!(!row.may_be_replaced(OwnerEvidence { handed_over_term: Some(2), ..serving }));
+    /// ```
+    #[must_use]
+    pub fn may_be_replaced(&self, evidence: OwnerEvidence) -> bool {
+        evidence.is_self
+            || self.is_released
+            || evidence.is_unannounced
+            || !evidence.is_serving
+            || evidence.handed_over_term == Some(self.term)
+    }
+}
+
 /// The owner of a shard, as the owner's heartbeat row shows, or a daemon that could become the owner.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ShardOwner {
