scheduler: late jobs by remaining work, too late ones last

Hypothesis: under overload, late jobs in the order of their latest start all finish just after their result is of use. Change: jobs are on time, late or too late for their callers (three times the objective); late ones are placed by remaining work.

--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -5,6 +5,7 @@
 use smol_str::SmolStr;
 use submission::TaskPhase;
 
+use crate::ready::Prospect;
 use crate::scheduler::Scheduler;
 use crate::types::Now;
 use crate::worker::UnavailableReason;
@@ -186,7 +187,7 @@
             });
             let cpu_per_task = u64::from(job.spec().steps[step].footprint().cpu_milli);
             let cpu = cpu_per_task * u64::try_from(idle.count()).unwrap_or(u64::MAX);
-            if rank.is_past_latest_start {
+            if rank.prospect != Prospect::OnTime {
                 past_latest_start += cpu;
             } else {
                 on_time += cpu;
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -14,47 +14,55 @@
     pub(crate) step: u16,
 }
 
+/// Whether a job can still meet its latency objective, by the estimates.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Prospect {
+    /// The job can meet its objective if its next step starts before its latest start.
+    OnTime,
+    /// The job will miss its objective, but its result is still of use to its caller.
+    Late,
+    /// The job's result will be of no use to its caller.
+    TooLate,
+}
+
 /// The rank of a ready step: the lowest is placed first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
     /// Jobs that can't meet their latency objective any more come after jobs that can.
-    pub(crate) is_past_latest_start: bool,
+    pub(crate) prospect: Prospect,
     /// Service tasks come before batch tasks, as each second without a service task is lost.
     pub(crate) is_batch: bool,
     /// The priority of the queue; 0 is the highest.
     pub(crate) priority: u32,
     /// Started jobs come before jobs that have not started, as a partly done job has no value yet.
     pub(crate) is_not_started: bool,
-    /// The latest start with which the job meets its latency objective by the estimates, in ms on the store's clock.
-    pub(crate) latest_start_ms: u64,
+    /// For jobs on time and jobs too late, the latest start of the step, in ms on the store's clock. For late jobs, the
+    /// remaining work, so that as many of them as possible are done while their results are of use.
+    pub(crate) order: u64,
 }
 
 /// The steps with a task that could start, by rank.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Ready {
     order: BTreeSet<(Rank, StepKey)>,
-    ranks: HashMap<StepKey, Rank>,
-    /// The batch steps whose latest start had not passed when they were ranked, by latest start.
-    by_latest_start: BTreeSet<(u64, StepKey)>,
+    ranks: HashMap<StepKey, (Rank, u64)>,
+    /// The steps by the time at which their rank changes, in ms on the store's clock.
+    by_change: BTreeSet<(u64, StepKey)>,
 }
 
 impl Ready {
-    pub(crate) fn insert(&mut self, step: StepKey, rank: Rank) {
-        if let Some(previous) = self.ranks.insert(step, rank) {
-            self.order.remove(&(previous, step));
-            self.by_latest_start
-                .remove(&(previous.latest_start_ms, step));
-        }
+    /// Adds a step, or changes its rank. The rank holds until `changes_at_ms` on the store's clock.
+    pub(crate) fn insert(&mut self, step: StepKey, rank: Rank, changes_at_ms: u64) {
+        self.remove(step);
+        self.ranks.insert(step, (rank, changes_at_ms));
         self.order.insert((rank, step));
-        if rank.is_batch && !rank.is_past_latest_start {
-            self.by_latest_start.insert((rank.latest_start_ms, step));
-        }
+        self.by_change.insert((changes_at_ms, step));
     }
 
     pub(crate) fn remove(&mut self, step: StepKey) {
-        if let Some(rank) = self.ranks.remove(&step) {
+        if let Some((rank, changes_at_ms)) = self.ranks.remove(&step) {
             self.order.remove(&(rank, step));
-            self.by_latest_start.remove(&(rank.latest_start_ms, step));
+            self.by_change.remove(&(changes_at_ms, step));
         }
     }
 
@@ -62,14 +70,13 @@
         self.order.len()
     }
 
-    /// The steps whose latest start has passed since they were ranked.
-    pub(crate) fn newly_past_latest_start(&self, store_ms: u64) -> Vec<(Rank, StepKey)> {
-        let passed = self
-            .by_latest_start
+    /// The steps whose rank has changed since they were ranked.
+    pub(crate) fn outdated(&self, store_ms: u64) -> Vec<StepKey> {
+        let outdated = self
+            .by_change
             .iter()
-            .take_while(|(latest_ms, _)| *latest_ms < store_ms);
-        let ranked = passed.filter_map(|(_, step)| Some((*self.ranks.get(step)?, *step)));
-        ranked.collect()
+            .take_while(|(changes_at_ms, _)| *changes_at_ms < store_ms);
+        outdated.map(|(_, step)| *step).collect()
     }
 
     /// The steps with their ranks, lowest rank first.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -11,7 +11,7 @@
 use crate::batch::WorkerCommand;
 use crate::demand::Trend;
 use crate::policy::PolicyDecision;
-use crate::ready::{Rank, Ready, StepKey};
+use crate::ready::{Prospect, Rank, Ready, StepKey};
 use crate::types::{JobStatus, Limits, Now, QueueRules, SchedulerEvent};
 use crate::worker::{AssignedAttempt, Worker, WorkerKey};
 
@@ -24,6 +24,9 @@
 /// too late makes all jobs miss their latency objective.
 const NOT_STARTED_PATH_PERCENT: u64 = 140;
 
+/// The multiple of its latency objective after which the result of a job is of no use to its caller.
+const USEFUL_OBJECTIVES: u64 = 3;
+
 /// The scheduler of one pool: its jobs, its workers, and which task runs where.
 #[derive(Debug, Clone)]
 pub struct Scheduler {
@@ -243,15 +246,8 @@
             self.scheduled_steps.remove(&(due_ms, step));
             self.update_ready(step, now);
         }
-        for (rank, step) in self.ready.newly_past_latest_start(now.store_ms) {
-            let is_past_latest_start = true;
-            self.ready.insert(
-                step,
-                Rank {
-                    is_past_latest_start,
-                    ..rank
-                },
-            );
+        for step in self.ready.outdated(now.store_ms) {
+            self.update_ready(step, now);
         }
         while let Some(&(ended_ms, job)) = self.ended_jobs.first() {
             if now.store_ms < ended_ms + self.limits.ended_job_retention_ms {
@@ -361,8 +357,8 @@
             self.scheduled_steps.insert((due_ms, key));
             return;
         }
-        let rank = self.rank(job, key, now);
-        self.ready.insert(key, rank);
+        let (rank, changes_at_ms) = self.rank(job, key, now);
+        self.ready.insert(key, rank, changes_at_ms);
     }
 
     /// The time by which a job has to be done to meet its latency objective, in ms on the store's clock.
@@ -380,24 +376,40 @@
         job.accepted_at_ms + stretched_ms + base_ms
     }
 
-    fn rank(&self, job: &Job, key: StepKey, now: Now) -> Rank {
+    /// The rank of a step, and the time at which the rank changes, in ms on the store's clock.
+    fn rank(&self, job: &Job, key: StepKey, now: Now) -> (Rank, u64) {
         let is_not_started = job.state() == JobState::Queued;
         let percent = if is_not_started {
             NOT_STARTED_PATH_PERCENT
         } else {
             STARTED_PATH_PERCENT
         };
-        let remaining_ms = job.remaining_critical_path_ms(key.occurrence) * percent / 100;
-        let latest_start_ms = self.deadline_ms(job).saturating_sub(remaining_ms);
+        let path_ms = job.remaining_critical_path_ms(key.occurrence);
+        let deadline_ms = self.deadline_ms(job);
+        let latest_start_ms = deadline_ms.saturating_sub(path_ms * percent / 100);
+        let objective_ms = deadline_ms.saturating_sub(job.accepted_at_ms);
+        let latest_useful_start_ms =
+            (job.accepted_at_ms + objective_ms * USEFUL_OBJECTIVES).saturating_sub(path_ms);
         let is_service = job.spec().steps[usize::from(key.step)].is_service;
+        let (prospect, order, changes_at_ms) = if is_service {
+            (Prospect::OnTime, latest_start_ms, u64::MAX)
+        } else if now.store_ms <= latest_start_ms {
+            (Prospect::OnTime, latest_start_ms, latest_start_ms)
+        } else if now.store_ms <= latest_useful_start_ms {
+            let order = job.remaining_work(key.occurrence);
+            (Prospect::Late, order, latest_useful_start_ms)
+        } else {
+            (Prospect::TooLate, latest_start_ms, u64::MAX)
+        };
         let rules = self.queue_rules.get(&job.queue);
-        Rank {
-            is_past_latest_start: !is_service && latest_start_ms < now.store_ms,
+        let rank = Rank {
+            prospect,
             is_batch: !is_service,
             priority: rules.map_or(u32::MAX, |rules| rules.priority),
             is_not_started,
-            latest_start_ms,
-        }
+            order,
+        };
+        (rank, changes_at_ms)
     }
 
     /// Assigns a task to a worker as the task's next attempt, numbered at least `min_attempt`.
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -337,6 +337,23 @@
         end_ms.into_iter().max().unwrap_or(0)
     }
 
+    /// The work of an occurrence that is not done: the sum over its remaining tasks of the CPU in thousandths of a core
+    /// times the estimated run time in ms.
+    ///
+    /// # Panics
+    /// If `occurrence` is not an occurrence of the job.
+    #[must_use]
+    pub fn remaining_work(&self, occurrence: u32) -> u64 {
+        let first = occurrence as usize * self.spec.steps.len();
+        let steps = self.spec.steps.iter().enumerate();
+        let work = steps.map(|(step, spec)| {
+            u64::from(self.remaining[first + step])
+                .saturating_mul(u64::from(spec.footprint().cpu_milli))
+                .saturating_mul(spec.estimated_duration_ms)
+        });
+        work.fold(0, u64::saturating_add)
+    }
+
     /// The critical path of a whole occurrence: the longest sum of estimated run times along dependencies, in ms.
     ///
     /// The sum must not exceed `u64::MAX`, which [`JobSpec::validate`] does not check.
