fleetd: polls wait for the record of reported ends; log lines are written in batches

Hypothesis: with processor time, the owner of a pool is the bottleneck of the grown deployment in a peak. A poll that followed at once (the answer to a start command woke the loop) reported the same ends again: 1.7 log lines for each end. Change: after a report with ends, the next poll waits until they are recorded; log lines go through a buffer that is flushed when no line waits; the policy of a queue is looked up once for a task and not for each worker.

--- a/crates/fleetd/src/logging.rs
+++ b/crates/fleetd/src/logging.rs
@@ -1,5 +1,6 @@
 //! Structured logs: JSON lines on standard output, limited in rate and written without blocking the daemon.
 
+use std::io::BufWriter;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use prometheus::IntCounter;
@@ -25,7 +26,7 @@
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(MAX_BUFFERED_LINES)
         .lossy(true)
-        .finish(std::io::stdout());
+        .finish(BufWriter::new(std::io::stdout()));
     let rate_limit = RateLimit {
         current_second: AtomicU64::new(0),
         lines_in_second: AtomicU64::new(0),
--- a/crates/fleetd/src/pool/lease_renewal.rs
+++ b/crates/fleetd/src/pool/lease_renewal.rs
@@ -105,7 +105,9 @@
                     };
                     self.apply_report(key, report);
                     if has_ended_attempts {
-                        let _ = tokio::time::timeout(MAX_RECORD_WAIT, waker.notified()).await;
+                        // On a timeout, the next poll reports the ends that are not recorded again.
+                        let recorded = self.ends_recorded(key, &waker);
+                        let _ = tokio::time::timeout(MAX_RECORD_WAIT, recorded).await;
                     }
                 }
                 Ok(LeaseRenewalResponse::OtherIncarnation) => {
@@ -153,6 +155,13 @@
         self.renewal_wakers.lock().remove(&key);
     }
 
+    /// Waits until all reported ends of a worker are recorded.
+    async fn ends_recorded(&self, key: WorkerKey, waker: &Notify) {
+        while self.scheduler.lock().has_unrecorded_ends(key) {
+            waker.notified().await;
+        }
+    }
+
     fn renewal_request(&self, plan: LeaseRenewalPlan) -> LeaseRenewalRequest {
         let wait_ms = match plan {
             LeaseRenewalPlan { is_busy: false, .. } => 0,
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -57,10 +57,7 @@
         // Only the size of a task without constraints can prevent its placement.
         let is_unconstrained = step.required_label.is_empty()
             && step.max_per_worker == 0
-            && !self
-                .queue_rules
-                .get(&job.queue)
-                .is_some_and(|rules| rules.has_policy);
+            && !self.has_policy(&job.queue);
         let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
         let idle = tasks.filter(|&index| {
             job.task(index)
@@ -139,10 +136,14 @@
         now: Now,
     ) -> Option<WorkerKey> {
         let preferred_rack = self.preferred_rack(job, step, key, gang_workers);
+        let has_policy = self.has_policy(&job.queue);
+        let is_authorized = |worker: &SmolStr| {
+            !has_policy || self.authorization_for_step(key, worker, now).is_some()
+        };
         let usable = self.workers.iter().filter(|(worker_key, worker)| {
             worker.is_usable(now.local_ms)
                 && has_label(worker, &step.required_label)
-                && self.is_allowed(&job.queue, key, &worker.info.id, now)
+                && is_authorized(&worker.info.id)
                 && fits(worker, step, *worker_key, gang_workers, now)
                 && is_below_step_limit(worker, job, step, key, *worker_key, gang_workers)
         });
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -49,22 +49,14 @@
         self.queue_rules.values().any(|rules| rules.has_policy)
     }
 
-    /// Whether the queue has no policy, or the policy service has authorized the worker for the step.
-    pub(crate) fn is_allowed(
-        &self,
-        queue: &str,
-        step: StepKey,
-        worker: &SmolStr,
-        now: Now,
-    ) -> bool {
-        let has_policy = self
-            .queue_rules
+    /// Whether the policy service has to authorize the workers for the steps of a queue.
+    pub(crate) fn has_policy(&self, queue: &str) -> bool {
+        self.queue_rules
             .get(queue)
-            .is_some_and(|rules| rules.has_policy);
-        !has_policy || self.authorization_for_step(step, worker, now).is_some()
+            .is_some_and(|rules| rules.has_policy)
     }
 
-    fn authorization_for_step(
+    pub(crate) fn authorization_for_step(
         &self,
         step: StepKey,
         worker: &SmolStr,
@@ -114,11 +106,7 @@
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
-            let has_policy = self
-                .queue_rules
-                .get(&job.queue)
-                .is_some_and(|rules| rules.has_policy);
-            if !has_policy || self.policy_decisions.contains_key(&key) {
+            if !self.has_policy(&job.queue) || self.policy_decisions.contains_key(&key) {
                 continue;
             }
             let index = job.step_tasks(key.occurrence, usize::from(key.step)).start;
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -99,6 +99,14 @@
         self.workers_by_id.get(id).copied()
     }
 
+    /// Returns whether any reported end of a worker is not recorded yet; false for a removed worker.
+    #[must_use]
+    pub fn has_unrecorded_ends(&self, key: WorkerKey) -> bool {
+        self.workers
+            .get(key)
+            .is_some_and(Worker::has_unrecorded_ends)
+    }
+
     /// Returns the next lease renewal of a worker and grants the lease in it. Returns `None` when the worker needs no
     /// renewal now, has no known address or has been removed.
     pub fn lease_renewal_plan(&mut self, key: WorkerKey, now: Now) -> Option<LeaseRenewalPlan> {
@@ -166,7 +174,10 @@
             return;
         };
         match outcome {
-            StartOutcome::Started => attempt.settled_at_ms = Some(now.local_ms),
+            StartOutcome::Started => {
+                attempt.settled_at_ms = Some(now.local_ms);
+                self.mark_started(task.job);
+            }
             StartOutcome::OutcomeUnknown => worker.is_unresponsive = true,
             StartOutcome::NoFreeCapacity => {
                 worker.refused_size = Some((attempt.footprint, now.local_ms + SIZE_REFUSAL_MS));
