scheduler: jobs are written first in, first out; a job is pending until a start is confirmed

Hypothesis: the jobs to write were taken in the order of their ids, so that jobs with high ids waited behind jobs that changed again and again; ends were acknowledged only when no job was left to write. Change: a queue in the order of the changes; ends are acknowledged once the jobs that were in the queue with them are written; a transaction is limited by its entries instead of 32 jobs; a job is pending until a start is confirmed.

--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -20,9 +20,9 @@
 /// The time after which an owner that has nothing to record renews its lease by an empty transaction, in ms.
 const IDLE_RENEWAL_MS: u64 = 1000;
 
-/// The maximum number of jobs in a transaction. A new job takes two rows and a condition, and the store accepts 100
-/// entries in a call.
-const MAX_JOBS_PER_TRANSACTION: usize = 32;
+/// The maximum number of entries for jobs in a transaction. The store accepts 100 entries in a call, and the sequence
+/// row takes two.
+const MAX_ENTRIES_PER_TRANSACTION: usize = 98;
 
 impl PoolOwner {
     /// Records and executes the scheduler's decisions until the ownership ends.
@@ -56,7 +56,7 @@
         for event in scheduler.drain_events() {
             tracing::warn!(pool = self.pool.as_str(), note = ?event, "a worker was blocklisted or its leases expired");
         }
-        scheduler.take_batch(MAX_JOBS_PER_TRANSACTION)
+        scheduler.take_batch(MAX_ENTRIES_PER_TRANSACTION)
     }
 
     /// Writes the rows of a batch and returns the local time in ms at which the transaction was sent; `None` when the
--- a/crates/scheduler/benches/round.rs
+++ b/crates/scheduler/benches/round.rs
@@ -120,7 +120,7 @@
         let round = |mut scheduler: Scheduler| {
             scheduler.tick(NOW);
             scheduler.plan(NOW);
-            black_box(scheduler.take_batch(32));
+            black_box(scheduler.take_batch(98));
             scheduler
         };
         group.bench_function(name, |bencher| {
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -55,6 +55,22 @@
     pub is_removal: bool,
 }
 
+/// The largest number of entries that the rows of a job take in a transaction.
+const MAX_ENTRIES_PER_JOB: usize = 3;
+
+impl RowChange {
+    /// The number of conditions, writes and removals in a transaction that this change takes.
+    fn entries(&self) -> usize {
+        match self {
+            Self { is_new: true, .. } => MAX_ENTRIES_PER_JOB,
+            Self {
+                is_removal: true, ..
+            } => 2,
+            _ => 1,
+        }
+    }
+}
+
 /// Rows to write in one transaction, and what may happen after the write.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Batch {
@@ -62,34 +78,36 @@
     pub changes: Vec<RowChange>,
     /// The commands to send after the rows are written.
     pub commands: Vec<WorkerCommand>,
-    /// For each worker with ended attempts that are not recorded yet, the number of the last one. All ends of the
+    /// For workers with ended attempts that are not recorded yet, the number of an ended attempt. All ends of the
     /// worker up to this number are recorded once the rows of this batch are written.
     pub ends: Vec<(WorkerKey, u64)>,
 }
 
 impl Scheduler {
-    /// Returns the next rows to write, for at most `max_jobs` jobs, and does not return them again. The batch has ended
-    /// attempts only if no rows remain for a later batch.
-    pub fn take_batch(&mut self, max_jobs: usize) -> Batch {
-        let jobs: Vec<_> = self.dirty_jobs.iter().take(max_jobs).copied().collect();
+    /// Returns the next rows to write, with at most `max_entries` conditions, writes and removals (but at least one
+    /// job), and does not return them again. Jobs are written in the order in which they changed.
+    pub fn take_batch(&mut self, max_entries: usize) -> Batch {
         let mut batch = Batch::default();
-        for job in jobs {
-            self.dirty_jobs.remove(&job);
-            batch.changes.push(RowChange {
+        let mut entries = 0;
+        while entries + MAX_ENTRIES_PER_JOB <= max_entries.max(MAX_ENTRIES_PER_JOB) {
+            let Some(job) = self.dirty_jobs.pop() else {
+                break;
+            };
+            let change = RowChange {
                 job,
                 is_new: !self.recorded_states.contains_key(&job),
                 is_removal: !self.jobs.contains_key(&job),
-            });
+            };
+            entries += change.entries();
+            batch.changes.push(change);
             batch
                 .commands
                 .extend(self.deferred_commands.remove(&job).unwrap_or_default());
         }
-        if self.dirty_jobs.is_empty() {
-            let workers = self.workers.iter();
-            let ends = workers.filter(|(_, worker)| worker.has_unrecorded_ends());
-            batch.ends = ends
-                .map(|(key, worker)| (key, worker.received_end))
-                .collect();
+        for (key, worker) in &mut self.workers {
+            if let Some(end) = worker.take_written_end(&self.dirty_jobs) {
+                batch.ends.push((key, end));
+            }
         }
         batch
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 mod arrivals;
 mod batch;
 mod demand;
+mod dirty;
 mod draining;
 mod health;
 mod plan;
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -77,9 +77,14 @@
         }
         worker.has_accepted_term = true;
         worker.acknowledged_end = worker.acknowledged_end.max(report.acknowledged_end);
+        let last_end = report.ended.iter().map(|end| end.number).max();
         for end in report.ended {
             self.apply_end(key, end, now);
         }
+        if let Some(last_end) = last_end {
+            let position = self.dirty_jobs.end();
+            self.workers[key].record_received_ends(last_end, position);
+        }
         let mut listed = Vec::with_capacity(report.running.len());
         for running in report.running {
             if let Some(task) = self.apply_running(key, &running, now) {
@@ -106,6 +111,7 @@
         let Some(task) = self.task_by_name(&end.name) else {
             return;
         };
+        self.mark_started(task.job);
         let worker = &mut self.workers[key];
         let is_assigned = worker
             .attempts
@@ -198,7 +204,8 @@
             self.stop_unassigned(key, running, task);
             return None;
         };
-        if attempt.settled_at_ms.is_none() {
+        let is_newly_settled = attempt.settled_at_ms.is_none();
+        if is_newly_settled {
             attempt.settled_at_ms = Some(now.local_ms);
         }
         if attempt.progress_percent != running.progress_percent {
@@ -209,6 +216,9 @@
         let stalled_ms = now.local_ms.saturating_sub(attempt.progress_since_ms);
         let was_stopping = attempt.is_stopping;
         let number = attempt.number;
+        if is_newly_settled {
+            self.mark_started(task.job);
+        }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return Some(task);
         };
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::arrivals::Arrivals;
 use crate::batch::WorkerCommand;
 use crate::demand::Trend;
+use crate::dirty::DirtyJobs;
 use crate::policy::PolicyDecision;
 use crate::ready::{Prospect, Rank, Ready, StepKey};
 use crate::types::{JobStatus, Limits, Now, QueueRules, SchedulerEvent};
@@ -41,7 +42,7 @@
     /// Steps that become due at a set time, in ms since 1970.
     pub(crate) scheduled_steps: BTreeSet<(u64, StepKey)>,
     /// Jobs with changes that are not yet written.
-    pub(crate) dirty_jobs: BTreeSet<JobId>,
+    pub(crate) dirty_jobs: DirtyJobs,
     /// Commands to send once the rows of the job are written.
     pub(crate) deferred_commands: HashMap<JobId, Vec<WorkerCommand>>,
     /// Commands that wait for no write: stops and speed limits.
@@ -50,8 +51,8 @@
     pub(crate) recorded_states: HashMap<JobId, JobState>,
     /// Ended jobs, by the time of their end on the store's clock.
     pub(crate) ended_jobs: BTreeSet<(u64, JobId)>,
-    /// The number of jobs that have not started, by queue.
-    pub(crate) not_started_counts: BTreeMap<SmolStr, usize>,
+    /// The jobs of which no attempt is known to have started on a worker, by queue.
+    pub(crate) not_started: BTreeMap<SmolStr, BTreeSet<JobId>>,
     pub(crate) events: Vec<SchedulerEvent>,
     pub(crate) trend: Trend,
     pub(crate) arrivals: Arrivals,
@@ -74,12 +75,12 @@
             queue_rules: HashMap::new(),
             ready: Ready::default(),
             scheduled_steps: BTreeSet::new(),
-            dirty_jobs: BTreeSet::new(),
+            dirty_jobs: DirtyJobs::default(),
             deferred_commands: HashMap::new(),
             immediate_commands: Vec::new(),
             recorded_states: HashMap::new(),
             ended_jobs: BTreeSet::new(),
-            not_started_counts: BTreeMap::new(),
+            not_started: BTreeMap::new(),
             events: Vec::new(),
             trend: Trend::default(),
             arrivals: Arrivals::default(),
@@ -118,10 +119,8 @@
     pub(crate) fn insert_job(&mut self, job: Job, now: Now) {
         let id = job.id;
         if job.state() == JobState::Queued {
-            *self
-                .not_started_counts
-                .entry(job.queue.clone())
-                .or_default() += 1;
+            let jobs = self.not_started.entry(job.queue.clone()).or_default();
+            jobs.insert(id);
         }
         if job.has_ended() {
             self.ended_jobs.insert((job.ended_at_ms(), id));
@@ -135,11 +134,11 @@
     /// Removes a submitted job whose rows are not written. Returns false and changes nothing when the rows may be
     /// written already, or when the id is unknown.
     pub fn withdraw(&mut self, id: JobId, now: Now) -> bool {
-        if self.recorded_states.contains_key(&id) || !self.dirty_jobs.contains(&id) {
+        if self.recorded_states.contains_key(&id) || !self.dirty_jobs.contains(id) {
             return false;
         }
         self.remove_job(id, now);
-        self.dirty_jobs.remove(&id);
+        self.dirty_jobs.remove(id);
         true
     }
 
@@ -148,8 +147,8 @@
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
-        if job.state() == JobState::Queued {
-            self.decrement_not_started(&job.queue);
+        if let Some(jobs) = self.not_started.get_mut(&job.queue) {
+            jobs.remove(&id);
         }
         self.ended_jobs.remove(&(job.ended_at_ms(), id));
         self.service_jobs.remove(&id);
@@ -166,9 +165,11 @@
         }
     }
 
-    fn decrement_not_started(&mut self, queue: &SmolStr) {
-        if let Some(count) = self.not_started_counts.get_mut(queue) {
-            *count = count.saturating_sub(1);
+    /// Records that an attempt of a job has started on a worker, or that the job has ended.
+    pub(crate) fn mark_started(&mut self, id: JobId) {
+        let queue = self.jobs.get(&id).map(|job| &job.queue);
+        if let Some(jobs) = queue.and_then(|queue| self.not_started.get_mut(queue)) {
+            jobs.remove(&id);
         }
     }
 
@@ -178,15 +179,10 @@
         if status == JobStatus::Unknown {
             return status;
         }
-        let was_queued = self.jobs[&id].state() == JobState::Queued;
         let Some(job) = self.jobs.get_mut(&id) else {
             return JobStatus::Unknown;
         };
         if job.cancel(now.store_ms) {
-            let queue = job.queue.clone();
-            if was_queued {
-                self.decrement_not_started(&queue);
-            }
             self.finish_job(id);
             self.dirty_jobs.insert(id);
         }
@@ -210,10 +206,10 @@
         state.is_some() && state == self.recorded_states.get(&id).copied()
     }
 
-    /// Returns the number of jobs of a queue that have not started.
+    /// Returns the number of jobs of a queue of which no attempt is known to have started on a worker.
     #[must_use]
     pub fn not_started_jobs(&self, queue: &str) -> usize {
-        self.not_started_counts.get(queue).copied().unwrap_or(0)
+        self.not_started.get(queue).map_or(0, BTreeSet::len)
     }
 
     /// Returns the number of steps with a task that could start.
@@ -297,6 +293,7 @@
     /// Removes an ended job from the ready steps and adds stop commands for its running attempts.
     fn finish_job(&mut self, id: JobId) {
         self.service_jobs.remove(&id);
+        self.mark_started(id);
         let job = &self.jobs[&id];
         self.ended_jobs.insert((job.ended_at_ms(), id));
         self.deferred_commands.remove(&id);
@@ -418,7 +415,6 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let was_queued = job.state() == JobState::Queued;
         let attempt = job.assign(task.index, worker.info.id.clone(), min_attempt);
         worker.insert(
             task,
@@ -431,15 +427,11 @@
             attempt,
             checkpoint: checkpoint.unwrap_or_default(),
         };
-        let queue = job.queue.clone();
         self.deferred_commands
             .entry(task.job)
             .or_default()
             .push(command);
         self.dirty_jobs.insert(task.job);
-        if was_queued {
-            self.decrement_not_started(&queue);
-        }
     }
 }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -1,10 +1,11 @@
 //! Workers, the attempts that are assigned to them, and their leases.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use smol_str::SmolStr;
 use submission::{Resources, StepSpec, TaskKey};
 
+use crate::dirty::{DirtyJobs, Position};
 use crate::health::Health;
 
 slotmap::new_key_type! {
@@ -119,6 +120,9 @@
     pub(crate) leases_expired_by_ms: u64,
     /// The number of the last ended attempt that was applied.
     pub(crate) received_end: u64,
+    /// The numbers of ended attempts that were applied and are not recorded, each with the position in the queue of
+    /// jobs to write behind which all outcomes up to the number are.
+    unrecorded_ends: VecDeque<(u64, Position)>,
     /// The number of the last ended attempt whose outcome is recorded.
     pub(crate) recorded_end: u64,
     /// The number of the last ended attempt that was acknowledged to the worker, which then discards the end.
@@ -156,6 +160,7 @@
             health: Health::default(),
             leases_expired_by_ms,
             received_end: 0,
+            unrecorded_ends: VecDeque::new(),
             recorded_end: 0,
             acknowledged_end: 0,
             clock: None,
@@ -189,6 +194,29 @@
         self.received_end > self.recorded_end
     }
 
+    /// Records that the outcomes of all ends up to `end` were applied. The jobs concerned are in the queue of jobs to
+    /// write before `position`.
+    pub(crate) fn record_received_ends(&mut self, end: u64, position: Position) {
+        let last = self.unrecorded_ends.back().map_or(0, |(last, _)| *last);
+        if end > last.max(self.recorded_end) {
+            self.unrecorded_ends.push_back((end, position));
+        }
+    }
+
+    /// Takes the number of the last ended attempt up to which all outcomes are in jobs that left the queue of jobs to
+    /// write; `None` when there is no new one.
+    pub(crate) fn take_written_end(&mut self, dirty_jobs: &DirtyJobs) -> Option<u64> {
+        let mut written = None;
+        while let Some((end, position)) = self.unrecorded_ends.front() {
+            if !dirty_jobs.is_past(*position) {
+                break;
+            }
+            written = Some(*end);
+            self.unrecorded_ends.pop_front();
+        }
+        written
+    }
+
     pub(crate) fn free_capacity(&self) -> Resources {
         self.info.capacity.saturating_sub(self.used)
     }
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -135,7 +135,7 @@
         self.scheduler.tick(self.now());
         self.scheduler.plan(self.now());
         loop {
-            let batch: Batch = self.scheduler.take_batch(32);
+            let batch: Batch = self.scheduler.take_batch(98);
             if batch.changes.is_empty() && batch.ends.is_empty() {
                 break;
             }
