--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -241,7 +241,10 @@
             let Some((other, peer)) = self.node.handover_target() else {
                 continue;
             };
-            match peer.take_over_pool(self.pool.clone(), Some(self.term)).await {
+            match peer
+                .take_over_pool(self.pool.clone(), Some(self.term))
+                .await
+            {
                 Ok(true) => {
                     let (pool, daemon) = (self.pool.as_str(), other.daemon.as_str());
                     tracing::warn!(
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -18,8 +18,8 @@
 use crate::api::{handle_metrics, handle_readiness, serve_callers, serve_endpoint};
 use crate::config::FLEET_SHARD;
 use crate::membership::{
-    DEAD_AFTER_MS, MAX_READ_GAP_MS, UNREACHABLE_DEAD_AFTER_MS, follow_operator_rows,
-    Handover, run_membership, take_over_fleet, write_heartbeat,
+    DEAD_AFTER_MS, Handover, MAX_READ_GAP_MS, UNREACHABLE_DEAD_AFTER_MS, follow_operator_rows,
+    run_membership, take_over_fleet, write_heartbeat,
 };
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -211,11 +211,7 @@
         Ok(result.unwrap_or(false))
     }
 
-    async fn take_over_fleet(
-        &self,
-        last_command_at_ms: u64,
-        term: Option<u64>,
-    ) -> RpcResult<bool> {
+    async fn take_over_fleet(&self, last_command_at_ms: u64, term: Option<u64>) -> RpcResult<bool> {
         if self.node.owned_shards.lock().contains_key(FLEET_SHARD) {
             // The peer repeats a call that succeeded, but whose response was lost.
             return Ok(true);
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -187,10 +187,10 @@
             });
             let cpu_per_task = u64::from(job.spec().steps[step].footprint().cpu_milli);
             let cpu = cpu_per_task * u64::try_from(idle.count()).unwrap_or(u64::MAX);
-            if rank.prospect != Prospect::OnTime {
-                past_latest_start += cpu;
-            } else {
+            if rank.prospect == Prospect::OnTime {
                 on_time += cpu;
+            } else {
+                past_latest_start += cpu;
             }
         }
         (on_time, past_latest_start)
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod load;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
