--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -1,11 +1,11 @@
-//! Errors that an operator sees: what happened, and what to do next.
+//! Errors of operator requests, each with what to do next.
 
 use jsonrpsee::types::{ErrorObject, ErrorObjectOwned};
 use serde::{Deserialize, Serialize};
 
 macro_rules! operator_errors {
     ($($(#[$doc:meta])* $kind:ident, $code:literal, $next:literal;)*) => {
-        /// Why an operator's request was not carried out. The payload is what happened, in a sentence.
+        /// The reason why an operator's request failed. The payload is a sentence that describes the failure.
         #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
         pub enum OperatorError {
             $($(#[$doc])* $kind(String),)*
@@ -20,29 +20,29 @@
         impl std::error::Error for OperatorError {}
 
         impl OperatorError {
-            /// The JSON-RPC code.
+            /// Returns the JSON-RPC error code.
             #[must_use]
             pub fn code(&self) -> i32 {
                 match self { $(Self::$kind(_) => $code,)* }
             }
 
-            /// What happened.
+            /// Returns the sentence that describes the failure.
             #[must_use]
             pub fn message(&self) -> &str {
                 match self { $(Self::$kind(message) => message,)* }
             }
 
-            /// What to do next.
+            /// Returns what the operator can do next.
             #[must_use]
             pub fn next_step(&self) -> &'static str {
                 match self { $(Self::$kind(_) => $next,)* }
             }
 
-            /// The error of that code.
+            /// Returns the error with a JSON-RPC error code and a message. `None` for a code that no operator error has.
             ///
             /// ```
-            /// let err = peer::OperatorError::Conflict("the head moved".into());
-            /// assert_eq!(peer::OperatorError::from_code(err.code(), "the head moved"), Some(err));
+            /// let err = peer::OperatorError::Conflict("the configuration head changed".into());
+            /// assert_eq!(peer::OperatorError::from_code(err.code(), err.message()), Some(err));
             /// ```
             #[must_use]
             pub fn from_code(code: i32, message: &str) -> Option<Self> {
@@ -56,22 +56,24 @@
 }
 
 operator_errors! {
-    /// The input can't be used.
-    BadInput, 1001, "mend the field that is named and run the command again; nothing was changed";
-    /// Somebody else changed the same thing in the meantime.
-    Conflict, 1002, "look at the present state with `trefoilpass status` and decide again; nothing was changed";
-    /// The thing is in a state that does not allow the step.
-    WrongState, 1003, "look at the present state with `trefoilpass vm list` or `wave status`; nothing was changed";
-    /// There is no such thing.
+    /// The input is invalid. The message names the field.
+    BadInput, 1001, "correct the named field and run the command again; nothing was changed";
+    /// Another change was made to the same object at the same time.
+    Conflict, 1002, "check the current state with `trefoilpass status` before you run the command again; nothing was changed";
+    /// The state of the VM or wave does not allow the request.
+    WrongState, 1003, "check the current state with `trefoilpass vm list` or `wave status`; nothing was changed";
+    /// No object has the requested name or id.
     NotFound, 1004, "check the name against the listing; nothing was changed";
-    /// The pool's availability budget has no room for it.
+    /// The request would exceed the disruption budget of the pool.
     OverBudget, 1009, "wait until other VMs of the pool serve again (`trefoilpass pool list`); nothing was changed";
-    /// Daemons that have to agree can't be reached.
-    Held, 1005, "start a daemon on the named entry VMs again, or take them out of entry_vms; then run it again";
+    /// Daemons whose agreement is required can't be reached.
+    #[serde(rename = "Held")]
+    PeersUnreachable, 1005, "start a daemon on the named entry VMs, or remove them from entry_vms; then run the command again";
     /// The platform's table can't be reached, and nothing was changed.
-    PlatformAway, 1006, "run it again when `trefoilpass status` shows the platform as reachable";
-    /// The platform's answer was lost; the change may have been made.
-    OutcomeUnknown, 1007, "look at the present state before you run it again; the change may have been made";
+    #[serde(rename = "PlatformAway")]
+    PlatformUnreachable, 1006, "run the command again when `trefoilpass status` shows the platform as reachable";
+    /// The platform's response was lost; the change may have been made.
+    OutcomeUnknown, 1007, "check the current state before you run the command again; the change may have been made";
     /// The daemon has no configuration yet.
     NoConfiguration, 1008, "apply a configuration with `trefoilpass config apply FILE`";
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,4 +1,4 @@
-//! What daemons say to each other and to operators: the JSON-RPC methods and their types.
+//! The JSON-RPC methods that daemons offer to each other and to operators, and the types of their arguments and results.
 
 mod error;
 mod operator;
@@ -7,8 +7,8 @@
 
 pub use error::OperatorError;
 pub use operator::{
-    AppliedConfig, ConfigDocument, InForceReport, PeerReport, PoolReport, ServiceReport,
-    StatusReport, StewardReport, VmReport, WaveReport,
+    ActiveViewReport, AppliedConfig, ConfigDocument, LeaderReport, PeerReport, PoolReport,
+    ServiceReport, StatusReport, VmReport, WaveReport,
 };
 pub use rpc::{
     LeaveReply, OperatorRpcClient, OperatorRpcServer, PeerRpcClient, PeerRpcServer, ViewContents,
--- a/crates/peer/src/operator.rs
+++ b/crates/peer/src/operator.rs
@@ -9,148 +9,150 @@
 use membership::{PeerState, View};
 use serde::{Deserialize, Serialize};
 
-/// A daemon and what it knows.
+/// The status of a daemon, and its view of its peers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StatusReport {
-    /// The daemon that answers.
+    /// The entry VM of the daemon.
     pub entry_vm: EntryVmId,
-    /// Its zone.
+    /// The availability zone of the daemon.
     pub zone: ZoneId,
-    /// Its run.
+    /// The incarnation of the daemon.
     pub incarnation: Incarnation,
-    /// Whether the balancer may send to it.
+    /// Whether the daemon reports to the load balancer that it is ready.
     pub is_ready: bool,
-    /// What it has in force.
+    /// The view that is active at the daemon.
     pub view: View,
-    /// The preset in force.
+    /// The active preset; `None` without a configuration.
     pub preset: Option<PresetId>,
-    /// How long ago its view was confirmed as the newest.
+    /// How long ago the view was confirmed as the newest, in ms; `None` when it never was.
     pub view_age_ms: Option<u64>,
-    /// Whether its last call to the platform succeeded.
+    /// Whether the daemon's last call to the platform succeeded.
     pub platform_reachable: bool,
-    /// The steward that it knows of.
-    pub steward: Option<StewardReport>,
-    /// Its peers.
+    /// The leader, as far as the daemon knows.
+    #[serde(rename = "steward")]
+    pub leader: Option<LeaderReport>,
+    /// The other daemons, as far as the daemon knows.
     pub peers: Vec<PeerReport>,
 }
 
-/// The holder of the steward's lease.
+/// The leader, as its lease row shows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StewardReport {
-    /// The run that holds it.
-    pub holder: Incarnation,
-    /// Its term.
+pub struct LeaderReport {
+    /// The incarnation of the leader.
+    #[serde(rename = "holder")]
+    pub incarnation: Incarnation,
+    /// The term of the leader.
     pub term: Term,
 }
 
-/// A peer.
+/// A peer of the daemon that responds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerReport {
-    /// The peer.
+    /// The entry VM of the peer.
     pub entry_vm: EntryVmId,
-    /// Its zone.
+    /// The availability zone of the peer.
     pub zone: ZoneId,
-    /// What is known of it.
+    /// The state of the peer, as far as the daemon knows.
     pub state: PeerState,
-    /// What it had in force when last heard from.
+    /// The view in the peer's last digest; `None` when no digest has arrived.
     pub view: Option<View>,
 }
 
-/// A configuration that was accepted.
+/// The result of applying a configuration or of a switch of the preset.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AppliedConfig {
-    /// Its epoch.
+    /// The epoch of the configuration.
     pub epoch: Epoch,
-    /// The preset in force.
+    /// The active preset.
     pub preset: PresetId,
 }
 
-/// The configuration in force, with its text.
+/// The active configuration, with its text.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigDocument {
-    /// Its epoch.
+    /// The epoch of the configuration.
     pub epoch: Epoch,
-    /// The preset in force.
+    /// The active preset.
     pub preset: PresetId,
-    /// The presets that it has.
+    /// All presets of the configuration.
     pub presets: Vec<PresetId>,
-    /// The document as it was applied.
+    /// The document as the operator applied it.
     pub text: String,
 }
 
-/// What a daemon has in force, asked for now.
+/// The view that is active at a daemon at the time of the request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct InForceReport {
-    /// The daemon.
+pub struct ActiveViewReport {
+    /// The entry VM of the daemon.
     pub entry_vm: EntryVmId,
-    /// What it has in force; `None` when it could not be reached.
+    /// The active view; `None` when the daemon could not be reached.
     pub view: Option<View>,
 }
 
-/// A service.
+/// A service of the active configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceReport {
-    /// The service.
+    /// The name of the service.
     pub service: ServiceId,
-    /// Its pool.
+    /// The pool that runs the service.
     pub pool: PoolId,
-    /// Its longest deadline.
+    /// The longest deadline of the service's routes, in ms.
     pub deadline_ms: u64,
-    /// Executors that serve it.
+    /// The number of executors that serve the service.
     pub serving_executors: u32,
-    /// Requests that the answering daemon has taken for it.
+    /// The number of requests for the service that the responding daemon has accepted since its start.
     pub requests: u64,
 }
 
-/// A VM.
+/// A VM and its executors.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmReport {
-    /// The VM.
+    /// The name of the VM.
     pub vm: VmId,
-    /// Its zone.
+    /// The availability zone of the VM.
     pub zone: ZoneId,
-    /// Its rack.
+    /// The rack of the VM.
     pub rack: String,
-    /// The pool that it belongs to.
+    /// The pool of the VM.
     pub pool: PoolId,
-    /// Where it is in its life.
+    /// The state of the VM.
     pub state: VmState,
-    /// The pool that it goes to once drained.
+    /// The pool to which the VM is moved once it is drained; `None` when no move was requested.
     pub move_to: Option<PoolId>,
-    /// Requests that the answering daemon has in flight to it.
+    /// The number of requests that the responding daemon has in flight to the VM.
     pub in_flight: u32,
-    /// Its executors.
+    /// The addresses of the executors on the VM.
     pub executors: Vec<SocketAddr>,
 }
 
-/// A pool.
+/// A pool and its disruption budget.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolReport {
-    /// The pool.
+    /// The name of the pool.
     pub pool: PoolId,
-    /// Its VMs.
+    /// The number of VMs of the pool.
     pub vms: u32,
-    /// Those that serve.
+    /// The number of VMs that serve.
     pub serving: u32,
-    /// The fewest that may serve.
+    /// The smallest number of VMs that have to serve.
     pub min_serving_vms: u32,
-    /// How many more planned work may take out now.
+    /// The number of further VMs that planned work may take out of service now.
     pub planned_allowance: u32,
 }
 
-/// A maintenance wave.
+/// A maintenance wave and its progress.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaveReport {
-    /// The wave.
+    /// The id of the wave.
     pub wave: WaveId,
-    /// Its pool.
+    /// The pool whose VMs are maintained.
     pub pool: PoolId,
-    /// Where it is.
+    /// The state of the wave.
     pub state: WaveState,
-    /// VMs not yet taken.
+    /// The number of VMs whose maintenance has not begun.
     pub waiting: u32,
-    /// VMs taken and not yet serving again.
+    /// The number of VMs that are being drained, maintained or returned to service.
     pub taken: u32,
-    /// VMs that serve again.
+    /// The number of VMs that serve again after their maintenance.
     pub done: u32,
 }
--- a/crates/peer/src/wire_digest.rs
+++ b/crates/peer/src/wire_digest.rs
@@ -1,4 +1,4 @@
-//! The digest on the wire, as an array without field names, because it is sent in every period.
+//! The wire form of a digest: an array without field names, because each daemon sends a digest in every period.
 
 use std::fmt;
 
@@ -8,10 +8,12 @@
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-/// The elements of the array.
+/// The number of elements of the array.
 const FIELDS: usize = 7;
 
-/// A [`Digest`] as an array: entry VM, incarnation, epoch, fleet seq, view age, draining, peaks.
+/// A [`Digest`] that is serialized as an array: the entry VM, the incarnation, the epoch, the change number, the age of
+/// the view in us, whether the daemon is draining, and the peaks of requests in flight. Fails to deserialize when an
+/// element is missing.
 ///
 /// ```
 /// use domain::{EntryVmId, Incarnation};
--- a/crates/scheduler/tests/load.rs
+++ b/crates/scheduler/tests/load.rs
@@ -43,8 +43,8 @@
     assert_eq!(loaded.scheduler().demand(now).urgent_demand_workers, 2);
 }
 
-/// A fixed pool gets twice the work that it can do for the length of a peak. The work that it can do suffices for half of
-/// the jobs, and the deployment's rule is that the largest are served at least half as often as all.
+/// A fixed pool gets three times the work that it can do for the length of a peak. It can do three quarters of the work
+/// while the results are of use. The deployment's rule is that the largest jobs are served at least half as often as all.
 #[test]
 fn under_overload_most_jobs_are_done_while_their_results_are_of_use_and_no_size_starves() {
     let kinds = [SMALL, SMALL, SMALL, SMALL, LARGE];
@@ -65,7 +65,6 @@
     };
     let all = share(&|_| true);
     let large = share(&|tasks| tasks == LARGE.tasks);
-    eprintln!("SHARES {all:.3} {large:.3}");
     assert!(all >= 0.5, "{all:.2} of the jobs are served");
     assert!(
         large >= all / 2.0,
@@ -121,6 +120,9 @@
         used.push(starts(&commands)[0].0);
         pool.confirm_starts(&commands);
     }
-    assert_ne!(used[1], used[0], "the large task does not fit beside the service task");
+    assert_ne!(
+        used[1], used[0],
+        "the large task does not fit beside the service task"
+    );
     assert_eq!(used[2], used[0]);
 }
--- a/crates/trefoilpass/src/commands.rs
+++ b/crates/trefoilpass/src/commands.rs
@@ -184,8 +184,8 @@
         "steward       {}",
         or_none(
             status
-                .steward
-                .map(|s| format!("{}, term {}", s.holder, s.term))
+                .leader
+                .map(|leader| format!("{}, term {}", leader.incarnation, leader.term))
         )
     );
     let heading = ["PEER", "ZONE", "STATE", "EPOCH", "VM CHANGE"];
--- a/crates/trefoilpass/src/wait.rs
+++ b/crates/trefoilpass/src/wait.rs
@@ -58,7 +58,7 @@
             .iter()
             .filter(|report| report.view.is_some_and(|view| !has(view)));
         let unreachable = reports.iter().filter(|report| report.view.is_none());
-        let names = |reports: Vec<&peer::InForceReport>| {
+        let names = |reports: Vec<&peer::ActiveViewReport>| {
             let names: Vec<_> = reports
                 .iter()
                 .map(|report| report.entry_vm.as_str())
--- a/crates/trefoilpassd/src/control/changes.rs
+++ b/crates/trefoilpassd/src/control/changes.rs
@@ -89,14 +89,14 @@
                 }
                 Err(Error::Lost { .. }) => may_have_taken_effect = true,
                 Err(Error::Unreachable) => {}
-                Err(err) => return Err(OperatorError::PlatformAway(err.to_string())),
+                Err(err) => return Err(OperatorError::PlatformUnreachable(err.to_string())),
             }
             if self.shared.clock.now_us() >= until_us {
                 let message = "the platform did not answer";
                 return Err(if may_have_taken_effect {
                     OperatorError::OutcomeUnknown(message.into())
                 } else {
-                    OperatorError::PlatformAway(message.into())
+                    OperatorError::PlatformUnreachable(message.into())
                 });
             }
             tokio::time::sleep(WRITE_PAUSE).await;
@@ -370,5 +370,5 @@
     reason = "used as a function of map_err"
 )]
 pub(crate) fn from_platform(err: Error) -> OperatorError {
-    OperatorError::PlatformAway(err.to_string())
+    OperatorError::PlatformUnreachable(err.to_string())
 }
--- a/crates/trefoilpassd/src/control/leaving.rs
+++ b/crates/trefoilpassd/src/control/leaving.rs
@@ -53,7 +53,9 @@
         let limit_us = u64::try_from(HOLD.as_micros()).unwrap_or(u64::MAX) - HOLD_MARGIN_US;
         let marked = self.change_vm(vm, side_writes, |in_force, record| {
             if clock.now_us().saturating_sub(asked_us) > limit_us {
-                return Err(OperatorError::Held("the agreement took too long".into()));
+                return Err(OperatorError::PeersUnreachable(
+                    "the agreement took too long".into(),
+                ));
             }
             // The budget is looked at again, with all changes that came before this one.
             next(in_force, record)
@@ -167,7 +169,7 @@
         "VM `{vm}` stays in service: entry VMs of its zone can't be reached: {}",
         names.join(", ")
     );
-    Err(OperatorError::Held(message))
+    Err(OperatorError::PeersUnreachable(message))
 }
 
 /// The record of a VM that drains, if its pool's budget allows it with the VMs that `listed` shows as down.
--- a/crates/trefoilpassd/src/control/operator_server.rs
+++ b/crates/trefoilpassd/src/control/operator_server.rs
@@ -10,8 +10,9 @@
 use membership::View;
 use parking_lot::Mutex;
 use peer::{
-    AppliedConfig, ConfigDocument, InForceReport, OperatorError, OperatorRpcServer, PeerReport,
-    PeerRpcClient, PoolReport, ServiceReport, StatusReport, StewardReport, VmReport, WaveReport,
+    ActiveViewReport, AppliedConfig, ConfigDocument, LeaderReport, OperatorError,
+    OperatorRpcServer, PeerReport, PeerRpcClient, PoolReport, ServiceReport, StatusReport,
+    VmReport, WaveReport,
 };
 use placement::{Job, JobSpec};
 use platform::{Platform, RowEntry, Transaction};
@@ -110,8 +111,8 @@
         let shared = &self.shared;
         let now_us = shared.clock.now_us();
         let in_force = shared.in_force();
-        let steward = self.lease.lock().row.clone().map(|row| StewardReport {
-            holder: row.holder,
+        let leader = self.lease.lock().row.clone().map(|row| LeaderReport {
+            incarnation: row.holder,
             term: row.term,
         });
         let peers = shared.peers.lock().statuses(now_us);
@@ -128,7 +129,7 @@
                 .map(|config| config.head.preset.clone()),
             view_age_ms: age_us.map(|age_us| age_us / 1_000),
             platform_reachable: shared.platform_reachable(),
-            steward,
+            leader,
             peers: peers
                 .into_iter()
                 .map(|peer| PeerReport {
@@ -141,7 +142,7 @@
         })
     }
 
-    async fn in_force(&self) -> RpcResult<Vec<InForceReport>> {
+    async fn in_force(&self) -> RpcResult<Vec<ActiveViewReport>> {
         let own = self.shared.view();
         let calls = self.changes.clients.iter().map(|(id, client)| async move {
             // The answer to a question that is far behind always tells the whole view.
@@ -152,13 +153,13 @@
                     fleet_seq: contents.fleet_seq,
                 })
             });
-            InForceReport {
+            ActiveViewReport {
                 entry_vm: id.clone(),
                 view,
             }
         });
         let mut reports = join_all(calls).await;
-        reports.push(InForceReport {
+        reports.push(ActiveViewReport {
             entry_vm: self.shared.entry_vm().clone(),
             view: Some(own),
         });
--- a/crates/trefoilpassd/tests/config.rs
+++ b/crates/trefoilpassd/tests/config.rs
@@ -125,7 +125,10 @@
         .preset_switch(preset("ordinary"), preset("peak"))
         .await;
     let err = refused(&err.unwrap_err());
-    assert!(matches!(err, OperatorError::PlatformAway(_)), "{err}");
+    assert!(
+        matches!(err, OperatorError::PlatformUnreachable(_)),
+        "{err}"
+    );
     assert_eq!(epoch(&cluster, 0).await, Epoch(1));
     cluster.platform.set_faults(Faults::default());
     cluster
@@ -257,7 +260,7 @@
     if let Err(err) = result {
         let err = refused(&err);
         assert!(
-            matches!(err, OperatorError::PlatformAway(_)),
+            matches!(err, OperatorError::PlatformUnreachable(_)),
             "{fault:?}: {err}"
         );
     }
--- a/crates/trefoilpassd/tests/jobs.rs
+++ b/crates/trefoilpassd/tests/jobs.rs
@@ -85,7 +85,7 @@
     cluster
         .wait("a steward", async || {
             let status = cluster.operator(0).status().await.unwrap();
-            status.steward.is_some()
+            status.leader.is_some()
         })
         .await;
     let holder = cluster
@@ -93,9 +93,9 @@
         .status()
         .await
         .unwrap()
-        .steward
+        .leader
         .unwrap()
-        .holder;
+        .incarnation;
     let name = holder.as_str().rsplit_once('.').unwrap().0.to_owned();
     (0..3)
         .find(|index| cluster.entry_vm(*index).as_str() == name)
--- a/crates/trefoilpassd/tests/leaving.rs
+++ b/crates/trefoilpassd/tests/leaving.rs
@@ -198,7 +198,7 @@
         .await
         .unwrap_err();
     let err = refused(&err);
-    assert!(matches!(err, OperatorError::Held(_)), "{err}");
+    assert!(matches!(err, OperatorError::PeersUnreachable(_)), "{err}");
     assert!(
         err.message().contains("e3"),
         "the daemons are not named: {err}"
@@ -346,7 +346,7 @@
         .await
         .unwrap_err();
     assert!(
-        matches!(refused(&err), OperatorError::PlatformAway(_)),
+        matches!(refused(&err), OperatorError::PlatformUnreachable(_)),
         "{err}"
     );
     cluster.platform.set_faults(Faults::default());
--- a/crates/trefoilpassd/tests/steward.rs
+++ b/crates/trefoilpassd/tests/steward.rs
@@ -4,7 +4,7 @@
 
 use domain::{PoolId, VmState};
 use maintenance::WaveState;
-use peer::{OperatorRpcClient, StewardReport};
+use peer::{LeaderReport, OperatorRpcClient};
 use test_support::{Cluster, Faults, Shape, ZoneShape};
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_trefoilpassd");
@@ -22,12 +22,12 @@
     PoolId::new("parts").unwrap()
 }
 
-async fn steward(cluster: &Cluster, asked: usize) -> Option<StewardReport> {
-    cluster.operator(asked).status().await.ok()?.steward
+async fn steward(cluster: &Cluster, asked: usize) -> Option<LeaderReport> {
+    cluster.operator(asked).status().await.ok()?.leader
 }
 
 async fn steward_index(cluster: &Cluster, asked: usize) -> Option<usize> {
-    let holder = steward(cluster, asked).await?.holder;
+    let holder = steward(cluster, asked).await?.incarnation;
     let (name, _) = holder.as_str().rsplit_once('.')?;
     (0..cluster.daemons.len()).find(|index| cluster.entry_vm(*index).as_str() == name)
 }
@@ -88,7 +88,7 @@
     cluster
         .wait("another steward", async || {
             let now = steward(&cluster, asked).await;
-            now.is_some_and(|now| now.term > before.term && now.holder != before.holder)
+            now.is_some_and(|now| now.term > before.term && now.incarnation != before.incarnation)
         })
         .await;
 }
