scheduler: a job counts towards the rate of arriving work for at most 2 s; estimates of any length are safe

Cause, by reading: the work of a job whose estimate is an hour held workers that the job did not use for half an hour, also after its cancellation, and sums over estimates near the end of their range overflowed. Change: a bound on the time for which a job counts; one function for the remaining work of a job; saturating sums.

--- a/crates/scheduler/src/arrivals.rs
+++ b/crates/scheduler/src/arrivals.rs
@@ -5,15 +5,16 @@
 
 use std::collections::VecDeque;
 
-use submission::JobSpec;
-
-/// The shortest time over which the work of a job counts towards the rate. Shorter times would follow single jobs.
+/// The shortest time over which the work of a job is spread. Shorter times would follow single jobs.
 const MIN_WINDOW_MS: u64 = 500;
 
-/// The work of a job counts towards the rate for the critical path divided by this. The latency objective of a long job
-/// allows more time until its peak has to be known.
+/// The work of a job is spread over its critical path divided by this. The latency objective of a long job allows more
+/// time until its peak has to be known.
 const WINDOW_DIVISOR: u64 = 2;
 
+/// The longest time for which a job counts. Once a job runs, the pool's running tasks show what it uses.
+const MAX_COUNTED_MS: u64 = 2000;
+
 /// The work that arrived lately.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Arrivals {
@@ -25,33 +26,28 @@
 struct Arrival {
     /// When the contribution ends, in ms on the daemon's clock.
     until_ms: u64,
-    /// The work of the job per time for which it counts, in thousandths of a core.
+    /// The work of the job by the time over which it is spread, in thousandths of a core.
     cpu_milli: u64,
 }
 
 impl Arrivals {
-    /// Records a job that was submitted at `now_ms` on the daemon's clock. `critical_path_ms` is the critical path of the
-    /// job.
-    pub(crate) fn record(&mut self, spec: &JobSpec, critical_path_ms: u64, now_ms: u64) {
-        let batch = spec.steps.iter().filter(|step| !step.is_service);
-        let work = batch.map(|step| {
-            u64::from(step.tasks)
-                * u64::from(step.footprint().cpu_milli)
-                * step.estimated_duration_ms
-        });
+    /// Records a job that was submitted at `now_ms` on the daemon's clock. `work` is the job's work, in thousandths of a
+    /// core times ms, and `critical_path_ms` its critical path.
+    pub(crate) fn record(&mut self, work: u64, critical_path_ms: u64, now_ms: u64) {
         let window_ms = (critical_path_ms / WINDOW_DIVISOR).max(MIN_WINDOW_MS);
-        let arrival = Arrival {
-            until_ms: now_ms + window_ms,
-            cpu_milli: work.sum::<u64>() / window_ms,
-        };
-        if arrival.cpu_milli > 0 {
-            self.recent.push_back(arrival);
+        let cpu_milli = work / window_ms;
+        if cpu_milli > 0 {
+            self.recent.push_back(Arrival {
+                until_ms: now_ms + window_ms.min(MAX_COUNTED_MS),
+                cpu_milli,
+            });
         }
     }
 
     /// The CPU that keeps up with the work that arrives, in thousandths of a core.
     pub(crate) fn cpu_milli(&mut self, now_ms: u64) -> u64 {
         self.recent.retain(|arrival| now_ms < arrival.until_ms);
-        self.recent.iter().map(|arrival| arrival.cpu_milli).sum()
+        let recent = self.recent.iter().map(|arrival| arrival.cpu_milli);
+        recent.fold(0, u64::saturating_add)
     }
 }
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -86,7 +86,7 @@
         self.trend.update(running + waiting, now.local_ms);
         let expected_growth = self.trend.growth_cpu_milli_per_s * FORECAST_MS / 1000;
         let arriving = self.arrivals.cpu_milli(now.local_ms);
-        let on_time = (running + waiting + expected_growth).max(arriving + waiting);
+        let on_time = (running + waiting + expected_growth).max(arriving.saturating_add(waiting));
         let past_objective = running_past_deadline
             + waiting_past_latest_start * PAST_LATEST_START_WEIGHT_PERCENT / 100;
         let listed = self.workers.values().filter(|worker| worker.is_listed);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -108,8 +108,9 @@
         }
         let job = Job::new(id, queue, spec, now.store_ms);
         if job.spec().occurrences == 0 {
+            let work = job.remaining_batch_work(0);
             self.arrivals
-                .record(job.spec(), job.critical_path_ms(), now.local_ms);
+                .record(work, job.critical_path_ms(), now.local_ms);
         }
         self.insert_job(job, now);
         self.dirty_jobs.insert(id);
@@ -370,7 +371,9 @@
         let factor = rules.map_or(1.0, |rules| rules.latency_objective_factor);
         let base_ms = rules.map_or(0, |rules| rules.latency_objective_base_ms);
         let stretched_ms = (job.critical_path_ms() as f64 * factor) as u64;
-        job.accepted_at_ms + stretched_ms + base_ms
+        job.accepted_at_ms
+            .saturating_add(stretched_ms)
+            .saturating_add(base_ms)
     }
 
     /// The rank of a step, and the time at which the rank changes, in ms on the store's clock.
@@ -383,17 +386,19 @@
         };
         let path_ms = job.remaining_critical_path_ms(key.occurrence);
         let deadline_ms = self.deadline_ms(job);
-        let latest_start_ms = deadline_ms.saturating_sub(path_ms * percent / 100);
+        let latest_start_ms = deadline_ms.saturating_sub(path_ms.saturating_mul(percent) / 100);
         let objective_ms = deadline_ms.saturating_sub(job.accepted_at_ms);
-        let latest_useful_start_ms =
-            (job.accepted_at_ms + objective_ms * USEFUL_OBJECTIVES).saturating_sub(path_ms);
+        let useful_until_ms = job
+            .accepted_at_ms
+            .saturating_add(objective_ms.saturating_mul(USEFUL_OBJECTIVES));
+        let latest_useful_start_ms = useful_until_ms.saturating_sub(path_ms);
         let is_service = job.spec().steps[usize::from(key.step)].is_service;
         let (prospect, order, changes_at_ms) = if is_service {
             (Prospect::OnTime, latest_start_ms, u64::MAX)
         } else if now.store_ms <= latest_start_ms {
             (Prospect::OnTime, latest_start_ms, latest_start_ms)
         } else if now.store_ms <= latest_useful_start_ms {
-            let order = job.remaining_work(key.occurrence);
+            let order = job.remaining_batch_work(key.occurrence);
             (Prospect::Late, order, latest_useful_start_ms)
         } else {
             (Prospect::TooLate, latest_start_ms, u64::MAX)
--- a/crates/scheduler/tests/load.rs
+++ b/crates/scheduler/tests/load.rs
@@ -43,6 +43,23 @@
     assert_eq!(loaded.scheduler().demand(now).urgent_demand_workers, 2);
 }
 
+/// The estimate of a job's duration is the caller's, and may be anything.
+#[test]
+fn a_long_job_does_not_hold_workers_that_it_does_not_use() {
+    for duration_ms in [60_000, 3_600_000, u64::MAX / 100] {
+        let long = JobKind {
+            duration_ms,
+            ..SMALL
+        };
+        let mut loaded = LoadedPool::new(3);
+        loaded.submit(long);
+        loaded.run(&[SMALL], 0, 2500);
+        let now = loaded.pool.now();
+        let demand = loaded.scheduler().demand(now).urgent_demand_workers;
+        assert_eq!(demand, 2, "{duration_ms} ms");
+    }
+}
+
 /// A fixed pool gets three times the work that it can do for the length of a peak. It can do three quarters of the work
 /// while the results are of use. The deployment's rule is that the largest jobs are served at least half as often as all.
 #[test]
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -311,16 +311,14 @@
     }
 
     /// The critical path of an occurrence through the steps that are not done: the longest sum of estimated run times
-    /// along dependencies, in ms. A step that is done counts as 0.
-    ///
-    /// The sum must not exceed `u64::MAX`, which [`JobSpec::validate`] does not check.
+    /// along dependencies, in ms, at most `u64::MAX`. A step that is done counts as 0.
     ///
     /// # Panics
     /// If `occurrence` is not an occurrence of the job.
     #[must_use]
     pub fn remaining_critical_path_ms(&self, occurrence: u32) -> u64 {
         let first = occurrence as usize * self.spec.steps.len();
-        let mut end_ms = Vec::with_capacity(self.spec.steps.len());
+        let mut end_ms: Vec<u64> = Vec::with_capacity(self.spec.steps.len());
         for (step, spec) in self.spec.steps.iter().enumerate() {
             let dependency_end_ms = spec
                 .dependencies
@@ -331,22 +329,23 @@
             } else {
                 spec.estimated_duration_ms
             };
-            let step_end_ms: u64 = dependency_end_ms.max().unwrap_or(0) + step_ms;
+            let step_end_ms = dependency_end_ms.max().unwrap_or(0).saturating_add(step_ms);
             end_ms.push(step_end_ms);
         }
         end_ms.into_iter().max().unwrap_or(0)
     }
 
-    /// The work of an occurrence that is not done: the sum over its remaining tasks of the CPU in thousandths of a core
-    /// times the estimated run time in ms.
+    /// The batch work of an occurrence that is not done: the sum over its remaining tasks, other than service tasks, of
+    /// the CPU in thousandths of a core times the estimated run time in ms. At most `u64::MAX`.
     ///
     /// # Panics
     /// If `occurrence` is not an occurrence of the job.
     #[must_use]
-    pub fn remaining_work(&self, occurrence: u32) -> u64 {
+    pub fn remaining_batch_work(&self, occurrence: u32) -> u64 {
         let first = occurrence as usize * self.spec.steps.len();
         let steps = self.spec.steps.iter().enumerate();
-        let work = steps.map(|(step, spec)| {
+        let batch = steps.filter(|(_, spec)| !spec.is_service);
+        let work = batch.map(|(step, spec)| {
             u64::from(self.remaining[first + step])
                 .saturating_mul(u64::from(spec.footprint().cpu_milli))
                 .saturating_mul(spec.estimated_duration_ms)
@@ -354,9 +353,8 @@
         work.fold(0, u64::saturating_add)
     }
 
-    /// The critical path of a whole occurrence: the longest sum of estimated run times along dependencies, in ms.
-    ///
-    /// The sum must not exceed `u64::MAX`, which [`JobSpec::validate`] does not check.
+    /// The critical path of a whole occurrence: the longest sum of estimated run times along dependencies, in ms, at most
+    /// `u64::MAX`.
     #[must_use]
     pub fn critical_path_ms(&self) -> u64 {
         let mut end_ms: Vec<u64> = Vec::with_capacity(self.spec.steps.len());
@@ -365,7 +363,8 @@
                 .dependencies
                 .iter()
                 .map(|&step| end_ms[usize::from(step)]);
-            let step_end_ms = dependency_end_ms.max().unwrap_or(0) + spec.estimated_duration_ms;
+            let start_ms: u64 = dependency_end_ms.max().unwrap_or(0);
+            let step_end_ms = start_ms.saturating_add(spec.estimated_duration_ms);
             end_ms.push(step_end_ms);
         }
         end_ms.into_iter().max().unwrap_or(0)
--- a/xtask/src/measure/capacity.rs
+++ b/xtask/src/measure/capacity.rs
@@ -112,7 +112,7 @@
         let change = Instant::now();
         let (from, to) = (&presets[number % 2], &presets[(number + 1) % 2]);
         let applied = rpc.preset_switch(from.clone(), to.clone()).await?;
-        let is_behind = |report: &peer::InForceReport| {
+        let is_behind = |report: &peer::ActiveViewReport| {
             report.view.is_none_or(|view| view.epoch < applied.epoch)
         };
         while rpc.in_force().await?.iter().any(is_behind) {
