--- a/crates/domain/src/error_kind.rs
+++ b/crates/domain/src/error_kind.rs
@@ -1,20 +1,20 @@
-//! The closed list of error kinds and the table from kind to answer.
+//! The closed list of error kinds, and the HTTP response of each.
 
 use serde::{Deserialize, Serialize};
 
-/// What a caller may conclude about its request.
+/// What a caller may conclude about the effect of a failed request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
-    /// No target ran any part of it.
+    /// No target executed any part of the request.
     NotRun,
-    /// A target may have run it.
+    /// A target may have executed the request.
     Unknown,
 }
 
 macro_rules! error_kinds {
     ($($(#[$doc:meta])* $kind:ident, $name:literal, $status:literal, $outcome:ident, $retry:expr;)*) => {
-        /// Every way in which a request can be refused or given up on.
+        /// The reasons for which a request is rejected or abandoned.
         #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
         pub enum ErrorKind {
             $($(#[$doc])* $kind,)*
@@ -24,25 +24,25 @@
             /// All kinds, in the order of the table.
             pub const ALL: &'static [Self] = &[$(Self::$kind,)*];
 
-            /// The name in the answer's `type` and in the counters.
+            /// Returns the name of the kind in the `type` of a response and in metric labels.
             #[must_use]
             pub fn name(self) -> &'static str {
                 match self { $(Self::$kind => $name,)* }
             }
 
-            /// The HTTP status.
+            /// Returns the HTTP status of the response.
             #[must_use]
             pub fn status(self) -> u16 {
                 match self { $(Self::$kind => $status,)* }
             }
 
-            /// What the caller may conclude.
+            /// Returns what the caller may conclude about the effect of the request.
             #[must_use]
             pub fn outcome(self) -> Outcome {
                 match self { $(Self::$kind => Outcome::$outcome,)* }
             }
 
-            /// When to come back, in seconds; `None` where the same request will never be taken.
+            /// Returns the delay after which the caller may retry, in s; `None` when the same request will always be rejected.
             ///
             /// ```
             /// use domain::ErrorKind;
@@ -58,44 +58,44 @@
 }
 
 error_kinds! {
-    /// The request line or a header can't be read.
+    /// The request line or a header is malformed.
     MalformedRequest, "malformed-request", 400, NotRun, None;
-    /// The headers are longer than a daemon takes.
+    /// The headers exceed the maximum length.
     HeadersTooLarge, "headers-too-large", 431, NotRun, None;
-    /// No service of that name is configured.
+    /// The configuration has no service with the requested name.
     UnknownService, "unknown-service", 404, NotRun, None;
     /// The body ended before its announced length.
     BodyIncomplete, "body-incomplete", 400, NotRun, None;
-    /// The body came too slowly.
+    /// The body did not arrive in time.
     BodyTooSlow, "body-too-slow", 408, NotRun, Some(1);
-    /// The body is longer than the service takes.
+    /// The body exceeds the maximum length of the service.
     BodyTooLarge, "body-too-large", 413, NotRun, None;
     /// The deadline had passed when the request arrived.
     DeadlinePast, "deadline-past", 504, NotRun, None;
-    /// The request would have waited past its deadline.
+    /// The request would wait in the queue beyond its deadline.
     CannotMeetDeadline, "cannot-meet-deadline", 503, NotRun, Some(1);
-    /// The queue holds as many requests as it may.
+    /// The queue is full.
     QueueFull, "queue-full", 503, NotRun, Some(1);
-    /// No target of the service takes work.
+    /// No target of the service accepts requests.
     NoTarget, "no-target", 503, NotRun, Some(2);
-    /// This daemon has no configuration yet.
+    /// The daemon has not loaded a configuration.
     NoConfiguration, "no-configuration", 503, NotRun, Some(2);
-    /// The idempotency key belongs to another request.
+    /// The idempotency key was used for a different request.
     KeyReused, "key-reused", 422, NotRun, None;
-    /// A request with this key is running.
+    /// A request with the same idempotency key is in progress.
     KeyRunning, "key-running", 409, Unknown, Some(1);
-    /// A request with this key ran, or may have run, and its answer can't be had.
+    /// A request with the same idempotency key was executed, or may have been, and its response is not available.
     KeySpent, "key-spent", 409, Unknown, None;
-    /// The daemon that holds the key's claim can't be asked now.
+    /// The daemon that executes, or executed, the request with the same idempotency key can't be reached.
     KeyHolderAway, "key-holder-away", 503, Unknown, Some(2);
-    /// The key can't be claimed while the platform's table is away.
+    /// The idempotency key can't be recorded, because the platform's table can't be reached.
     ClaimUnavailable, "claim-unavailable", 503, NotRun, Some(2);
-    /// No connection to a target could be made.
+    /// No connection to a target could be established.
     TargetUnreachable, "target-unreachable", 503, NotRun, Some(1);
-    /// Targets said that they did not run it.
+    /// The targets rejected the request without executing it.
     TargetRefused, "target-refused", 503, NotRun, Some(1);
     /// The target failed after the request was sent.
     TargetFailed, "target-failed", 502, Unknown, Some(1);
-    /// The target did not answer before the deadline.
+    /// The target did not respond before the deadline.
     TargetTimeout, "target-timeout", 504, Unknown, Some(1);
 }
--- a/crates/domain/src/ids.rs
+++ b/crates/domain/src/ids.rs
@@ -1,4 +1,4 @@
-//! Ids and counters that keep one kind of thing from being passed for another.
+//! Typed ids and counters, so that an id of one kind can't be used as an id of another.
 
 use std::fmt;
 
@@ -6,19 +6,19 @@
 use smol_str::SmolStr;
 use snafu::Snafu;
 
-/// The result of reading an id.
+/// The result of parsing an id.
 pub type Result<T> = std::result::Result<T, BadId>;
 
-/// The longest id, in bytes.
+/// The maximum length of an id in bytes.
 const MAX_ID_BYTES: usize = 64;
 
-/// The text is not a valid id.
+/// The error of parsing an invalid id.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(display(
     "`{text}` is not an id: use 1 to {MAX_ID_BYTES} lower-case letters, digits, `-`, `_` or `.`"
 ))]
 pub struct BadId {
-    /// The text as it was given.
+    /// The invalid text.
     pub text: String,
 }
 
@@ -39,10 +39,11 @@
         pub struct $name(SmolStr);
 
         impl $name {
-            /// Reads an id.
+            /// Parses an id.
             ///
             /// # Errors
-            /// [`BadId`] when the text is empty, too long or has other characters.
+            /// [`BadId`] when the text is empty, longer than 64 bytes, or has characters other than lower-case letters, digits,
+            /// `-`, `_` and `.`.
             ///
             /// ```
             #[doc = concat!("assert!(domain::", stringify!($name), "::new(\"a-1\").is_ok());")]
@@ -52,7 +53,7 @@
                 checked(text).map(Self)
             }
 
-            /// The id as text.
+            /// Returns the id as text.
             #[must_use]
             pub fn as_str(&self) -> &str {
                 &self.0
@@ -90,27 +91,28 @@
 }
 
 text_ids! {
-    /// A service that callers address.
+    /// The name of a service.
     ServiceId;
-    /// A pool of VMs.
+    /// The name of a pool of VMs.
     PoolId;
-    /// A target VM.
+    /// The name of a target VM.
     VmId;
-    /// A team that submits jobs.
+    /// The name of a team, which submits jobs.
     TeamId;
-    /// A job.
+    /// The id of a job.
     JobId;
-    /// An availability zone.
+    /// The name of an availability zone.
     ZoneId;
-    /// A rack, which is a failure domain inside a zone.
+    /// The name of a rack, which is a failure domain inside an availability zone.
     RackId;
-    /// An entry VM, which runs one daemon.
+    /// The name of an entry VM, which runs one daemon.
     EntryVmId;
-    /// A preset of the deployment.
+    /// The name of a preset of the deployment.
     PresetId;
-    /// One run of a daemon: a restart gets another incarnation.
+    /// The id of an incarnation of a daemon: one process from its start to its end.
     Incarnation;
-    /// One write to the platform's table, so that a lost answer can be read back.
+    /// The id of a write to the platform's table. The row that was written shows after a lost response whether the write
+    /// took effect.
     OpId;
 }
 
@@ -124,7 +126,7 @@
         pub struct $name(pub u64);
 
         impl $name {
-            /// The value after this one.
+            /// Returns the next value.
             #[must_use]
             pub fn next(self) -> Self {
                 Self(self.0 + 1)
@@ -140,10 +142,10 @@
 }
 
 counters! {
-    /// The number of an accepted configuration; it only grows.
+    /// The number of an accepted configuration. Increases with each configuration.
     Epoch;
-    /// The number of a change to the VM records; it only grows.
+    /// The number of a change to the VM records. Increases with each change.
     FleetSeq;
-    /// The number of a steward's tenure; it only grows.
+    /// The term of a leader. Increases with each takeover.
     Term;
 }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -1,4 +1,5 @@
-//! The words of the fleet: typed ids, the VM aggregate, configuration heads and the closed list of error kinds.
+//! The shared domain types: typed ids and counters, VM records with their state transitions, configuration heads and the
+//! closed list of error kinds.
 //!
 //! This crate does no I/O and reads no clock.
 
--- a/crates/domain/src/vm.rs
+++ b/crates/domain/src/vm.rs
@@ -1,22 +1,22 @@
-//! The VM aggregate: one pool at any moment, and the steps a VM may take.
+//! VM records: the pool and the state of a VM, and the allowed state transitions.
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 use crate::{OpId, PoolId};
 
-/// The result of a step of a VM.
+/// The result of a state transition of a VM.
 pub type Result<T> = std::result::Result<T, VmError>;
 
-/// Where a VM is in its life.
+/// The state of a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum VmState {
-    /// Takes new work.
+    /// The VM accepts new work.
     Serving,
-    /// Takes no new work; its work in flight is let finish.
+    /// The VM accepts no new work and finishes its work in flight.
     Leaving,
-    /// Has no work in flight and may be stopped.
+    /// The VM has no work in flight and may be stopped.
     Stopped,
 }
 
@@ -30,42 +30,42 @@
     }
 }
 
-/// A step that the VM's state does not allow.
+/// The reason why a state transition is not allowed.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum VmError {
-    /// The step starts from another state.
+    /// The VM is not in the state in which the transition starts.
     #[snafu(display("the VM is {state}; it has to be {wanted}"))]
     WrongState {
-        /// The state it is in.
+        /// The current state.
         state: VmState,
-        /// The state that the step starts from.
+        /// The state in which the transition starts.
         wanted: VmState,
     },
-    /// The VM is in that pool already.
+    /// The VM is already in the pool to which it is to be moved.
     #[snafu(display("the VM is in pool `{pool}` already"))]
     SamePool {
-        /// The pool named.
+        /// The requested pool.
         pool: PoolId,
     },
 }
 
-/// The row `vm/<id>`. It names exactly one pool, so a VM belongs to exactly one.
+/// The row `vm/<id>`. A VM belongs to exactly one pool, which the row names.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmRecord {
-    /// The pool that the VM belongs to.
+    /// The pool of the VM.
     pub pool: PoolId,
-    /// Where the VM is in its life.
+    /// The state of the VM.
     pub state: VmState,
-    /// The pool it goes to once it has drained.
+    /// The pool to which the VM is moved once it has drained; `None` when no move was requested.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub move_to: Option<PoolId>,
-    /// The write that made this record, absent when it stems from the configuration.
+    /// The write that created this record; `None` when the record comes from the configuration.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub op: Option<OpId>,
 }
 
 impl VmRecord {
-    /// A serving VM of `pool`.
+    /// Creates the record of a serving VM of `pool`.
     ///
     /// ```
     /// use domain::{PoolId, VmRecord, VmState};
@@ -82,17 +82,17 @@
         }
     }
 
-    /// The same record, made by the write `op`.
+    /// Returns the record with `op` as the write that creates it.
     #[must_use]
     pub fn with_op(mut self, op: OpId) -> Self {
         self.op = Some(op);
         self
     }
 
-    /// The record once the VM has begun to leave.
+    /// Returns the record of the VM when its drain begins.
     ///
     /// # Errors
-    /// [`VmError::WrongState`] unless it is serving.
+    /// [`VmError::WrongState`] unless the VM is serving.
     pub fn drained(&self) -> Result<Self> {
         self.expect(VmState::Serving)?;
         Ok(Self {
@@ -101,10 +101,10 @@
         })
     }
 
-    /// The record once the VM has begun to leave for the pool `to`.
+    /// Returns the record of the VM when its drain for a move to the pool `to` begins.
     ///
     /// # Errors
-    /// [`VmError::SamePool`], or [`VmError::WrongState`] unless it is serving.
+    /// [`VmError::SamePool`] when the VM is in the pool `to`, and [`VmError::WrongState`] unless the VM is serving.
     pub fn moving(&self, to: PoolId) -> Result<Self> {
         if to == self.pool {
             return SamePoolSnafu { pool: to }.fail();
@@ -115,10 +115,11 @@
         })
     }
 
-    /// The record once no work is in flight. A VM on its way to another pool belongs to it from here on.
+    /// Returns the record of the VM when no work is in flight any more. A VM that is being moved belongs to its new pool
+    /// from then on.
     ///
     /// # Errors
-    /// [`VmError::WrongState`] unless it is leaving.
+    /// [`VmError::WrongState`] unless the VM is leaving.
     ///
     /// ```
     /// use domain::{PoolId, VmRecord, VmState};
@@ -137,10 +138,10 @@
         })
     }
 
-    /// The record once the VM takes work again.
+    /// Returns the record of the VM when it accepts work again.
     ///
     /// # Errors
-    /// [`VmError::WrongState`] unless it is stopped.
+    /// [`VmError::WrongState`] unless the VM is stopped.
     pub fn returned(&self) -> Result<Self> {
         self.expect(VmState::Stopped)?;
         Ok(Self::new(self.pool.clone()))
--- a/crates/domain/tests/vm.rs
+++ b/crates/domain/tests/vm.rs
@@ -1,4 +1,4 @@
-//! The steps that a VM may take, and the error table.
+//! The state transitions of a VM, and the table of error kinds.
 
 use std::fmt::Write as _;
 
@@ -17,7 +17,7 @@
 }
 
 #[test]
-fn steps_start_from_one_state_only() {
+fn each_transition_starts_in_one_state() {
     let mut table = String::new();
     for state in [VmState::Serving, VmState::Leaving, VmState::Stopped] {
         let vm = record(state);
@@ -52,7 +52,7 @@
 }
 
 #[test]
-fn a_move_to_the_same_pool_is_refused() {
+fn a_move_to_the_same_pool_fails() {
     let err = record(VmState::Serving).moving(pool("parts")).unwrap_err();
     assert_eq!(err.to_string(), "the VM is in pool `parts` already");
 }
@@ -66,7 +66,7 @@
 }
 
 #[test]
-fn every_kind_has_its_answer() {
+fn each_error_kind_has_a_status_an_outcome_and_a_retry_delay() {
     let mut table = String::new();
     for kind in ErrorKind::ALL {
         let retry = kind
