--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -45,9 +45,9 @@
 }
 
 /// Takes over a shard that has no owner, or whose owner is this process, is not serving, has released the shard, hands
-/// the shard over (`handed_over_term` is its term), or has not announced its ownership to the peers in time. Returns `None` when
-/// another daemon was faster, or when the owner still serves the shard. Fails when the store does; the transaction may
-/// then have taken effect.
+/// the shard over (`handed_over_term` is the term of the daemon that does), or has not announced its ownership to the
+/// peers in time. Returns `None` when another daemon was faster, or when the owner still serves the shard. Fails when the
+/// store does; the transaction may then have taken effect.
 pub(crate) async fn take_over_shard(
     node: &Node,
     shard: &SmolStr,
