--- a/crates/pools/src/balance.rs
+++ b/crates/pools/src/balance.rs
@@ -16,9 +16,6 @@
 /// drained for other pools are moved at once.
 const TRANSFER_IDLE_MS: u64 = 250;
 
-/// How many VMs beyond its share a pool retains when idle VMs are released.
-const RETAINED_SURPLUS_VMS: usize = 1;
-
 /// How many VMs a pool has to have beyond its share and its urgent demand before busy VMs of the pool are drained for
 /// other pools. A smaller surplus comes and goes with every task.
 const MIN_RECLAIM_SURPLUS_VMS: usize = 2;
@@ -168,7 +165,7 @@
         return;
     };
     for vm in movable {
-        let is_surplus = vm_counts[vm.pool] > shares[vm.pool] + RETAINED_SURPLUS_VMS;
+        let is_surplus = vm_counts[vm.pool] > shares[vm.pool];
         let is_releasable = !vm.is_standby && !vm.is_being_reclaimed;
         if is_releasable && is_surplus && vm.idle_ms >= RELEASE_IDLE_MS {
             vm_counts
--- a/crates/pools/tests/balance.rs
+++ b/crates/pools/tests/balance.rs
@@ -95,9 +95,9 @@
         .with_pool("a", 1, 1)
         .with_vms("a", 4, Some(2000));
     check_plan(
-        "release to standby of all but one surplus VM",
+        "release to standby of all surplus VMs",
         &long_idle,
-        &[("a", "off"), ("a", "off")],
+        &[("a", "off"), ("a", "off"), ("a", "off")],
         0,
     );
     let past_latest_start = Fleet::new()
