scheduler: an adopted job is pending until an attempt is known to have started

Change: jobs count as pending until a confirmed start, a report or a recorded outcome shows an attempt.

--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -28,7 +28,8 @@
 /// The rank of a ready step: the lowest is placed first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
-    /// Jobs that can't meet their latency objective any more come after jobs that can.
+    /// Jobs that can't meet their latency objective any more come after jobs that can, and jobs whose results will be of no
+    /// use come last.
     pub(crate) prospect: Prospect,
     /// Service tasks come before batch tasks, as each second without a service task is lost.
     pub(crate) is_batch: bool,
@@ -45,8 +46,9 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Ready {
     order: BTreeSet<(Rank, StepKey)>,
+    /// The rank of each step, and when the rank changes, in ms on the store's clock.
     ranks: HashMap<StepKey, (Rank, u64)>,
-    /// The steps by the time at which their rank changes, in ms on the store's clock.
+    /// The steps by the time at which their rank changes.
     by_change: BTreeSet<(u64, StepKey)>,
 }
 
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -204,10 +204,10 @@
             self.stop_unassigned(key, running, task);
             return None;
         };
-        let is_newly_settled = attempt.settled_at_ms.is_none();
-        if is_newly_settled {
+        if attempt.settled_at_ms.is_none() {
             attempt.settled_at_ms = Some(now.local_ms);
         }
+        let had_started = std::mem::replace(&mut attempt.has_started, true);
         if attempt.progress_percent != running.progress_percent {
             attempt.progress_percent = running.progress_percent;
             attempt.progress_since_ms = now.local_ms;
@@ -216,7 +216,7 @@
         let stalled_ms = now.local_ms.saturating_sub(attempt.progress_since_ms);
         let was_stopping = attempt.is_stopping;
         let number = attempt.number;
-        if is_newly_settled {
+        if !had_started {
             self.mark_started(task.job);
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -119,7 +119,7 @@
 
     pub(crate) fn insert_job(&mut self, job: Job, now: Now) {
         let id = job.id;
-        if job.state() == JobState::Queued {
+        if !job.has_ended() && !job.has_started() {
             let jobs = self.not_started.entry(job.queue.clone()).or_default();
             jobs.insert(id);
         }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -64,6 +64,8 @@
     /// When a response showed that the start command has taken effect or can't take effect any more; `None` before.
     /// Only the report of a poll that was sent later can show that the attempt does not run.
     pub(crate) settled_at_ms: Option<u64>,
+    /// Whether the attempt is known to have started on the worker.
+    pub(crate) has_started: bool,
     pub(crate) assigned_at_ms: u64,
     pub(crate) progress_percent: u32,
     pub(crate) progress_since_ms: u64,
@@ -79,6 +81,7 @@
         Self {
             number,
             settled_at_ms: None,
+            has_started: false,
             assigned_at_ms: now_ms,
             progress_percent: 0,
             progress_since_ms: now_ms,
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -176,6 +176,7 @@
         match outcome {
             StartOutcome::Started => {
                 attempt.settled_at_ms = Some(now.local_ms);
+                attempt.has_started = true;
                 self.mark_started(task.job);
             }
             StartOutcome::OutcomeUnknown => worker.is_unresponsive = true,
--- a/crates/scheduler/tests/load.rs
+++ b/crates/scheduler/tests/load.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use scheduler::StartOutcome;
-use submission::{JobId, Resources, StepSpec};
+use submission::{JobId, Resources, StepSpec, TaskKey};
 use support::load::{JobKind, LoadedPool};
 use support::{Pool, job, service_step, starts, step};
 
@@ -17,8 +17,8 @@
 /// A job ten times as large as [`SMALL`].
 const LARGE: JobKind = JobKind { tasks: 60, ..SMALL };
 
-/// Moved VMs are ready after 2 s, and the objective of the small jobs allows 1.8 s: the demand has to show the height of
-/// the peak well before.
+/// Moved VMs are ready after 2 s, and the latency objective of the small jobs is 1.8 s, so that the demand has to show the
+/// height of the peak well before the first jobs miss their objective.
 #[test]
 fn the_demand_shows_the_height_of_a_peak_half_a_second_after_its_beginning() {
     for per_s in [20, 40, 80] {
@@ -43,7 +43,7 @@
     assert_eq!(loaded.scheduler().demand(now).urgent_demand_workers, 2);
 }
 
-/// The estimate of a job's duration is the caller's, and may be anything.
+/// The estimated duration comes from the caller and has no upper bound.
 #[test]
 fn a_long_job_does_not_hold_workers_that_it_does_not_use() {
     for duration_ms in [60_000, 3_600_000, u64::MAX / 100] {
@@ -118,6 +118,22 @@
     assert_eq!(pool.scheduler.not_started_jobs("queue"), 0);
 }
 
+/// The previous owner may have failed before it sent the start commands that its rows record.
+#[test]
+fn an_adopted_job_is_pending_until_a_report_shows_that_an_attempt_has_started() {
+    let mut previous = Pool::new(&["one"]);
+    let id = previous.submit(1, job(vec![step(1)]));
+    previous.round();
+    let adopted = previous.scheduler.job(id).unwrap().clone();
+    let mut pool = Pool::new(&["one"]);
+    pool.scheduler.adopt_job(adopted, pool.now());
+    assert_eq!(pool.scheduler.not_started_jobs("queue"), 1);
+    let name = pool.task_name(TaskKey { job: id, index: 0 });
+    pool.advance(10);
+    pool.report("one", &[(name, 1, 5)], &[]);
+    assert_eq!(pool.scheduler.not_started_jobs("queue"), 0);
+}
+
 /// VMs with service tasks stay in the pool in any case, and other VMs can leave once their tasks have ended.
 #[test]
 fn batch_tasks_go_to_workers_with_service_tasks_first() {
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -184,6 +184,15 @@
         }
     }
 
+    /// Whether any attempt is known to have started: a task is done or has failed, or a checkpoint exists. An attempt that
+    /// is assigned may not have started yet.
+    #[must_use]
+    pub fn has_started(&self) -> bool {
+        self.tasks.iter().any(|task| {
+            task.phase == TaskPhase::Done || task.failures > 0 || !task.checkpoint.is_empty()
+        })
+    }
+
     /// Whether the job is done, failed or cancelled, so that none of its tasks may be started any more.
     #[must_use]
     pub fn has_ended(&self) -> bool {
