--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -5,6 +5,7 @@
 use smol_str::SmolStr;
 use submission::TaskPhase;
 
+use crate::ready::Prospect;
 use crate::scheduler::Scheduler;
 use crate::types::Now;
 use crate::worker::UnavailableReason;
@@ -28,7 +29,7 @@
 /// The capacity of a worker, in thousandths of a core, when no worker is listed.
 const ASSUMED_CPU_MILLI: u64 = 16_000;
 
-/// A worker that could be given tasks and has none.
+/// A worker that could be given tasks, has none, and whose reported ends are all recorded.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct IdleWorker {
     /// The id of the worker's incarnation.
@@ -52,7 +53,7 @@
     pub unavailable: Vec<(SmolStr, UnavailableReason)>,
     /// The ids of the workers that are unresponsive or have no known address, and to which attempts are assigned.
     pub unresponsive: Vec<SmolStr>,
-    /// The workers that could be given tasks and have none.
+    /// The workers that could be given tasks, have none, and whose reported ends are all recorded.
     pub idle: Vec<IdleWorker>,
 }
 
@@ -84,7 +85,8 @@
         let (running, running_past_deadline, service_workers) = self.running_cpu(now);
         self.trend.update(running + waiting, now.local_ms);
         let expected_growth = self.trend.growth_cpu_milli_per_s * FORECAST_MS / 1000;
-        let on_time = running + waiting + expected_growth;
+        let arriving = self.arrivals.cpu_milli(now.local_ms);
+        let on_time = (running + waiting + expected_growth).max(arriving.saturating_add(waiting));
         let past_objective = running_past_deadline
             + waiting_past_latest_start * PAST_LATEST_START_WEIGHT_PERCENT / 100;
         let listed = self.workers.values().filter(|worker| worker.is_listed);
@@ -158,10 +160,11 @@
     }
 
     fn idle_workers(&self, now: Now) -> Vec<IdleWorker> {
-        let idle = self
-            .workers
-            .values()
-            .filter(|worker| worker.is_usable(now.local_ms) && worker.attempts.is_empty());
+        let idle = self.workers.values().filter(|worker| {
+            worker.is_usable(now.local_ms)
+                && worker.attempts.is_empty()
+                && !worker.has_unrecorded_ends()
+        });
         idle.map(|worker| IdleWorker {
             id: worker.info.id.clone(),
             idle_ms: now.local_ms.saturating_sub(worker.idle_since_ms),
@@ -184,10 +187,10 @@
             });
             let cpu_per_task = u64::from(job.spec().steps[step].footprint().cpu_milli);
             let cpu = cpu_per_task * u64::try_from(idle.count()).unwrap_or(u64::MAX);
-            if rank.is_past_latest_start {
-                past_latest_start += cpu;
-            } else {
+            if rank.prospect == Prospect::OnTime {
                 on_time += cpu;
+            } else {
+                past_latest_start += cpu;
             }
         }
         (on_time, past_latest_start)
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -4,8 +4,10 @@
 //! This crate does no I/O and reads no clock.
 
 mod adopt;
+mod arrivals;
 mod batch;
 mod demand;
+mod dirty;
 mod draining;
 mod health;
 mod plan;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -7,10 +7,12 @@
 use smol_str::SmolStr;
 use submission::{AttemptOutcome, Job, JobId, JobSpec, JobState, TaskKey, TaskPhase};
 
+use crate::arrivals::Arrivals;
 use crate::batch::WorkerCommand;
 use crate::demand::Trend;
+use crate::dirty::DirtyJobs;
 use crate::policy::PolicyDecision;
-use crate::ready::{Rank, Ready, StepKey};
+use crate::ready::{Prospect, Rank, Ready, StepKey};
 use crate::types::{JobStatus, Limits, Now, QueueRules, SchedulerEvent};
 use crate::worker::{AssignedAttempt, Worker, WorkerKey};
 
@@ -23,6 +25,9 @@
 /// too late makes all jobs miss their latency objective.
 const NOT_STARTED_PATH_PERCENT: u64 = 140;
 
+/// The multiple of its latency objective after which the result of a job is of no use to its caller.
+const USEFUL_OBJECTIVES: u64 = 3;
+
 /// The scheduler of one pool: its jobs, its workers, and which task runs where.
 #[derive(Debug, Clone)]
 pub struct Scheduler {
@@ -37,7 +42,7 @@
     /// Steps that become due at a set time, in ms since 1970.
     pub(crate) scheduled_steps: BTreeSet<(u64, StepKey)>,
     /// Jobs with changes that are not yet written.
-    pub(crate) dirty_jobs: BTreeSet<JobId>,
+    pub(crate) dirty_jobs: DirtyJobs,
     /// Commands to send once the rows of the job are written.
     pub(crate) deferred_commands: HashMap<JobId, Vec<WorkerCommand>>,
     /// Commands that wait for no write: stops and speed limits.
@@ -46,10 +51,11 @@
     pub(crate) recorded_states: HashMap<JobId, JobState>,
     /// Ended jobs, by the time of their end on the store's clock.
     pub(crate) ended_jobs: BTreeSet<(u64, JobId)>,
-    /// The number of jobs that have not started, by queue.
-    pub(crate) not_started_counts: BTreeMap<SmolStr, usize>,
+    /// The jobs of which no attempt is known to have started on a worker, by queue.
+    pub(crate) not_started: BTreeMap<SmolStr, BTreeSet<JobId>>,
     pub(crate) events: Vec<SchedulerEvent>,
     pub(crate) trend: Trend,
+    pub(crate) arrivals: Arrivals,
     /// Requests to the policy service and its decisions, by step.
     pub(crate) policy_decisions: HashMap<StepKey, PolicyDecision>,
     /// The remaining jobs with service tasks.
@@ -69,14 +75,15 @@
             queue_rules: HashMap::new(),
             ready: Ready::default(),
             scheduled_steps: BTreeSet::new(),
-            dirty_jobs: BTreeSet::new(),
+            dirty_jobs: DirtyJobs::default(),
             deferred_commands: HashMap::new(),
             immediate_commands: Vec::new(),
             recorded_states: HashMap::new(),
             ended_jobs: BTreeSet::new(),
-            not_started_counts: BTreeMap::new(),
+            not_started: BTreeMap::new(),
             events: Vec::new(),
             trend: Trend::default(),
+            arrivals: Arrivals::default(),
             policy_decisions: HashMap::new(),
             service_jobs: BTreeSet::new(),
         }
@@ -100,6 +107,11 @@
             return false;
         }
         let job = Job::new(id, queue, spec, now.store_ms);
+        if job.spec().occurrences == 0 {
+            let work = job.remaining_batch_work(0);
+            self.arrivals
+                .record(work, job.critical_path_ms(), now.local_ms);
+        }
         self.insert_job(job, now);
         self.dirty_jobs.insert(id);
         true
@@ -107,11 +119,9 @@
 
     pub(crate) fn insert_job(&mut self, job: Job, now: Now) {
         let id = job.id;
-        if job.state() == JobState::Queued {
-            *self
-                .not_started_counts
-                .entry(job.queue.clone())
-                .or_default() += 1;
+        if !job.has_ended() && !job.has_started() {
+            let jobs = self.not_started.entry(job.queue.clone()).or_default();
+            jobs.insert(id);
         }
         if job.has_ended() {
             self.ended_jobs.insert((job.ended_at_ms(), id));
@@ -125,11 +135,11 @@
     /// Removes a submitted job whose rows are not written. Returns false and changes nothing when the rows may be
     /// written already, or when the id is unknown.
     pub fn withdraw(&mut self, id: JobId, now: Now) -> bool {
-        if self.recorded_states.contains_key(&id) || !self.dirty_jobs.contains(&id) {
+        if self.recorded_states.contains_key(&id) || !self.dirty_jobs.contains(id) {
             return false;
         }
         self.remove_job(id, now);
-        self.dirty_jobs.remove(&id);
+        self.dirty_jobs.remove(id);
         true
     }
 
@@ -138,8 +148,8 @@
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
-        if job.state() == JobState::Queued {
-            self.decrement_not_started(&job.queue);
+        if let Some(jobs) = self.not_started.get_mut(&job.queue) {
+            jobs.remove(&id);
         }
         self.ended_jobs.remove(&(job.ended_at_ms(), id));
         self.service_jobs.remove(&id);
@@ -156,9 +166,11 @@
         }
     }
 
-    fn decrement_not_started(&mut self, queue: &SmolStr) {
-        if let Some(count) = self.not_started_counts.get_mut(queue) {
-            *count = count.saturating_sub(1);
+    /// Records that an attempt of a job has started on a worker, or that the job has ended.
+    pub(crate) fn mark_started(&mut self, id: JobId) {
+        let queue = self.jobs.get(&id).map(|job| &job.queue);
+        if let Some(jobs) = queue.and_then(|queue| self.not_started.get_mut(queue)) {
+            jobs.remove(&id);
         }
     }
 
@@ -168,15 +180,10 @@
         if status == JobStatus::Unknown {
             return status;
         }
-        let was_queued = self.jobs[&id].state() == JobState::Queued;
         let Some(job) = self.jobs.get_mut(&id) else {
             return JobStatus::Unknown;
         };
         if job.cancel(now.store_ms) {
-            let queue = job.queue.clone();
-            if was_queued {
-                self.decrement_not_started(&queue);
-            }
             self.finish_job(id);
             self.dirty_jobs.insert(id);
         }
@@ -200,10 +207,10 @@
         state.is_some() && state == self.recorded_states.get(&id).copied()
     }
 
-    /// Returns the number of jobs of a queue that have not started.
+    /// Returns the number of jobs of a queue of which no attempt is known to have started on a worker.
     #[must_use]
     pub fn not_started_jobs(&self, queue: &str) -> usize {
-        self.not_started_counts.get(queue).copied().unwrap_or(0)
+        self.not_started.get(queue).map_or(0, BTreeSet::len)
     }
 
     /// Returns the number of steps with a task that could start.
@@ -236,15 +243,8 @@
             self.scheduled_steps.remove(&(due_ms, step));
             self.update_ready(step, now);
         }
-        for (rank, step) in self.ready.newly_past_latest_start(now.store_ms) {
-            let is_past_latest_start = true;
-            self.ready.insert(
-                step,
-                Rank {
-                    is_past_latest_start,
-                    ..rank
-                },
-            );
+        for step in self.ready.outdated(now.store_ms) {
+            self.update_ready(step, now);
         }
         while let Some(&(ended_ms, job)) = self.ended_jobs.first() {
             if now.store_ms < ended_ms + self.limits.ended_job_retention_ms {
@@ -294,6 +294,7 @@
     /// Removes an ended job from the ready steps and adds stop commands for its running attempts.
     fn finish_job(&mut self, id: JobId) {
         self.service_jobs.remove(&id);
+        self.mark_started(id);
         let job = &self.jobs[&id];
         self.ended_jobs.insert((job.ended_at_ms(), id));
         self.deferred_commands.remove(&id);
@@ -354,8 +355,8 @@
             self.scheduled_steps.insert((due_ms, key));
             return;
         }
-        let rank = self.rank(job, key, now);
-        self.ready.insert(key, rank);
+        let (rank, changes_at_ms) = self.rank(job, key, now);
+        self.ready.insert(key, rank, changes_at_ms);
     }
 
     /// The time by which a job has to be done to meet its latency objective, in ms on the store's clock.
@@ -370,27 +371,47 @@
         let factor = rules.map_or(1.0, |rules| rules.latency_objective_factor);
         let base_ms = rules.map_or(0, |rules| rules.latency_objective_base_ms);
         let stretched_ms = (job.critical_path_ms() as f64 * factor) as u64;
-        job.accepted_at_ms + stretched_ms + base_ms
+        job.accepted_at_ms
+            .saturating_add(stretched_ms)
+            .saturating_add(base_ms)
     }
 
-    fn rank(&self, job: &Job, key: StepKey, now: Now) -> Rank {
+    /// The rank of a step, and the time at which the rank changes, in ms on the store's clock.
+    fn rank(&self, job: &Job, key: StepKey, now: Now) -> (Rank, u64) {
         let is_not_started = job.state() == JobState::Queued;
         let percent = if is_not_started {
             NOT_STARTED_PATH_PERCENT
         } else {
             STARTED_PATH_PERCENT
         };
-        let remaining_ms = job.remaining_critical_path_ms(key.occurrence) * percent / 100;
-        let latest_start_ms = self.deadline_ms(job).saturating_sub(remaining_ms);
+        let path_ms = job.remaining_critical_path_ms(key.occurrence);
+        let deadline_ms = self.deadline_ms(job);
+        let latest_start_ms = deadline_ms.saturating_sub(path_ms.saturating_mul(percent) / 100);
+        let objective_ms = deadline_ms.saturating_sub(job.accepted_at_ms);
+        let useful_until_ms = job
+            .accepted_at_ms
+            .saturating_add(objective_ms.saturating_mul(USEFUL_OBJECTIVES));
+        let latest_useful_start_ms = useful_until_ms.saturating_sub(path_ms);
         let is_service = job.spec().steps[usize::from(key.step)].is_service;
+        let (prospect, order, changes_at_ms) = if is_service {
+            (Prospect::OnTime, latest_start_ms, u64::MAX)
+        } else if now.store_ms <= latest_start_ms {
+            (Prospect::OnTime, latest_start_ms, latest_start_ms)
+        } else if now.store_ms <= latest_useful_start_ms {
+            let order = job.remaining_batch_work(key.occurrence);
+            (Prospect::Late, order, latest_useful_start_ms)
+        } else {
+            (Prospect::TooLate, latest_start_ms, u64::MAX)
+        };
         let rules = self.queue_rules.get(&job.queue);
-        Rank {
-            is_past_latest_start: !is_service && latest_start_ms < now.store_ms,
+        let rank = Rank {
+            prospect,
             is_batch: !is_service,
             priority: rules.map_or(u32::MAX, |rules| rules.priority),
             is_not_started,
-            latest_start_ms,
-        }
+            order,
+        };
+        (rank, changes_at_ms)
     }
 
     /// Assigns a task to a worker as the task's next attempt, numbered at least `min_attempt`.
@@ -399,7 +420,6 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let was_queued = job.state() == JobState::Queued;
         let attempt = job.assign(task.index, worker.info.id.clone(), min_attempt);
         worker.insert(
             task,
@@ -412,15 +432,11 @@
             attempt,
             checkpoint: checkpoint.unwrap_or_default(),
         };
-        let queue = job.queue.clone();
         self.deferred_commands
             .entry(task.job)
             .or_default()
             .push(command);
         self.dirty_jobs.insert(task.job);
-        if was_queued {
-            self.decrement_not_started(&queue);
-        }
     }
 }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -1,10 +1,11 @@
 //! Workers, the attempts that are assigned to them, and their leases.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use smol_str::SmolStr;
 use submission::{Resources, StepSpec, TaskKey};
 
+use crate::dirty::{DirtyJobs, Position};
 use crate::health::Health;
 
 slotmap::new_key_type! {
@@ -63,6 +64,8 @@
     /// When a response showed that the start command has taken effect or can't take effect any more; `None` before.
     /// Only the report of a poll that was sent later can show that the attempt does not run.
     pub(crate) settled_at_ms: Option<u64>,
+    /// Whether the attempt is known to have started on the worker.
+    pub(crate) has_started: bool,
     pub(crate) assigned_at_ms: u64,
     pub(crate) progress_percent: u32,
     pub(crate) progress_since_ms: u64,
@@ -78,6 +81,7 @@
         Self {
             number,
             settled_at_ms: None,
+            has_started: false,
             assigned_at_ms: now_ms,
             progress_percent: 0,
             progress_since_ms: now_ms,
@@ -106,6 +110,8 @@
     /// The attempts that run on the worker, or may run there.
     pub(crate) attempts: BTreeMap<TaskKey, AssignedAttempt>,
     pub(crate) used: Resources,
+    /// The number of `attempts` of service tasks.
+    pub(crate) service_attempts: usize,
     /// When an attempt was last removed from the worker, or else when the registry first listed the worker, in ms on
     /// the daemon's clock.
     pub(crate) idle_since_ms: u64,
@@ -117,6 +123,9 @@
     pub(crate) leases_expired_by_ms: u64,
     /// The number of the last ended attempt that was applied.
     pub(crate) received_end: u64,
+    /// The numbers of ended attempts that were applied and are not recorded, each with the position in the queue of
+    /// jobs to write behind which all outcomes up to the number are.
+    unrecorded_ends: VecDeque<(u64, Position)>,
     /// The number of the last ended attempt whose outcome is recorded.
     pub(crate) recorded_end: u64,
     /// The number of the last ended attempt that was acknowledged to the worker, which then discards the end.
@@ -148,11 +157,13 @@
             drain_until_ms: 0,
             attempts: BTreeMap::new(),
             used: Resources::default(),
+            service_attempts: 0,
             idle_since_ms: 0,
             refused_size: None,
             health: Health::default(),
             leases_expired_by_ms,
             received_end: 0,
+            unrecorded_ends: VecDeque::new(),
             recorded_end: 0,
             acknowledged_end: 0,
             clock: None,
@@ -180,6 +191,35 @@
         }
     }
 
+    /// Whether any reported end is not recorded yet. If the worker's incarnation ended now, a next owner could not learn
+    /// of that end.
+    pub(crate) fn has_unrecorded_ends(&self) -> bool {
+        self.received_end > self.recorded_end
+    }
+
+    /// Records that the outcomes of all ends up to `end` were applied. The jobs concerned are in the queue of jobs to
+    /// write before `position`.
+    pub(crate) fn record_received_ends(&mut self, end: u64, position: Position) {
+        let last = self.unrecorded_ends.back().map_or(0, |(last, _)| *last);
+        if end > last.max(self.recorded_end) {
+            self.unrecorded_ends.push_back((end, position));
+        }
+    }
+
+    /// Takes the number of the last ended attempt up to which all outcomes are in jobs that left the queue of jobs to
+    /// write; `None` when there is no new one.
+    pub(crate) fn take_written_end(&mut self, dirty_jobs: &DirtyJobs) -> Option<u64> {
+        let mut written = None;
+        while let Some((end, position)) = self.unrecorded_ends.front() {
+            if !dirty_jobs.is_past(*position) {
+                break;
+            }
+            written = Some(*end);
+            self.unrecorded_ends.pop_front();
+        }
+        written
+    }
+
     pub(crate) fn free_capacity(&self) -> Resources {
         self.info.capacity.saturating_sub(self.used)
     }
@@ -194,11 +234,15 @@
 
     pub(crate) fn insert(&mut self, task: TaskKey, attempt: AssignedAttempt) {
         self.used = self.used.saturating_add(attempt.footprint);
-        self.attempts.insert(task, attempt);
+        self.service_attempts += usize::from(attempt.is_service);
+        if let Some(replaced) = self.attempts.insert(task, attempt) {
+            self.service_attempts -= usize::from(replaced.is_service);
+        }
     }
 
     pub(crate) fn remove(&mut self, task: TaskKey, now_ms: u64) -> Option<AssignedAttempt> {
         let attempt = self.attempts.remove(&task)?;
+        self.service_attempts -= usize::from(attempt.is_service);
         self.idle_since_ms = now_ms;
         // Recomputed, because a saturating sum can't be undone by subtraction.
         let footprints = self.attempts.values().map(|attempt| attempt.footprint);
