--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -121,8 +121,12 @@
                 .start(&info.addr, &info.id, &command, COMMAND_TIMEOUT);
             let response = start.await;
             if let Ok(response) = &response {
-                self.apply_start_response(worker, task, attempt, &info, response);
-                return;
+                let is_known =
+                    self.apply_start_response(worker, task, attempt, &info, response, sent_count);
+                if is_known {
+                    return;
+                }
+                break;
             }
             self.count_command("start", "unanswered");
         }
@@ -165,6 +169,8 @@
         ))
     }
 
+    /// Applies the response to a start command that got no response `lost_responses` times before. Returns false, and
+    /// applies nothing, when the outcome is unknown nevertheless.
     fn apply_start_response(
         &self,
         worker: WorkerKey,
@@ -172,7 +178,8 @@
         attempt: u32,
         info: &WorkerInfo,
         response: &StartResponse,
-    ) {
+        lost_responses: u32,
+    ) -> bool {
         let (outcome, clock_ms, label) = match *response {
             StartResponse::Started { clock_ms } => {
                 (StartOutcome::Started, Some(clock_ms), "started")
@@ -197,7 +204,7 @@
                     .lock()
                     .incarnation_ended(worker, self.node.clock.now());
                 self.recorder_waker.notify_one();
-                return;
+                return true;
             }
         };
         self.count_command("start", label);
@@ -210,7 +217,11 @@
             term = self.term,
             "sent a start command"
         );
+        if lost_responses > 0 && outcome.after_lost_response() == StartOutcome::OutcomeUnknown {
+            return false;
+        }
         self.apply_start_outcome(worker, task, attempt, outcome, clock_ms);
+        true
     }
 
     fn apply_start_outcome(
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -107,3 +107,24 @@
     /// The worker did not respond: the attempt may be running or may still start.
     OutcomeUnknown,
 }
+
+impl StartOutcome {
+    /// Returns the outcome of a start command that was sent before without a response. A refusal is about the last send
+    /// only: an earlier one may still take effect.
+    ///
+    /// ```
+    /// use scheduler::StartOutcome;
+    /// let refused = StartOutcome::Unhealthy;
+    /// assert_eq!(refused.after_lost_response(), StartOutcome::OutcomeUnknown);
+    /// assert_eq!(StartOutcome::Started.after_lost_response(), StartOutcome::Started);
+    /// ```
+    #[must_use]
+    pub fn after_lost_response(self) -> Self {
+        match self {
+            Self::Started => Self::Started,
+            Self::NoFreeCapacity | Self::Unhealthy | Self::Refused | Self::OutcomeUnknown => {
+                Self::OutcomeUnknown
+            }
+        }
+    }
+}
