--- a/crates/scheduler/src/arrivals.rs
+++ b/crates/scheduler/src/arrivals.rs
@@ -1,7 +1,7 @@
 //! The rate at which work arrives.
 //!
-//! Built for queues that peak in turn: the rate shows the height of a peak within half a second of its beginning, and
-//! the backlog only after as long as a job takes.
+//! Built for queues that peak in turn: the rate shows the height of a peak within half a second of its beginning, whereas
+//! the backlog shows it only after the duration of a job.
 
 use std::collections::VecDeque;
 
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -111,7 +111,7 @@
         let Some(task) = self.task_by_name(&end.name) else {
             return;
         };
-        self.mark_started(task.job);
+        self.remove_not_started(task.job);
         let worker = &mut self.workers[key];
         let is_assigned = worker
             .attempts
@@ -217,7 +217,7 @@
         let was_stopping = attempt.is_stopping;
         let number = attempt.number;
         if !had_started {
-            self.mark_started(task.job);
+            self.remove_not_started(task.job);
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return Some(task);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -166,8 +166,8 @@
         }
     }
 
-    /// Records that an attempt of a job has started on a worker, or that the job has ended.
-    pub(crate) fn mark_started(&mut self, id: JobId) {
+    /// Removes a job from the jobs that have not started, because an attempt has started on a worker or the job has ended.
+    pub(crate) fn remove_not_started(&mut self, id: JobId) {
         let queue = self.jobs.get(&id).map(|job| &job.queue);
         if let Some(jobs) = queue.and_then(|queue| self.not_started.get_mut(queue)) {
             jobs.remove(&id);
@@ -294,7 +294,7 @@
     /// Removes an ended job from the ready steps and adds stop commands for its running attempts.
     fn finish_job(&mut self, id: JobId) {
         self.service_jobs.remove(&id);
-        self.mark_started(id);
+        self.remove_not_started(id);
         let job = &self.jobs[&id];
         self.ended_jobs.insert((job.ended_at_ms(), id));
         self.deferred_commands.remove(&id);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -123,8 +123,8 @@
     pub(crate) leases_expired_by_ms: u64,
     /// The number of the last ended attempt that was applied.
     pub(crate) received_end: u64,
-    /// The numbers of ended attempts that were applied and are not recorded, each with the position in the queue of
-    /// jobs to write behind which all outcomes up to the number are.
+    /// The numbers of ended attempts that were applied and are not recorded. With each comes a position in the queue of
+    /// jobs to write: once all jobs before the position are written, so are all outcomes up to the number.
     unrecorded_ends: VecDeque<(u64, Position)>,
     /// The number of the last ended attempt whose outcome is recorded.
     pub(crate) recorded_end: u64,
@@ -206,8 +206,8 @@
         }
     }
 
-    /// Takes the number of the last ended attempt up to which all outcomes are in jobs that left the queue of jobs to
-    /// write; `None` when there is no new one.
+    /// Takes the largest number of an ended attempt for which all jobs with outcomes up to the number have left the queue
+    /// of jobs to write; `None` when there is no new one.
     pub(crate) fn take_written_end(&mut self, dirty_jobs: &DirtyJobs) -> Option<u64> {
         let mut written = None;
         while let Some((end, position)) = self.unrecorded_ends.front() {
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -177,7 +177,7 @@
             StartOutcome::Started => {
                 attempt.settled_at_ms = Some(now.local_ms);
                 attempt.has_started = true;
-                self.mark_started(task.job);
+                self.remove_not_started(task.job);
             }
             StartOutcome::OutcomeUnknown => worker.is_unresponsive = true,
             StartOutcome::NoFreeCapacity => {
--- a/crates/scheduler/tests/load.rs
+++ b/crates/scheduler/tests/load.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use scheduler::StartOutcome;
-use submission::{JobId, Resources, StepSpec, TaskKey};
+use submission::{JobId, TaskKey};
 use support::load::{JobKind, LoadedPool};
-use support::{Pool, job, service_step, starts, step};
+use support::{Pool, job, service_step, sized_step, starts, step};
 
 /// A small job: five times the mean load of such jobs arrives in a peak.
 const SMALL: JobKind = JobKind {
@@ -137,17 +137,9 @@
 /// VMs with service tasks stay in the pool in any case, and other VMs can leave once their tasks have ended.
 #[test]
 fn batch_tasks_go_to_workers_with_service_tasks_first() {
-    let sized = |cpu_milli| StepSpec {
-        needs: Resources {
-            cpu_milli,
-            memory_mb: 100,
-            gpus: 0,
-        },
-        ..step(1)
-    };
     let mut pool = Pool::new(&["one", "two", "three"]);
     let mut used = Vec::new();
-    for (id, step) in (1..).zip([service_step(2, 1), sized(3500), sized(500)]) {
+    for (id, step) in (1..).zip([service_step(2, 1), sized_step(3500), sized_step(500)]) {
         pool.submit(id, job(vec![step]));
         let commands = pool.round();
         used.push(starts(&commands)[0].0);
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use submission::{AttemptOutcome, JobId, Resources, StepSpec};
-use support::{Pool, job, service_step, starts, step, stops};
+use support::{Pool, job, service_step, sized_step, starts, step, stops};
 
 struct Case {
     name: &'static str,
@@ -213,25 +213,17 @@
 
 #[test]
 fn a_task_size_that_fits_nowhere_does_not_block_smaller_tasks_or_tasks_without_its_constraints() {
-    let sized = |cpu_milli| StepSpec {
-        needs: Resources {
-            cpu_milli,
-            memory_mb: 100,
-            gpus: 0,
-        },
-        ..step(1)
-    };
     let labelled = StepSpec {
         required_label: "no worker has this".into(),
-        ..sized(1000)
+        ..sized_step(1000)
     };
     let mut pool = Pool::new(&["one"]);
-    pool.submit(1, job(vec![sized(3000)]));
+    pool.submit(1, job(vec![sized_step(3000)]));
     pool.round();
-    pool.submit(2, job(vec![sized(2000)]));
+    pool.submit(2, job(vec![sized_step(2000)]));
     pool.submit(3, job(vec![labelled]));
-    pool.submit(4, job(vec![sized(2500)]));
-    pool.submit(5, job(vec![sized(1000)]));
+    pool.submit(4, job(vec![sized_step(2500)]));
+    pool.submit(5, job(vec![sized_step(1000)]));
     let started: Vec<_> = starts(&pool.round())
         .iter()
         .map(|start| start.1.job)
--- a/crates/scheduler/tests/support/load.rs
+++ b/crates/scheduler/tests/support/load.rs
@@ -7,7 +7,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use submission::{AttemptOutcome, JobId, JobSpec, JobState, Resources, StepSpec, TaskKey};
 
-use super::{Pool, job, starts, step, worker};
+use super::{Pool, job, sized_step, starts, worker};
 
 /// The interval at which workers report and tasks are placed.
 const ROUND_MS: u64 = 20;
@@ -23,13 +23,9 @@
 impl JobKind {
     fn spec(self) -> JobSpec {
         job(vec![StepSpec {
-            needs: Resources {
-                cpu_milli: self.cpu_milli,
-                memory_mb: 100,
-                gpus: 0,
-            },
+            tasks: self.tasks,
             estimated_duration_ms: self.duration_ms,
-            ..step(self.tasks)
+            ..sized_step(self.cpu_milli)
         }])
     }
 
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -59,6 +59,13 @@
     }
 }
 
+/// A step of one task that needs this much CPU, in thousandths of a core.
+pub fn sized_step(cpu_milli: u32) -> StepSpec {
+    let mut step = step(1);
+    step.needs.cpu_milli = cpu_milli;
+    step
+}
+
 pub fn service_step(tasks: u32, max_unavailable: u32) -> StepSpec {
     StepSpec {
         is_service: true,
