fleetd: log lines and counts that tell why a submission got no answer

A caller that left before its answer had no line and no count; a failed call to an owner didn't name it; nothing told when a daemon began to count a peer as unreachable, how many submissions waited at an owner, or whether VMs could be moved at all.

--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -14,8 +14,8 @@
 use smol_str::SmolStr;
 use submission::{Job, JobId};
 use users_platform::{
-    CallerRequest, KeyRange, Queue, READY_PATH, decode_job, decode_request, pending_body,
-    state_body,
+    CallerRequest, KeyRange, Queue, READY_PATH, decode_caller_wait, decode_job, decode_request,
+    pending_body, state_body,
 };
 
 use crate::config::{FLEET_SHARD, find_queue};
@@ -65,27 +65,86 @@
     }
 }
 
-/// Handles a request of a caller, and records the call and the status in the metrics. Logs them too, but for state
-/// requests with status 200.
+/// The record of a caller's request in the log and the metrics: of its response, or of the caller's departure before it.
+struct RequestRecord {
+    node: Arc<Node>,
+    started_at: Instant,
+    /// The name of the call.
+    call: &'static str,
+    /// The id of the job, or else the queue or the path.
+    subject: SmolStr,
+    /// How long the caller waits for the response, in ms; 0 when the request does not tell.
+    caller_wait_ms: u64,
+    is_answered: bool,
+}
+
+impl RequestRecord {
+    fn new(node: Arc<Node>) -> Self {
+        Self {
+            node,
+            started_at: Instant::now(),
+            call: "none",
+            subject: SmolStr::default(),
+            caller_wait_ms: 0,
+            is_answered: false,
+        }
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn count(&self, status: &str) {
+        let responses = &self.node.metrics.responses;
+        responses.with_label_values(&[self.call, status]).inc();
+    }
+
+    /// Records the response. The log leaves out the states that were found.
+    fn record_response(&mut self, status: StatusCode) {
+        self.is_answered = true;
+        self.count(status.as_str());
+        let duration_s = self.started_at.elapsed().as_secs_f64();
+        self.node.metrics.response_duration_s.observe(duration_s);
+        if self.call == "state" && status == StatusCode::OK {
+            return;
+        }
+        let epoch = self.node.active_config.get().map_or(0, |it| it.epoch);
+        tracing::info!(
+            call = self.call,
+            job = self.subject.as_str(),
+            status = status.as_u16(),
+            ms = self.elapsed_ms(),
+            caller_wait_ms = self.caller_wait_ms,
+            epoch,
+            "answered"
+        );
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        self.count("abandoned");
+        tracing::info!(
+            call = self.call,
+            job = self.subject.as_str(),
+            ms = self.elapsed_ms(),
+            caller_wait_ms = self.caller_wait_ms,
+            "the caller left before the response"
+        );
+    }
+}
+
+/// Handles a request of a caller, and records the outcome in the log and the metrics.
 pub(crate) async fn handle_request(
     request: Request<Incoming>,
     node: &Arc<Node>,
 ) -> Response<Full<Bytes>> {
-    let start = Instant::now();
-    let (call, id, api_response) = route_request(request, node).await;
-    let status = api_response.status.as_u16();
-    node.metrics
-        .responses
-        .with_label_values(&[call, &status.to_string()])
-        .inc();
-    node.metrics
-        .response_duration_s
-        .observe(start.elapsed().as_secs_f64());
-    let ms = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
-    if call != "state" || status != 200 {
-        let epoch = node.active_config.get().map_or(0, |config| config.epoch);
-        tracing::info!(call, job = id.as_str(), status, ms, epoch, "answered");
-    }
+    let mut record = RequestRecord::new(node.clone());
+    let api_response = route_request(request, node, &mut record).await;
+    record.record_response(api_response.status);
     let mut response = Response::new(Full::new(Bytes::from(api_response.body)));
     *response.status_mut() = api_response.status;
     let json = HeaderValue::from_static("application/json");
@@ -98,18 +157,14 @@
     response
 }
 
-/// Passes a request to the handler of its call. Returns the name of the call, the id of the job or else the queue or
-/// the path, and the response.
+/// Passes a request to the handler of its call, and names the call in the record.
 async fn route_request(
     request: Request<Incoming>,
     node: &Arc<Node>,
-) -> (&'static str, SmolStr, ApiResponse) {
+    record: &mut RequestRecord,
+) -> ApiResponse {
     let Some(config) = node.active_config.get() else {
-        return (
-            "none",
-            SmolStr::default(),
-            ApiResponse::unavailable(RETRY_AFTER_S),
-        );
+        return ApiResponse::unavailable(RETRY_AFTER_S);
     };
     let (parts, body) = request.into_parts();
     let host = parts
@@ -118,49 +173,40 @@
         .and_then(|host| host.to_str().ok());
     let path = parts.uri.path();
     let Some(queue) = find_queue(&config, host.unwrap_or_default(), path) else {
-        return ("none", path.into(), ApiResponse::new(StatusCode::NOT_FOUND));
+        record.subject = path.into();
+        return ApiResponse::new(StatusCode::NOT_FOUND);
     };
     let path_in_queue = &path[queue.prefix.len()..];
-    match decode_request(&parts.method, path_in_queue) {
+    let call = decode_request(&parts.method, path_in_queue);
+    (record.call, record.subject) = match call {
+        CallerRequest::Submit(id) => ("submit", id.to_string().into()),
+        CallerRequest::State(id) => ("state", id.to_string().into()),
+        CallerRequest::Cancel(id) => ("cancel", id.to_string().into()),
+        CallerRequest::Pending => ("pending", queue.name.clone()),
+        CallerRequest::Unknown => ("unknown", path_in_queue.into()),
+    };
+    let caller_wait = decode_caller_wait(&parts.headers);
+    let wait_ms = caller_wait.map_or(0, |wait| wait.as_millis());
+    record.caller_wait_ms = u64::try_from(wait_ms).unwrap_or(u64::MAX);
+    match call {
         CallerRequest::Submit(id) => {
             let max_body_bytes = config.limits.max_body_bytes;
-            let body = match Limited::new(body, max_body_bytes).collect().await {
-                Ok(body) => body.to_bytes(),
+            match Limited::new(body, max_body_bytes).collect().await {
+                Ok(body) => submit(node, queue, id, &body.to_bytes()).await,
                 Err(err) if err.is::<http_body_util::LengthLimitError>() => {
-                    let response = ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE);
-                    return ("submit", id.to_string().into(), response);
+                    ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE)
                 }
-                Err(err) => {
-                    let response = ApiResponse::bad_request(&err.to_string());
-                    return ("submit", id.to_string().into(), response);
-                }
-            };
-            (
-                "submit",
-                id.to_string().into(),
-                submit(node, queue, id, &body).await,
-            )
+                Err(err) => ApiResponse::bad_request(&err.to_string()),
+            }
         }
-        CallerRequest::State(id) => ("state", id.to_string().into(), state(node, queue, id).await),
-        CallerRequest::Cancel(id) => (
-            "cancel",
-            id.to_string().into(),
-            cancel(node, queue, id).await,
-        ),
-        CallerRequest::Pending => ("pending", queue.name.clone(), pending(node, queue).await),
+        CallerRequest::State(id) => state(node, queue, id).await,
+        CallerRequest::Cancel(id) => cancel(node, queue, id).await,
+        CallerRequest::Pending => pending(node, queue).await,
         CallerRequest::Unknown if parts.method == Method::GET || parts.method == Method::POST => {
             let reason = "the path does not end with a job id of 16 hexadecimal digits";
-            (
-                "unknown",
-                path_in_queue.into(),
-                ApiResponse::bad_request(reason),
-            )
+            ApiResponse::bad_request(reason)
         }
-        CallerRequest::Unknown => (
-            "unknown",
-            path_in_queue.into(),
-            ApiResponse::new(StatusCode::METHOD_NOT_ALLOWED),
-        ),
+        CallerRequest::Unknown => ApiResponse::new(StatusCode::METHOD_NOT_ALLOWED),
     }
 }
 
@@ -223,11 +269,14 @@
     let Some((shard_owner, peer)) = find_peer_owner(node, &request.pool) else {
         return SubmitReply::NotOwner;
     };
-    let job = request.id;
+    let (job, pool) = (request.id, request.pool.clone());
+    let start = Instant::now();
     match peer.submit(request).await {
         Ok(reply) => reply,
         Err(err) => {
-            tracing::info!(job = %job, error = %err, "submission to the pool owner failed");
+            let daemon = shard_owner.daemon.as_str();
+            let ms = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
+            tracing::info!(job = %job, pool = pool.as_str(), daemon, ms, error = %err, "submission to the pool owner failed");
             node.mark_unreachable(&shard_owner);
             if is_connect_failure(&err) {
                 SubmitReply::NotOwner
--- a/crates/fleetd/src/leader/inputs.rs
+++ b/crates/fleetd/src/leader/inputs.rs
@@ -12,6 +12,7 @@
 pub(super) fn log_pools(pools: &BTreeMap<SmolStr, PoolState>, vms: &BTreeMap<SmolStr, VmState>) {
     for (pool, state) in pools {
         let pool_vms = vms.values().filter(|vm| vm.pool == *pool);
+        let movable = pool_vms.clone().filter(|vm| vm.is_movable).count();
         let (usable, other): (Vec<_>, Vec<_>) = pool_vms.partition(|vm| vm.is_usable);
         let idle = usable.iter().filter(|vm| vm.idle_ms.is_some()).count();
         let (urgent, wanted) = (state.urgent_demand_vms, state.total_demand_vms);
@@ -23,6 +24,7 @@
             useful,
             idle,
             other,
+            movable,
             "demand and VMs of a pool"
         );
     }
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -155,7 +155,10 @@
 
     /// Marks a shard's owner as unreachable after a call to it failed, so that it counts as dead sooner.
     pub(crate) fn mark_unreachable(&self, owner: &ShardOwner) {
-        self.peers.lock().mark_unreachable(&owner.daemon);
+        if let Some(unchanged_ms) = self.peers.lock().mark_unreachable(&owner.daemon) {
+            let daemon = owner.daemon.as_str();
+            tracing::warn!(daemon, unchanged_ms, "a peer is unreachable");
+        }
     }
 
     /// Whether the store has not responded to this daemon for so long that the daemon can't accept jobs or shards.
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -138,7 +138,8 @@
             Ordering::Relaxed,
         );
         if first_failure.is_ok() {
-            tracing::warn!(pool = self.pool.as_str(), error = %err, "the store started to fail transactions");
+            let waiting = self.waiters.lock().len();
+            tracing::warn!(pool = self.pool.as_str(), error = %err, waiting, "the store started to fail transactions");
         }
     }
 
@@ -147,9 +148,11 @@
         let since_ms = self.failing_since_ms.swap(0, Ordering::Relaxed);
         if since_ms > 0 {
             let outage_ms = local_ms().saturating_sub(since_ms);
+            let waiting = self.waiters.lock().len();
             tracing::info!(
                 pool = self.pool.as_str(),
                 lost_ms = outage_ms,
+                waiting,
                 "the store commits transactions again"
             );
         }
--- a/crates/ownership/src/peers.rs
+++ b/crates/ownership/src/peers.rs
@@ -172,11 +172,11 @@
 
     /// Marks a daemon as unreachable after a call to the daemon failed, until the daemon's row changes.
     ///
-    /// An unknown daemon is ignored.
-    pub fn mark_unreachable(&mut self, daemon: &str) {
-        if let Some(peer) = self.by_daemon.get_mut(daemon) {
-            peer.is_unreachable = true;
-        }
+    /// Returns how long the row has been unchanged, in ms; `None` for a daemon that was marked before or is unknown.
+    pub fn mark_unreachable(&mut self, daemon: &str) -> Option<u64> {
+        let peer = self.by_daemon.get_mut(daemon)?;
+        let was_unreachable = std::mem::replace(&mut peer.is_unreachable, true);
+        (!was_unreachable).then_some(peer.unchanged_ms)
     }
 
     /// When the current incarnation of a daemon started, in milliseconds of the store's clock.
