--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -182,6 +182,7 @@
         self.platform.store.set_faults(StoreFaults {
             is_down,
             response_loss_interval: lost_one_in,
+            ..StoreFaults::default()
         });
     }
 
--- a/crates/trefoilpassd/tests/fleet.rs
+++ b/crates/trefoilpassd/tests/fleet.rs
@@ -14,8 +14,12 @@
 /// How long any of these tests may take to see what it waits for. Generous, for a busy machine.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// How long the callers of the tests wait for a response.
+const CALLER_WAIT: Duration = Duration::from_secs(8);
+
 struct Daemon {
-    _process: Process,
+    name: String,
+    process: Process,
     callers: SocketAddr,
     ready: String,
 }
@@ -24,7 +28,8 @@
     let spec = FleetDaemonSpec::new(name, platform.store_addr, platform.vms_addr);
     let program = Path::new(env!("CARGO_BIN_EXE_trefoilpassd"));
     Daemon {
-        _process: Process::start_fleet(program, &spec.yaml(), Stdio::null()),
+        name: name.to_owned(),
+        process: Process::start_fleet(program, &spec.yaml(), Stdio::null()),
         callers: spec.callers,
         ready: spec.ready_url(),
     }
@@ -38,11 +43,14 @@
 ) -> (u16, Value) {
     let client = Client::builder()
         .no_proxy()
-        .timeout(Duration::from_secs(8))
+        .timeout(CALLER_WAIT)
         .build()
         .unwrap();
     let url = format!("http://{}{path}", daemon.callers);
-    let request = client.request(method, url).header("host", "jobs.example");
+    let request = client
+        .request(method, url)
+        .header("host", "jobs.example")
+        .header("deadline-ms", CALLER_WAIT.as_millis().to_string());
     let request = match body {
         Some(body) => request
             .header("content-type", "application/json")
@@ -200,13 +208,13 @@
     submit_surely(&daemons, 1, 4).await;
     platform.store.set_faults(StoreFaults {
         is_down: true,
-        response_loss_interval: 0,
+        ..StoreFaults::default()
     });
     // Longer than doubling time-outs took to overflow once.
     tokio::time::sleep(Duration::from_secs(5)).await;
     platform.store.set_faults(StoreFaults {
-        is_down: false,
         response_loss_interval: 3,
+        ..StoreFaults::default()
     });
     for id in 2..=5 {
         submit_surely(&daemons, id, 4).await;
@@ -218,6 +226,100 @@
     check_runs(&platform, 20);
 }
 
+/// The daemon that owns the pool, and the others.
+fn split_owner<'a>(
+    platform: &PlatformStandIn,
+    daemons: &'a [Daemon],
+) -> (&'a Daemon, Vec<&'a Daemon>) {
+    let (owners, others): (Vec<_>, Vec<_>) = daemons.iter().partition(|daemon| {
+        let row = platform.store.get("daemon", &daemon.name);
+        row.is_some_and(|row| row["holds"]["work"].is_u64())
+    });
+    assert_eq!(owners.len(), 1, "daemons that own the pool");
+    (owners[0], others)
+}
+
+/// A refusal tells that the job has not run and never will: nobody knows it afterwards.
+async fn check_refused(platform: &PlatformStandIn, daemons: &[Daemon], id: u64) {
+    let (status, _) = call(
+        reqwest::Method::GET,
+        &daemons[0],
+        &format!("/q/{id:016x}"),
+        None,
+    )
+    .await;
+    assert_eq!(status, 410, "a refused job is known");
+    let name = format!("{id:016x}");
+    let mut attempts = platform.attempts().into_iter();
+    assert!(
+        !attempts.any(|attempt| attempt.task.starts_with(&name)),
+        "a refused job has run"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn submissions_that_the_store_rejects_do_not_wait_for_the_end_of_its_outage() {
+    let (platform, daemons) = start(2, 2).await;
+    submit_surely(&daemons, 1, 4).await;
+    platform.store.set_faults(StoreFaults {
+        is_down: true,
+        ..StoreFaults::default()
+    });
+    let (owner, others) = split_owner(&platform, &daemons);
+    let answers = tokio::join!(submit(owner, 2, 4), submit(others[0], 3, 4));
+    assert_eq!(answers, (503, 503));
+    platform.store.set_faults(StoreFaults::default());
+    submit_surely(&daemons, 4, 4).await;
+    for id in [1, 4] {
+        done(&daemons, id).await;
+    }
+    for id in [2, 3] {
+        check_refused(&platform, &daemons, id).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn submissions_behind_an_unanswered_transaction_do_not_wait_for_the_end_of_the_outage() {
+    let (platform, daemons) = start(2, 2).await;
+    submit_surely(&daemons, 1, 4).await;
+    platform.store.set_faults(StoreFaults {
+        is_silent: true,
+        ..StoreFaults::default()
+    });
+    let (owner, others) = split_owner(&platform, &daemons);
+    let behind = async {
+        // After the first submission is in a transaction.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        tokio::join!(submit(owner, 3, 4), submit(others[0], 4, 4))
+    };
+    let (_, answers) = tokio::join!(submit(owner, 2, 4), behind);
+    assert_eq!(answers, (503, 503));
+    platform.store.set_faults(StoreFaults::default());
+    submit_surely(&daemons, 5, 4).await;
+    for id in [1, 5] {
+        done(&daemons, id).await;
+    }
+    for id in [3, 4] {
+        check_refused(&platform, &daemons, id).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn submissions_outlast_an_owner_of_their_pool_that_stops_responding() {
+    let (platform, daemons) = start(2, 3).await;
+    submit_surely(&daemons, 1, 4).await;
+    let (owner, others) = split_owner(&platform, &daemons);
+    // As with a VM that loses power, connections to a paused process are neither refused nor closed.
+    owner.process.pause();
+    let answers = tokio::join!(submit(others[0], 2, 4), submit(others[1], 3, 4));
+    assert_eq!(answers, (200, 200));
+    owner.process.resume();
+    for id in 1..=3 {
+        done(&daemons, id).await;
+    }
+    check_runs(&platform, 12);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bad_requests_get_a_clear_answer_and_store_nothing() {
     let (platform, daemons) = start(1, 1).await;
