fleetd: submissions that the store rejects are refused, not held until the outage ends

Callers saw: a job handed in during the first 0.7 s of an outage of the store got no answer at the pool's owner, and 504 after 1.5 s elsewhere; each repeat of it waited until the caller's deadline. Cause: a submission waited for its transaction however it went, and the recorder repeated a transaction until it committed, although the store's 503 says that nothing was done.

A job is now in doubt from just before its transaction is sent until the outcome is known. When the store has failed for 0.7 s, jobs that are not in doubt are withdrawn from the scheduler and from the batch, and refused with Retry-After; the refusal is true, as no transaction with them can take effect. The end of an ownership tells the same callers NotOwner, so that they are handed to the next owner, instead of an unknown outcome.

--- a/crates/fleetd/src/leader/command_record.rs
+++ b/crates/fleetd/src/leader/command_record.rs
@@ -1,6 +1,7 @@
 //! The stored record of recent commands to VMs. With this record, a new leader keeps a gap to the commands
 //! that previous leaders sent to the same VM.
 
+use std::ops::ControlFlow;
 use std::time::Duration;
 
 use pools::CommandLog;
@@ -59,7 +60,9 @@
         let value = serde_json::to_vec(&self.log).unwrap_or_default();
         let transaction = Transaction::default().with_write(key, value);
         let mut sequence = sequence.lock().await;
-        let committed = sequence.commit(node, transaction, |_| {}).await;
+        let committed = sequence
+            .commit(node, transaction, |_| ControlFlow::Continue(()))
+            .await;
         committed.is_ok().then_some(recorded_at_ms)
     }
 
--- a/crates/fleetd/src/leader/lease_renewal.rs
+++ b/crates/fleetd/src/leader/lease_renewal.rs
@@ -1,5 +1,6 @@
 //! Renewal of the leader's lease.
 
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -32,6 +33,7 @@
             if err.is_without_effect() && refused_since_ms.load(Ordering::Relaxed) == 0 {
                 refused_since_ms.store(local_ms(), Ordering::Relaxed);
             }
+            ControlFlow::Continue(())
         };
         let mut sequence = sequence.lock().await;
         let renewed = sequence
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -7,6 +7,7 @@
 mod waves;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -161,7 +162,7 @@
         let transaction = Transaction::default().with_write(key, value);
         let mut sequence = self.sequence.lock().await;
         let released = sequence
-            .commit(&self.node, transaction, |_| {})
+            .commit(&self.node, transaction, |_| ControlFlow::Continue(()))
             .await
             .is_ok();
         tracing::info!(
--- a/crates/fleetd/src/leader/waves.rs
+++ b/crates/fleetd/src/leader/waves.rs
@@ -1,6 +1,7 @@
 //! The maintenance waves that the leader drives, and their rows in the store.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::ControlFlow;
 use std::time::Duration;
 
 use pools::{MaintenanceWave, VmCommandOutcome, WaveVm};
@@ -149,7 +150,7 @@
             let written = sequence
                 .lock()
                 .await
-                .commit(node, transaction, |_| {})
+                .commit(node, transaction, |_| ControlFlow::Continue(()))
                 .await;
             if written.is_err() {
                 return;
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -7,6 +7,7 @@
 mod recorder;
 mod registry;
 mod sequence;
+mod submissions;
 mod takeover;
 
 use std::collections::HashMap;
@@ -19,12 +20,14 @@
 use scheduler::{JobStatus, Scheduler, UnavailableReason, WorkerKey};
 use smol_str::SmolStr;
 use submission::{JobId, JobSpec};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 
 use crate::clock::local_ms;
 use crate::node::Node;
 use crate::rpc::{JobReply, PoolClient, RoundReply, RoundRequest, SubmitReply, WireState};
 
+use submissions::Submissions;
+
 pub(crate) use sequence::Sequence;
 pub(crate) use takeover::{Takeover, decode_jobs, read_all_rows, take_over_pool, take_over_shard};
 
@@ -36,8 +39,8 @@
 /// How long the store may fail transactions before new jobs are refused at once instead of waiting for a commit.
 const STORE_UNAVAILABLE_MS: u64 = 700;
 
-/// How often an owner checks whether to hand its pool over.
-const HAND_OVER_CHECK_PERIOD: Duration = Duration::from_millis(200);
+/// How often an owner checks whether the store is unavailable to it.
+const STORE_CHECK_PERIOD: Duration = Duration::from_millis(200);
 
 /// How long an owner's transactions may fail without effect (the store refuses them or is unreachable) before the owner
 /// hands its pool over to a daemon that the store serves. An owner whose calls are only slow keeps the pool, as the
@@ -51,8 +54,8 @@
 /// How often a daemon that shuts down checks whether any callers still wait.
 const RELEASE_POLL_PERIOD: Duration = Duration::from_millis(10);
 
-/// The retry delay for callers while the store is unavailable, in s. Outages of the store last from 3 s to 9 s.
-const RETRY_AFTER_OUTAGE_S: u32 = 2;
+/// The reply to a submission while the store is unavailable. Outages of the store last from 3 s to 9 s.
+const REFUSED_IN_OUTAGE: SubmitReply = SubmitReply::Refused { retry_after_s: 2 };
 
 /// A pool that this daemon owns, with the pool's scheduler and lease.
 pub(crate) struct PoolOwner {
@@ -72,8 +75,7 @@
     /// The local time at which a transaction first failed without effect (the store refused it or was unreachable)
     /// without a success since, in ms; 0 if there is none.
     refused_since_ms: AtomicU64,
-    /// The callers that wait until the rows of a job are written.
-    waiters: Mutex<HashMap<JobId, Vec<oneshot::Sender<SubmitReply>>>>,
+    submissions: Mutex<Submissions>,
     /// The wakers of the lease renewal loops, by worker.
     renewal_wakers: Mutex<HashMap<WorkerKey, Arc<Notify>>>,
     /// The semaphores that limit the concurrent start commands, by worker.
@@ -92,7 +94,7 @@
             has_ended: AtomicBool::new(false),
             failing_since_ms: AtomicU64::new(0),
             refused_since_ms: AtomicU64::new(0),
-            waiters: Mutex::new(HashMap::new()),
+            submissions: Mutex::new(Submissions::default()),
             renewal_wakers: Mutex::new(HashMap::new()),
             start_slots: Mutex::new(HashMap::new()),
         }
@@ -109,36 +111,32 @@
         !self.has_ended() && self.lease.lock().is_valid(local_ms(), OWNER_GRACE_MS)
     }
 
+    /// Whether the store has failed transactions for so long that new jobs are refused.
+    fn is_store_unavailable(&self) -> bool {
+        let since_ms = self.failing_since_ms.load(Ordering::Relaxed);
+        since_ms > 0 && local_ms().saturating_sub(since_ms) > STORE_UNAVAILABLE_MS
+    }
+
     /// Submits a job and returns once its rows are written. A job with a known id is not submitted again. Returns
-    /// `Refused` for a new job while the store is unavailable, `NotOwner` when the ownership has ended, and
-    /// `OutcomeUnknown` when the ownership ends during the call.
+    /// `Refused` for a new job when the store is unavailable before a transaction with the job was sent, `NotOwner` when
+    /// the ownership has ended by then, and `OutcomeUnknown` when the ownership ends later.
     pub(crate) async fn submit(&self, queue: SmolStr, id: JobId, spec: JobSpec) -> SubmitReply {
         if self.has_ended() {
             return SubmitReply::NotOwner;
         }
-        let since_ms = self.failing_since_ms.load(Ordering::Relaxed);
-        let is_store_unavailable =
-            since_ms > 0 && local_ms().saturating_sub(since_ms) > STORE_UNAVAILABLE_MS;
         let receiver = {
             let mut scheduler = self.scheduler.lock();
             match scheduler.job_status(id) {
                 JobStatus::Recorded(_) => return SubmitReply::Accepted,
-                JobStatus::Unknown if is_store_unavailable => {
-                    return SubmitReply::Refused {
-                        retry_after_s: RETRY_AFTER_OUTAGE_S,
-                    };
-                }
+                JobStatus::Unknown if self.is_store_unavailable() => return REFUSED_IN_OUTAGE,
                 JobStatus::Unknown => {
                     scheduler.submit(id, queue, Arc::new(spec), self.node.clock.now());
                 }
                 JobStatus::NotYetRecorded => {}
             }
-            let (sender, receiver) = oneshot::channel();
-            self.waiters.lock().entry(id).or_default().push(sender);
-            receiver
+            self.submissions.lock().wait(id)
         };
         self.recorder_waker.notify_one();
-        // The sender is dropped when the ownership ends before the job's rows are written.
         receiver.await.unwrap_or(SubmitReply::OutcomeUnknown)
     }
 
@@ -165,9 +163,7 @@
             if scheduler.is_job_recorded(id) {
                 return job_reply(&scheduler, id);
             }
-            let (sender, receiver) = oneshot::channel();
-            self.waiters.lock().entry(id).or_default().push(sender);
-            receiver
+            self.submissions.lock().wait(id)
         };
         self.recorder_waker.notify_one();
         match receiver.await {
@@ -229,44 +225,75 @@
         }
     }
 
-    /// Hands the pool over to another daemon when this daemon's transactions have failed without effect for
-    /// [`HAND_OVER_AFTER_MS`]. Runs until the ownership ends.
-    pub(crate) async fn hand_over_when_refused(self: Arc<Self>) {
+    /// Refuses the waiting submissions that are in no transaction while the store is unavailable, and hands the pool over
+    /// when the store rejects only this daemon. Runs until the ownership ends.
+    pub(crate) async fn watch_store(self: Arc<Self>) {
         while !self.has_ended() {
-            tokio::time::sleep(HAND_OVER_CHECK_PERIOD).await;
+            tokio::time::sleep(STORE_CHECK_PERIOD).await;
+            if self.is_store_unavailable() {
+                let jobs = self.submissions.lock().without_doubt();
+                self.refuse_submissions(jobs);
+            }
             let since_ms = self.refused_since_ms.load(Ordering::Relaxed);
-            if since_ms == 0 || local_ms().saturating_sub(since_ms) < HAND_OVER_AFTER_MS {
-                continue;
+            if since_ms > 0 && local_ms().saturating_sub(since_ms) >= HAND_OVER_AFTER_MS {
+                self.hand_over().await;
             }
-            let Some((other, peer)) = self.node.handover_target() else {
-                continue;
-            };
-            match peer
-                .take_over_pool(self.pool.clone(), Some(self.term))
-                .await
-            {
-                Ok(true) => {
-                    let (pool, daemon) = (self.pool.as_str(), other.daemon.as_str());
-                    tracing::warn!(
-                        pool,
-                        daemon,
-                        "handed the pool over to a daemon that the store serves"
-                    );
-                    self.end();
-                }
-                Ok(false) => {}
-                Err(err) => {
-                    tracing::info!(daemon = other.daemon.as_str(), error = %err, "a peer did not confirm the takeover of a pool");
-                    self.node.mark_unreachable(&other);
-                }
+        }
+    }
+
+    /// Refuses the submissions of new jobs, which must be in no transaction. Leaves out the jobs with rows: callers that
+    /// cancel a job wait for its rows too.
+    fn refuse_submissions(&self, jobs: Vec<JobId>) {
+        let now = self.node.clock.now();
+        let mut scheduler = self.scheduler.lock();
+        let mut submissions = self.submissions.lock();
+        let mut refused = 0;
+        for job in jobs {
+            if scheduler.withdraw(job, now) {
+                submissions.respond(job, REFUSED_IN_OUTAGE);
+                refused += 1;
+            }
+        }
+        if refused > 0 {
+            let pool = self.pool.as_str();
+            tracing::info!(
+                pool,
+                refused,
+                "refused submissions that waited for the store"
+            );
+        }
+    }
+
+    /// Hands the pool over to a daemon that the store serves, if there is one.
+    async fn hand_over(&self) {
+        let Some((other, peer)) = self.node.handover_target() else {
+            return;
+        };
+        match peer
+            .take_over_pool(self.pool.clone(), Some(self.term))
+            .await
+        {
+            Ok(true) => {
+                let (pool, daemon) = (self.pool.as_str(), other.daemon.as_str());
+                tracing::warn!(
+                    pool,
+                    daemon,
+                    "handed the pool over to a daemon that the store serves"
+                );
+                self.end();
+            }
+            Ok(false) => {}
+            Err(err) => {
+                tracing::info!(daemon = other.daemon.as_str(), error = %err, "a peer did not confirm the takeover of a pool");
+                self.node.mark_unreachable(&other);
             }
         }
     }
 
-    /// Ends this daemon's ownership of the pool. Callers that wait are told that the outcome is unknown.
+    /// Ends this daemon's ownership of the pool. Callers that wait are told whether their call can have had an effect.
     pub(crate) fn end(&self) {
         self.has_ended.store(true, Ordering::Release);
-        self.waiters.lock().clear();
+        self.submissions.lock().end();
         self.recorder_waker.notify_one();
         for waker in self.renewal_wakers.lock().values() {
             waker.notify_one();
@@ -318,7 +345,7 @@
     let owners: Vec<_> = node.pool_owners.lock().values().cloned().collect();
     let deadline = tokio::time::Instant::now() + RELEASE_TIMEOUT;
     for owner in owners {
-        while !owner.waiters.lock().is_empty() && tokio::time::Instant::now() < deadline {
+        while !owner.submissions.lock().is_empty() && tokio::time::Instant::now() < deadline {
             tokio::time::sleep(RELEASE_POLL_PERIOD).await;
         }
         owner.end();
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -1,5 +1,6 @@
 //! Records the scheduler's decisions, one transaction after another, and then executes them.
 
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -29,7 +30,7 @@
     pub(crate) async fn record(self: Arc<Self>, mut sequence: Sequence) {
         let mut renewed_at_ms = local_ms();
         while !self.has_ended() {
-            let batch = self.next_batch();
+            let mut batch = self.next_batch();
             let is_empty = batch.changes.is_empty() && batch.ends.is_empty();
             if is_empty && local_ms().saturating_sub(renewed_at_ms) < IDLE_RENEWAL_MS {
                 // The wait ends early when the scheduler may have new decisions.
@@ -37,7 +38,7 @@
                 continue;
             }
             if !batch.changes.is_empty() || is_empty {
-                let Some(sent_at_ms) = self.write(&mut sequence, &batch).await else {
+                let Some(sent_at_ms) = self.write(&mut sequence, &mut batch).await else {
                     return;
                 };
                 renewed_at_ms = sent_at_ms;
@@ -61,17 +62,35 @@
 
     /// Writes the rows of a batch and returns the local time in ms at which the transaction was sent; `None` when the
     /// ownership ended, because another daemon took over the pool or a conflict could not be resolved. New jobs that
-    /// have rows already are left out and loaded from their rows instead.
-    async fn write(&self, sequence: &mut Sequence, batch: &Batch) -> Option<u64> {
+    /// have rows already are left out and loaded from their rows instead. New jobs that the store has rejected for too
+    /// long are removed from the batch and refused.
+    async fn write(&self, sequence: &mut Sequence, batch: &mut Batch) -> Option<u64> {
         let start = std::time::Instant::now();
         let mut existing = Vec::new();
         loop {
+            {
+                let mut submissions = self.submissions.lock();
+                if self.has_ended() {
+                    return None;
+                }
+                submissions.begin_transaction(batch.new_jobs());
+            }
             let transaction = self.transaction(&batch.changes, &existing);
-            let on_failure = |err: &users_platform::Error| self.record_store_failure(err);
+            let on_failure = |err: &users_platform::Error| {
+                self.record_store_failure(err);
+                if self.is_store_unavailable() {
+                    ControlFlow::Break(())
+                } else {
+                    ControlFlow::Continue(())
+                }
+            };
             let committed = sequence.commit(&self.node, transaction, on_failure).await;
-            self.record_store_success();
+            if !matches!(committed, Err(SequenceError::GivenUp)) {
+                self.record_store_success();
+            }
             match committed {
                 Ok(sent_at_ms) => {
+                    self.submissions.lock().end_transaction();
                     self.node
                         .metrics
                         .commit_duration_s
@@ -103,6 +122,12 @@
                         return None;
                     }
                 }
+                Err(SequenceError::GivenUp) => {
+                    let new_jobs = batch.new_jobs().filter(|job| !existing.contains(job));
+                    let new_jobs: Vec<_> = new_jobs.collect();
+                    batch.remove_jobs(&new_jobs);
+                    self.refuse_submissions(new_jobs);
+                }
                 Err(SequenceError::Deposed) => {
                     self.node
                         .metrics
@@ -138,7 +163,7 @@
             Ordering::Relaxed,
         );
         if first_failure.is_ok() {
-            let waiting = self.waiters.lock().len();
+            let waiting = self.submissions.lock().len();
             tracing::warn!(pool = self.pool.as_str(), error = %err, waiting, "the store started to fail transactions");
         }
     }
@@ -148,7 +173,7 @@
         let since_ms = self.failing_since_ms.swap(0, Ordering::Relaxed);
         if since_ms > 0 {
             let outage_ms = local_ms().saturating_sub(since_ms);
-            let waiting = self.waiters.lock().len();
+            let waiting = self.submissions.lock().len();
             tracing::info!(
                 pool = self.pool.as_str(),
                 lost_ms = outage_ms,
@@ -225,14 +250,11 @@
             scheduler.apply_commit(&batch);
             scheduler.take_immediate_commands()
         };
-        let mut waiters = self.waiters.lock();
+        let mut submissions = self.submissions.lock();
         for change in &batch.changes {
-            for waiter in waiters.remove(&change.job).unwrap_or_default() {
-                // The send fails only when the caller no longer waits.
-                let _ = waiter.send(SubmitReply::Accepted);
-            }
+            submissions.respond(change.job, SubmitReply::Accepted);
         }
-        drop(waiters);
+        drop(submissions);
         self.wake_lease_renewals(batch.ends.iter().map(|(key, _)| *key));
         for command in batch.commands.into_iter().chain(immediate_commands) {
             self.send_command(command);
--- a/crates/fleetd/src/pool/sequence.rs
+++ b/crates/fleetd/src/pool/sequence.rs
@@ -3,6 +3,7 @@
 //! A transaction whose response is lost may take effect later. As each transaction is conditional on the sequence row
 //! that the previous one wrote, a delayed transaction can't take effect after the next one has.
 
+use std::ops::ControlFlow;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,8 @@
     Deposed,
     /// The conditions on other rows did not hold. The payload is the rows as found.
     Conflict(Vec<Row>),
+    /// The caller gave the transaction up after the store had rejected all tries.
+    GivenUp,
 }
 
 /// The sequence of an owner's transactions in a shard.
@@ -69,12 +72,15 @@
     /// Commits a transaction, with as many tries as it takes until the outcome is known. Returns the local time in ms
     /// at which the successful try was sent, or the first try when the store does not tell which try succeeded. Fails
     /// with [`SequenceError::Deposed`] when another daemon owns the shard, and with [`SequenceError::Conflict`] when a
-    /// condition of the transaction does not hold. Calls `on_failure` for each failed try.
+    /// condition of the transaction does not hold.
+    ///
+    /// Calls `on_failure` for each failed try. Fails with [`SequenceError::GivenUp`] when `on_failure` tells to stop and
+    /// no try can have had an effect; after a try that may have, a stop is ignored.
     pub(crate) async fn commit(
         &mut self,
         node: &Node,
         transaction: Transaction,
-        mut on_failure: impl FnMut(&Error),
+        mut on_failure: impl FnMut(&Error) -> ControlFlow<()>,
     ) -> Result<u64, SequenceError> {
         let next = SequenceRow {
             number: self.row.number + 1,
@@ -85,6 +91,7 @@
             .with_condition(self.key(), self.version)
             .with_write(self.key(), value);
         let mut first_sent_at_ms = None;
+        let mut is_in_doubt = false;
         let mut timeout =
             (self.average_response_time * TIMEOUT_FACTOR).clamp(MIN_TIMEOUT, STORE_TIMEOUT);
         loop {
@@ -120,11 +127,15 @@
                 Err(err) => {
                     timeout = (timeout * 2).min(STORE_TIMEOUT);
                     node.metrics.store_failures.inc();
-                    on_failure(&err);
+                    let next_step = on_failure(&err);
                     first_sent_at_ms = first_sent_at_ms.or(Some(sent_at_ms));
+                    is_in_doubt |= !err.is_without_effect();
                     if matches!(err, Error::Refused { .. } | Error::Unreachable) {
                         tokio::time::sleep(RETRY_DELAY).await;
                     }
+                    if next_step.is_break() && !is_in_doubt {
+                        return Err(SequenceError::GivenUp);
+                    }
                 }
             }
         }
--- /dev/null
+++ b/crates/fleetd/src/pool/submissions.rs
@@ -0,0 +1,73 @@
+//! The callers that wait for the rows of a job, and which new jobs may have rows already.
+
+use std::collections::{HashMap, HashSet};
+
+use submission::JobId;
+use tokio::sync::oneshot;
+
+use crate::rpc::SubmitReply;
+
+/// The callers that wait until the rows of a job are written, by job.
+///
+/// A new job may have rows from the time at which a transaction with the job is about to be sent. The job is then **in
+/// doubt** until the outcome of the transaction is known.
+#[derive(Debug, Default)]
+pub(super) struct Submissions {
+    waiters: HashMap<JobId, Vec<oneshot::Sender<SubmitReply>>>,
+    in_doubt: HashSet<JobId>,
+}
+
+impl Submissions {
+    /// Adds a caller that waits for the rows of a job. The receiver fails when the ownership of the pool ends while the
+    /// job is in doubt.
+    pub(super) fn wait(&mut self, job: JobId) -> oneshot::Receiver<SubmitReply> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.entry(job).or_default().push(sender);
+        receiver
+    }
+
+    /// The number of jobs for whose rows a caller waits.
+    pub(super) fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
+    /// Marks the new jobs of a transaction as in doubt before the transaction is sent. The outcome of the previous
+    /// transaction is known.
+    pub(super) fn begin_transaction(&mut self, jobs: impl IntoIterator<Item = JobId>) {
+        self.in_doubt = jobs.into_iter().collect();
+    }
+
+    /// Ends the doubt about the jobs of a transaction whose outcome is known.
+    pub(super) fn end_transaction(&mut self) {
+        self.in_doubt.clear();
+    }
+
+    /// The jobs for which a caller waits and that are not in doubt.
+    pub(super) fn without_doubt(&self) -> Vec<JobId> {
+        let jobs = self.waiters.keys();
+        jobs.filter(|job| !self.in_doubt.contains(job))
+            .copied()
+            .collect()
+    }
+
+    /// Responds to the callers that wait for a job.
+    pub(super) fn respond(&mut self, job: JobId, reply: SubmitReply) {
+        for waiter in self.waiters.remove(&job).unwrap_or_default() {
+            // The send fails only when the caller no longer waits.
+            let _ = waiter.send(reply);
+        }
+    }
+
+    /// Responds to all callers when the ownership of the pool ends: nothing was written of the jobs that are not in
+    /// doubt.
+    pub(super) fn end(&mut self) {
+        for job in self.without_doubt() {
+            self.respond(job, SubmitReply::NotOwner);
+        }
+        self.waiters.clear();
+    }
+}
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -175,7 +175,7 @@
     let owner = Arc::new(owner);
     node.pool_owners.lock().insert(pool, owner.clone());
     tokio::spawn(owner.clone().record(takeover.sequence));
-    tokio::spawn(owner.clone().hand_over_when_refused());
+    tokio::spawn(owner.clone().watch_store());
     tokio::spawn(owner.clone().request_policy_decisions());
     tokio::spawn(owner.watch_registry());
 }
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -44,6 +44,17 @@
     },
 }
 
+impl WorkerCommand {
+    /// The task of the command; `None` when no job of the pool has the task, or for a speed limit.
+    fn task(&self) -> Option<TaskKey> {
+        match self {
+            Self::Start { task, .. } => Some(*task),
+            Self::Stop { task, .. } => *task,
+            Self::SetSpeedLimit { .. } => None,
+        }
+    }
+}
+
 /// A write of the rows of one job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RowChange {
@@ -83,6 +94,21 @@
     pub ends: Vec<(WorkerKey, u64)>,
 }
 
+impl Batch {
+    /// The new jobs of the batch.
+    pub fn new_jobs(&self) -> impl Iterator<Item = JobId> + '_ {
+        let new = self.changes.iter().filter(|change| change.is_new);
+        new.map(|change| change.job)
+    }
+
+    /// Removes jobs whose rows are not to be written, and the commands for them.
+    pub fn remove_jobs(&mut self, jobs: &[JobId]) {
+        self.changes.retain(|change| !jobs.contains(&change.job));
+        self.commands
+            .retain(|command| command.task().is_none_or(|task| !jobs.contains(&task.job)));
+    }
+}
+
 impl Scheduler {
     /// Returns the next rows to write, with at most `max_entries` conditions, writes and removals (but at least one
     /// job), and does not return them again. Jobs are written in the order in which they changed.
--- a/crates/scheduler/src/dirty.rs
+++ b/crates/scheduler/src/dirty.rs
@@ -31,10 +31,6 @@
         self.members.remove(&job);
     }
 
-    pub(crate) fn contains(&self, job: JobId) -> bool {
-        self.members.contains(&job)
-    }
-
     /// Takes the first job; `None` when the queue is empty.
     pub(crate) fn pop(&mut self) -> Option<JobId> {
         loop {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -132,10 +132,11 @@
         self.unblock(id, now);
     }
 
-    /// Removes a submitted job whose rows are not written. Returns false and changes nothing when the rows may be
-    /// written already, or when the id is unknown.
+    /// Removes a submitted job that is in no written row. Returns false and changes nothing when the rows of the job are
+    /// written, or when the id is unknown. A job in a taken batch must have been removed from the batch before; see
+    /// [`Batch::remove_jobs`](crate::Batch::remove_jobs).
     pub fn withdraw(&mut self, id: JobId, now: Now) -> bool {
-        if self.recorded_states.contains_key(&id) || !self.dirty_jobs.contains(id) {
+        if self.recorded_states.contains_key(&id) || !self.jobs.contains_key(&id) {
             return false;
         }
         self.remove_job(id, now);
