fleetd: calls to a peer end when the peer is gone, and submissions go on to the next owner

Callers saw: after an outage of the store they came back to a pool whose owner had just lost power. Each call waited 1.5 s for the owner, longer than most of these callers had left, and ended with 504 or without an answer, although another daemon took the pool over. Cause: only the timeout of a call, sized for two transactions of the owner, told that the owner was gone; and a call without a response was given up, although its repetition at the next owner is safe and tells its outcome.

A call to a peer is accompanied by probes, shared by concurrent calls, that need no store; after 0.65 s without a response the peer counts as unreachable. A call that merely waits for the store no longer marks its owner as unreachable. No new calls go to an unreachable owner. A submission is repeated at the next owner, for 1.6 s or half of the caller's wait, and a refusal counts only if an owner of a later term makes it. The same for the leader's rounds, which stopped for all pools while one owner was gone, for states, cancellations, counts and handovers.

--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -3,14 +3,12 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use jsonrpsee::http_client::HttpClient as PeerClient;
-use ownership::ShardOwner;
 use smol_str::SmolStr;
 use submission::{Job, JobId};
 use users_platform::{
@@ -20,15 +18,23 @@
 
 use crate::config::{FLEET_SHARD, find_queue};
 use crate::node::{Node, STORE_TIMEOUT, tables};
+use crate::peer_calls::{CALL_TIMEOUT, call_peer};
 use crate::pool::decode_jobs;
-use crate::rpc::{JobReply, PoolClient, SubmitReply, SubmitRequest, WireState, is_connect_failure};
+use crate::rpc::{JobReply, PoolClient, SubmitReply, SubmitRequest, WireState};
 
 /// The delay after which callers may retry a request that the daemon can't serve now, for instance because the owner of
 /// the pool is unknown. A takeover takes 3 s.
 const RETRY_AFTER_S: u32 = 1;
 
-/// The time for which a submission waits for the next owner of its pool. A takeover takes 2 s, and callers wait 3 s.
-const TAKEOVER_WAIT: std::time::Duration = std::time::Duration::from_millis(1600);
+/// The time for which a submission waits for the next owner of its pool, unless its caller waits more than twice as long.
+/// Most takeovers are done by then, and a caller that waits 3 s can still try another daemon.
+const TAKEOVER_WAIT: Duration = Duration::from_millis(1600);
+
+/// How long a caller waits whose request does not tell.
+const DEFAULT_CALLER_WAIT: Duration = Duration::from_secs(3);
+
+/// How long before the end of the caller's wait a response is sent at the latest.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
 /// The content of a response to a caller.
 struct ApiResponse {
@@ -192,7 +198,7 @@
         CallerRequest::Submit(id) => {
             let max_body_bytes = config.limits.max_body_bytes;
             match Limited::new(body, max_body_bytes).collect().await {
-                Ok(body) => submit(node, queue, id, &body.to_bytes()).await,
+                Ok(body) => submit(node, queue, id, &body.to_bytes(), caller_wait).await,
                 Err(err) if err.is::<http_body_util::LengthLimitError>() => {
                     ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE)
                 }
@@ -210,7 +216,13 @@
     }
 }
 
-async fn submit(node: &Arc<Node>, queue: &Queue, id: JobId, body: &[u8]) -> ApiResponse {
+async fn submit(
+    node: &Arc<Node>,
+    queue: &Queue,
+    id: JobId,
+    body: &[u8],
+    caller_wait: Option<Duration>,
+) -> ApiResponse {
     let spec = match decode_job(body) {
         Ok(spec) => spec,
         Err(err) => return ApiResponse::bad_request(&err.to_string()),
@@ -235,7 +247,7 @@
         id,
         spec,
     };
-    match submit_to_owner(node, request).await {
+    match submit_to_owner(node, request, caller_wait).await {
         SubmitReply::Accepted => ApiResponse::new(StatusCode::OK).with_body("{}".into()),
         SubmitReply::Refused { retry_after_s } => ApiResponse::unavailable(retry_after_s),
         SubmitReply::NotOwner => ApiResponse::unavailable(RETRY_AFTER_S),
@@ -243,55 +255,73 @@
     }
 }
 
-/// Submits a job to the owner of its pool. While no owner can be reached, waits up to [`TAKEOVER_WAIT`] for
-/// a takeover, unless the store is unavailable.
-async fn submit_to_owner(node: &Arc<Node>, request: SubmitRequest) -> SubmitReply {
-    let deadline = tokio::time::Instant::now() + TAKEOVER_WAIT;
+/// Submits a job to the owner of its pool. While no owner responds, waits for a takeover, unless the store is
+/// unavailable. A call whose outcome is unknown is repeated: the id of the job makes that safe, and the next owner knows
+/// whether the job was recorded.
+async fn submit_to_owner(
+    node: &Arc<Node>,
+    request: SubmitRequest,
+    caller_wait: Option<Duration>,
+) -> SubmitReply {
+    let start = tokio::time::Instant::now();
+    let caller_wait = caller_wait.unwrap_or(DEFAULT_CALLER_WAIT);
+    let respond_by = start + caller_wait.saturating_sub(RESPONSE_MARGIN);
+    let give_up_at = respond_by.min(start + TAKEOVER_WAIT.max(caller_wait / 2));
+    // The term of the owner that may have recorded the job, or may do so later.
+    let mut in_doubt = None;
     loop {
         let owners_read = node.peers_updated.notified();
-        let reply = try_submit_to_owner(node, request.clone()).await;
-        if reply != SubmitReply::NotOwner || node.is_store_unavailable() {
-            return reply;
+        let attempt = try_submit_to_owner(node, request.clone());
+        let Ok((term, reply)) = tokio::time::timeout_at(respond_by, attempt).await else {
+            return SubmitReply::OutcomeUnknown;
+        };
+        match reply {
+            // An earlier call to the same owner may arrive late. The owner of a later term has read all rows.
+            SubmitReply::Refused { .. } if in_doubt.is_some_and(|in_doubt| in_doubt >= term) => {
+                return SubmitReply::OutcomeUnknown;
+            }
+            SubmitReply::Accepted | SubmitReply::Refused { .. } => return reply,
+            SubmitReply::OutcomeUnknown => in_doubt = in_doubt.max(Some(term)),
+            SubmitReply::NotOwner => {}
         }
-        if tokio::time::timeout_at(deadline, owners_read)
-            .await
-            .is_err()
-        {
-            return reply;
+        let next_owner = tokio::time::timeout_at(give_up_at, owners_read);
+        if node.is_store_unavailable() || next_owner.await.is_err() {
+            return match in_doubt {
+                Some(_) => SubmitReply::OutcomeUnknown,
+                None => SubmitReply::NotOwner,
+            };
         }
     }
 }
 
-async fn try_submit_to_owner(node: &Arc<Node>, request: SubmitRequest) -> SubmitReply {
+/// Submits a job to the owner of its pool, once. Returns the owner's term, 0 without an owner, and the reply.
+async fn try_submit_to_owner(node: &Arc<Node>, request: SubmitRequest) -> (u64, SubmitReply) {
     if let Some(owner) = node.local_pool_owner(&request.pool) {
-        return owner.submit(request.queue, request.id, request.spec).await;
+        let reply = owner.submit(request.queue, request.id, request.spec);
+        let reply = tokio::time::timeout(CALL_TIMEOUT, reply).await;
+        return (owner.term, reply.unwrap_or(SubmitReply::OutcomeUnknown));
     }
-    let Some((shard_owner, peer)) = find_peer_owner(node, &request.pool) else {
-        return SubmitReply::NotOwner;
+    let Some(owner) = node.reachable_owner(&request.pool) else {
+        return (0, SubmitReply::NotOwner);
     };
     let (job, pool) = (request.id, request.pool.clone());
     let start = Instant::now();
-    match peer.submit(request).await {
-        Ok(reply) => reply,
-        Err(err) => {
-            let daemon = shard_owner.daemon.as_str();
-            let ms = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
-            tracing::info!(job = %job, pool = pool.as_str(), daemon, ms, error = %err, "submission to the pool owner failed");
-            node.mark_unreachable(&shard_owner);
-            if is_connect_failure(&err) {
-                SubmitReply::NotOwner
-            } else {
-                SubmitReply::OutcomeUnknown
-            }
+    let reply = call_peer(
+        node,
+        &owner,
+        |peer| async move { peer.submit(request).await },
+    );
+    let reply = reply.await.unwrap_or_else(|err| {
+        let daemon = owner.daemon.as_str();
+        let ms = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
+        tracing::info!(job = %job, pool = pool.as_str(), daemon, ms, error = %err, "submission to the pool owner failed");
+        if err.is_without_effect() {
+            SubmitReply::NotOwner
+        } else {
+            SubmitReply::OutcomeUnknown
         }
-    }
-}
-
-/// The daemon that owns a pool as far as this daemon knows, and an RPC client of that daemon.
-fn find_peer_owner(node: &Node, pool: &str) -> Option<(ShardOwner, PeerClient)> {
-    let shard_owner = node.shard_owner(pool)?;
-    let peer = node.peer_client(&shard_owner.addr)?;
-    Some((shard_owner, peer))
+    });
+    (owner.term, reply)
 }
 
 async fn state(node: &Arc<Node>, queue: &Queue, id: JobId) -> ApiResponse {
@@ -310,12 +340,17 @@
 }
 
 async fn request_peer_state(node: &Arc<Node>, pool: &SmolStr, id: JobId) -> JobReply {
-    let Some((shard_owner, peer)) = find_peer_owner(node, pool) else {
+    let Some(owner) = node.reachable_owner(pool) else {
         return JobReply::NotOwner;
     };
-    peer.state(pool.clone(), id).await.unwrap_or_else(|err| {
+    let pool = pool.clone();
+    let reply = call_peer(
+        node,
+        &owner,
+        |peer| async move { peer.state(pool, id).await },
+    );
+    reply.await.unwrap_or_else(|err| {
         tracing::debug!(job = %id, error = %err, "state request to the pool owner failed");
-        node.mark_unreachable(&shard_owner);
         JobReply::NotOwner
     })
 }
@@ -400,12 +435,17 @@
     if let Some(owner) = node.local_pool_owner(pool) {
         return owner.cancel(id).await;
     }
-    let Some((shard_owner, peer)) = find_peer_owner(node, pool) else {
+    let Some(owner) = node.reachable_owner(pool) else {
         return JobReply::NotOwner;
     };
-    peer.cancel(pool.clone(), id).await.unwrap_or_else(|err| {
-        tracing::info!(job = %id, error = %err, "cancellation request to the pool owner failed");
-        node.mark_unreachable(&shard_owner);
+    let pool = pool.clone();
+    let reply = call_peer(
+        node,
+        &owner,
+        |peer| async move { peer.cancel(pool, id).await },
+    );
+    reply.await.unwrap_or_else(|err| {
+        tracing::info!(job = %id, daemon = owner.daemon.as_str(), error = %err, "cancellation request to the pool owner failed");
         JobReply::Unknown
     })
 }
@@ -413,19 +453,7 @@
 async fn pending(node: &Arc<Node>, queue: &Queue) -> ApiResponse {
     let count = match node.local_pool_owner(&queue.pool) {
         Some(owner) => Some(owner.not_started_jobs(&queue.name)),
-        None => match find_peer_owner(node, &queue.pool) {
-            Some((shard_owner, peer)) => {
-                let count = peer
-                    .not_started_jobs(queue.pool.clone(), queue.name.clone())
-                    .await;
-                count.unwrap_or_else(|err| {
-                    tracing::debug!(queue = queue.name.as_str(), error = %err, "request to the pool owner for the number of jobs not started failed");
-                    node.mark_unreachable(&shard_owner);
-                    None
-                })
-            }
-            None => None,
-        },
+        None => request_peer_count(node, queue).await,
     };
     match count {
         Some(count) => ApiResponse::new(StatusCode::OK).with_body(pending_body(count)),
@@ -433,6 +461,18 @@
     }
 }
 
+async fn request_peer_count(node: &Arc<Node>, queue: &Queue) -> Option<usize> {
+    let owner = node.reachable_owner(&queue.pool)?;
+    let (pool, name) = (queue.pool.clone(), queue.name.clone());
+    let count = call_peer(node, &owner, |peer| async move {
+        peer.not_started_jobs(pool, name).await
+    });
+    count.await.unwrap_or_else(|err| {
+        tracing::debug!(queue = queue.name.as_str(), error = %err, "request to the pool owner for the number of jobs not started failed");
+        None
+    })
+}
+
 /// Handles the readiness probe of the load balancer. The daemon is ready while it has a configuration, the store
 /// responds, and the daemon is not shutting down. Paths other than [`READY_PATH`] get status 404.
 pub(crate) async fn handle_readiness(
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -29,8 +29,9 @@
 use crate::leader::lease_renewal::renew_lease;
 use crate::leader::waves::Waves;
 use crate::node::{Node, SINGLETON_KEY, STORE_TIMEOUT, tables};
+use crate::peer_calls::call_peer;
 use crate::pool::{Sequence, Takeover};
-use crate::rpc::{PoolClient, RoundReply, RoundRequest, is_connect_failure};
+use crate::rpc::{PoolClient, RoundReply, RoundRequest};
 
 /// The delay between two rounds. A round reads the list of VMs, exchanges data with the pools and sends commands.
 const ROUND_PERIOD: Duration = Duration::from_millis(300);
@@ -175,16 +176,18 @@
     /// Hands the fleet shard over to a daemon that the store serves. No command is in flight between two rounds. Also
     /// returns true when the response is lost, because the other daemon may be the leader by then.
     async fn hand_over(&self) -> bool {
-        let Some((other, peer)) = self.node.handover_target() else {
+        let Some(other) = self.node.handover_target() else {
             return false;
         };
-        let taken = peer.take_over_fleet(self.last_command_at_ms, Some(self.sender.term));
+        let (last_command_at_ms, term) = (self.last_command_at_ms, self.sender.term);
+        let taken = call_peer(&self.node, &other, |peer| async move {
+            peer.take_over_fleet(last_command_at_ms, Some(term)).await
+        });
         match taken.await {
             Ok(is_taken) => is_taken,
             Err(err) => {
                 tracing::info!(daemon = other.daemon.as_str(), error = %err, "a peer did not confirm the takeover of the fleet shard");
-                self.node.mark_unreachable(&other);
-                !is_connect_failure(&err)
+                !err.is_without_effect()
             }
         }
     }
@@ -490,14 +493,16 @@
     if let Some(owner) = node.local_pool_owner(pool) {
         return Some(owner.run_round(&request));
     }
-    let owner = node.shard_owner(pool)?;
-    let peer = node.peer_client(&owner.addr)?;
-    match peer.round(pool.clone(), request).await {
+    let owner = node.reachable_owner(pool)?;
+    let name = pool.clone();
+    let reply = call_peer(node, &owner, |peer| async move {
+        peer.round(name, request).await
+    });
+    match reply.await {
         Ok(reply) => reply,
         Err(err) => {
             let daemon = owner.daemon.as_str();
             tracing::warn!(pool = pool.as_str(), daemon, error = %err, "call to the owner of a pool failed");
-            node.mark_unreachable(&owner);
             None
         }
     }
--- a/crates/fleetd/src/lib.rs
+++ b/crates/fleetd/src/lib.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod metrics;
 mod node;
+mod peer_calls;
 mod pool;
 mod rpc;
 mod run;
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use jsonrpsee::http_client::{HttpClient as PeerClient, HttpClientBuilder};
 use ownership::{Peers, ShardOwner};
 use parking_lot::Mutex;
 use smol_str::SmolStr;
@@ -15,6 +14,7 @@
 use crate::clock::{Clock, local_ms};
 use crate::config::ActiveConfig;
 use crate::metrics::Metrics;
+use crate::peer_calls::{self, PeerConnection};
 use crate::pool::PoolOwner;
 use crate::settings::FleetSettings;
 
@@ -31,9 +31,6 @@
 /// time out.
 const OWNER_ANNOUNCEMENT_TIMEOUT_MS: u64 = 2000;
 
-/// How long a call to a peer may take: one transaction of the peer, and a retry if the response to the first is lost.
-const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// The tables in the store for the rows that daemons write.
 pub(crate) mod tables {
     /// The heartbeat rows, by daemon.
@@ -89,7 +86,7 @@
     /// The shards that were not listed in the heartbeat row of the owner that their owner row names: the version of the
     /// owner row, and when this daemon first found that version so, in ms of the local clock.
     unannounced_owners: Mutex<BTreeMap<SmolStr, (u64, u64)>>,
-    peer_clients: Mutex<HashMap<SmolStr, PeerClient>>,
+    peer_connections: Mutex<HashMap<SmolStr, PeerConnection>>,
 }
 
 impl Node {
@@ -126,7 +123,7 @@
             in_flight_requests: AtomicUsize::new(0),
             requested_waves: Mutex::new(BTreeMap::new()),
             unannounced_owners: Mutex::new(BTreeMap::new()),
-            peer_clients: Mutex::new(HashMap::new()),
+            peer_connections: Mutex::new(HashMap::new()),
         }
     }
 
@@ -172,41 +169,30 @@
         self.pool_owners.lock().get(pool).cloned()
     }
 
-    /// The owner of a shard by the heartbeat rows, or `None` when no row lists the shard.
-    pub(crate) fn shard_owner(&self, shard: &str) -> Option<ShardOwner> {
-        self.peers.lock().shard_owner(shard)
+    /// The owner of a shard by the heartbeat rows, or `None` when no row lists the shard or the owner is unreachable.
+    pub(crate) fn reachable_owner(&self, shard: &str) -> Option<ShardOwner> {
+        let peers = self.peers.lock();
+        let owner = peers.shard_owner(shard)?;
+        (!peers.is_unreachable(&owner.daemon)).then_some(owner)
     }
 
-    /// The client for the peer with this address, or `None`, with a line in the log, when the address can't be used.
-    pub(crate) fn peer_client(&self, addr: &SmolStr) -> Option<PeerClient> {
-        let mut clients = self.peer_clients.lock();
-        if let Some(client) = clients.get(addr) {
-            return Some(client.clone());
-        }
-        let built = HttpClientBuilder::default()
-            .request_timeout(PEER_TIMEOUT)
-            .build(format!("http://{addr}"));
-        match built {
-            Ok(client) => {
-                clients.insert(addr.clone(), client.clone());
-                Some(client)
-            }
-            Err(err) => {
-                tracing::warn!(addr = addr.as_str(), error = %err, "failed to build a client for a peer");
-                None
-            }
+    /// The connection to the peer with this address.
+    ///
+    /// # Errors
+    /// [`peer_calls::Error::Unreachable`] when the address can't be used.
+    pub(crate) fn peer_connection(&self, addr: &SmolStr) -> peer_calls::Result<PeerConnection> {
+        let mut connections = self.peer_connections.lock();
+        if let Some(connection) = connections.get(addr) {
+            return Ok(connection.clone());
         }
+        let connection = PeerConnection::new(addr)?;
+        connections.insert(addr.clone(), connection.clone());
+        Ok(connection)
     }
 
-    /// The daemon to hand a shard over to and a client for that daemon, or `None` when no other daemon is alive,
-    /// reachable and not shutting down, or when the daemon's address can't be used.
-    pub(crate) fn handover_target(&self) -> Option<(ShardOwner, PeerClient)> {
-        let other = self
-            .peers
-            .lock()
-            .least_loaded_other(&self.settings.daemon)?;
-        let client = self.peer_client(&other.addr)?;
-        Some((other, client))
+    /// The daemon to hand a shard over to, or `None` when no other daemon is alive, reachable and not shutting down.
+    pub(crate) fn handover_target(&self) -> Option<ShardOwner> {
+        self.peers.lock().least_loaded_other(&self.settings.daemon)
     }
 
     /// Records the term in which this daemon owns a shard, or with `None` that the daemon no longer owns the shard, and
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::clock::local_ms;
 use crate::node::Node;
+use crate::peer_calls::call_peer;
 use crate::rpc::{JobReply, PoolClient, RoundReply, RoundRequest, SubmitReply, WireState};
 
 use submissions::Submissions;
@@ -266,13 +267,14 @@
 
     /// Hands the pool over to a daemon that the store serves, if there is one.
     async fn hand_over(&self) {
-        let Some((other, peer)) = self.node.handover_target() else {
+        let Some(other) = self.node.handover_target() else {
             return;
         };
-        match peer
-            .take_over_pool(self.pool.clone(), Some(self.term))
-            .await
-        {
+        let (pool, term) = (self.pool.clone(), self.term);
+        let taken = call_peer(&self.node, &other, |peer| async move {
+            peer.take_over_pool(pool, Some(term)).await
+        });
+        match taken.await {
             Ok(true) => {
                 let (pool, daemon) = (self.pool.as_str(), other.daemon.as_str());
                 tracing::warn!(
@@ -285,7 +287,6 @@
             Ok(false) => {}
             Err(err) => {
                 tracing::info!(daemon = other.daemon.as_str(), error = %err, "a peer did not confirm the takeover of a pool");
-                self.node.mark_unreachable(&other);
             }
         }
     }
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -1,7 +1,7 @@
 //! The RPC interface between daemons. Its wire form stays compatible with earlier builds of the daemon: the names of
 //! methods, fields and variants, and the order of parameters.
 
-use jsonrpsee::core::{ClientError, RpcResult};
+use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -110,6 +110,10 @@
 /// errors.
 #[rpc(server, client, namespace = "pool")]
 pub(crate) trait Pool {
+    /// Responds at once, without access to the store.
+    #[method(name = "ping")]
+    async fn ping(&self) -> RpcResult<()>;
+
     /// Submits a job to the owner of its pool.
     #[method(name = "submit")]
     async fn submit(
@@ -154,12 +158,5 @@
     ) -> RpcResult<Option<RoundReply>>;
 }
 
-/// Whether a failed call is known to have had no effect, because no connection was made.
-pub(crate) fn is_connect_failure(err: &ClientError) -> bool {
-    // jsonrpsee distinguishes a failed connection from a lost response only in the text of the error.
-    let text = err.to_string();
-    text.contains("(Connect)")
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -172,6 +172,10 @@
 
 #[async_trait]
 impl PoolServer for PeerService {
+    async fn ping(&self) -> RpcResult<()> {
+        Ok(())
+    }
+
     async fn submit(&self, request: SubmitRequest) -> RpcResult<SubmitReply> {
         Ok(match self.node.local_pool_owner(&request.pool) {
             Some(owner) => owner.submit(request.queue, request.id, request.spec).await,
--- a/crates/ownership/src/peers.rs
+++ b/crates/ownership/src/peers.rs
@@ -179,6 +179,13 @@
         (!was_unreachable).then_some(peer.unchanged_ms)
     }
 
+    /// Whether a daemon is marked as unreachable. False for an unknown daemon.
+    #[must_use]
+    pub fn is_unreachable(&self, daemon: &str) -> bool {
+        let peer = self.by_daemon.get(daemon);
+        peer.is_some_and(|peer| peer.is_unreachable)
+    }
+
     /// When the current incarnation of a daemon started, in milliseconds of the store's clock.
     ///
     /// `None` when `incarnation` is still the current incarnation, or when the daemon has no row.
