fleetd: the leader's rounds go on without pools whose owners are slow or gone

Cause: a round waited for the reply of every pool, and one owner was gone; the same class as submissions that wait for a dead owner.

A round waits 300 ms for replies and plans without the missing pools, as it did after a failed call. The call goes on, to find out whether the owner is gone, and the pool gets no other call meanwhile, so that calls stay in order. What a failed call was to tell (cancelled drains, ended incarnations) is part of the next; it was dropped before.

--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -16,7 +16,7 @@
 use parking_lot::Mutex;
 use pools::{VmCommandOutcome, VmState, plan_rebalance};
 use smol_str::SmolStr;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use users_platform::{ListedVm, RowKey, Transaction, VmPhase};
 
 use crate::clock::local_ms;
@@ -46,11 +46,28 @@
 /// commands that the limit allows in a round are left to maintenance.
 const ROUND_MOVES_SHARE: f64 = 0.3;
 
+/// How long a round waits for the replies of pools. A round goes on without the pools whose owners are slow or gone.
+const REPLY_WAIT: Duration = Duration::from_millis(300);
+
 /// The maximum number of moves in a round when the settings have no limit on VM commands per second.
 const DEFAULT_MAX_MOVES: usize = 12;
 
+/// A call to the owner of a pool in a round, and the reply.
+struct PoolCall {
+    pool: SmolStr,
+    round: u64,
+    request: RoundRequest,
+    reply: Option<RoundReply>,
+}
+
 struct Leader {
     node: Arc<Node>,
+    /// The number of the current round.
+    round: u64,
+    /// The calls to the owners of pools that have not ended, or whose end was not handled yet.
+    calls: JoinSet<PoolCall>,
+    /// The last call to the owner of each pool.
+    last_calls: BTreeMap<SmolStr, AbortHandle>,
     sender: CommandSender,
     sequence: Arc<tokio::sync::Mutex<Sequence>>,
     waves: Waves,
@@ -89,6 +106,9 @@
     let now_ms = node.clock.now().store_ms;
     let mut leader = Leader {
         node: node.clone(),
+        round: 0,
+        calls: JoinSet::new(),
+        last_calls: BTreeMap::new(),
         sender,
         sequence: Arc::new(tokio::sync::Mutex::new(takeover.sequence)),
         waves: Waves::default(),
@@ -278,14 +298,20 @@
         standby.map(|pool| pool.name.clone()).collect()
     }
 
-    /// Calls the owner of each pool except the `standby` pools once. Pools without a reply are missing from the result.
+    /// Calls the owner of each pool except the `standby` pools once. Pools without a reply in [`REPLY_WAIT`] are missing
+    /// from the result. Their calls go on, so that a call finds out whether the owner is gone, and the next ones wait
+    /// for its end.
     async fn call_pools(&mut self, standby: &BTreeSet<SmolStr>) -> BTreeMap<SmolStr, RoundReply> {
+        self.round += 1;
         let shards = self.node.active_config.shards();
         let pools = shards
             .into_iter()
             .filter(|shard| shard != FLEET_SHARD && !standby.contains(shard));
-        let mut calls = JoinSet::new();
         for pool in pools {
+            let previous = self.last_calls.get(&pool);
+            if previous.is_some_and(|call| !call.is_finished()) {
+                continue;
+            }
             let draining = self.draining.get(&pool);
             let request = RoundRequest {
                 drain: draining.into_iter().flatten().cloned().collect(),
@@ -293,20 +319,47 @@
                 ended_incarnations: self.ended_incarnations.remove(&pool).unwrap_or_default(),
             };
             let node = self.node.clone();
-            calls.spawn(async move {
-                let reply = call_pool(&node, &pool, request).await;
-                (pool, reply)
+            let mut call = PoolCall {
+                pool: pool.clone(),
+                round: self.round,
+                request,
+                reply: None,
+            };
+            let handle = self.calls.spawn(async move {
+                call.reply = call_pool(&node, &call.pool, call.request.clone()).await;
+                call
             });
+            self.last_calls.insert(pool, handle);
         }
         let mut replies = BTreeMap::new();
-        while let Some(joined) = calls.join_next().await {
-            if let Ok((pool, Some(reply))) = joined {
-                replies.insert(pool, reply);
+        let reply_by = tokio::time::Instant::now() + REPLY_WAIT;
+        while let Ok(Some(ended)) = tokio::time::timeout_at(reply_by, self.calls.join_next()).await
+        {
+            match ended {
+                Ok(call) => self.end_call(call, &mut replies),
+                Err(err) => tracing::error!(error = %err, "call to the owner of a pool panicked"),
             }
         }
         replies
     }
 
+    /// Adds the reply to a call of this round to the replies. Keeps what a pool was to be told for the next call when the
+    /// owner has not replied.
+    fn end_call(&mut self, call: PoolCall, replies: &mut BTreeMap<SmolStr, RoundReply>) {
+        match call.reply {
+            Some(reply) if call.round == self.round => {
+                replies.insert(call.pool, reply);
+            }
+            Some(_) => {}
+            None => {
+                let cancelled = self.cancelled_drains.entry(call.pool.clone()).or_default();
+                cancelled.extend(call.request.cancel_drain);
+                let ended = self.ended_incarnations.entry(call.pool).or_default();
+                ended.extend(call.request.ended_incarnations);
+            }
+        }
+    }
+
     /// Sets the VMs that pools are to drain, and cancels the drain of workers on other VMs.
     fn set_draining(&mut self, listed: &[ListedVm], to_drain: &BTreeSet<SmolStr>) {
         let previous = std::mem::take(&mut self.draining);
@@ -386,7 +439,8 @@
                 drain: workers,
                 ..RoundRequest::default()
             };
-            let Some(reply) = call_pool(&self.node, &pool, request).await else {
+            let reply = call_pool(&self.node, &pool, request);
+            let Ok(Some(reply)) = tokio::time::timeout(REPLY_WAIT, reply).await else {
                 continue;
             };
             for ((vm, worker), tasks) in requested.into_iter().zip(reply.remaining_tasks) {
