scheduler: a job counts as recorded in the state that was written, not in the one of the moment

Cause: apply_commit recorded the state that a job had when the transaction ended, not when its batch was taken; and the callers that wait for a cancellation were answered by the next written batch with the job, also by one taken before the cancellation.

A change in a batch has the state that its row shows, and apply_commit records that one. A cancellation waits until the recorded state is the cancelled one.

--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -156,20 +156,23 @@
         if self.has_ended() {
             return JobReply::NotOwner;
         }
-        let receiver = {
-            let mut scheduler = self.scheduler.lock();
-            if scheduler.cancel(id, self.node.clock.now()) == JobStatus::Unknown {
-                return JobReply::Absent;
-            }
-            if scheduler.is_job_recorded(id) {
-                return job_reply(&scheduler, id);
+        // Repeated, because the rows that are written next may be of a batch that was taken before the cancellation, and
+        // a new job that turned out to have rows is replaced by the job of these rows.
+        loop {
+            let receiver = {
+                let mut scheduler = self.scheduler.lock();
+                if scheduler.cancel(id, self.node.clock.now()) == JobStatus::Unknown {
+                    return JobReply::Absent;
+                }
+                if scheduler.is_job_recorded(id) {
+                    return job_reply(&scheduler, id);
+                }
+                self.submissions.lock().wait(id)
+            };
+            self.recorder_waker.notify_one();
+            if receiver.await != Ok(SubmitReply::Accepted) {
+                return JobReply::Unknown;
             }
-            self.submissions.lock().wait(id)
-        };
-        self.recorder_waker.notify_one();
-        match receiver.await {
-            Ok(SubmitReply::Accepted) => job_reply(&self.scheduler.lock(), id),
-            _ => JobReply::Unknown,
         }
     }
 
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -100,8 +100,11 @@
                         .commits
                         .with_label_values(&["written"])
                         .inc();
+                    batch.remove_jobs(&existing);
                     for id in existing {
                         self.reload_job(id).await;
+                        let mut submissions = self.submissions.lock();
+                        submissions.respond(id, SubmitReply::Accepted);
                     }
                     return Some(sent_at_ms);
                 }
@@ -193,7 +196,7 @@
             .filter(|change| !existing.contains(&change.job))
         {
             let key = |table| RowKey::new(table, self.pool.clone(), change.job.to_string());
-            let job = scheduler.job(change.job).filter(|_| !change.is_removal);
+            let job = scheduler.job(change.job).filter(|_| change.state.is_some());
             let Some(job) = job else {
                 transaction.removals.push(key(tables::JOB));
                 transaction.removals.push(key(tables::PROGRESS));
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -1,7 +1,7 @@
 //! Batches of rows to write, and the commands that may be sent after the write.
 
 use smol_str::SmolStr;
-use submission::{JobId, TaskKey};
+use submission::{Job, JobId, JobState, TaskKey};
 
 use crate::scheduler::Scheduler;
 use crate::worker::WorkerKey;
@@ -62,8 +62,8 @@
     pub job: JobId,
     /// Whether the job is new: the row of the job's spec is also written and must not exist before.
     pub is_new: bool,
-    /// Whether the rows of the job are removed.
-    pub is_removal: bool,
+    /// The state of the job that the rows show; `None` when the rows are removed.
+    pub state: Option<JobState>,
 }
 
 /// The largest number of entries that the rows of a job take in a transaction.
@@ -74,9 +74,7 @@
     fn entries(&self) -> usize {
         match self {
             Self { is_new: true, .. } => MAX_ENTRIES_PER_JOB,
-            Self {
-                is_removal: true, ..
-            } => 2,
+            Self { state: None, .. } => 2,
             _ => 1,
         }
     }
@@ -122,7 +120,7 @@
             let change = RowChange {
                 job,
                 is_new: !self.recorded_states.contains_key(&job),
-                is_removal: !self.jobs.contains_key(&job),
+                state: self.jobs.get(&job).map(Job::state),
             };
             entries += change.entries();
             batch.changes.push(change);
@@ -149,18 +147,14 @@
         self.dirty_jobs.is_empty()
     }
 
-    /// Applies a batch whose rows are written. Records the states that the jobs have now, which callers may be told
-    /// from then on: the written rows have to show the same states.
+    /// Applies a batch whose rows are written. Records the states that the jobs had when the batch was taken, which
+    /// callers may be told from then on.
     pub fn apply_commit(&mut self, batch: &Batch) {
         for change in &batch.changes {
-            match self.jobs.get(&change.job) {
-                Some(job) => {
-                    self.recorded_states.insert(change.job, job.state());
-                }
-                None => {
-                    self.recorded_states.remove(&change.job);
-                }
-            }
+            match change.state {
+                Some(state) => self.recorded_states.insert(change.job, state),
+                None => self.recorded_states.remove(&change.job),
+            };
         }
         for &(key, end) in &batch.ends {
             if let Some(worker) = self.workers.get_mut(key) {
