fleetd: a daemon takes a pool over once, and an ended ownership does not end a later one

Cause: the handover by a daemon that was cut off and the takeover by the successor itself ran at the same time, both succeeded, and the end of the first ownership removed the shard from the owned ones, although the second owned it. The daemon then found the shard unowned and took it over again, which deposed the second.

A daemon has at most one takeover of a shard under way, and none of a shard that it owns; an ownership ends only its own term.

--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -141,7 +141,7 @@
         tokio::time::sleep(ROUND_PERIOD).await;
     }
     tracing::warn!(term, "stopped being the leader");
-    node.set_owned_term(&FLEET_SHARD.into(), None);
+    node.end_term(&FLEET_SHARD.into(), term);
 }
 
 /// Returns how long from now a new leader waits until the leader maintains VMs, in ms, to keep the gap to the commands
--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -154,9 +154,6 @@
         .lock()
         .shards_to_take_over(&node.settings.daemon, &shards);
     for shard in shards_to_take_over {
-        if node.owned_shards.lock().contains_key(&shard) {
-            continue;
-        }
         let result = if shard == FLEET_SHARD {
             take_over_fleet(node, None).await
         } else {
@@ -196,7 +193,6 @@
         owner.is_released = true;
         owner.last_command_at_ms = handover.last_command_at_ms;
     }
-    node.set_owned_term(&shard, Some(takeover.term));
     tokio::spawn(leader::run(node.clone(), takeover));
     Ok(true)
 }
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -1,6 +1,6 @@
 //! The state and the clients that all tasks of a daemon share.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -71,6 +71,8 @@
     pub(crate) pool_owners: Mutex<BTreeMap<SmolStr, Arc<PoolOwner>>>,
     /// The shards that this daemon owns, each with the daemon's term.
     pub(crate) owned_shards: Mutex<BTreeMap<SmolStr, u64>>,
+    /// The shards that this daemon is taking over.
+    takeovers: Mutex<BTreeSet<SmolStr>>,
     /// Wakes the loop that writes the heartbeat row.
     pub(crate) owned_shards_changed: Notify,
     /// Whether this daemon is shutting down, and so takes over no more shards and reports that it is not ready.
@@ -116,6 +118,7 @@
             peers: Mutex::new(peers),
             pool_owners: Mutex::new(BTreeMap::new()),
             owned_shards: Mutex::new(BTreeMap::new()),
+            takeovers: Mutex::new(BTreeSet::new()),
             owned_shards_changed: Notify::new(),
             is_shutting_down: AtomicBool::new(false),
             store_responded_at_ms: AtomicU64::new(0),
@@ -195,15 +198,43 @@
         self.peers.lock().least_loaded_other(&self.settings.daemon)
     }
 
-    /// Records the term in which this daemon owns a shard, or with `None` that the daemon no longer owns the shard, and
-    /// wakes the loop that writes the heartbeat row.
-    pub(crate) fn set_owned_term(&self, shard: &SmolStr, term: Option<u64>) {
+    /// Begins a takeover of a shard. `None` while this daemon owns the shard or another takeover of it has not ended, as a
+    /// second takeover would end the ownership that the first one begins.
+    pub(crate) fn begin_takeover(&self, shard: &SmolStr) -> Option<TakeoverGuard<'_>> {
+        let is_owned = self.owned_shards.lock().contains_key(shard);
+        let began = !is_owned && self.takeovers.lock().insert(shard.clone());
+        began.then(|| TakeoverGuard {
+            node: self,
+            shard: shard.clone(),
+        })
+    }
+
+    /// Records the term in which this daemon owns a shard, and wakes the loop that writes the heartbeat row.
+    pub(crate) fn begin_term(&self, shard: &SmolStr, term: u64) {
+        self.owned_shards.lock().insert(shard.clone(), term);
+        self.owned_shards_changed.notify_one();
+    }
+
+    /// Records that this daemon's ownership of a shard has ended, unless a later term of this daemon has begun, and wakes
+    /// the loop that writes the heartbeat row.
+    pub(crate) fn end_term(&self, shard: &SmolStr, term: u64) {
         let mut owned_shards = self.owned_shards.lock();
-        match term {
-            Some(term) => owned_shards.insert(shard.clone(), term),
-            None => owned_shards.remove(shard),
-        };
+        if owned_shards.get(shard) == Some(&term) {
+            owned_shards.remove(shard);
+        }
         drop(owned_shards);
         self.owned_shards_changed.notify_one();
     }
 }
+
+/// A takeover of a shard by this daemon. The takeover ends when the value is dropped.
+pub(crate) struct TakeoverGuard<'a> {
+    node: &'a Node,
+    shard: SmolStr,
+}
+
+impl Drop for TakeoverGuard<'_> {
+    fn drop(&mut self) {
+        self.node.takeovers.lock().remove(&self.shard);
+    }
+}
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -310,7 +310,7 @@
             pools.remove(&self.pool);
         }
         drop(pools);
-        self.node.set_owned_term(&self.pool, None);
+        self.node.end_term(&self.pool, self.term);
     }
 }
 
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -46,13 +46,16 @@
 
 /// Takes over a shard that has no owner, or whose owner is this process, is not serving, has released the shard, hands
 /// the shard over (`handed_over_term` is the term of the daemon that does), or has not announced its ownership to the
-/// peers in time. Returns `None` when another daemon was faster, or when the owner still serves the shard. Fails when the
-/// store does; the transaction may then have taken effect.
+/// peers in time. Returns `None` when another daemon was faster, when the owner still serves the shard, or when this daemon
+/// owns the shard or is taking it over. Fails when the store does; the transaction may then have taken effect.
 pub(crate) async fn take_over_shard(
     node: &Node,
     shard: &SmolStr,
     handed_over_term: Option<u64>,
 ) -> Result<Option<Takeover>, Error> {
+    let Some(_takeover) = node.begin_takeover(shard) else {
+        return Ok(None);
+    };
     let owner_key = RowKey::new(tables::OWNER, shard.clone(), SINGLETON_KEY);
     let range = KeyRange {
         table: tables::OWNER,
@@ -101,6 +104,7 @@
     match node.store.commit(&transaction, STORE_TIMEOUT).await? {
         CommitOutcome::Conflict { .. } => Ok(None),
         CommitOutcome::Committed { version } => {
+            node.begin_term(shard, term);
             node.metrics.takeovers.inc();
             let from = previous_owner
                 .as_ref()
@@ -132,7 +136,6 @@
     let Some(takeover) = take_over_shard(node, pool, handed_over_term).await? else {
         return Ok(false);
     };
-    node.set_owned_term(pool, Some(takeover.term));
     tokio::spawn(start_owner(node.clone(), pool.clone(), takeover));
     Ok(true)
 }
--- a/crates/test-support/src/fleet_daemon.rs
+++ b/crates/test-support/src/fleet_daemon.rs
@@ -63,6 +63,12 @@
         )
     }
 
+    /// Where peers call it.
+    #[must_use]
+    pub fn peers_url(&self) -> String {
+        format!("http://{}", self.peers)
+    }
+
     /// Where the balancer asks whether it takes callers.
     #[must_use]
     pub fn ready_url(&self) -> String {
--- a/crates/trefoilpassd/tests/fleet.rs
+++ b/crates/trefoilpassd/tests/fleet.rs
@@ -21,6 +21,7 @@
     name: String,
     process: Process,
     callers: SocketAddr,
+    peers: String,
     ready: String,
 }
 
@@ -31,6 +32,7 @@
         name: name.to_owned(),
         process: Process::start_fleet(program, &spec.yaml(), Stdio::null()),
         callers: spec.callers,
+        peers: spec.peers_url(),
         ready: spec.ready_url(),
     }
 }
@@ -320,6 +322,43 @@
     check_runs(&platform, 12);
 }
 
+/// Asks a daemon to take the pool over from the owner with this term.
+async fn hand_over(daemon: &Daemon, term: u64) {
+    let call = json!({"jsonrpc": "2.0", "id": 1, "method": "pool_take", "params": ["work", term]});
+    let client = Client::builder().no_proxy().build().unwrap();
+    let request = client.post(&daemon.peers).body(call.to_string());
+    let response = request.header("content-type", "application/json").send();
+    assert_eq!(response.await.unwrap().status(), 200);
+}
+
+fn owned_term(platform: &PlatformStandIn, daemon: &Daemon) -> Option<u64> {
+    let row = platform.store.get("daemon", &daemon.name)?;
+    row["holds"]["work"].as_u64()
+}
+
+/// An owner whose transactions fail repeats the handover, and the other daemon may be taking the pool over by itself.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_that_is_asked_again_and_again_takes_a_pool_over_once() {
+    let (platform, daemons) = start(2, 2).await;
+    submit_surely(&daemons, 1, 4).await;
+    let (owner, others) = split_owner(&platform, &daemons);
+    let term = owned_term(&platform, owner).unwrap();
+    let successor = others[0];
+    let calls = (0..40).map(|number| async move {
+        tokio::time::sleep(Duration::from_micros(300 * number)).await;
+        hand_over(successor, term).await;
+    });
+    futures_util::future::join_all(calls).await;
+    // Longer than a storm of takeovers takes to begin: the period of the heartbeat rows.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(owned_term(&platform, successor), Some(term + 1));
+    submit_surely(&daemons, 2, 4).await;
+    for id in 1..=2 {
+        done(&daemons, id).await;
+    }
+    check_runs(&platform, 8);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bad_requests_get_a_clear_answer_and_store_nothing() {
     let (platform, daemons) = start(1, 1).await;
