--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -153,12 +153,12 @@
     /// Cancels a job and returns the job's state once its rows are written. Returns `Absent` for an unknown job,
     /// `NotOwner` when the ownership has ended, and `Unknown` when the ownership ends during the call.
     pub(crate) async fn cancel(&self, id: JobId) -> JobReply {
-        if self.has_ended() {
-            return JobReply::NotOwner;
-        }
         // Repeated, because the rows that are written next may be of a batch that was taken before the cancellation, and
         // a new job that turned out to have rows is replaced by the job of these rows.
         loop {
+            if self.has_ended() {
+                return JobReply::NotOwner;
+            }
             let receiver = {
                 let mut scheduler = self.scheduler.lock();
                 if scheduler.cancel(id, self.node.clock.now()) == JobStatus::Unknown {
