fleetd: the leader's calls to pools in a module of their own

No change of behaviour: at most one call for each pool, a wait of 300 ms for replies, and what a failed call was to tell kept for the next.

--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod inputs;
 mod lease_renewal;
+mod pool_calls;
 mod waves;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,7 +17,6 @@
 use parking_lot::Mutex;
 use pools::{VmCommandOutcome, VmState, plan_rebalance};
 use smol_str::SmolStr;
-use tokio::task::{AbortHandle, JoinSet};
 use users_platform::{ListedVm, RowKey, Transaction, VmPhase};
 
 use crate::clock::local_ms;
@@ -27,6 +27,7 @@
     incarnations_by_vm, log_pools, pool_states, remaining_tasks, wave_vms,
 };
 use crate::leader::lease_renewal::renew_lease;
+use crate::leader::pool_calls::{PoolCalls, REPLY_WAIT, call_pool};
 use crate::leader::waves::Waves;
 use crate::node::{Node, SINGLETON_KEY, STORE_TIMEOUT, tables};
 use crate::peer_calls::call_peer;
@@ -46,28 +47,12 @@
 /// commands that the limit allows in a round are left to maintenance.
 const ROUND_MOVES_SHARE: f64 = 0.3;
 
-/// How long a round waits for the replies of pools. A round goes on without the pools whose owners are slow or gone.
-const REPLY_WAIT: Duration = Duration::from_millis(300);
-
 /// The maximum number of moves in a round when the settings have no limit on VM commands per second.
 const DEFAULT_MAX_MOVES: usize = 12;
 
-/// A call to the owner of a pool in a round, and the reply.
-struct PoolCall {
-    pool: SmolStr,
-    round: u64,
-    request: RoundRequest,
-    reply: Option<RoundReply>,
-}
-
 struct Leader {
     node: Arc<Node>,
-    /// The number of the current round.
-    round: u64,
-    /// The calls to the owners of pools that have not ended, or whose end was not handled yet.
-    calls: JoinSet<PoolCall>,
-    /// The last call to the owner of each pool.
-    last_calls: BTreeMap<SmolStr, AbortHandle>,
+    calls: PoolCalls,
     sender: CommandSender,
     sequence: Arc<tokio::sync::Mutex<Sequence>>,
     waves: Waves,
@@ -106,9 +91,7 @@
     let now_ms = node.clock.now().store_ms;
     let mut leader = Leader {
         node: node.clone(),
-        round: 0,
-        calls: JoinSet::new(),
-        last_calls: BTreeMap::new(),
+        calls: PoolCalls::default(),
         sender,
         sequence: Arc::new(tokio::sync::Mutex::new(takeover.sequence)),
         waves: Waves::default(),
@@ -298,66 +281,31 @@
         standby.map(|pool| pool.name.clone()).collect()
     }
 
-    /// Calls the owner of each pool except the `standby` pools once. Pools without a reply in [`REPLY_WAIT`] are missing
-    /// from the result. Their calls go on, so that a call finds out whether the owner is gone, and the next ones wait
-    /// for its end.
+    /// Calls the owner of each pool except the `standby` pools. Pools without a reply in time are missing from the result;
+    /// what such a pool was to be told is kept for the next call.
     async fn call_pools(&mut self, standby: &BTreeSet<SmolStr>) -> BTreeMap<SmolStr, RoundReply> {
-        self.round += 1;
         let shards = self.node.active_config.shards();
         let pools = shards
             .into_iter()
             .filter(|shard| shard != FLEET_SHARD && !standby.contains(shard));
-        for pool in pools {
-            let previous = self.last_calls.get(&pool);
-            if previous.is_some_and(|call| !call.is_finished()) {
-                continue;
-            }
+        let mut requests = Vec::new();
+        for pool in pools.filter(|pool| !self.calls.is_under_way(pool)) {
             let draining = self.draining.get(&pool);
             let request = RoundRequest {
                 drain: draining.into_iter().flatten().cloned().collect(),
                 cancel_drain: self.cancelled_drains.remove(&pool).unwrap_or_default(),
                 ended_incarnations: self.ended_incarnations.remove(&pool).unwrap_or_default(),
             };
-            let node = self.node.clone();
-            let mut call = PoolCall {
-                pool: pool.clone(),
-                round: self.round,
-                request,
-                reply: None,
-            };
-            let handle = self.calls.spawn(async move {
-                call.reply = call_pool(&node, &call.pool, call.request.clone()).await;
-                call
-            });
-            self.last_calls.insert(pool, handle);
+            requests.push((pool, request));
         }
-        let mut replies = BTreeMap::new();
-        let reply_by = tokio::time::Instant::now() + REPLY_WAIT;
-        while let Ok(Some(ended)) = tokio::time::timeout_at(reply_by, self.calls.join_next()).await
-        {
-            match ended {
-                Ok(call) => self.end_call(call, &mut replies),
-                Err(err) => tracing::error!(error = %err, "call to the owner of a pool panicked"),
-            }
-        }
-        replies
-    }
-
-    /// Adds the reply to a call of this round to the replies. Keeps what a pool was to be told for the next call when the
-    /// owner has not replied.
-    fn end_call(&mut self, call: PoolCall, replies: &mut BTreeMap<SmolStr, RoundReply>) {
-        match call.reply {
-            Some(reply) if call.round == self.round => {
-                replies.insert(call.pool, reply);
-            }
-            Some(_) => {}
-            None => {
-                let cancelled = self.cancelled_drains.entry(call.pool.clone()).or_default();
-                cancelled.extend(call.request.cancel_drain);
-                let ended = self.ended_incarnations.entry(call.pool).or_default();
-                ended.extend(call.request.ended_incarnations);
-            }
+        let ended = self.calls.run_round(&self.node, requests).await;
+        for (pool, request) in ended.failed {
+            let cancelled = self.cancelled_drains.entry(pool.clone()).or_default();
+            cancelled.extend(request.cancel_drain);
+            let incarnations = self.ended_incarnations.entry(pool).or_default();
+            incarnations.extend(request.ended_incarnations);
         }
+        ended.replies
     }
 
     /// Sets the VMs that pools are to drain, and cancels the drain of workers on other VMs.
@@ -541,23 +489,3 @@
         }
     }
 }
-
-/// Calls the owner of a pool, which may be this daemon. `None` when no owner has replied.
-async fn call_pool(node: &Node, pool: &SmolStr, request: RoundRequest) -> Option<RoundReply> {
-    if let Some(owner) = node.local_pool_owner(pool) {
-        return Some(owner.run_round(&request));
-    }
-    let owner = node.reachable_owner(pool)?;
-    let name = pool.clone();
-    let reply = call_peer(node, &owner, |peer| async move {
-        peer.round(name, request).await
-    });
-    match reply.await {
-        Ok(reply) => reply,
-        Err(err) => {
-            let daemon = owner.daemon.as_str();
-            tracing::warn!(pool = pool.as_str(), daemon, error = %err, "call to the owner of a pool failed");
-            None
-        }
-    }
-}
