--- /dev/null
+++ b/crates/trefoilpassd/tests/fleet_outages.rs
@@ -0,0 +1,183 @@
+//! What callers get while the store or the owner of a pool can't answer, and when callers leave.
+
+mod fleet_support;
+
+use std::time::Duration;
+
+use fleet_support::{
+    CALLER_WAIT, Daemon, call, call_within, check_runs, done, ready, start, submit, submit_surely,
+};
+use platform_stand_in::{PlatformStandIn, StoreFaults, job_body};
+use reqwest::Client;
+use serde_json::{Value, json};
+
+/// The daemon that owns the pool, and the others.
+fn split_owner<'a>(
+    platform: &PlatformStandIn,
+    daemons: &'a [Daemon],
+) -> (&'a Daemon, Vec<&'a Daemon>) {
+    let (owners, others): (Vec<_>, Vec<_>) = daemons.iter().partition(|daemon| {
+        let row = platform.store.get("daemon", &daemon.name);
+        row.is_some_and(|row| row["holds"]["work"].is_u64())
+    });
+    assert_eq!(owners.len(), 1, "daemons that own the pool");
+    (owners[0], others)
+}
+
+/// A refusal tells that the job has not run and never will: nobody knows it afterwards.
+async fn check_refused(platform: &PlatformStandIn, daemons: &[Daemon], id: u64) {
+    let (status, _) = call(
+        reqwest::Method::GET,
+        &daemons[0],
+        &format!("/q/{id:016x}"),
+        None,
+    )
+    .await;
+    assert_eq!(status, 410, "a refused job is known");
+    let name = format!("{id:016x}");
+    let mut attempts = platform.attempts().into_iter();
+    assert!(
+        !attempts.any(|attempt| attempt.task.starts_with(&name)),
+        "a refused job has run"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn submissions_that_the_store_rejects_do_not_wait_for_the_end_of_its_outage() {
+    let (platform, daemons) = start(2, 2).await;
+    submit_surely(&daemons, 1, 4).await;
+    platform.store.set_faults(StoreFaults {
+        is_down: true,
+        ..StoreFaults::default()
+    });
+    let (owner, others) = split_owner(&platform, &daemons);
+    let answers = tokio::join!(submit(owner, 2, 4), submit(others[0], 3, 4));
+    assert_eq!(answers, (503, 503));
+    platform.store.set_faults(StoreFaults::default());
+    submit_surely(&daemons, 4, 4).await;
+    for id in [1, 4] {
+        done(&daemons, id).await;
+    }
+    for id in [2, 3] {
+        check_refused(&platform, &daemons, id).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn submissions_behind_an_unanswered_transaction_do_not_wait_for_the_end_of_the_outage() {
+    let (platform, daemons) = start(2, 2).await;
+    submit_surely(&daemons, 1, 4).await;
+    platform.store.set_faults(StoreFaults {
+        is_silent: true,
+        ..StoreFaults::default()
+    });
+    let (owner, others) = split_owner(&platform, &daemons);
+    let behind = async {
+        // After the first submission is in a transaction.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        tokio::join!(submit(owner, 3, 4), submit(others[0], 4, 4))
+    };
+    let (_, answers) = tokio::join!(submit(owner, 2, 4), behind);
+    assert_eq!(answers, (503, 503));
+    platform.store.set_faults(StoreFaults::default());
+    submit_surely(&daemons, 5, 4).await;
+    for id in [1, 5] {
+        done(&daemons, id).await;
+    }
+    for id in [3, 4] {
+        check_refused(&platform, &daemons, id).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn submissions_outlast_an_owner_of_their_pool_that_stops_responding() {
+    let (platform, daemons) = start(2, 3).await;
+    submit_surely(&daemons, 1, 4).await;
+    let (owner, others) = split_owner(&platform, &daemons);
+    // As with a VM that loses power, connections to a paused process are neither refused nor closed.
+    owner.process.pause();
+    let answers = tokio::join!(submit(others[0], 2, 4), submit(others[1], 3, 4));
+    assert_eq!(answers, (200, 200));
+    owner.process.resume();
+    for id in 1..=3 {
+        done(&daemons, id).await;
+    }
+    check_runs(&platform, 12);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn any_wait_of_a_caller_is_accepted() {
+    let (_platform, daemons) = start(2, 1).await;
+    submit_surely(&daemons, 1, 1).await;
+    let waits = ["0", "1000", "18446744073709551615", "-1", "soon", ""];
+    for (id, wait_ms) in (2..).zip(waits) {
+        let path = format!("/q/{id:016x}");
+        let body = Some(job_body("x", 1, false));
+        let request = (reqwest::Method::POST, &daemons[0], path.as_str(), body);
+        let (status, _) = call_within(wait_ms, CALLER_WAIT, request).await;
+        // A caller that does not wait may get the answer that the outcome is unknown.
+        let expected: &[u16] = if wait_ms == "0" { &[200, 504] } else { &[200] };
+        assert!(
+            expected.contains(&status),
+            "status {status} with {wait_ms:?}"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_that_left_do_not_delay_the_shutdown() {
+    let (platform, mut daemons) = start(2, 1).await;
+    submit_surely(&daemons, 1, 1).await;
+    platform.store.set_faults(StoreFaults {
+        is_silent: true,
+        ..StoreFaults::default()
+    });
+    let body = Some(job_body("x", 1, false));
+    let path = "/q/0000000000000002";
+    let request = (reqwest::Method::POST, &daemons[0], path, body);
+    let answer = call_within("300", Duration::from_millis(100), request).await;
+    assert_eq!(answer, (0, Value::Null), "the caller leaves first");
+    platform.store.set_faults(StoreFaults::default());
+    ready(&daemons[0]).await;
+    daemons[0].process.terminate();
+    // The balancer's detection of 2.3 s, and less than the rest of the grace period of 6 s.
+    let status = daemons[0].process.wait(Duration::from_millis(4500)).await;
+    assert!(status.is_some_and(|status| status.success()));
+}
+
+/// Asks a daemon to take the pool over from the owner with this term.
+async fn hand_over(daemon: &Daemon, term: u64) {
+    let call = json!({"jsonrpc": "2.0", "id": 1, "method": "pool_take", "params": ["work", term]});
+    let client = Client::builder().no_proxy().build().unwrap();
+    let request = client.post(&daemon.peers).body(call.to_string());
+    let response = request.header("content-type", "application/json").send();
+    assert_eq!(response.await.unwrap().status(), 200);
+}
+
+fn owned_term(platform: &PlatformStandIn, daemon: &Daemon) -> Option<u64> {
+    let row = platform.store.get("daemon", &daemon.name)?;
+    row["holds"]["work"].as_u64()
+}
+
+/// An owner whose transactions fail repeats the handover, and the other daemon may be taking the pool over by itself.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_that_is_asked_again_and_again_takes_a_pool_over_once() {
+    let (platform, daemons) = start(2, 2).await;
+    submit_surely(&daemons, 1, 4).await;
+    let (owner, others) = split_owner(&platform, &daemons);
+    let term = owned_term(&platform, owner).unwrap();
+    let successor = others[0];
+    let calls = (0..40).map(|number| async move {
+        tokio::time::sleep(Duration::from_micros(300 * number)).await;
+        hand_over(successor, term).await;
+    });
+    futures_util::future::join_all(calls).await;
+    // Longer than a storm of takeovers takes to begin: the period of the heartbeat rows.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(owned_term(&platform, successor), Some(term + 1));
+    submit_surely(&daemons, 2, 4).await;
+    for id in 1..=2 {
+        done(&daemons, id).await;
+    }
+    check_runs(&platform, 8);
+}
