fleetd: an owner refuses what the store does not answer before the calls time out

It is 1.5 s again; the store is checked every 50 ms, so that the refusal comes after 1.40 s to 1.45 s, before the call's end.

--- a/crates/fleetd/src/peer_calls.rs
+++ b/crates/fleetd/src/peer_calls.rs
@@ -16,9 +16,9 @@
 use crate::node::Node;
 use crate::rpc::PoolClient;
 
-/// How long a call may take: one transaction of the peer, and a retry of up to 1 s if the response to the first try is
-/// lost, which takes 0.7 s. By then, a peer that the store does not answer has refused what it can.
-pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a call may take: one transaction of the peer, and a retry if the response to the first is lost. By then, a peer
+/// that the store does not answer has refused what it can.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// How long a call is under way before the peer is probed, and the period of the probes after that.
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -40,8 +40,9 @@
 /// How long the store may fail transactions before new jobs are refused at once instead of waiting for a commit.
 const STORE_UNAVAILABLE_MS: u64 = 700;
 
-/// How often an owner checks whether the store is unavailable to it.
-const STORE_CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// How often an owner checks whether the store is unavailable to it. Short, so that submissions are refused before the
+/// calls that carry them time out.
+const STORE_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
 /// How long an owner's transactions may fail without effect (the store refuses them or is unreachable) before the owner
 /// hands its pool over to a daemon that the store serves. An owner whose calls are only slow keeps the pool, as the
