--- a/crates/fleetd/src/peer_calls.rs
+++ b/crates/fleetd/src/peer_calls.rs
@@ -23,7 +23,7 @@
 /// How long a call is under way before the peer is probed, and the period of the probes after that.
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
 
-/// How long a peer may take to respond to a probe. Longer than a busy peer plans a round or adopts the jobs of a pool.
+/// How long a peer may take to respond to a probe, also while it is busy for a moment.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Result of a call to a peer.
