--- a/crates/fleetd/src/metrics.rs
+++ b/crates/fleetd/src/metrics.rs
@@ -1,8 +1,11 @@
 //! Counters and latency histograms, exported in the Prometheus text format.
 
+use std::sync::Arc;
+
 use prometheus::{
     Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
 };
+use users_platform::{CallCosts, CallKind};
 
 /// Upper bounds of the latency buckets, in seconds; up to the maximum time that a caller waits.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0];
@@ -11,6 +14,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
     registry: Registry,
+    calls: CallMetrics,
     pub(crate) responses: IntCounterVec,
     pub(crate) response_duration_s: Histogram,
     pub(crate) commits: IntCounterVec,
@@ -22,9 +26,39 @@
     pub(crate) dropped_log_lines: IntCounter,
 }
 
+/// Metrics of the calls to the platform, by peer and call.
+#[derive(Debug, Clone)]
+struct CallMetrics {
+    costs: Arc<CallCosts>,
+    calls: IntCounterVec,
+    sent_bytes: IntCounterVec,
+    received_bytes: IntCounterVec,
+    duration_us: IntCounterVec,
+}
+
+impl CallMetrics {
+    /// Raises the counters to the present totals.
+    fn update(&self) {
+        for kind in CallKind::ALL {
+            let (peer, call) = kind.labels();
+            let totals = self.costs.totals(kind);
+            for (counters, total) in [
+                (&self.calls, totals.calls),
+                (&self.sent_bytes, totals.sent_bytes),
+                (&self.received_bytes, totals.received_bytes),
+                (&self.duration_us, totals.duration_us),
+            ] {
+                let counter = counters.with_label_values(&[peer, call]);
+                counter.inc_by(total.saturating_sub(counter.get()));
+            }
+        }
+    }
+}
+
 impl Metrics {
-    /// Registers the metrics. Fails when a name or label is invalid or registered twice.
-    pub(crate) fn new() -> prometheus::Result<Self> {
+    /// Registers the metrics. `costs` are those of the calls to the platform. Fails when a name or label is invalid or
+    /// registered twice.
+    pub(crate) fn new(costs: Arc<CallCosts>) -> prometheus::Result<Self> {
         let registry = Registry::new();
         let counter = |name: &str, help: &str| {
             let counter = IntCounter::new(format!("trefoilpass_{name}"), help)?;
@@ -43,7 +77,32 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
+        let call_labels = ["peer", "call"];
+        let calls = CallMetrics {
+            costs,
+            calls: labeled(
+                "platform_calls_total",
+                "Calls to the platform.",
+                &call_labels,
+            )?,
+            sent_bytes: labeled(
+                "platform_sent_bytes_total",
+                "Bytes of request bodies to the platform.",
+                &call_labels,
+            )?,
+            received_bytes: labeled(
+                "platform_received_bytes_total",
+                "Bytes of response bodies from the platform.",
+                &call_labels,
+            )?,
+            duration_us: labeled(
+                "platform_call_microseconds_total",
+                "Time that calls to the platform took, in microseconds.",
+                &call_labels,
+            )?,
+        };
         Ok(Self {
+            calls,
             responses: labeled(
                 "answers_total",
                 "Responses to callers.",
@@ -84,6 +143,7 @@
 
     /// All metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
+        self.calls.update();
         let families = self.registry.gather();
         let text = TextEncoder::new().encode_to_string(&families);
         // Encoding fails only for names that registration rejects.
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -89,9 +89,9 @@
 }
 
 async fn run_daemon(settings: FleetSettings) -> Result<()> {
-    let metrics = Metrics::new().context(MetricsSnafu)?;
-    let _log_guard = logging::init(metrics.dropped_log_lines.clone());
     let http = HttpClient::new(CONNECT_TIMEOUT, TCP_USER_TIMEOUT).context(ClientSnafu)?;
+    let metrics = Metrics::new(http.costs()).context(MetricsSnafu)?;
+    let _log_guard = logging::init(metrics.dropped_log_lines.clone());
     let incarnation: u64 = rand::rng().random();
     let incarnation = format_smolstr!("{incarnation:016x}");
     let peers = Peers::new(DEAD_AFTER_MS, UNREACHABLE_DEAD_AFTER_MS, MAX_READ_GAP_MS);
