fleetd: transfers that fit the link: paced starts, timeouts that follow the link, reads in adaptive pages

Cause: on a link of 2 Mbit/s, 107 starts in 0.5 s (139 KB) waited longer than the fixed timeout of 250 ms; each was sent three times, then stopped, and all workers were polled again every 0.2 s. After a takeover, a page of 500 rows never arrived within 1 s and was read again from the start, also by daemons that had lost the pool meanwhile. Starts now take at most 55 % of the link, timeouts grow with the response times, and a read goes on where it stopped, in pages of the size that arrives in 0.3 s, and ends with the term. Ruled out: processor time (0.0035 of a core on average).

--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ownership::{Peers, ShardOwner};
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
+use transfer::{LinkBudget, ResponseTimes};
 use users_platform::{HttpClient, PolicyClient, StoreClient, VmClient, WaveRequest, WorkerClient};
 
 use crate::clock::{Clock, local_ms};
@@ -22,6 +23,16 @@
 /// is 50 times slower than usual.
 pub(crate) const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a worker may take to respond to a command or a poll, beyond the time for which a poll lets the worker wait.
+/// Fifty times the usual response time; a lost command delays the caller by the whole timeout.
+const MIN_WORKER_TIMEOUT_MS: u64 = 250;
+
+/// The longest timeout of a command or a poll, for a link that is saturated. A lease lasts five times as long.
+const MAX_WORKER_TIMEOUT_MS: u64 = 1000;
+
+/// The share of the link that start commands may use, in percent. Commits, polls and heartbeats share the rest.
+const COMMAND_LINK_SHARE_PERCENT: u32 = 55;
+
 /// The store counts as unavailable when it has not responded for this long. This daemon then reports that it is not
 /// ready, so that callers use other daemons. The daemon calls the store every 0.4 s, and a slow response takes 0.3 s.
 const STORE_UNAVAILABLE_AFTER_MS: u64 = 1300;
@@ -89,6 +100,12 @@
     /// owner row, and when this daemon first found that version so, in ms of the local clock.
     unannounced_owners: Mutex<BTreeMap<SmolStr, (u64, u64)>>,
     peer_connections: Mutex<HashMap<SmolStr, PeerConnection>>,
+    /// The clock of [`Node::command_budget`].
+    command_clock: Instant,
+    /// The share of the link that start commands may use.
+    command_budget: Mutex<LinkBudget>,
+    /// The response times of the workers that respond.
+    worker_response_times: Mutex<ResponseTimes>,
 }
 
 impl Node {
@@ -100,6 +117,8 @@
         metrics: Metrics,
         peers: Peers,
     ) -> Self {
+        let command_budget =
+            LinkBudget::new(settings.machine.link_mbps, COMMAND_LINK_SHARE_PERCENT);
         Self {
             store: StoreClient::new(http.clone(), &settings.store_addr),
             workers: WorkerClient::new(http.clone()),
@@ -127,6 +146,12 @@
             requested_waves: Mutex::new(BTreeMap::new()),
             unannounced_owners: Mutex::new(BTreeMap::new()),
             peer_connections: Mutex::new(HashMap::new()),
+            command_clock: Instant::now(),
+            command_budget: Mutex::new(command_budget),
+            worker_response_times: Mutex::new(ResponseTimes::new(
+                MIN_WORKER_TIMEOUT_MS,
+                MAX_WORKER_TIMEOUT_MS,
+            )),
         }
     }
 
@@ -137,6 +162,28 @@
         now.store_ms.saturating_sub(uptime_ms)
     }
 
+    /// How long a worker may take to respond to a command or a poll, beyond the time for which a poll lets the worker
+    /// wait.
+    pub(crate) fn worker_timeout(&self) -> Duration {
+        Duration::from_millis(self.worker_response_times.lock().timeout_ms())
+    }
+
+    /// Records how long a responsive worker took to respond to a command, or that the command timed out after that time.
+    pub(crate) fn record_worker_response(&self, duration: Duration) {
+        let duration_ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        self.worker_response_times.lock().record(duration_ms);
+    }
+
+    /// Waits until the link has room for a command of `bytes` bytes.
+    pub(crate) async fn wait_for_link(&self, bytes: usize) {
+        let elapsed = self.command_clock.elapsed();
+        let now_us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        let wait_us = self.command_budget.lock().reserve(bytes as u64, now_us);
+        if wait_us > 0 {
+            tokio::time::sleep(Duration::from_micros(wait_us)).await;
+        }
+    }
+
     /// Whether the owner that this version of a shard's owner row names has not listed the shard in its heartbeat row
     /// for too long, counted from the first call for the version. Called only while no serving daemon lists the shard.
     ///
--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -2,7 +2,7 @@
 //! lease is checked right before each command.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use scheduler::{StartOutcome, WorkerCommand, WorkerInfo, WorkerKey};
 use smol_str::SmolStr;
@@ -13,10 +13,6 @@
 use crate::pool::PoolOwner;
 use crate::pool::recorder::task_name;
 
-/// How long a worker may take to respond to a command. The timeout is fifty times the usual response time; a lost
-/// command delays the caller by the whole timeout.
-const COMMAND_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// The maximum number of concurrent start commands to a worker. The number is small because new connections are
 /// expensive, and more than 1 because a lost command must not delay the others.
 const MAX_CONCURRENT_STARTS: usize = 2;
@@ -24,6 +20,9 @@
 /// How many times a start command is sent without a response before a stop command rules out its effect.
 const MAX_START_SENDS: u32 = 3;
 
+/// The size of a start command without the job's payload and the checkpoint, with HTTP headers, in bytes.
+const START_OVERHEAD_BYTES: usize = 400;
+
 /// The retry delay of a stop command without a response.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -97,6 +96,7 @@
             return;
         };
         for sent_count in 0..MAX_START_SENDS {
+            self.wait_for_link(task, &checkpoint).await;
             let Some((lease_until_ms, name, spec, authorization)) =
                 self.prepare_start(worker, task, attempt)
             else {
@@ -115,11 +115,14 @@
                 checkpoint: &checkpoint,
                 authorization: authorization.as_deref(),
             };
+            let timeout = self.node.worker_timeout();
+            let sent_at = Instant::now();
             let start = self
                 .node
                 .workers
-                .start(&info.addr, &info.id, &command, COMMAND_TIMEOUT);
+                .start(&info.addr, &info.id, &command, timeout);
             let response = start.await;
+            self.record_response(worker, sent_at);
             if let Ok(response) = &response {
                 let is_known =
                     self.apply_start_response(worker, task, attempt, &info, response, sent_count);
@@ -141,6 +144,25 @@
         self.stop(worker, name, Some(task), attempt).await;
     }
 
+    /// Waits until the link has room for the start command of a task.
+    async fn wait_for_link(&self, task: TaskKey, checkpoint: &str) {
+        let payload_bytes = {
+            let scheduler = self.scheduler.lock();
+            let job = scheduler.job(task.job);
+            job.map_or(0, |job| job.spec().payload.len())
+        };
+        let bytes = START_OVERHEAD_BYTES + payload_bytes + checkpoint.len();
+        self.node.wait_for_link(bytes).await;
+    }
+
+    /// Records how long a worker took to respond to a command that was sent at `sent_at`, or the timeout of the command.
+    /// Workers that are known not to respond tell nothing of the link.
+    fn record_response(&self, worker: WorkerKey, sent_at: Instant) {
+        if self.scheduler.lock().is_responsive(worker) {
+            self.node.record_worker_response(sent_at.elapsed());
+        }
+    }
+
     /// Grants the lease of a start command and returns the end of the lease (in ms on the worker's clock), the task's
     /// name, the job's spec and the authorization of the policy service. Returns `None` when the command must not be
     /// sent any more.
@@ -261,11 +283,14 @@
                 return;
             }
             let target = (name.as_str(), attempt);
-            let stop =
-                self.node
-                    .workers
-                    .stop(&info.addr, &info.id, target, self.term, COMMAND_TIMEOUT);
+            let timeout = self.node.worker_timeout();
+            let sent_at = Instant::now();
+            let stop = self
+                .node
+                .workers
+                .stop(&info.addr, &info.id, target, self.term, timeout);
             let response = stop.await;
+            self.record_response(worker, sent_at);
             self.count_command("stop", response_label(&response));
             if let Ok(is_accepted) = response {
                 tracing::info!(
@@ -312,7 +337,7 @@
             &info.id,
             target,
             (speed_limit_percent, self.term),
-            COMMAND_TIMEOUT,
+            self.node.worker_timeout(),
         );
         let response = command.await;
         self.count_command("pace", response_label(&response));
--- a/crates/fleetd/src/pool/lease_renewal.rs
+++ b/crates/fleetd/src/pool/lease_renewal.rs
@@ -14,10 +14,6 @@
 use crate::clock::local_ms;
 use crate::pool::PoolOwner;
 
-/// How long a worker may take to respond, beyond the time for which the request lets it wait for an attempt to end. The
-/// timeout is fifty times the usual response time.
-const RENEWAL_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// How long a poll waits for an attempt to end, in ms. The time is two fifths of a lease, so that one lost poll does
 /// not let the lease expire.
 const POLL_WAIT_MS: u64 = 2000;
@@ -80,10 +76,12 @@
             };
             let request = self.renewal_request(plan);
             let sent_at_ms = local_ms();
-            let renewal =
-                self.node
-                    .workers
-                    .renew_leases(&info.addr, &info.id, &request, RENEWAL_TIMEOUT);
+            let renewal = self.node.workers.renew_leases(
+                &info.addr,
+                &info.id,
+                &request,
+                self.node.worker_timeout(),
+            );
             let response = renewal.await;
             match response {
                 Ok(LeaseRenewalResponse::Accepted {
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -8,6 +8,7 @@
 use scheduler::{Limits, Scheduler};
 use smol_str::SmolStr;
 use submission::{Job, JobId, JobRecord};
+use transfer::PageSize;
 use users_platform::{CommitOutcome, Error, KeyRange, Row, RowKey, Transaction};
 
 use crate::clock::local_ms;
@@ -141,16 +142,11 @@
 }
 
 /// Loads the jobs of a pool that was taken over, with as many tries as it takes, and starts the loops of the pool's
-/// owner.
+/// owner. Gives the pool up when another daemon has taken it over meanwhile.
 async fn start_owner(node: Arc<Node>, pool: SmolStr, takeover: Takeover) {
-    let rows = loop {
-        match read_jobs(&node, &pool).await {
-            Ok(rows) => break rows,
-            Err(err) => {
-                tracing::warn!(pool = pool.as_str(), error = %err, "failed to read the rows of a pool; retrying");
-                tokio::time::sleep(READ_RETRY_DELAY).await;
-            }
-        }
+    let Some(rows) = read_jobs(&node, &pool, takeover.term).await else {
+        node.end_term(&pool, takeover.term);
+        return;
     };
     let bounds = node.settings.bounds;
     let mut scheduler = Scheduler::new(Limits {
@@ -183,28 +179,102 @@
     tokio::spawn(owner.watch_registry());
 }
 
-async fn read_jobs(node: &Node, pool: &str) -> Result<Vec<Row>, Error> {
-    let mut rows = read_all_rows(node, tables::JOB, pool).await?;
-    rows.extend(read_all_rows(node, tables::PROGRESS, pool).await?);
-    Ok(rows)
+/// Reads the rows of a pool's jobs, with as many tries as it takes. Returns `None` when the term has ended: a peer lists
+/// the pool with a later term.
+async fn read_jobs(node: &Node, pool: &SmolStr, term: u64) -> Option<Vec<Row>> {
+    let started_at_ms = local_ms();
+    let mut rows = Vec::new();
+    for table in [tables::PROGRESS, tables::JOB] {
+        let mut reader = RowReader::new(node, table, pool);
+        while !reader.is_complete {
+            let owner = node.peers.lock().shard_owner(pool);
+            if owner.is_some_and(|owner| owner.term > term) {
+                tracing::warn!(
+                    pool = pool.as_str(),
+                    term,
+                    "another daemon took over the pool while its rows were read"
+                );
+                return None;
+            }
+            if let Err(err) = reader.read_page().await {
+                tracing::warn!(pool = pool.as_str(), table, rows = reader.rows.len(), page_rows = reader.page_size.rows(), error = %err, "failed to read rows of a pool; retrying");
+                tokio::time::sleep(READ_RETRY_DELAY).await;
+            }
+        }
+        rows.extend(reader.rows);
+    }
+    let duration_ms = local_ms().saturating_sub(started_at_ms);
+    tracing::info!(
+        pool = pool.as_str(),
+        term,
+        rows = rows.len(),
+        duration_ms,
+        "read the rows of a pool"
+    );
+    Some(rows)
 }
 
 /// Reads all rows of a table in a part of the store, page by page. Fails when a read of a page fails.
 pub(crate) async fn read_all_rows(node: &Node, table: &str, part: &str) -> Result<Vec<Row>, Error> {
-    let mut rows: Vec<Row> = Vec::new();
-    loop {
-        let from = rows.last().map(|row| format!("{}\u{1}", row.key.key));
-        let range = KeyRange {
+    let mut reader = RowReader::new(node, table, part);
+    while !reader.is_complete {
+        reader.read_page().await?;
+    }
+    Ok(reader.rows)
+}
+
+/// A read of all rows of a table in a part of the store. After a failed page, the read goes on where it stopped.
+struct RowReader<'a> {
+    node: &'a Node,
+    table: &'a str,
+    part: &'a str,
+    rows: Vec<Row>,
+    page_size: PageSize,
+    is_complete: bool,
+}
+
+impl<'a> RowReader<'a> {
+    fn new(node: &'a Node, table: &'a str, part: &'a str) -> Self {
+        Self {
+            node,
             table,
             part,
+            rows: Vec::new(),
+            page_size: PageSize::new(MAX_PAGE_ROWS, node.settings.machine.link_mbps),
+            is_complete: false,
+        }
+    }
+
+    /// Reads the next page. The size of the pages follows how long they take.
+    async fn read_page(&mut self) -> Result<(), Error> {
+        let from = self.rows.last().map(|row| format!("{}\u{1}", row.key.key));
+        let range = KeyRange {
+            table: self.table,
+            part: self.part,
             from: from.as_deref().unwrap_or_default(),
             until: "",
         };
-        let page = node.store.read(range, MAX_PAGE_ROWS, STORE_TIMEOUT).await?;
-        node.clock.record_store_time(page.store_ms);
-        rows.extend(page.rows);
-        if !page.has_more {
-            return Ok(rows);
+        let sent_at_ms = local_ms();
+        let read = self
+            .node
+            .store
+            .read(range, self.page_size.rows(), STORE_TIMEOUT);
+        match read.await {
+            Ok(page) => {
+                let duration_ms = local_ms().saturating_sub(sent_at_ms);
+                let rows = u32::try_from(page.rows.len()).unwrap_or(u32::MAX);
+                self.page_size.record_page(rows, duration_ms);
+                self.node.clock.record_store_time(page.store_ms);
+                self.rows.extend(page.rows);
+                self.is_complete = !page.has_more;
+                Ok(())
+            }
+            Err(err) => {
+                if matches!(err, Error::ResponseLost { .. }) {
+                    self.page_size.record_timeout();
+                }
+                Err(err)
+            }
         }
     }
 }
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -212,6 +212,13 @@
         }
     }
 
+    /// Returns whether the last command to a worker, or the last poll, got a response; false for a removed worker.
+    #[must_use]
+    pub fn is_responsive(&self, key: WorkerKey) -> bool {
+        let worker = self.workers.get(key);
+        worker.is_some_and(|worker| !worker.is_unresponsive)
+    }
+
     /// Marks a worker as unresponsive, after a lease renewal or a command that got no response. Returns whether the
     /// worker was responsive before; false for a removed worker.
     pub fn mark_unresponsive(&mut self, key: WorkerKey) -> bool {
--- a/xtask/tests/tidy.rs
+++ b/xtask/tests/tidy.rs
@@ -4,11 +4,12 @@
 use std::path::{Path, PathBuf};
 
 /// Crates whose decisions hold no socket, clock, task or random source of their own.
-const DECISION_CRATES: [&str; 12] = [
+const DECISION_CRATES: [&str; 13] = [
     "domain",
     "submission",
     "scheduler",
     "pools",
+    "transfer",
     "ownership",
     "settings",
     "routing",
