submission: progress rows leave out what workers report and tasks without an attempt

The last tasks without an attempt and the checkpoints of assigned tasks, which their workers report, are left out.

--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -144,7 +144,8 @@
         self
     }
 
-    /// The row that stores the progress of the job. Checkpoints of tasks that are done are left out.
+    /// The row that stores the progress of the job. Checkpoints are left out for tasks that are done, and for assigned
+    /// tasks, whose worker reports them. The last tasks that have had no attempt are left out too.
     #[must_use]
     pub fn record(&self) -> JobRecord {
         let record = |task: &Task| {
@@ -153,18 +154,20 @@
                 TaskPhase::Assigned { worker } => (false, worker.clone()),
                 TaskPhase::Done => (true, SmolStr::default()),
             };
-            let checkpoint = if is_done {
-                SmolStr::default()
-            } else {
+            let checkpoint = if task.phase == TaskPhase::Idle {
                 task.checkpoint.clone()
+            } else {
+                SmolStr::default()
             };
             TaskRecord(task.attempt, task.failures, is_done, worker, checkpoint)
         };
+        let last_attempted = self.tasks.iter().rposition(|task| task.attempt > 0);
+        let listed = last_attempted.map_or(0, |index| index + 1);
         JobRecord {
             is_cancelled: self.is_cancelled,
             has_failed: self.has_failed,
             ended_at_ms: self.ended_at_ms,
-            tasks: self.tasks.iter().map(record).collect(),
+            tasks: self.tasks[..listed].iter().map(record).collect(),
         }
     }
 
--- a/crates/submission/src/record.rs
+++ b/crates/submission/src/record.rs
@@ -22,6 +22,6 @@
 
 /// The progress of a task as stored. The fields are, in this order: the number of the last attempt (0 before the first
 /// attempt), the number of failed attempts, whether the task is done, the id of the worker that the task is assigned to
-/// (empty for none), and the newest known checkpoint (empty for none, and for a task that is done).
+/// (empty for none), and the newest known checkpoint (empty for none, and for a task that is assigned or done).
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRecord(pub u32, pub u32, pub bool, pub SmolStr, pub SmolStr);
