pools: VMs for service tasks before VMs for batch work; drains that leave service tasks a place

A worker drained for a wave stopped a service task that had no other place, and the task did not run for 11.5 s (LOST).

--- a/crates/fleetd/src/leader/inputs.rs
+++ b/crates/fleetd/src/leader/inputs.rs
@@ -16,9 +16,11 @@
         let (usable, other): (Vec<_>, Vec<_>) = pool_vms.partition(|vm| vm.is_usable);
         let idle = usable.iter().filter(|vm| vm.idle_ms.is_some()).count();
         let (urgent, wanted) = (state.urgent_demand_vms, state.total_demand_vms);
+        let required = state.service_demand_vms;
         let (useful, other) = (usable.len(), other.len());
         tracing::info!(
             pool = pool.as_str(),
+            required,
             urgent,
             wanted,
             useful,
@@ -46,6 +48,7 @@
 ) -> BTreeMap<SmolStr, PoolState> {
     let standby_state = PoolState {
         is_standby: true,
+        service_demand_vms: 0,
         urgent_demand_vms: 0,
         total_demand_vms: 0,
     };
@@ -55,6 +58,7 @@
     let responding = replies.iter().map(|(pool, reply)| {
         let state = PoolState {
             is_standby: false,
+            service_demand_vms: reply.service_demand_workers,
             urgent_demand_vms: reply.urgent_demand_workers,
             total_demand_vms: reply.total_demand_workers,
         };
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -217,6 +217,7 @@
         log_unavailable_workers(&self.pool, &demand.unavailable);
         RoundReply {
             remaining_tasks: tasks,
+            service_demand_workers: demand.service_demand_workers,
             urgent_demand_workers: demand.urgent_demand_workers,
             total_demand_workers: demand.total_demand_workers,
             service_workers: demand.service_workers,
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -86,6 +86,9 @@
     /// does not know.
     #[serde(rename = "tasks")]
     pub(crate) remaining_tasks: Vec<usize>,
+    /// The number of workers that the pool needs for its service tasks; 0 from a daemon of an earlier build.
+    #[serde(rename = "required", default)]
+    pub(crate) service_demand_workers: usize,
     /// The number of workers that the pool could use for work that can meet its latency objective.
     #[serde(rename = "urgent")]
     pub(crate) urgent_demand_workers: usize,
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -73,6 +73,7 @@
     );
     let reply = RoundReply {
         remaining_tasks: vec![1],
+        service_demand_workers: 1,
         urgent_demand_workers: 2,
         total_demand_workers: 3,
         service_workers: vec!["d".into()],
--- a/crates/pools/src/balance.rs
+++ b/crates/pools/src/balance.rs
@@ -25,8 +25,10 @@
 pub struct PoolState {
     /// Whether the pool is a standby pool, whose VMs are off and cost nothing until they are moved.
     pub is_standby: bool,
+    /// How many VMs the pool needs so that each of its service tasks has a place. 0 for a standby pool.
+    pub service_demand_vms: usize,
     /// How many VMs the pool could use for work that can still meet its latency objective, including the VMs that run
-    /// such work already. 0 for a standby pool.
+    /// such work already and the service demand. 0 for a standby pool.
     pub urgent_demand_vms: usize,
     /// How many VMs the pool could use for all its work, including the urgent demand. 0 for a standby pool.
     pub total_demand_vms: usize,
@@ -80,15 +82,16 @@
 /// Plans how VMs follow the demand of the pools, with at most `max_moves` moves. The number of drains is not limited.
 /// VMs whose pool is not in `pools` are neither moved nor drained.
 ///
-/// Work that can still meet its latency objective goes before work that is past its latest start, in whichever pool: a
-/// pool with work of the latter kind gives up VMs to a pool with work of the former kind.
+/// Service tasks go first, then work that can still meet its latency objective, then work that is past its latest start,
+/// in whichever pool: a pool with work of a later kind gives up VMs to a pool with work of an earlier kind. Busy VMs are
+/// drained for service tasks even if their pool has more urgent work than VMs.
 ///
 /// ```
 /// use std::collections::BTreeMap;
 /// use pools::{PoolState, VmState, plan_rebalance};
 /// let pools = BTreeMap::from([
-///     ("quotes".into(), PoolState { is_standby: false, urgent_demand_vms: 1, total_demand_vms: 1 }),
-///     ("off".into(), PoolState { is_standby: true, urgent_demand_vms: 0, total_demand_vms: 0 }),
+///     ("quotes".into(), PoolState { is_standby: false, service_demand_vms: 0, urgent_demand_vms: 1, total_demand_vms: 1 }),
+///     ("off".into(), PoolState { is_standby: true, service_demand_vms: 0, urgent_demand_vms: 0, total_demand_vms: 0 }),
 /// ]);
 /// let off = VmState {
 ///     pool: "off".into(),
@@ -118,15 +121,8 @@
     let shares = compute_shares(pools, vm_counts.values().sum::<usize>() + reclaimed);
     let mut plan = RebalancePlan::default();
     let mut movable = movable_vms(pools, vms);
-    let mut shortages: Vec<_> = pools
-        .iter()
-        .filter(|(_, pool)| !pool.is_standby)
-        .map(|(name, _)| (shares[name].saturating_sub(vm_counts[name]), name))
-        .filter(|(shortage, _)| *shortage > 0)
-        .collect();
-    shortages.sort();
-    let mut unmet_vms = 0;
-    for (shortage, to) in shortages.into_iter().rev() {
+    let mut unmet = Unmet::default();
+    for (is_service, shortage, to) in shortages(pools, &shares, &vm_counts) {
         for moved in 0..shortage {
             let found = movable.iter().position(|candidate| {
                 let is_spare = candidate.is_standby || candidate.is_being_reclaimed;
@@ -134,7 +130,10 @@
                     && (is_spare || vm_counts[candidate.pool] > shares[candidate.pool])
             });
             let Some(found) = found else {
-                unmet_vms += shortage - moved;
+                unmet.total_vms += shortage - moved;
+                if is_service {
+                    unmet.service_vms += shortage - moved;
+                }
                 break;
             };
             let candidate = movable.remove(found);
@@ -149,10 +148,39 @@
     }
     release_idle_vms(pools, &shares, &mut vm_counts, movable, &mut plan);
     plan.moves.truncate(max_moves);
-    plan.reclaim = select_vms_to_reclaim(pools, vms, &shares, &vm_counts, unmet_vms);
+    plan.reclaim = select_vms_to_reclaim(pools, vms, &shares, &vm_counts, unmet);
     plan
 }
 
+/// The VMs that pools lack and that no movable VM can replace.
+#[derive(Debug, Clone, Copy, Default)]
+struct Unmet {
+    /// The VMs for all demand within the shares.
+    total_vms: usize,
+    /// Of these, the VMs for service tasks.
+    service_vms: usize,
+}
+
+/// Returns the shortages of pools, the first to be met first: whether service tasks lack the VMs, the number of VMs, and
+/// the pool.
+fn shortages<'a>(
+    pools: &'a BTreeMap<SmolStr, PoolState>,
+    shares: &Counts,
+    vm_counts: &Counts,
+) -> Vec<(bool, usize, &'a SmolStr)> {
+    let active = pools.iter().filter(|(_, pool)| !pool.is_standby);
+    let shortages = active.flat_map(|(name, pool)| {
+        let (share, count) = (shares[name], vm_counts[name]);
+        let for_service = pool.service_demand_vms.min(share).saturating_sub(count);
+        let for_batch = share.saturating_sub(count) - for_service;
+        [(true, for_service, name), (false, for_batch, name)]
+    });
+    let mut shortages: Vec<_> = shortages.filter(|(_, shortage, _)| *shortage > 0).collect();
+    shortages.sort();
+    shortages.reverse();
+    shortages
+}
+
 /// Releases surplus VMs that have been idle for [`RELEASE_IDLE_MS`] to a standby pool.
 fn release_idle_vms(
     pools: &BTreeMap<SmolStr, PoolState>,
@@ -176,15 +204,17 @@
     }
 }
 
-/// Selects the VMs to drain for pools that lack `unmet_vms` VMs: first VMs whose drain is in progress, then busy VMs
-/// without service tasks of pools with a surplus.
+/// Selects the VMs to drain for pools that lack VMs: first VMs whose drain is in progress, then busy VMs without service
+/// tasks of pools with a surplus. For service tasks, VMs beyond a pool's share count as a surplus also while the pool has
+/// more urgent work.
 fn select_vms_to_reclaim(
     pools: &BTreeMap<SmolStr, PoolState>,
     vms: &BTreeMap<SmolStr, VmState>,
     shares: &Counts,
     vm_counts: &Counts,
-    unmet_vms: usize,
+    unmet: Unmet,
 ) -> Vec<SmolStr> {
+    let unmet_vms = unmet.total_vms;
     let mut reclaimed: Vec<SmolStr> = Vec::new();
     for (pool, count) in vm_counts {
         let of_pool = vms
@@ -197,10 +227,14 @@
         reclaimed.extend(draining.into_iter().take(surplus.min(remaining)));
     }
     for (pool, state) in pools.iter().filter(|(_, pool)| !pool.is_standby) {
+        let beyond_share = vm_counts[pool].saturating_sub(shares[pool]);
         let surplus = vm_counts[pool].saturating_sub(shares[pool].max(state.urgent_demand_vms));
-        if surplus < MIN_RECLAIM_SURPLUS_VMS {
-            continue;
-        }
+        let for_service = beyond_share.min(unmet.service_vms.saturating_sub(reclaimed.len()));
+        let surplus = if surplus < MIN_RECLAIM_SURPLUS_VMS {
+            for_service
+        } else {
+            surplus.max(for_service)
+        };
         let busy = vms.iter().filter(|(_, vm)| {
             let is_busy = vm.idle_ms.is_none() && vm.is_movable && vm.is_usable;
             vm.pool == *pool && is_busy && !vm.runs_service_tasks && !vm.is_being_reclaimed
@@ -211,22 +245,26 @@
     reclaimed
 }
 
-/// Returns how many of `total` VMs each pool should have. Demand for work that can still meet its latency objective is
-/// met first, then the rest.
+/// Returns how many of `total` VMs each pool should have. The demand of service tasks is met first, then that of work that
+/// can still meet its latency objective, then the rest.
 fn compute_shares(pools: &BTreeMap<SmolStr, PoolState>, total: usize) -> Counts {
-    let urgent = pools
-        .iter()
-        .map(|(name, pool)| (name, pool.urgent_demand_vms));
-    let mut shares = allocate(urgent, total);
-    let remaining = total.saturating_sub(shares.values().sum());
-    let rest = pools.iter().map(|(name, pool)| {
-        (
-            name,
-            pool.total_demand_vms.saturating_sub(pool.urgent_demand_vms),
-        )
-    });
-    for (pool, additional) in allocate(rest, remaining) {
-        shares.entry(pool).and_modify(|share| *share += additional);
+    let service = |pool: &PoolState| pool.service_demand_vms;
+    let urgent = |pool: &PoolState| {
+        let urgent = pool.urgent_demand_vms;
+        urgent.saturating_sub(pool.service_demand_vms)
+    };
+    let rest = |pool: &PoolState| {
+        let met = pool.urgent_demand_vms.max(pool.service_demand_vms);
+        pool.total_demand_vms.saturating_sub(met)
+    };
+    let mut shares: Counts = pools.keys().map(|pool| (pool.clone(), 0)).collect();
+    let demands: [fn(&PoolState) -> usize; 3] = [service, urgent, rest];
+    for demand in demands {
+        let remaining = total.saturating_sub(shares.values().sum());
+        let demands = pools.iter().map(|(name, pool)| (name, demand(pool)));
+        for (pool, additional) in allocate(demands, remaining) {
+            shares.entry(pool).and_modify(|share| *share += additional);
+        }
     }
     shares
 }
--- a/crates/pools/tests/balance.rs
+++ b/crates/pools/tests/balance.rs
@@ -14,6 +14,7 @@
     fn new() -> Self {
         let off = PoolState {
             is_standby: true,
+            service_demand_vms: 0,
             urgent_demand_vms: 0,
             total_demand_vms: 0,
         };
@@ -28,6 +29,7 @@
             name.into(),
             PoolState {
                 is_standby: false,
+                service_demand_vms: 0,
                 urgent_demand_vms,
                 total_demand_vms,
             },
@@ -35,6 +37,13 @@
         self
     }
 
+    fn with_service_demand(mut self, pool: &str, service_demand_vms: usize) -> Self {
+        self.pools
+            .entry(pool.into())
+            .and_modify(|state| state.service_demand_vms = service_demand_vms);
+        self
+    }
+
     fn with_vms(mut self, pool: &str, count: usize, idle_ms: Option<u64>) -> Self {
         for _ in 0..count {
             let vm = VmState {
@@ -164,3 +173,37 @@
     // No more VMs are drained than the other pool lacks.
     check_drained("b", 2);
 }
+
+#[test]
+fn a_peak_in_one_pool_leaves_the_other_pools_the_vms_for_their_service_tasks() {
+    // The first pool's work needs three times the whole fleet, and its VMs are all busy.
+    let fleet = Fleet::new()
+        .with_pool("a", 270, 300)
+        .with_pool("b", 5, 5)
+        .with_service_demand("b", 5)
+        .with_vms("a", 88, None)
+        .with_vms("b", 2, None);
+    check_plan("busy VMs are drained", &fleet, &[], 3);
+    let with_idle = fleet.with_vms("a", 2, Some(300));
+    check_plan(
+        "idle VMs move first",
+        &with_idle,
+        &[("a", "b"), ("a", "b")],
+        1,
+    );
+}
+
+#[test]
+fn a_pool_short_of_vms_for_service_tasks_is_served_before_the_largest_shortage() {
+    let fleet = Fleet::new()
+        .with_pool("a", 40, 40)
+        .with_pool("b", 2, 2)
+        .with_service_demand("b", 2)
+        .with_vms("off", 3, None);
+    check_plan(
+        "standby VMs go to service tasks first",
+        &fleet,
+        &[("off", "b"), ("off", "b"), ("off", "a")],
+        0,
+    );
+}
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -41,6 +41,8 @@
 /// The demand of a pool for workers, and the state of the pool's workers.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Demand {
+    /// The number of workers that service tasks need, because of their size and of their limits on tasks per worker.
+    pub service_demand_workers: usize,
     /// The number of workers for the work that can still meet its latency objective, including the growth expected
     /// until a moved VM is ready. At least the minimum of a pool and what service tasks need.
     pub urgent_demand_workers: usize,
@@ -97,9 +99,12 @@
             largest.unwrap_or(ASSUMED_CPU_MILLI).max(1000) * USABLE_CAPACITY_PERCENT / 100;
         let workers_for =
             |cpu: u64| usize::try_from(cpu.div_ceil(usable_cpu_milli)).unwrap_or(usize::MAX);
+        let service_demand_workers = self
+            .min_service_workers()
+            .max(workers_for(self.service_cpu()));
         let min_workers = service_workers
             .len()
-            .max(self.min_service_workers())
+            .max(service_demand_workers)
             .max(MIN_WORKERS);
         let accepting = self
             .workers
@@ -114,6 +119,7 @@
         });
         Demand {
             unresponsive: unresponsive.map(|worker| worker.info.id.clone()).collect(),
+            service_demand_workers,
             urgent_demand_workers: workers_for(on_time).max(min_workers),
             total_demand_workers: workers_for(on_time + past_objective).max(min_workers),
             service_workers,
@@ -131,6 +137,15 @@
         workers.max().map_or(0, |workers| workers as usize)
     }
 
+    /// The CPU, in thousandths of a core, of all service tasks of the pool.
+    fn service_cpu(&self) -> u64 {
+        let jobs = self.service_jobs.iter().filter_map(|id| self.jobs.get(id));
+        let steps = jobs.flat_map(|job| &job.spec().steps);
+        let service = steps.filter(|step| step.is_service);
+        let cpu = service.map(|step| u64::from(step.tasks) * u64::from(step.footprint().cpu_milli));
+        cpu.sum()
+    }
+
     /// The CPU, in thousandths of a core, in use by jobs that may meet their latency objective and by jobs that
     /// have missed their latency objective, and the ids of the workers that run service tasks.
     fn running_cpu(&self, now: Now) -> (u64, u64, Vec<SmolStr>) {
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -37,7 +37,7 @@
             .collect();
         for (task, attempt, assigned_at_ms) in attempts {
             let age_ms = now.local_ms.saturating_sub(assigned_at_ms);
-            if self.may_stop(task, age_ms) {
+            if self.may_stop(task, age_ms, now) {
                 self.issue_stop(key, task, attempt);
             }
         }
@@ -52,7 +52,9 @@
         }
     }
 
-    fn may_stop(&self, task: TaskKey, age_ms: u64) -> bool {
+    /// Whether a task may be stopped on a worker that is being drained. A service task has to have a place on another
+    /// worker: it would not run until the pool has one.
+    fn may_stop(&self, task: TaskKey, age_ms: u64, now: Now) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return true;
         };
@@ -60,6 +62,9 @@
         if !step.is_service {
             return step.has_checkpoints && age_ms > MIN_BATCH_AGE_TO_STOP_MS;
         }
+        if !self.has_room(job, task, now) {
+            return false;
+        }
         // The last report may be old: this task counts as available even if the report showed the contrary.
         self.unavailable_others(job, task) < step.max_unavailable.max(MIN_TOLERATED_UNAVAILABLE)
     }
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -162,6 +162,24 @@
             .map(|(worker_key, _)| worker_key)
     }
 
+    /// Whether a usable worker has enough free capacity for one more task of the step of `task` and meets the constraints
+    /// of the step. Whether the policy allows the worker is not considered.
+    pub(crate) fn has_room(&self, job: &Job, task: TaskKey, now: Now) -> bool {
+        let (occurrence, step_index, _) = job.position(task.index);
+        let step = &job.spec().steps[step_index];
+        let key = StepKey {
+            job: task.job,
+            occurrence,
+            step: u16::try_from(step_index).unwrap_or(u16::MAX),
+        };
+        self.workers.iter().any(|(worker_key, worker)| {
+            worker.is_usable(now.local_ms)
+                && has_label(worker, &step.required_label)
+                && fits(worker, step, worker_key, &[], now)
+                && is_below_step_limit(worker, job, step, key, worker_key, &[])
+        })
+    }
+
     /// The rack where tasks of the step run fastest; empty when the rack does not matter.
     fn preferred_rack(
         &self,
