scheduler: steps that no worker may run don't keep the others waiting; service tasks avoid VMs due for maintenance

A round of placement ended after 24 steps that could not be placed, whatever the reason. 24 steps whose constraints allow no worker, at the head of the order, kept every step behind them from idle workers for as long as they stayed; the new test shows an idle pool with a job that is never started. Such steps now leave the next rounds until the others have been visited.

A service task that moved for a wave could go to a VM of the same wave, and move again.

--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -212,7 +212,7 @@
         };
         let standby = self.standby_pools();
         self.detect_ended_incarnations(&listed);
-        let replies = self.call_pools(&standby).await;
+        let replies = self.call_pools(&listed, &standby).await;
         let unresponsive = replies
             .iter()
             .map(|(pool, reply)| (pool.clone(), reply.unresponsive.clone()));
@@ -283,7 +283,16 @@
 
     /// Calls the owner of each pool except the `standby` pools. Pools without a reply in time are missing from the result;
     /// what such a pool was to be told is kept for the next call.
-    async fn call_pools(&mut self, standby: &BTreeSet<SmolStr>) -> BTreeMap<SmolStr, RoundReply> {
+    async fn call_pools(
+        &mut self,
+        listed: &[ListedVm],
+        standby: &BTreeSet<SmolStr>,
+    ) -> BTreeMap<SmolStr, RoundReply> {
+        let mut due: BTreeMap<SmolStr, Vec<SmolStr>> = BTreeMap::new();
+        for vm in listed.iter().filter(|vm| self.waves.is_waiting(&vm.vm)) {
+            let workers = due.entry(vm.pool.clone()).or_default();
+            workers.extend(vm.worker_id.clone());
+        }
         let shards = self.node.active_config.shards();
         let pools = shards
             .into_iter()
@@ -295,6 +304,7 @@
                 drain: draining.into_iter().flatten().cloned().collect(),
                 cancel_drain: self.cancelled_drains.remove(&pool).unwrap_or_default(),
                 ended_incarnations: self.ended_incarnations.remove(&pool).unwrap_or_default(),
+                maintenance_due: Some(due.remove(&pool).unwrap_or_default()),
             };
             requests.push((pool, request));
         }
--- a/crates/fleetd/src/leader/waves.rs
+++ b/crates/fleetd/src/leader/waves.rs
@@ -121,6 +121,12 @@
             .any(|loaded| loaded.wave.is_in_progress(vm))
     }
 
+    /// Returns whether a VM still has to be drained for a wave.
+    pub(super) fn is_waiting(&self, vm: &str) -> bool {
+        let mut loaded = self.loaded.values().filter(|loaded| !loaded.row.is_done);
+        loaded.any(|loaded| loaded.wave.is_waiting(vm))
+    }
+
     /// Records the outcome of a command to a VM for the wave with the key `key`.
     pub(super) fn record_outcome(&mut self, key: &str, vm: &str, outcome: VmCommandOutcome) {
         if let Some(loaded) = self.loaded.get_mut(key) {
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -182,7 +182,8 @@
         self.scheduler.lock().not_started_jobs(queue)
     }
 
-    /// Applies a leader's requests (ended incarnations, cancelled drains and drains, in this order) and returns the
+    /// Applies a leader's requests (ended incarnations, cancelled drains, due maintenance and drains, in this order) and
+    /// returns the
     /// pool's demand and the state of its workers.
     pub(crate) fn run_round(&self, request: &RoundRequest) -> RoundReply {
         let now = self.node.clock.now();
@@ -203,6 +204,9 @@
         {
             scheduler.cancel_drain(key);
         }
+        if let Some(due) = &request.maintenance_due {
+            scheduler.set_maintenance_due(due);
+        }
         let tasks = request
             .drain
             .iter()
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -77,6 +77,9 @@
     /// The workers whose incarnation was ended by a command to their VM.
     #[serde(rename = "over")]
     pub(crate) ended_incarnations: Vec<SmolStr>,
+    /// The workers that will be drained for maintenance; `None` when the request says nothing of them.
+    #[serde(rename = "due", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) maintenance_due: Option<Vec<SmolStr>>,
 }
 
 /// The response of the owner of a pool to the leader.
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -63,6 +63,7 @@
 #[test]
 fn a_round_keeps_its_field_names() {
     let request = RoundRequest {
+        maintenance_due: None,
         drain: vec!["a".into()],
         cancel_drain: vec!["b".into()],
         ended_incarnations: vec!["c".into()],
--- a/crates/pools/src/wave.rs
+++ b/crates/pools/src/wave.rs
@@ -155,6 +155,12 @@
         })
     }
 
+    /// Returns whether a VM still has to be drained for the wave.
+    #[must_use]
+    pub fn is_waiting(&self, vm: &str) -> bool {
+        matches!(self.stages.get(vm), Some(MaintenanceStage::Waiting { .. }))
+    }
+
     /// Returns how many VMs of the wave are or may be down.
     #[must_use]
     pub fn down_count(&self) -> usize {
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -1,5 +1,6 @@
 //! Drains workers whose VMs are about to be moved or maintained.
 
+use smol_str::SmolStr;
 use submission::{Job, TaskKey};
 
 use crate::scheduler::Scheduler;
@@ -52,6 +53,19 @@
         }
     }
 
+    /// Sets the workers that will be drained for maintenance, by the ids of their incarnations. Service tasks are assigned
+    /// to other workers if possible, so that they move once and not once more for each later drain.
+    pub fn set_maintenance_due(&mut self, ids: &[SmolStr]) {
+        for worker in self.workers.values_mut() {
+            worker.is_maintenance_due = false;
+        }
+        for id in ids {
+            if let Some(key) = self.workers_by_id.get(id) {
+                self.workers[*key].is_maintenance_due = true;
+            }
+        }
+    }
+
     /// Whether a task may be stopped on a worker that is being drained. A service task has to have a place on another
     /// worker: it would not run until the pool has one.
     fn may_stop(&self, task: TaskKey, age_ms: u64, now: Now) -> bool {
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -11,30 +11,48 @@
 use crate::types::Now;
 use crate::worker::{Worker, WorkerKey};
 
-/// The number of steps that could not be placed after which a round ends. Bounds the duration of a round under
-/// overload.
+/// The number of steps for which a worker was looked for in vain after which a round ends. Bounds the duration of a
+/// round under overload.
 const MAX_UNPLACED_STEPS: usize = 24;
 
 /// The number of started tasks after which a round ends, so that one transaction can record them.
 const MAX_STARTS: usize = 200;
 
+/// The number of steps that a round visits at most. Most of them are skipped under overload, by their size alone.
+const MAX_VISITED_STEPS: usize = 500;
+
 impl Scheduler {
     /// Assigns the tasks of ready steps that fit to workers. The start commands come with the next batches.
+    ///
+    /// A round that ends because of steps that no worker may run leaves these out of the next rounds, until a round has
+    /// visited all steps behind them.
     pub fn plan(&mut self, now: Now) {
-        let mut unplaced = 0;
         let mut starts = 0;
+        let mut unplaced = 0;
+        let mut restricted = Vec::new();
         let mut too_large = Vec::new();
-        for key in self.ready.first(MAX_STARTS + MAX_UNPLACED_STEPS) {
-            if unplaced >= MAX_UNPLACED_STEPS || starts >= MAX_STARTS {
+        let visited = self.ready.first(MAX_VISITED_STEPS);
+        for key in visited {
+            if starts >= MAX_STARTS {
+                return;
+            }
+            if unplaced >= MAX_UNPLACED_STEPS {
+                self.ready.defer(restricted);
                 return;
             }
             let placement = self.place_step(key, &mut too_large, now);
             starts += placement.started;
-            unplaced += usize::from(placement.has_unplaced);
-            if !placement.has_unplaced {
-                self.ready.remove(key);
+            match placement.unplaced {
+                None => self.ready.remove(key),
+                Some(Unplaced::TooLarge) => {}
+                Some(Unplaced::NoRoom) => unplaced += 1,
+                Some(Unplaced::Restricted) => {
+                    unplaced += 1;
+                    restricted.push(key);
+                }
             }
         }
+        self.ready.end_deferrals();
     }
 
     /// Assigns the tasks of a step to workers. `too_large` has the task sizes that fit on no worker. Free capacity only
@@ -48,7 +66,7 @@
         if too_large.iter().any(|size| size.fits(needs)) {
             return Placement {
                 started: 0,
-                has_unplaced: true,
+                unplaced: Some(Unplaced::TooLarge),
             };
         }
         if step.is_gang {
@@ -68,7 +86,12 @@
             let job = &self.jobs[&key.job];
             let step = &job.spec().steps[usize::from(key.step)];
             let Some(worker) = self.choose(job, step, key, &[], now) else {
-                placement.has_unplaced = true;
+                let is_oversized = is_unconstrained && !self.fits_an_empty_worker(needs);
+                placement.unplaced = Some(if is_unconstrained && !is_oversized {
+                    Unplaced::NoRoom
+                } else {
+                    Unplaced::Restricted
+                });
                 if is_unconstrained {
                     too_large.push(needs);
                 }
@@ -95,7 +118,7 @@
         });
         let not_placed = Placement {
             started: 0,
-            has_unplaced: true,
+            unplaced: Some(Unplaced::Restricted),
         };
         if !all_idle {
             return not_placed;
@@ -121,7 +144,7 @@
         }
         Placement {
             started: step_len(&self.jobs[&key.job], key),
-            has_unplaced: false,
+            unplaced: None,
         }
     }
 
@@ -154,6 +177,7 @@
                 // are used last, and the fullest of them first, and the VM of an idle worker can leave the pool.
                 (
                     is_preferred_rack,
+                    !(step.is_service && worker.is_maintenance_due),
                     worker.service_attempts > 0,
                     !worker.attempts.is_empty(),
                     u32::MAX - worker.free_capacity().cpu_milli,
@@ -162,6 +186,12 @@
             .map(|(worker_key, _)| worker_key)
     }
 
+    /// Whether a listed worker without tasks could run a task of this size.
+    fn fits_an_empty_worker(&self, needs: Resources) -> bool {
+        let mut listed = self.workers.values().filter(|worker| worker.is_listed);
+        listed.any(|worker| needs.fits(worker.info.capacity))
+    }
+
     /// Whether a usable worker has enough free capacity for one more task of the step of `task` and meets the constraints
     /// of the step. Whether the policy allows the worker is not considered.
     pub(crate) fn has_room(&self, job: &Job, task: TaskKey, now: Now) -> bool {
@@ -210,11 +240,23 @@
     }
 }
 
-/// The result of placing a step: the number of assigned tasks, and whether any idle task was left without a worker.
+/// The result of placing a step: the number of assigned tasks, and why an idle task was left without a worker, if one was.
 #[derive(Debug, Default, Clone, Copy)]
 struct Placement {
     started: usize,
-    has_unplaced: bool,
+    unplaced: Option<Unplaced>,
+}
+
+/// Why a task was left without a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unplaced {
+    /// A task that is no larger was left without a worker in the same round.
+    TooLarge,
+    /// No worker has enough free capacity.
+    NoRoom,
+    /// The constraints of the step allow no worker, or the task is larger than every worker. Workers may be idle
+    /// nevertheless.
+    Restricted,
 }
 
 fn step_len(job: &Job, key: StepKey) -> usize {
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -2,7 +2,7 @@
 //!
 //! Built for overload: for several seconds, a queue may submit several times the work that its pool can do.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use submission::JobId;
 
@@ -50,6 +50,8 @@
     ranks: HashMap<StepKey, (Rank, u64)>,
     /// The steps by the time at which their rank changes.
     by_change: BTreeSet<(u64, StepKey)>,
+    /// Steps that are left out of rounds until a round has visited all others.
+    deferred: HashSet<StepKey>,
 }
 
 impl Ready {
@@ -62,6 +64,7 @@
     }
 
     pub(crate) fn remove(&mut self, step: StepKey) {
+        self.deferred.remove(&step);
         if let Some((rank, changes_at_ms)) = self.ranks.remove(&step) {
             self.order.remove(&(rank, step));
             self.by_change.remove(&(changes_at_ms, step));
@@ -86,12 +89,20 @@
         self.order.iter().copied()
     }
 
-    /// The `max_steps` steps with the lowest ranks, lowest first.
+    /// The `max_steps` steps with the lowest ranks, lowest first, without the deferred ones.
     pub(crate) fn first(&self, max_steps: usize) -> Vec<StepKey> {
-        self.order
-            .iter()
-            .take(max_steps)
-            .map(|(_, step)| *step)
-            .collect()
+        let steps = self.order.iter().map(|(_, step)| *step);
+        let steps = steps.filter(|step| !self.deferred.contains(step));
+        steps.take(max_steps).collect()
+    }
+
+    /// Leaves steps out of rounds, so that rounds reach the steps behind them.
+    pub(crate) fn defer(&mut self, steps: impl IntoIterator<Item = StepKey>) {
+        self.deferred.extend(steps);
+    }
+
+    /// Ends all deferrals, after a round has visited all other steps.
+    pub(crate) fn end_deferrals(&mut self) {
+        self.deferred.clear();
     }
 }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -96,6 +96,7 @@
 
 /// A worker, with the attempts and leases that the scheduler has given to the worker.
 #[derive(Debug, Clone)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts")]
 pub(crate) struct Worker {
     pub(crate) info: WorkerInfo,
     /// Whether the registry lists the worker. Only a listed worker is given new tasks.
@@ -107,6 +108,8 @@
     pub(crate) is_unresponsive: bool,
     /// When the drain lease ends, in ms on the daemon's clock. The worker is given no task before.
     pub(crate) drain_until_ms: u64,
+    /// Whether the worker will be drained for maintenance.
+    pub(crate) is_maintenance_due: bool,
     /// The attempts that run on the worker, or may run there.
     pub(crate) attempts: BTreeMap<TaskKey, AssignedAttempt>,
     pub(crate) used: Resources,
@@ -155,6 +158,7 @@
             has_accepted_term: false,
             is_unresponsive: false,
             drain_until_ms: 0,
+            is_maintenance_due: false,
             attempts: BTreeMap::new(),
             used: Resources::default(),
             service_attempts: 0,
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -126,6 +126,70 @@
     assert!(stops(&pool.round()).len() <= 1);
 }
 
+#[test]
+fn a_drain_leaves_a_service_task_running_until_it_has_room_elsewhere() {
+    let mut pool = Pool::new(&["one", "two"]);
+    pool.submit(1, job(vec![service_step(2, 1)]));
+    let commands = pool.round();
+    let started = pool.confirm_starts(&commands);
+    for (worker, task, attempt) in &started {
+        let name = pool.task_name(*task);
+        pool.report(worker, &[(name, *attempt, 100)], &[]);
+    }
+    let drained = pool.key(&started[0].0);
+    pool.scheduler.drain(drained, pool.now());
+    assert_eq!(stops(&pool.round()).len(), 0);
+    pool.set_registry(&["one", "two", "three"]);
+    pool.report("three", &[], &[]);
+    pool.scheduler.drain(drained, pool.now());
+    assert_eq!(stops(&pool.round()).len(), 1);
+}
+
+#[test]
+fn service_tasks_go_to_workers_without_due_maintenance() {
+    let mut pool = Pool::new(&["one", "two", "three", "four"]);
+    pool.scheduler
+        .set_maintenance_due(&["one".into(), "three".into(), "unknown".into()]);
+    pool.submit(1, job(vec![service_step(2, 1)]));
+    let commands = pool.round();
+    let mut workers: Vec<_> = pool
+        .confirm_starts(&commands)
+        .into_iter()
+        .map(|(worker, _, _)| worker)
+        .collect();
+    workers.sort();
+    assert_eq!(workers, ["four", "two"]);
+}
+
+#[test]
+fn steps_that_no_worker_can_run_do_not_keep_later_steps_from_idle_workers() {
+    let mut pool = Pool::new(&["one", "two"]);
+    for id in 1..=100 {
+        let unplaceable = StepSpec {
+            required_label: "b".into(),
+            ..step(1)
+        };
+        pool.submit(id, job(vec![unplaceable]));
+    }
+    assert_eq!(starts(&pool.round()).len(), 0);
+    // The jobs are too late by now, as the ones before them are.
+    pool.now_ms += 60_000;
+    for name in ["one", "two"] {
+        pool.report(name, &[], &[]);
+    }
+    pool.submit(101, job(vec![step(1)]));
+    pool.now_ms += 60_000;
+    for name in ["one", "two"] {
+        pool.report(name, &[], &[]);
+    }
+    let mut started = 0;
+    for _ in 0..10 {
+        started += starts(&pool.round()).len();
+        pool.now_ms += 100;
+    }
+    assert_eq!(started, 1);
+}
+
 #[test]
 fn a_pool_wants_a_worker_for_each_service_task_that_may_not_share_one() {
     let mut pool = Pool::new(&["one", "two"]);
