fleetd: a restarted daemon takes its shards back at once; daemons that would take no shard over read heartbeats rarely

Causes, on the large deployment: after all processes were restarted, each shard waited 0.8 s to 1.3 s after its daemon's start, while the peak's callers came back.

--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -286,7 +286,7 @@
             }
             SubmitReply::Accepted | SubmitReply::Refused { .. } => return reply,
             SubmitReply::OutcomeUnknown => in_doubt = in_doubt.max(Some(term)),
-            SubmitReply::NotOwner => {}
+            SubmitReply::NotOwner => node.peers_outdated.notify_one(),
         }
         let next_owner = tokio::time::timeout_at(give_up_at, owners_read);
         if node.is_store_unavailable() || next_owner.await.is_err() {
--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -21,6 +21,14 @@
 /// How often the daemon reads the heartbeat rows and takes over unowned shards.
 const READ_PERIOD: Duration = Duration::from_millis(400);
 
+/// How often a daemon reads the heartbeat rows that has no part in a takeover now. Every daemon reads all rows, so that
+/// the bytes read grow with the square of the number of daemons.
+const RARE_READ_PERIOD: Duration = Duration::from_millis(800);
+
+/// How many daemons for each shard read the heartbeat rows each [`READ_PERIOD`] because they would take a shard over
+/// first. More than one, because a daemon and its successors may be lost together.
+const SUCCESSORS_PER_SHARD: usize = 2;
+
 /// How often a daemon writes its heartbeat row.
 const HEARTBEAT_PERIOD_MS: u64 = 600;
 
@@ -56,6 +64,8 @@
     let mut heartbeat_at_ms = 0;
     let mut read_at_ms = local_ms();
     let mut is_read_failing = false;
+    // The shards that this daemon owned before its process was restarted.
+    let mut previous_shards: Option<Vec<SmolStr>> = None;
     loop {
         let is_due = local_ms().saturating_sub(heartbeat_at_ms) >= HEARTBEAT_PERIOD_MS;
         // The row contains the start time of the process on the store's clock. That clock is unknown until the store's
@@ -79,10 +89,18 @@
                 node.store_responded_at_ms
                     .store(read_at_ms, Ordering::Relaxed);
                 node.peers_updated.notify_waiters();
-                if local_ms().saturating_sub(started_at_ms) > STARTUP_DELAY_MS
-                    && heartbeat_at_ms > 0
-                {
-                    take_over_unowned_shards(&node).await;
+                let previous_shards = previous_shards.get_or_insert_with(|| {
+                    let peers = node.peers.lock();
+                    peers.shards_of_earlier_incarnation(&node.settings.daemon, &node.incarnation)
+                });
+                if heartbeat_at_ms > 0 {
+                    if node.active_config.get().is_some() {
+                        // No other daemon has to be waited for: the previous owner is known to have ended.
+                        take_over_shards(&node, std::mem::take(previous_shards)).await;
+                    }
+                    if local_ms().saturating_sub(started_at_ms) > STARTUP_DELAY_MS {
+                        take_over_unowned_shards(&node).await;
+                    }
                 }
             }
             Err(err) => {
@@ -96,18 +114,27 @@
         let is_heartbeat_pending = heartbeat_at_ms == 0 && !is_read_failing;
         let delay = if is_heartbeat_pending {
             RETRY_DELAY
+        } else if !is_read_failing && may_read_rarely(&node) {
+            RARE_READ_PERIOD
         } else {
             READ_PERIOD
         };
-        if tokio::time::timeout(delay, node.owned_shards_changed.notified())
-            .await
-            .is_ok()
-        {
-            heartbeat_at_ms = 0;
+        tokio::select! {
+            () = node.owned_shards_changed.notified() => heartbeat_at_ms = 0,
+            () = node.peers_outdated.notified() => {}
+            () = tokio::time::sleep(delay) => {}
         }
     }
 }
 
+/// Whether this daemon has no part in a takeover now; see [`Peers::may_read_rarely`](ownership::Peers::may_read_rarely).
+fn may_read_rarely(node: &Node) -> bool {
+    let shards = node.active_config.shards();
+    let successors = SUCCESSORS_PER_SHARD * shards.len();
+    let peers = node.peers.lock();
+    peers.may_read_rarely(&node.settings.daemon, &shards, successors)
+}
+
 fn decode_daemon_row(row: Row) -> Option<(SmolStr, u64, DaemonRow)> {
     let value = row.value.as_deref().unwrap_or_default();
     match serde_json::from_slice(value) {
@@ -153,7 +180,12 @@
         .peers
         .lock()
         .shards_to_take_over(&node.settings.daemon, &shards);
-    for shard in shards_to_take_over {
+    take_over_shards(node, shards_to_take_over).await;
+}
+
+/// Takes over the shards of a list whose owner is not serving.
+async fn take_over_shards(node: &Arc<Node>, shards: Vec<SmolStr>) {
+    for shard in shards {
         let result = if shard == FLEET_SHARD {
             take_over_fleet(node, None).await
         } else {
@@ -219,6 +251,8 @@
         match read {
             Ok((rows, newest)) => {
                 version = Some(newest);
+                node.store_responded_at_ms
+                    .store(local_ms(), Ordering::Relaxed);
                 for row in rows {
                     apply_operator_row(&node, &row);
                 }
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -86,9 +86,12 @@
     takeovers: Mutex<BTreeSet<SmolStr>>,
     /// Wakes the loop that writes the heartbeat row.
     pub(crate) owned_shards_changed: Notify,
+    /// Wakes the loop that reads the heartbeat rows, when a peer stops responding or has lost a shard.
+    pub(crate) peers_outdated: Notify,
     /// Whether this daemon is shutting down, and so takes over no more shards and reports that it is not ready.
     pub(crate) is_shutting_down: AtomicBool,
-    /// When the store last responded to a read of the heartbeat rows, in ms of the local clock; 0 before the first.
+    /// When the store last responded to a read of the heartbeat rows or of the operators' rows, in ms of the local clock; 0
+    /// before the first.
     pub(crate) store_responded_at_ms: AtomicU64,
     /// Wakes requests that wait for the takeover of a shard, after each read of the heartbeat rows.
     pub(crate) peers_updated: Notify,
@@ -139,6 +142,7 @@
             owned_shards: Mutex::new(BTreeMap::new()),
             takeovers: Mutex::new(BTreeSet::new()),
             owned_shards_changed: Notify::new(),
+            peers_outdated: Notify::new(),
             is_shutting_down: AtomicBool::new(false),
             store_responded_at_ms: AtomicU64::new(0),
             peers_updated: Notify::new(),
@@ -205,6 +209,7 @@
         if let Some(unchanged_ms) = self.peers.lock().mark_unreachable(&owner.daemon) {
             let daemon = owner.daemon.as_str();
             tracing::warn!(daemon, unchanged_ms, "a peer is unreachable");
+            self.peers_outdated.notify_one();
         }
     }
 
--- a/crates/ownership/src/peers.rs
+++ b/crates/ownership/src/peers.rs
@@ -195,6 +195,22 @@
         (row.incarnation != incarnation).then_some(row.started_at_ms)
     }
 
+    /// The shards that the row of `daemon` lists, if the row is of an earlier incarnation than `incarnation`. That
+    /// incarnation has ended.
+    ///
+    /// ```
+    /// use ownership::Peers;
+    /// let peers = Peers::new(1800, 900, 800);
+    /// assert!(peers.shards_of_earlier_incarnation("a", "a-2").is_empty());
+    /// ```
+    #[must_use]
+    pub fn shards_of_earlier_incarnation(&self, daemon: &str, incarnation: &str) -> Vec<SmolStr> {
+        let peer = self.by_daemon.get(daemon);
+        let earlier = peer.filter(|peer| peer.row.incarnation != incarnation);
+        let shards = earlier.into_iter().flat_map(|peer| &peer.row.owned_shards);
+        shards.map(|(shard, _)| shard.clone()).collect()
+    }
+
     /// The daemon to which `daemon` hands over a shard: of the other daemons that are alive, reachable and not shutting
     /// down, the one that would have the fewest shards for its capacity with one shard more.
     ///
@@ -256,6 +272,36 @@
         peer.is_some_and(|peer| self.is_alive(peer) && !peer.row.is_shutting_down)
     }
 
+    /// Whether `daemon` may read the rows less often than others: it owns no shard, every shard of `shards` has a serving
+    /// owner to which no call has failed, and at least `successors` other daemons would take an unowned shard over first.
+    ///
+    /// ```
+    /// use ownership::Peers;
+    /// let peers = Peers::new(1800, 900, 800);
+    /// assert!(!peers.may_read_rarely("a", &["pool".into()], 1));
+    /// ```
+    #[must_use]
+    pub fn may_read_rarely(&self, daemon: &str, shards: &[SmolStr], successors: usize) -> bool {
+        let Some(peer) = self.by_daemon.get(daemon) else {
+            return false;
+        };
+        let is_settled = |shard: &SmolStr| {
+            let owner = self.shard_owner(shard);
+            let is_reachable = owner.is_some_and(|owner| !self.is_unreachable(&owner.daemon));
+            is_reachable && self.has_serving_owner(shard)
+        };
+        if !peer.row.owned_shards.is_empty() || shards.is_empty() || !shards.iter().all(is_settled)
+        {
+            return false;
+        }
+        let next_load = |peer: &Peer| load(peer.row.owned_shards.len() + 1, peer.row.capacity);
+        let own_load = next_load(peer);
+        let preferred = self.by_daemon.values().filter(|other| {
+            self.is_alive(other) && !other.row.is_shutting_down && next_load(other) < own_load
+        });
+        preferred.count() >= successors
+    }
+
     /// The unowned shards of `shards` that `daemon` is to take over: those without an owner that is alive and not
     /// shutting down, as far as they are assigned to `daemon`.
     ///
--- a/crates/ownership/tests/peers.rs
+++ b/crates/ownership/tests/peers.rs
@@ -137,3 +137,47 @@
     assert_eq!(peers.restarted_at_ms("a", "2"), None);
     assert_eq!(peers.restarted_at_ms("b", "1"), None);
 }
+
+#[test]
+fn daemons_that_would_take_no_shard_over_read_the_rows_rarely_while_all_owners_serve() {
+    let shards: [SmolStr; 1] = ["pool".into()];
+    let with_capacity = |daemon: &str, capacity: u32, owned: &[(&str, u64)]| {
+        let (name, mut row) = row(daemon, "1", owned);
+        row.capacity = capacity;
+        (name, row)
+    };
+    let rows = [
+        with_capacity("owner", 500, &[("pool", 1)]),
+        with_capacity("large-1", 500, &[]),
+        with_capacity("large-2", 500, &[]),
+        with_capacity("small-1", 100, &[]),
+        with_capacity("small-2", 100, &[]),
+    ];
+    let mut peers = peers();
+    update(&mut peers, 1, &rows, 0);
+    let rare = |peers: &Peers| -> Vec<&str> {
+        let daemons = rows.iter().map(|(daemon, _)| daemon.as_str());
+        daemons
+            .filter(|daemon| peers.may_read_rarely(daemon, &shards, 2))
+            .collect()
+    };
+    assert_eq!(rare(&peers), ["small-1", "small-2"]);
+    let _ = peers.mark_unreachable("owner");
+    assert_eq!(rare(&peers), [""; 0], "the owner may be gone");
+    update(&mut peers, 2, &rows, GAP_MS);
+    assert_eq!(rare(&peers), ["small-1", "small-2"]);
+    for _ in 0..5 {
+        update(&mut peers, 2, &rows, GAP_MS);
+    }
+    assert_eq!(rare(&peers), [""; 0], "the owner is dead");
+}
+
+#[test]
+fn a_restarted_daemon_knows_which_shards_it_owned_until_its_row_is_rewritten() {
+    let mut peers = peers();
+    update(&mut peers, 1, &[row("a", "1", &[("pool", 3)])], 0);
+    assert_eq!(peers.shards_of_earlier_incarnation("a", "2"), ["pool"]);
+    assert!(peers.shards_of_earlier_incarnation("a", "1").is_empty());
+    update(&mut peers, 2, &[row("a", "2", &[])], GAP_MS);
+    assert!(peers.shards_of_earlier_incarnation("a", "2").is_empty());
+}
