--- a/crates/scheduler/tests/load.rs
+++ b/crates/scheduler/tests/load.rs
@@ -34,6 +34,43 @@
     }
 }
 
+/// The longer a job, the longer the time over which the rate of its arrivals is usually measured. With many jobs a second,
+/// a short time tells the rate as well.
+#[test]
+fn the_demand_shows_the_height_of_a_peak_of_many_long_jobs_within_a_third_of_a_second() {
+    let long = JobKind {
+        duration_ms: 2000,
+        ..SMALL
+    };
+    for per_s in [40, 80, 160] {
+        let mut loaded = LoadedPool::new(3);
+        loaded.run(&[long], per_s, 330);
+        let now = loaded.pool.now();
+        let demand = loaded.scheduler().demand(now).urgent_demand_workers;
+        let required = usize::try_from(long.cpu_milli_for(per_s).div_ceil(32_000)).unwrap();
+        assert!(
+            demand >= required * 9 / 10,
+            "{per_s} jobs/s: {demand} of {required} workers"
+        );
+    }
+}
+
+#[test]
+fn the_demand_of_a_steady_load_is_not_raised_by_chance() {
+    let mut loaded = LoadedPool::new(60);
+    loaded.run(&[SMALL], 100, 3000);
+    let required = usize::try_from(SMALL.cpu_milli_for(100).div_ceil(32_000)).unwrap();
+    for _ in 0..20 {
+        loaded.run(&[SMALL], 100, 100);
+        let now = loaded.pool.now();
+        let demand = loaded.scheduler().demand(now).urgent_demand_workers;
+        assert!(
+            demand <= required * 3 / 2,
+            "{demand} workers, {required} required"
+        );
+    }
+}
+
 #[test]
 fn the_demand_falls_after_the_end_of_a_peak() {
     let mut loaded = LoadedPool::new(20);
