--- a/crates/fleetd/src/pool/registry.rs
+++ b/crates/fleetd/src/pool/registry.rs
@@ -12,7 +12,7 @@
 use crate::pool::{PoolOwner, takeover};
 
 /// How often the worker registry is read. The capacity of a moved VM is unused until its new worker is read.
-const READ_PERIOD: Duration = Duration::from_millis(300);
+const READ_PERIOD: Duration = Duration::from_millis(150);
 
 impl PoolOwner {
     /// Keeps the scheduler's workers in line with the registry until the ownership ends. Reads the whole registry
