--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -76,7 +76,7 @@
         if !step.is_service {
             return step.has_checkpoints && age_ms > MIN_BATCH_AGE_TO_STOP_MS;
         }
-        if !self.has_room(job, task, now) {
+        if !self.has_service_room(job, task, now) {
             return false;
         }
         // The last report may be old: this task counts as available even if the report showed the contrary.
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -192,9 +192,10 @@
         listed.any(|worker| needs.fits(worker.info.capacity))
     }
 
-    /// Whether a usable worker has enough free capacity for one more task of the step of `task` and meets the constraints
-    /// of the step. Whether the policy allows the worker is not considered.
-    pub(crate) fn has_room(&self, job: &Job, task: TaskKey, now: Now) -> bool {
+    /// Whether a usable worker has room beside its service tasks for one more task of the step of `task`, a service task,
+    /// and meets the constraints of the step. Batch tasks don't count, as they end soon and service tasks are placed first.
+    /// Whether the policy allows the worker is not considered.
+    pub(crate) fn has_service_room(&self, job: &Job, task: TaskKey, now: Now) -> bool {
         let (occurrence, step_index, _) = job.position(task.index);
         let step = &job.spec().steps[step_index];
         let key = StepKey {
@@ -205,7 +206,7 @@
         self.workers.iter().any(|(worker_key, worker)| {
             worker.is_usable(now.local_ms)
                 && has_label(worker, &step.required_label)
-                && fits(worker, step, worker_key, &[], now)
+                && step.footprint().fits(worker.capacity_beside_services())
                 && is_below_step_limit(worker, job, step, key, worker_key, &[])
         })
     }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -228,6 +228,14 @@
         self.info.capacity.saturating_sub(self.used)
     }
 
+    /// The capacity that is not in use by service tasks.
+    pub(crate) fn capacity_beside_services(&self) -> Resources {
+        let services = self.attempts.values().filter(|attempt| attempt.is_service);
+        let footprints = services.map(|attempt| attempt.footprint);
+        let used = footprints.fold(Resources::default(), Resources::saturating_add);
+        self.info.capacity.saturating_sub(used)
+    }
+
     /// Whether a task of this size fits the free capacity and was not refused by the worker lately.
     pub(crate) fn may_fit(&self, footprint: Resources, now_ms: u64) -> bool {
         let is_refused = self
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -145,6 +145,24 @@
     assert_eq!(stops(&pool.round()).len(), 1);
 }
 
+#[test]
+fn a_service_task_leaves_a_drained_worker_for_one_that_is_full_of_batch_tasks() {
+    let mut pool = Pool::new(&["one"]);
+    pool.submit(1, job(vec![service_step(1, 1)]));
+    let commands = pool.round();
+    let started = pool.confirm_starts(&commands);
+    let (worker, task, attempt) = &started[0];
+    let name = pool.task_name(*task);
+    pool.report(worker, &[(name, *attempt, 100)], &[]);
+    pool.set_registry(&["one", "two"]);
+    pool.report("two", &[], &[]);
+    pool.submit(2, job(vec![step(8)]));
+    assert_eq!(starts(&pool.round()).len(), 7, "both workers are full");
+    let drained = pool.key("one");
+    pool.scheduler.drain(drained, pool.now());
+    assert_eq!(stops(&pool.round()).len(), 1);
+}
+
 #[test]
 fn service_tasks_go_to_workers_without_due_maintenance() {
     let mut pool = Pool::new(&["one", "two", "three", "four"]);
