--- a/crates/fleetd/src/leader/command_record.rs
+++ b/crates/fleetd/src/leader/command_record.rs
@@ -4,6 +4,7 @@
 use std::ops::ControlFlow;
 use std::time::Duration;
 
+use ownership::OwnerRow;
 use pools::CommandLog;
 use users_platform::{RowKey, Transaction};
 
@@ -14,6 +15,11 @@
 use crate::node::{Node, SINGLETON_KEY, tables};
 use crate::pool::{Sequence, read_all_rows};
 
+/// How long after the start of this process the commands of its earlier incarnation soft-lock VMs, in ms. That incarnation
+/// had ended by the start, so that its commands were executed or lost soon after. Both have the same holder, so that no
+/// gap between two holders has to be kept.
+const RESTART_SOFT_LOCK_MS: u64 = 1000;
+
 /// The recent commands of a leader and of the leaders before it.
 pub(super) struct CommandRecord {
     log: CommandLog,
@@ -21,11 +27,12 @@
 }
 
 impl CommandRecord {
-    /// Reads the record that previous leaders wrote. Retries without a time limit while the store can't be read. When
+    /// Reads the record that previous leaders wrote. If the `previous` leader was an earlier incarnation of this daemon, its
+    /// commands soft-lock VMs only until they are surely executed or lost. Retries without a time limit while the store can't be read. When
     /// the record can't be decoded, waits until the commands in the record can no longer soft-lock a VM, and returns an
     /// empty record.
-    pub(super) async fn read(node: &Node, term: u64) -> Self {
-        let log = loop {
+    pub(super) async fn read(node: &Node, term: u64, previous: Option<&OwnerRow>) -> Self {
+        let mut log: CommandLog = loop {
             match read_all_rows(node, tables::VM_COMMANDS, FLEET_SHARD).await {
                 Ok(rows) => {
                     let value = rows.first().and_then(|row| row.value.as_deref());
@@ -37,6 +44,13 @@
                 }
             }
         };
+        let restarted = previous.filter(|previous| {
+            previous.daemon == node.settings.daemon && previous.incarnation != node.incarnation
+        });
+        if let Some(previous) = restarted {
+            let unlocked_from_ms = node.started_at_store_ms() + RESTART_SOFT_LOCK_MS;
+            log.end_term(previous.term, unlocked_from_ms, soft_lock_ms(node));
+        }
         Self { log, term }
     }
 
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -96,7 +96,7 @@
         sequence: Arc::new(tokio::sync::Mutex::new(takeover.sequence)),
         waves: Waves::default(),
         maintenance_from_ms: now_ms + delay_ms,
-        command_record: CommandRecord::read(&node, term).await,
+        command_record: CommandRecord::read(&node, term, takeover.previous_owner.as_ref()).await,
         draining: BTreeMap::new(),
         ended_incarnations: BTreeMap::new(),
         unresponsive: BTreeMap::new(),
--- a/crates/pools/src/command_log.rs
+++ b/crates/pools/src/command_log.rs
@@ -50,6 +50,17 @@
         self.last.extend(vms.into_iter().map(|vm| (vm, command)));
     }
 
+    /// Ends the soft locks of the commands that the leader of `term` recorded at `unlocked_from_ms`, unless they end earlier.
+    /// To be used when the process of that leader is known to have ended before.
+    pub fn end_term(&mut self, term: u64, unlocked_from_ms: u64, soft_lock_ms: u64) {
+        let at_ms = unlocked_from_ms.saturating_sub(soft_lock_ms);
+        for command in self.last.values_mut() {
+            if command.term == term {
+                command.at_ms = command.at_ms.min(at_ms);
+            }
+        }
+    }
+
     /// Returns whether a VM is soft-locked for the leader of `term`: the leader may not send commands to the VM,
     /// because the leader of another term recorded a command to the VM less than `soft_lock_ms` ago. `now_ms` is on the
     /// store's clock.
--- a/crates/pools/tests/command_log.rs
+++ b/crates/pools/tests/command_log.rs
@@ -41,3 +41,17 @@
     expected.record(["b".into()], 1, 6000, SOFT_LOCK_MS);
     assert_eq!(log, expected);
 }
+
+#[test]
+fn the_soft_locks_of_a_leader_whose_process_has_ended_end_early() {
+    let mut log = CommandLog::default();
+    log.record(["a".into()], 1, 9000, SOFT_LOCK_MS);
+    log.record(["b".into()], 2, 9500, SOFT_LOCK_MS);
+    log.record(["c".into()], 2, 5000, SOFT_LOCK_MS);
+    log.end_term(2, 11_000, SOFT_LOCK_MS);
+    let is_locked = |vm: &str, now_ms| log.is_soft_locked(vm, 3, now_ms, SOFT_LOCK_MS);
+    assert!(is_locked("b", 10_999));
+    assert!(!is_locked("b", 11_000));
+    assert!(is_locked("a", 13_999), "a command of another leader");
+    assert!(!is_locked("c", 10_000), "never later than without");
+}
