--- a/crates/trefoilpassd/tests/fleet_outages.rs
+++ b/crates/trefoilpassd/tests/fleet_outages.rs
@@ -181,3 +181,23 @@
     }
     check_runs(&platform, 8);
 }
+
+/// On a narrow link, not all rows of a pool arrive within the time in which a read has to be answered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_pool_is_taken_over_although_its_rows_arrive_slowly() {
+    let (platform, mut daemons) = start(2, 2).await;
+    for id in 1..=60 {
+        submit_surely(&daemons, id, 1).await;
+    }
+    platform.store.set_faults(StoreFaults {
+        read_ms_per_row: 25,
+        ..StoreFaults::default()
+    });
+    let owner = split_owner(&platform, &daemons).0.name.clone();
+    daemons.retain(|daemon| daemon.name != owner);
+    submit_surely(&daemons, 61, 1).await;
+    for id in 1..=61 {
+        done(&daemons, id).await;
+    }
+    check_runs(&platform, 61);
+}
