--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -154,6 +154,7 @@
         addr: node.settings.peer_addr().to_string().into(),
         started_at_ms: node.started_at_store_ms(),
         is_shutting_down: node.is_shutting_down.load(Ordering::Acquire),
+        zone: node.settings.zone.clone(),
         capacity: node.settings.machine.capacity_millicores(),
         owned_shards: node.owned_shards.lock().clone(),
     };
--- a/crates/ownership/src/peers.rs
+++ b/crates/ownership/src/peers.rs
@@ -23,6 +23,9 @@
     /// Whether the daemon is shutting down and takes over no more shards.
     #[serde(rename = "is_leaving")]
     pub is_shutting_down: bool,
+    /// The availability zone of the daemon; empty in rows of older versions.
+    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
+    pub zone: SmolStr,
     /// How much work the daemon can do, in thousandths of a core; 0 counts as 1, and rows of older versions, which lack
     /// the field, have 1.
     #[serde(default = "usual_capacity")]
@@ -306,7 +309,8 @@
     /// shutting down, as far as they are assigned to `daemon`.
     ///
     /// Each unowned shard is assigned in turn to the daemon, alive and not shutting down, that would then have the
-    /// fewest shards for its capacity. The assignment depends only on the rows and on which daemons are alive, so that
+    /// fewest shards for its capacity; of equal ones, to one in the availability zone whose daemons own the fewest shards,
+    /// so that the loss of a zone takes few shards with it. The assignment depends only on the rows and on which daemons are alive, so that
     /// all daemons with the same view of these agree. Empty when `daemon` is dead, is shutting down or has no row.
     #[must_use]
     pub fn shards_to_take_over(&self, daemon: &str, shards: &[SmolStr]) -> Vec<SmolStr> {
@@ -319,17 +323,23 @@
         let mut candidates: Vec<Candidate<'_>> = serving
             .map(|(daemon, peer)| Candidate {
                 daemon,
+                zone: &peer.row.zone,
                 owned_shards: peer.row.owned_shards.len(),
                 capacity: peer.row.capacity,
                 relative_age_s: u64::MAX - peer.row.started_at_ms / 1000,
             })
             .collect();
         let mut to_take_over = Vec::new();
+        let mut shards_by_zone: BTreeMap<&SmolStr, usize> = BTreeMap::new();
+        for candidate in &candidates {
+            *shards_by_zone.entry(candidate.zone).or_default() += candidate.owned_shards;
+        }
         for shard in shards.iter().filter(|shard| !self.has_serving_owner(shard)) {
             let least_loaded = candidates.iter_mut().min_by_key(|candidate| {
                 let load = load(candidate.owned_shards + 1, candidate.capacity);
                 (
                     load,
+                    shards_by_zone[candidate.zone],
                     candidate.relative_age_s,
                     tie_break_hash(candidate.daemon, shard),
                 )
@@ -338,6 +348,7 @@
                 return to_take_over;
             };
             assignee.owned_shards += 1;
+            *shards_by_zone.entry(assignee.zone).or_default() += 1;
             if assignee.daemon.as_str() == daemon {
                 to_take_over.push(shard.clone());
             }
@@ -349,6 +360,7 @@
 /// A daemon to which an unowned shard can be assigned.
 struct Candidate<'a> {
     daemon: &'a SmolStr,
+    zone: &'a SmolStr,
     /// The number of shards that the daemon owns or has been assigned.
     owned_shards: usize,
     capacity: u32,
--- a/crates/ownership/tests/peers.rs
+++ b/crates/ownership/tests/peers.rs
@@ -20,6 +20,7 @@
         addr: format_smolstr!("{daemon}:1"),
         started_at_ms: 5,
         is_shutting_down: false,
+        zone: SmolStr::default(),
         capacity: 250,
         owned_shards,
     };
@@ -181,3 +182,33 @@
     update(&mut peers, 2, &[row("a", "2", &[])], GAP_MS);
     assert!(peers.shards_of_earlier_incarnation("a", "2").is_empty());
 }
+
+#[test]
+fn unowned_shards_go_to_zones_whose_daemons_own_few_shards() {
+    let shards = ["p1", "p2", "p3", "p4"].map(SmolStr::from);
+    let in_zone = |daemon: &str, zone: &str, owned: &[(&str, u64)]| {
+        let (name, mut row) = row(daemon, "1", owned);
+        row.zone = zone.into();
+        (name, row)
+    };
+    let rows = [
+        in_zone("a-1", "a", &[("p1", 1)]),
+        in_zone("a-2", "a", &[]),
+        in_zone("a-3", "a", &[]),
+        in_zone("b-1", "b", &[]),
+        in_zone("b-2", "b", &[]),
+        in_zone("c-1", "c", &[]),
+        in_zone("c-2", "c", &[]),
+    ];
+    let mut peers = peers();
+    update(&mut peers, 1, &rows, 0);
+    let taken_over = |zone: &str| -> usize {
+        let daemons = rows.iter().filter(|(_, row)| row.zone == zone);
+        let shards = daemons.map(|(daemon, _)| peers.shards_to_take_over(daemon, &shards).len());
+        shards.sum()
+    };
+    // After the second and the third shard every zone has one.
+    assert_eq!(taken_over("a") + taken_over("b") + taken_over("c"), 3);
+    assert!(taken_over("a") <= 1);
+    assert!(taken_over("b") >= 1 && taken_over("c") >= 1);
+}
--- a/crates/ownership/tests/rows.rs
+++ b/crates/ownership/tests/rows.rs
@@ -10,16 +10,17 @@
         addr: "a:1".into(),
         started_at_ms: 5,
         is_shutting_down: true,
+        zone: "z1".into(),
         capacity: 250,
         owned_shards: [("p1".into(), 3)].into(),
     };
-    let text = r#"{"incarnation":"1","addr":"a:1","started_at_ms":5,"is_leaving":true,"capacity":250,"holds":{"p1":3}}"#;
+    let text = r#"{"incarnation":"1","addr":"a:1","started_at_ms":5,"is_leaving":true,"zone":"z1","capacity":250,"holds":{"p1":3}}"#;
     assert_eq!(serde_json::to_string(&row).unwrap(), text);
     assert_eq!(serde_json::from_str::<DaemonRow>(text).unwrap(), row);
 }
 
 #[test]
-fn a_daemon_row_without_a_capacity_has_capacity_1() {
+fn a_daemon_row_without_a_capacity_has_capacity_1_and_no_zone() {
     let row = json!({
         "incarnation": "1",
         "addr": "a:1",
@@ -27,10 +28,8 @@
         "is_leaving": false,
         "holds": {},
     });
-    assert_eq!(
-        serde_json::from_value::<DaemonRow>(row).unwrap().capacity,
-        1
-    );
+    let row = serde_json::from_value::<DaemonRow>(row).unwrap();
+    assert_eq!((row.capacity, row.zone.as_str()), (1, ""));
 }
 
 #[test]
