--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -17,7 +17,7 @@
 
 use ownership::Lease;
 use parking_lot::Mutex;
-use scheduler::{JobStatus, Scheduler, UnavailableReason, WorkerKey};
+use scheduler::{Demand, JobStatus, Scheduler, UnavailableReason, WorkerKey};
 use smol_str::SmolStr;
 use submission::{JobId, JobSpec};
 use tokio::sync::Notify;
@@ -56,6 +56,9 @@
 /// How often a daemon that shuts down checks whether any callers still wait.
 const RELEASE_POLL_PERIOD: Duration = Duration::from_millis(10);
 
+/// How long workers have to be idle while steps wait until that is logged, in ms: several rounds of placement.
+const STALLED_AFTER_MS: u64 = 1000;
+
 /// The reply to a submission while the store is unavailable. Outages of the store last from 3 s to 9 s.
 const REFUSED_IN_OUTAGE: SubmitReply = SubmitReply::Refused { retry_after_s: 2 };
 
@@ -216,6 +219,7 @@
             });
         let tasks = tasks.collect();
         let demand = scheduler.demand(now);
+        log_stalled_work(&self.pool, &scheduler, &demand);
         drop(scheduler);
         self.recorder_waker.notify_one();
         log_unavailable_workers(&self.pool, &demand.unavailable);
@@ -320,6 +324,24 @@
     }
 }
 
+/// Logs that steps wait although workers have been idle for [`STALLED_AFTER_MS`].
+fn log_stalled_work(pool: &str, scheduler: &Scheduler, demand: &Demand) {
+    let idle = demand.idle.iter();
+    let idle = idle.filter(|idle| idle.idle_ms >= STALLED_AFTER_MS).count();
+    let Some(first) = scheduler.first_ready_task().filter(|_| idle > 0) else {
+        return;
+    };
+    let task = recorder::task_name(scheduler, first);
+    let steps = scheduler.ready_steps();
+    tracing::warn!(
+        pool,
+        steps,
+        idle,
+        first = task.as_str(),
+        "steps wait although workers are idle"
+    );
+}
+
 fn log_unavailable_workers(pool: &str, unavailable: &[(SmolStr, UnavailableReason)]) {
     if unavailable.is_empty() {
         return;
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -197,7 +197,7 @@
                 return None;
             }
             if let Err(err) = reader.read_page().await {
-                tracing::warn!(pool = pool.as_str(), table, rows = reader.rows.len(), page_rows = reader.page_size.rows(), error = %err, "failed to read rows of a pool; retrying");
+                tracing::warn!(pool = pool.as_str(), table, rows = reader.rows.len(), page_rows = reader.page_size.rows(), error = %err, "failed to read the rows of a pool; retrying");
                 tokio::time::sleep(READ_RETRY_DELAY).await;
             }
         }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -220,6 +220,20 @@
         self.ready.len()
     }
 
+    /// Returns the first task of the step that is placed first, or `None` when no step is ready.
+    #[must_use]
+    pub fn first_ready_task(&self) -> Option<TaskKey> {
+        let (_, key) = self.ready.ranked().next()?;
+        let tasks = self
+            .jobs
+            .get(&key.job)?
+            .step_tasks(key.occurrence, usize::from(key.step));
+        Some(TaskKey {
+            job: key.job,
+            index: tasks.start,
+        })
+    }
+
     /// Returns the job with this id, or `None` when the pool has no such job.
     #[must_use]
     pub fn job(&self, id: JobId) -> Option<&Job> {
