fleetd: a leader that the store refuses hands the fleet shard over from within a round; more drains of VMs with service tasks

Its round waited for the record of its commands, which is repeated without end, and the loop that hands the shard over waited for the round; the successor took over after the heartbeat had lapsed and kept the whole gap for maintenance. The record is now given up when the handover is due; commands that were not sent are planned again.

--- a/crates/fleetd/src/leader/command_record.rs
+++ b/crates/fleetd/src/leader/command_record.rs
@@ -1,7 +1,6 @@
 //! The stored record of recent commands to VMs. With this record, a new leader keeps a gap to the commands
 //! that previous leaders sent to the same VM.
 
-use std::ops::ControlFlow;
 use std::time::Duration;
 
 use ownership::OwnerRow;
@@ -11,6 +10,7 @@
 use crate::clock::local_ms;
 use crate::config::FLEET_SHARD;
 use crate::leader::commands::{COMMAND_TIMEOUT, COMMAND_WINDOW_MS, VmCommand};
+use crate::leader::lease_renewal::StoreRefusals;
 use crate::leader::{LEADER_GAP_MARGIN_MS, ROUND_PERIOD};
 use crate::node::{Node, SINGLETON_KEY, tables};
 use crate::pool::{Sequence, read_all_rows};
@@ -55,11 +55,12 @@
     }
 
     /// Records which VMs are about to get a command, and returns when the write began, in ms on the local clock. Writes
-    /// nothing when `commands` is empty. `None` when another daemon is the leader.
+    /// nothing when `commands` is empty. `None` when another daemon is the leader, or has to be as the store refuses this one.
     pub(super) async fn write(
         &mut self,
         node: &Node,
         sequence: &tokio::sync::Mutex<Sequence>,
+        refusals: &StoreRefusals,
         commands: &[VmCommand],
     ) -> Option<u64> {
         let recorded_at_ms = local_ms();
@@ -75,7 +76,7 @@
         let transaction = Transaction::default().with_write(key, value);
         let mut sequence = sequence.lock().await;
         let committed = sequence
-            .commit(node, transaction, |_| ControlFlow::Continue(()))
+            .commit(node, transaction, |err| refusals.record_failure(err))
             .await;
         committed.is_ok().then_some(recorded_at_ms)
     }
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::ControlFlow;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ownership::{Lease, OwnerRow};
@@ -19,14 +19,13 @@
 use smol_str::SmolStr;
 use users_platform::{ListedVm, RowKey, Transaction, VmPhase};
 
-use crate::clock::local_ms;
 use crate::config::FLEET_SHARD;
 use crate::leader::command_record::CommandRecord;
 use crate::leader::commands::{COMMAND_WINDOW_MS, CommandSender, VmCommand};
 use crate::leader::inputs::{
     incarnations_by_vm, log_pools, pool_states, remaining_tasks, wave_vms,
 };
-use crate::leader::lease_renewal::renew_lease;
+use crate::leader::lease_renewal::{StoreRefusals, renew_lease};
 use crate::leader::pool_calls::{PoolCalls, REPLY_WAIT, call_pool};
 use crate::leader::waves::Waves;
 use crate::node::{Node, SINGLETON_KEY, STORE_TIMEOUT, tables};
@@ -37,9 +36,6 @@
 /// The delay between two rounds. A round reads the list of VMs, exchanges data with the pools and sends commands.
 const ROUND_PERIOD: Duration = Duration::from_millis(300);
 
-/// How long the store may refuse the leader before the leader hands the shard over to a daemon that the store serves.
-const HAND_OVER_AFTER_MS: u64 = 600;
-
 /// What a successor adds to `leader_gap_ms`, the gap between the commands of two leaders, for the transit of commands.
 const LEADER_GAP_MARGIN_MS: u64 = 300;
 
@@ -55,6 +51,7 @@
     calls: PoolCalls,
     sender: CommandSender,
     sequence: Arc<tokio::sync::Mutex<Sequence>>,
+    refusals: Arc<StoreRefusals>,
     waves: Waves,
     /// When this leader starts to maintain VMs, in ms on the store's clock. Before that, commands of the previous
     /// leader may be in transit, and the list of VMs doesn't show which VMs these commands take down.
@@ -94,6 +91,7 @@
         calls: PoolCalls::default(),
         sender,
         sequence: Arc::new(tokio::sync::Mutex::new(takeover.sequence)),
+        refusals: Arc::default(),
         waves: Waves::default(),
         maintenance_from_ms: now_ms + delay_ms,
         command_record: CommandRecord::read(&node, term, takeover.previous_owner.as_ref()).await,
@@ -105,8 +103,7 @@
         last_command_at_ms: now_ms,
         unconfirmed_moves: BTreeMap::new(),
     };
-    let refused_since_ms = Arc::new(AtomicU64::new(0));
-    let renewal_state = (leader.sequence.clone(), lease, refused_since_ms.clone());
+    let renewal_state = (leader.sequence.clone(), lease, leader.refusals.clone());
     let renewal = tokio::spawn(renew_lease(node.clone(), renewal_state));
     while !renewal.is_finished() {
         if node.is_shutting_down.load(Ordering::Acquire) {
@@ -114,9 +111,7 @@
             renewal.abort();
             break;
         }
-        let since_ms = refused_since_ms.load(Ordering::Relaxed);
-        let is_refused = since_ms > 0 && local_ms().saturating_sub(since_ms) > HAND_OVER_AFTER_MS;
-        if is_refused && leader.hand_over().await {
+        if leader.refusals.is_hand_over_due() && leader.hand_over().await {
             renewal.abort();
             break;
         }
@@ -225,10 +220,15 @@
         to_drain.extend(self.unconfirmed_moves.keys().cloned());
         self.set_draining(&listed, &to_drain);
         let has_commands = !commands.is_empty();
-        let recorded = self
-            .command_record
-            .write(&self.node, &self.sequence, &commands);
+        let recorded =
+            self.command_record
+                .write(&self.node, &self.sequence, &self.refusals, &commands);
         let Some(recorded_at_ms) = recorded.await else {
+            for command in &commands {
+                if let VmCommand::Maintain { vm, wave, .. } = command {
+                    self.waves.record_not_sent(wave, vm);
+                }
+            }
             return;
         };
         for (command, outcome) in self.sender.send_all(commands, recorded_at_ms).await {
@@ -237,7 +237,9 @@
         if has_commands {
             self.last_command_at_ms = self.node.clock.now().store_ms;
         }
-        self.waves.write_progress(&self.node, &self.sequence).await;
+        self.waves
+            .write_progress(&self.node, &self.sequence, &self.refusals)
+            .await;
     }
 
     /// Finds the incarnations that have ended: workers that were unresponsive in the last round and that the list of
--- a/crates/fleetd/src/leader/waves.rs
+++ b/crates/fleetd/src/leader/waves.rs
@@ -1,7 +1,6 @@
 //! The maintenance waves that the leader drives, and their rows in the store.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::ops::ControlFlow;
 use std::time::Duration;
 
 use pools::{MaintenanceWave, VmCommandOutcome, WaveVm};
@@ -12,6 +11,7 @@
 use crate::clock::local_ms;
 use crate::config::FLEET_SHARD;
 use crate::leader::commands::VmCommand;
+use crate::leader::lease_renewal::StoreRefusals;
 use crate::node::{Node, STORE_TIMEOUT, tables};
 use crate::pool::{Sequence, read_all_rows};
 
@@ -127,6 +127,13 @@
         loaded.any(|loaded| loaded.wave.is_waiting(vm))
     }
 
+    /// Records that a command to a VM for the wave with the key `key` was not sent.
+    pub(super) fn record_not_sent(&mut self, key: &str, vm: &str) {
+        if let Some(loaded) = self.loaded.get_mut(key) {
+            loaded.wave.record_not_sent(vm, local_ms());
+        }
+    }
+
     /// Records the outcome of a command to a VM for the wave with the key `key`.
     pub(super) fn record_outcome(&mut self, key: &str, vm: &str, outcome: VmCommandOutcome) {
         if let Some(loaded) = self.loaded.get_mut(key) {
@@ -139,6 +146,7 @@
         &mut self,
         node: &Node,
         sequence: &tokio::sync::Mutex<Sequence>,
+        refusals: &StoreRefusals,
     ) {
         for (key, loaded) in &mut self.loaded {
             let row = WaveRow {
@@ -156,7 +164,7 @@
             let written = sequence
                 .lock()
                 .await
-                .commit(node, transaction, |_| ControlFlow::Continue(()))
+                .commit(node, transaction, |err| refusals.record_failure(err))
                 .await;
             if written.is_err() {
                 return;
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -29,7 +29,7 @@
 
 use submissions::Submissions;
 
-pub(crate) use sequence::Sequence;
+pub(crate) use sequence::{Sequence, SequenceError};
 pub(crate) use takeover::{Takeover, decode_jobs, read_all_rows, take_over_pool, take_over_shard};
 
 /// How long an owner continues to renew the leases of workers after its last committed transaction. Together with the
--- a/crates/pools/src/wave.rs
+++ b/crates/pools/src/wave.rs
@@ -36,11 +36,20 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum MaintenanceStage {
-    Waiting { not_before_ms: u64 },
+    Waiting {
+        not_before_ms: u64,
+    },
     Draining,
-    CommandSent,
-    OutcomeUnknown { not_before_ms: u64 },
-    Started { started_at_ms: u64 },
+    CommandSent {
+        /// Whether the outcome of an earlier command is unknown.
+        is_repeated: bool,
+    },
+    OutcomeUnknown {
+        not_before_ms: u64,
+    },
+    Started {
+        started_at_ms: u64,
+    },
     Ended,
 }
 
@@ -66,7 +75,7 @@
 /// From the start of the wave, at least one in this many of the remaining VMs that run service tasks is being drained,
 /// as far as the limit on drains allows. Service tasks move one after another, in 1 s to 2 s each, so the last of these
 /// VMs would miss the deadline if they were drained after the others.
-const SERVICE_VM_DRAIN_DIVISOR: usize = 12;
+const SERVICE_VM_DRAIN_DIVISOR: usize = 4;
 
 /// The part of the time until the deadline that a wave is planned to take, in percent. The rest absorbs failures and
 /// retries.
@@ -167,7 +176,7 @@
         let down = self.stages.values().filter(|stage| {
             matches!(
                 stage,
-                MaintenanceStage::CommandSent
+                MaintenanceStage::CommandSent { .. }
                     | MaintenanceStage::OutcomeUnknown { .. }
                     | MaintenanceStage::Started { .. }
             )
@@ -193,7 +202,8 @@
             };
             if is_due {
                 free_capacity -= usize::from(*stage == MaintenanceStage::Draining);
-                *stage = MaintenanceStage::CommandSent;
+                let is_repeated = *stage != MaintenanceStage::Draining;
+                *stage = MaintenanceStage::CommandSent { is_repeated };
                 actions.maintain.push(vm.clone());
             }
         }
@@ -294,6 +304,22 @@
         }
     }
 
+    /// Records that a maintenance command returned by [`MaintenanceWave::next_actions`] was not sent: its VM is drained
+    /// again, or, if the outcome of an earlier command is unknown, the command is repeated later.
+    pub fn record_not_sent(&mut self, vm: &str, now_ms: u64) {
+        if let Some(stage) = self.stages.get_mut(vm)
+            && let MaintenanceStage::CommandSent { is_repeated } = *stage
+        {
+            *stage = if is_repeated {
+                let not_before_ms = now_ms + UNKNOWN_OUTCOME_RETRY_DELAY_MS;
+                MaintenanceStage::OutcomeUnknown { not_before_ms }
+            } else {
+                let not_before_ms = now_ms + BUSY_RETRY_DELAY_MS;
+                MaintenanceStage::Waiting { not_before_ms }
+            };
+        }
+    }
+
     /// Records the outcome of a maintenance command to a VM. Does nothing for a VM that is not part of the wave.
     pub fn record_outcome(&mut self, vm: &str, outcome: VmCommandOutcome, now_ms: u64) {
         let Some(stage) = self.stages.get_mut(vm) else {
--- a/crates/pools/tests/wave.rs
+++ b/crates/pools/tests/wave.rs
@@ -203,3 +203,29 @@
     check(60, 12, 20, 26_000);
     check(20, 10, 9, 25_000);
 }
+
+#[test]
+fn a_command_that_was_not_sent_leaves_its_vm_to_be_drained_again() {
+    let mut wave = new_wave(names(1), 1, 20_000);
+    let vms = names(1);
+    let vm = vms[0].clone();
+    let list = |is_drained| {
+        let state = WaveVm {
+            is_drained,
+            ..busy()
+        };
+        BTreeMap::from([(vm.clone(), state)])
+    };
+    assert_eq!(wave.next_actions(&list(false), 0).drain, vms);
+    assert_eq!(wave.next_actions(&list(true), 500).maintain, vms);
+    wave.record_not_sent(&vm, 600);
+    assert_eq!(wave.down_count(), 0);
+    assert_eq!(wave.next_actions(&list(false), 1200).drain, vms);
+    // After a command whose outcome is unknown, the VM may be down, and the command is repeated.
+    assert_eq!(wave.next_actions(&list(true), 1700).maintain, vms);
+    wave.record_outcome(&vm, VmCommandOutcome::Unknown, 1800);
+    assert_eq!(wave.next_actions(&list(true), 2200).maintain, vms);
+    wave.record_not_sent(&vm, 2300);
+    assert_eq!(wave.down_count(), 1);
+    assert_eq!(wave.next_actions(&list(true), 2700).maintain, vms);
+}
