--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -41,7 +41,8 @@
 /// The demand of a pool for workers, and the state of the pool's workers.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Demand {
-    /// The number of workers that service tasks need, because of their size and of their limits on tasks per worker.
+    /// The number of workers that service tasks need, because of their size, of their limits on tasks per worker, and of
+    /// drains that wait for a worker with room.
     pub service_demand_workers: usize,
     /// The number of workers for the work that can still meet its latency objective, including the growth expected
     /// until a moved VM is ready. At least the minimum of a pool and what service tasks need.
@@ -101,7 +102,8 @@
             |cpu: u64| usize::try_from(cpu.div_ceil(usable_cpu_milli)).unwrap_or(usize::MAX);
         let service_demand_workers = self
             .min_service_workers()
-            .max(workers_for(self.service_cpu()));
+            .max(workers_for(self.service_cpu()))
+            .max(self.workers_for_blocked_drains(now));
         let min_workers = service_workers
             .len()
             .max(service_demand_workers)
@@ -137,6 +139,21 @@
         workers.max().map_or(0, |workers| workers as usize)
     }
 
+    /// The number of workers with which each drain that waits for room has one without service tasks to move to; 0 if no
+    /// drain waits.
+    fn workers_for_blocked_drains(&self, now: Now) -> usize {
+        let workers = self.workers.values();
+        let blocked = workers.filter(|worker| worker.has_blocked_drain(now.local_ms));
+        let blocked = blocked.count();
+        if blocked == 0 {
+            return 0;
+        }
+        let usable = self.workers.values();
+        let usable = usable.filter(|worker| worker.is_usable(now.local_ms));
+        let with_services = usable.filter(|worker| worker.service_attempts > 0);
+        with_services.count() + blocked
+    }
+
     /// The CPU, in thousandths of a core, of all service tasks of the pool.
     fn service_cpu(&self) -> u64 {
         let jobs = self.service_jobs.iter().filter_map(|id| self.jobs.get(id));
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -36,13 +36,17 @@
             .filter(|(_, attempt)| !attempt.is_stopping)
             .map(|(task, attempt)| (*task, attempt.number, attempt.assigned_at_ms))
             .collect();
+        let mut is_drain_blocked = false;
         for (task, attempt, assigned_at_ms) in attempts {
             let age_ms = now.local_ms.saturating_sub(assigned_at_ms);
-            if self.may_stop(task, age_ms, now) {
+            if !self.has_place_elsewhere(task, now) {
+                is_drain_blocked = true;
+            } else if self.may_stop(task, age_ms) {
                 self.issue_stop(key, task, attempt);
             }
         }
-        let worker = &self.workers[key];
+        let worker = &mut self.workers[key];
+        worker.is_drain_blocked = is_drain_blocked;
         worker.attempts.len() + usize::from(worker.has_unrecorded_ends())
     }
 
@@ -66,9 +70,17 @@
         }
     }
 
-    /// Whether a task may be stopped on a worker that is being drained. A service task has to have a place on another
-    /// worker: it would not run until the pool has one.
-    fn may_stop(&self, task: TaskKey, age_ms: u64, now: Now) -> bool {
+    /// Whether a task has no need of another worker, or one that has room. A service task that is stopped without such a
+    /// worker would not run until the pool gets one.
+    fn has_place_elsewhere(&self, task: TaskKey, now: Now) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.is_none_or(|job| {
+            !job.step(task.index).is_service || self.has_service_room(job, task, now)
+        })
+    }
+
+    /// Whether a task may be stopped on a worker that is being drained.
+    fn may_stop(&self, task: TaskKey, age_ms: u64) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return true;
         };
@@ -76,9 +88,6 @@
         if !step.is_service {
             return step.has_checkpoints && age_ms > MIN_BATCH_AGE_TO_STOP_MS;
         }
-        if !self.has_service_room(job, task, now) {
-            return false;
-        }
         // The last report may be old: this task counts as available even if the report showed the contrary.
         self.unavailable_others(job, task) < step.max_unavailable.max(MIN_TOLERATED_UNAVAILABLE)
     }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -108,6 +108,8 @@
     pub(crate) is_unresponsive: bool,
     /// When the drain lease ends, in ms on the daemon's clock. The worker is given no task before.
     pub(crate) drain_until_ms: u64,
+    /// Whether a service task stayed on the worker at the last renewal of the drain lease because no other worker had room.
+    pub(crate) is_drain_blocked: bool,
     /// Whether the worker will be drained for maintenance.
     pub(crate) is_maintenance_due: bool,
     /// The attempts that run on the worker, or may run there.
@@ -158,6 +160,7 @@
             has_accepted_term: false,
             is_unresponsive: false,
             drain_until_ms: 0,
+            is_drain_blocked: false,
             is_maintenance_due: false,
             attempts: BTreeMap::new(),
             used: Resources::default(),
@@ -228,6 +231,11 @@
         self.info.capacity.saturating_sub(self.used)
     }
 
+    /// Whether the worker is being drained and the drain waits for room on another worker.
+    pub(crate) fn has_blocked_drain(&self, now_ms: u64) -> bool {
+        self.is_drain_blocked && now_ms < self.drain_until_ms
+    }
+
     /// The capacity that is not in use by service tasks.
     pub(crate) fn capacity_beside_services(&self) -> Resources {
         let services = self.attempts.values().filter(|attempt| attempt.is_service);
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -137,14 +137,43 @@
         pool.report(worker, &[(name, *attempt, 100)], &[]);
     }
     let drained = pool.key(&started[0].0);
+    let demand = |pool: &mut Pool| pool.scheduler.demand(pool.now()).service_demand_workers;
+    assert_eq!(demand(&mut pool), 2);
     pool.scheduler.drain(drained, pool.now());
     assert_eq!(stops(&pool.round()).len(), 0);
+    assert_eq!(demand(&mut pool), 2, "one usable, and one to move to");
     pool.set_registry(&["one", "two", "three"]);
     pool.report("three", &[], &[]);
     pool.scheduler.drain(drained, pool.now());
     assert_eq!(stops(&pool.round()).len(), 1);
 }
 
+/// Two tasks of a size of which a worker holds one.
+#[test]
+fn a_pool_wants_a_worker_for_a_service_task_that_fits_on_no_other_while_its_worker_is_drained() {
+    let mut pool = Pool::new(&["one", "two"]);
+    let mut large = service_step(2, 1);
+    large.max_per_worker = 0;
+    large.needs.memory_mb = 5000;
+    pool.submit(1, job(vec![large]));
+    let commands = pool.round();
+    for (worker, task, attempt) in pool.confirm_starts(&commands) {
+        let name = pool.task_name(task);
+        pool.report(&worker, &[(name, attempt, 100)], &[]);
+    }
+    assert_eq!(
+        pool.scheduler.demand(pool.now()).service_demand_workers,
+        1,
+        "by CPU"
+    );
+    let (one, two) = (pool.key("one"), pool.key("two"));
+    pool.scheduler.drain(one, pool.now());
+    assert_eq!(pool.scheduler.demand(pool.now()).service_demand_workers, 2);
+    pool.scheduler.drain(two, pool.now());
+    assert_eq!(pool.scheduler.demand(pool.now()).service_demand_workers, 2);
+    assert_eq!(stops(&pool.round()).len(), 0);
+}
+
 #[test]
 fn a_service_task_leaves_a_drained_worker_for_one_that_is_full_of_batch_tasks() {
     let mut pool = Pool::new(&["one"]);
