--- a/crates/pools/src/wave.rs
+++ b/crates/pools/src/wave.rs
@@ -75,7 +75,7 @@
 /// From the start of the wave, at least one in this many of the remaining VMs that run service tasks is being drained,
 /// as far as the limit on drains allows. Service tasks move one after another, in 1 s to 2 s each, so the last of these
 /// VMs would miss the deadline if they were drained after the others.
-const SERVICE_VM_DRAIN_DIVISOR: usize = 4;
+const SERVICE_VM_DRAIN_DIVISOR: usize = 8;
 
 /// The part of the time until the deadline that a wave is planned to take, in percent. The rest absorbs failures and
 /// retries.
