--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -63,15 +63,23 @@
 #[test]
 fn a_round_keeps_its_field_names() {
     let request = RoundRequest {
-        maintenance_due: None,
         drain: vec!["a".into()],
         cancel_drain: vec!["b".into()],
         ended_incarnations: vec!["c".into()],
+        maintenance_due: None,
     };
     check_json(
         &request,
         &json!({"empty": ["a"], "keep": ["b"], "over": ["c"]}),
     );
+    let request = RoundRequest {
+        maintenance_due: Some(vec!["h".into()]),
+        ..request
+    };
+    check_json(
+        &request,
+        &json!({"empty": ["a"], "keep": ["b"], "over": ["c"], "due": ["h"]}),
+    );
     let reply = RoundReply {
         remaining_tasks: vec![1],
         service_demand_workers: 1,
@@ -85,8 +93,17 @@
     check_json(
         &reply,
         &json!({
-            "tasks": [1], "urgent": 2, "wanted": 3, "steady": ["d"], "silent": ["e"], "unusable": ["f"],
+            "tasks": [1], "required": 1, "urgent": 2, "wanted": 3, "steady": ["d"], "silent": ["e"], "unusable": ["f"],
             "idle": [["g", 4]],
         }),
     );
 }
+
+#[test]
+fn a_round_of_an_earlier_build_has_no_service_demand() {
+    let reply: RoundReply = serde_json::from_value(json!({
+        "tasks": [], "urgent": 2, "wanted": 3, "steady": [], "silent": [], "unusable": [], "idle": [],
+    }))
+    .unwrap();
+    assert_eq!(reply.service_demand_workers, 0);
+}
