--- a/crates/fleetd/src/clock.rs
+++ b/crates/fleetd/src/clock.rs
@@ -16,10 +16,15 @@
 
 /// Milliseconds since boot on the local clock, which includes the time in which the machine is suspended.
 pub(crate) fn local_ms() -> u64 {
+    local_us() / 1000
+}
+
+/// Microseconds since boot on the local clock, which includes the time in which the machine is suspended.
+pub(crate) fn local_us() -> u64 {
     let time = clock_gettime(ClockId::Boottime);
     let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
-    let millis = u64::try_from(time.tv_nsec / 1_000_000).unwrap_or(0);
-    seconds * 1000 + millis
+    let micros = u64::try_from(time.tv_nsec / 1000).unwrap_or(0);
+    seconds * 1_000_000 + micros
 }
 
 impl Clock {
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ownership::{Peers, ShardOwner};
 use parking_lot::Mutex;
@@ -12,7 +12,7 @@
 use transfer::{LinkBudget, ResponseTimes};
 use users_platform::{HttpClient, PolicyClient, StoreClient, VmClient, WaveRequest, WorkerClient};
 
-use crate::clock::{Clock, local_ms};
+use crate::clock::{Clock, local_ms, local_us};
 use crate::config::ActiveConfig;
 use crate::metrics::Metrics;
 use crate::peer_calls::{self, PeerConnection};
@@ -103,8 +103,6 @@
     /// owner row, and when this daemon first found that version so, in ms of the local clock.
     unannounced_owners: Mutex<BTreeMap<SmolStr, (u64, u64)>>,
     peer_connections: Mutex<HashMap<SmolStr, PeerConnection>>,
-    /// The clock of [`Node::command_budget`].
-    command_clock: Instant,
     /// The share of the link that start commands may use.
     command_budget: Mutex<LinkBudget>,
     /// The response times of the workers that respond.
@@ -150,7 +148,6 @@
             requested_waves: Mutex::new(BTreeMap::new()),
             unannounced_owners: Mutex::new(BTreeMap::new()),
             peer_connections: Mutex::new(HashMap::new()),
-            command_clock: Instant::now(),
             command_budget: Mutex::new(command_budget),
             worker_response_times: Mutex::new(ResponseTimes::new(
                 MIN_WORKER_TIMEOUT_MS,
@@ -180,9 +177,7 @@
 
     /// Waits until the link has room for a command of `bytes` bytes.
     pub(crate) async fn wait_for_link(&self, bytes: usize) {
-        let elapsed = self.command_clock.elapsed();
-        let now_us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
-        let wait_us = self.command_budget.lock().reserve(bytes as u64, now_us);
+        let wait_us = self.command_budget.lock().reserve(bytes as u64, local_us());
         if wait_us > 0 {
             tokio::time::sleep(Duration::from_micros(wait_us)).await;
         }
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -16,6 +16,7 @@
 use users_platform::HttpClient;
 
 use crate::api::{handle_metrics, handle_readiness, serve_callers, serve_endpoint};
+use crate::clock::local_us;
 use crate::config::FLEET_SHARD;
 use crate::membership::{
     DEAD_AFTER_MS, Handover, MAX_READ_GAP_MS, UNREACHABLE_DEAD_AFTER_MS, follow_operator_rows,
@@ -90,6 +91,7 @@
 
 async fn run_daemon(settings: FleetSettings) -> Result<()> {
     let http = HttpClient::new(CONNECT_TIMEOUT, TCP_USER_TIMEOUT).context(ClientSnafu)?;
+    let http = http.with_clock(local_us);
     let metrics = Metrics::new(http.costs()).context(MetricsSnafu)?;
     let _log_guard = logging::init(metrics.dropped_log_lines.clone());
     let incarnation: u64 = rand::rng().random();
