fleetd: a recorded round ends the leader's count of refusals

Found by reading: a refusal in a round's record counted until the next renewal of the lease, 0.6 s later, also when the record was written on the second try, so that one refusal could hand the fleet shard over.

--- a/crates/fleetd/src/leader/command_record.rs
+++ b/crates/fleetd/src/leader/command_record.rs
@@ -28,7 +28,7 @@
 
 impl CommandRecord {
     /// Reads the record that previous leaders wrote. If the `previous` leader was an earlier incarnation of this daemon, its
-    /// commands soft-lock VMs only until they are surely executed or lost. Retries without a time limit while the store can't be read. When
+    /// commands soft-lock VMs only until [`RESTART_SOFT_LOCK_MS`] after the start of this process. Retries without a time limit while the store can't be read. When
     /// the record can't be decoded, waits until the commands in the record can no longer soft-lock a VM, and returns an
     /// empty record.
     pub(super) async fn read(node: &Node, term: u64, previous: Option<&OwnerRow>) -> Self {
@@ -78,6 +78,9 @@
         let committed = sequence
             .commit(node, transaction, |err| refusals.record_failure(err))
             .await;
+        if committed.is_ok() {
+            refusals.record_success();
+        }
         committed.is_ok().then_some(recorded_at_ms)
     }
 
--- a/crates/fleetd/src/leader/waves.rs
+++ b/crates/fleetd/src/leader/waves.rs
@@ -169,6 +169,7 @@
             if written.is_err() {
                 return;
             }
+            refusals.record_success();
             let is_reported = !row.is_done || write_status(node, key, true).await;
             loaded.row = row;
             loaded.row.is_done &= is_reported;
