scheduler, fleetd: log lines that tell a restarted worker from late commands

The line on an ended attempt named no worker and was written for ends that the scheduler skips; no line told that an attempt counts as lost because a report doesn't list it, and none that another incarnation of a worker reports under the same id. The new lines are written on these rare events only. No decision changes.

--- a/crates/fleetd/src/pool/lease_renewal.rs
+++ b/crates/fleetd/src/pool/lease_renewal.rs
@@ -86,6 +86,7 @@
             match response {
                 Ok(LeaseRenewalResponse::Accepted {
                     clock_ms,
+                    start_unix_ms,
                     running,
                     ended,
                 }) => {
@@ -94,11 +95,12 @@
                     let report = WorkerReport {
                         request_sent_at_ms: sent_at_ms,
                         worker_clock_ms: clock_ms,
+                        start_unix_ms,
                         acknowledged_end: request.recorded_end,
                         running: running.into_iter().map(running_task).collect(),
                         ended: ended
                             .into_iter()
-                            .map(|ended| self.observe_end(ended))
+                            .map(|ended| self.observe_end(&info.id, ended))
                             .collect(),
                     };
                     self.apply_report(key, report);
@@ -191,7 +193,11 @@
     }
 
     /// Counts and logs an ended attempt, and returns it in the scheduler's form.
-    fn observe_end(&self, ended: users_platform::EndedAttemptReport) -> EndedAttempt {
+    fn observe_end(
+        &self,
+        worker: &str,
+        ended: users_platform::EndedAttemptReport,
+    ) -> EndedAttempt {
         let (outcome, label) = match ended.reason {
             AttemptEndReason::Done => (AttemptOutcome::Done, "done"),
             AttemptEndReason::Failed => (AttemptOutcome::Failed, "failed"),
@@ -207,6 +213,7 @@
         tracing::info!(
             task = ended.task.as_str(),
             run = ended.attempt,
+            worker,
             end = label,
             number = ended.number,
             "an attempt ended"
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -55,7 +55,7 @@
         scheduler.tick(now);
         scheduler.plan(now);
         for event in scheduler.drain_events() {
-            tracing::warn!(pool = self.pool.as_str(), note = ?event, "a worker was blocklisted or its leases expired");
+            tracing::warn!(pool = self.pool.as_str(), note = ?event, "{}", event.message());
         }
         scheduler.take_batch(MAX_ENTRIES_PER_TRANSACTION)
     }
--- a/crates/scheduler/benches/round.rs
+++ b/crates/scheduler/benches/round.rs
@@ -83,6 +83,7 @@
 
 fn report(ended: Vec<EndedAttempt>) -> WorkerReport {
     WorkerReport {
+        start_unix_ms: None,
         request_sent_at_ms: 0,
         worker_clock_ms: 1_000_000,
         acknowledged_end: 0,
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -54,6 +54,8 @@
     pub request_sent_at_ms: u64,
     /// The worker's clock in ms, as the response carried it.
     pub worker_clock_ms: u64,
+    /// The start of the incarnation that reported, in ms since 1970 on the worker's clock; `None` when it is unknown.
+    pub start_unix_ms: Option<u64>,
     /// The number of the last ended attempt that the lease renewal acknowledged as recorded; 0 for none.
     pub acknowledged_end: u64,
     /// The tasks that run on the worker.
@@ -70,6 +72,9 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
+        if let Some(event) = worker.record_start(report.start_unix_ms) {
+            self.events.push(event);
+        }
         worker.record_clock(report.worker_clock_ms, now.local_ms);
         if !worker.has_accepted_term && report.running.is_empty() {
             // No attempt that a previous owner started has a lease on the worker.
@@ -103,23 +108,29 @@
     }
 
     fn apply_end(&mut self, key: WorkerKey, end: EndedAttempt, now: Now) {
-        let worker = &mut self.workers[key];
-        if end.number <= worker.received_end {
+        let worker = &self.workers[key];
+        let is_applied = end.number <= worker.received_end;
+        let task = self.task_by_name(&end.name);
+        let assigned = task.filter(|task| self.is_assigned(key, *task, end.attempt));
+        if is_applied {
+            if assigned.is_some() {
+                let worker = worker.info.id.clone();
+                self.events.push(SchedulerEvent::EndSkipped {
+                    worker,
+                    task: end.name,
+                    attempt: end.attempt,
+                    number: end.number,
+                });
+            }
             return;
         }
-        worker.received_end = end.number;
-        let Some(task) = self.task_by_name(&end.name) else {
+        self.workers[key].received_end = end.number;
+        if let Some(task) = task {
+            self.remove_not_started(task.job);
+        }
+        let Some(task) = assigned else {
             return;
         };
-        self.remove_not_started(task.job);
-        let worker = &mut self.workers[key];
-        let is_assigned = worker
-            .attempts
-            .get(&task)
-            .is_some_and(|attempt| attempt.number == end.attempt);
-        if !is_assigned {
-            return;
-        }
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.update_checkpoint(task.index, end.checkpoint);
         }
@@ -291,6 +302,13 @@
             .map(|(task, attempt)| (*task, attempt.number))
             .collect();
         for (task, attempt) in unlisted {
+            if let Some(job) = self.jobs.get(&task.job) {
+                self.events.push(SchedulerEvent::NotListed {
+                    worker: self.workers[key].info.id.clone(),
+                    task: job.task_name(task.index),
+                    attempt,
+                });
+            }
             self.end_attempt(key, task, attempt, AttemptOutcome::Lost, now);
         }
     }
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -62,6 +62,56 @@
         /// The number of attempts that were assigned to the worker.
         attempts: usize,
     },
+    /// A report came from another incarnation of a worker than the reports before.
+    Restarted {
+        /// The id of the worker, which both incarnations have.
+        worker: SmolStr,
+        /// The start of the previous incarnation, in ms since 1970 on the worker's clock.
+        previous_start_unix_ms: u64,
+        /// The start of the incarnation that reported, in ms since 1970 on the worker's clock.
+        start_unix_ms: u64,
+    },
+    /// A reported end was skipped as already applied, although its attempt is assigned to the worker.
+    EndSkipped {
+        /// The id of the worker.
+        worker: SmolStr,
+        /// The name of the task.
+        task: SmolStr,
+        /// The number of the attempt.
+        attempt: u32,
+        /// The number of the end.
+        number: u64,
+    },
+    /// An attempt counts as lost, because its start command was settled and a later report of its worker doesn't list it.
+    NotListed {
+        /// The id of the worker.
+        worker: SmolStr,
+        /// The name of the task.
+        task: SmolStr,
+        /// The number of the attempt.
+        attempt: u32,
+    },
+}
+
+impl SchedulerEvent {
+    /// Returns what happened, as a message for the log.
+    ///
+    /// ```
+    /// use scheduler::SchedulerEvent;
+    /// let event = SchedulerEvent::LeasesExpired { worker: "w-1".into(), attempts: 2 };
+    /// assert_eq!(event.message(), "a worker was blocklisted or its leases expired");
+    /// ```
+    #[must_use]
+    pub fn message(&self) -> &'static str {
+        match self {
+            Self::Blocklisted { .. } | Self::LeasesExpired { .. } => {
+                "a worker was blocklisted or its leases expired"
+            }
+            Self::Restarted { .. } => "a worker restarted under its id",
+            Self::EndSkipped { .. } => "a reported end was skipped as already applied",
+            Self::NotListed { .. } => "an attempt counts as lost: its worker does not list it",
+        }
+    }
 }
 
 /// Writes the names of variants and fields that log records use.
@@ -78,6 +128,38 @@
                 .field("worker", worker)
                 .field("runs", attempts)
                 .finish(),
+            Self::Restarted {
+                worker,
+                previous_start_unix_ms,
+                start_unix_ms,
+            } => f
+                .debug_struct("Restarted")
+                .field("worker", worker)
+                .field("previous_start_unix_ms", previous_start_unix_ms)
+                .field("start_unix_ms", start_unix_ms)
+                .finish(),
+            Self::EndSkipped {
+                worker,
+                task,
+                attempt,
+                number,
+            } => f
+                .debug_struct("EndSkipped")
+                .field("worker", worker)
+                .field("task", task)
+                .field("run", attempt)
+                .field("number", number)
+                .finish(),
+            Self::NotListed {
+                worker,
+                task,
+                attempt,
+            } => f
+                .debug_struct("NotListed")
+                .field("worker", worker)
+                .field("task", task)
+                .field("run", attempt)
+                .finish(),
         }
     }
 }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::dirty::{DirtyJobs, Position};
 use crate::health::Health;
+use crate::types::SchedulerEvent;
 
 slotmap::new_key_type! {
     /// The key of a worker in a scheduler.
@@ -135,6 +136,8 @@
     pub(crate) recorded_end: u64,
     /// The number of the last ended attempt that was acknowledged to the worker, which then discards the end.
     pub(crate) acknowledged_end: u64,
+    /// The start of the incarnation that reported last, in ms since 1970 on the worker's clock; `None` when it is unknown.
+    start_unix_ms: Option<u64>,
     clock: Option<ClockSample>,
 }
 
@@ -173,6 +176,7 @@
             unrecorded_ends: VecDeque::new(),
             recorded_end: 0,
             acknowledged_end: 0,
+            start_unix_ms: None,
             clock: None,
         }
     }
@@ -271,6 +275,18 @@
         Some(attempt)
     }
 
+    /// Records the start of the incarnation that reported. Returns an event when the reports before came from another one.
+    pub(crate) fn record_start(&mut self, start_unix_ms: Option<u64>) -> Option<SchedulerEvent> {
+        let previous_start_unix_ms = self.start_unix_ms;
+        self.start_unix_ms = start_unix_ms.or(previous_start_unix_ms);
+        let (previous_start_unix_ms, start_unix_ms) = previous_start_unix_ms.zip(start_unix_ms)?;
+        (previous_start_unix_ms != start_unix_ms).then(|| SchedulerEvent::Restarted {
+            worker: self.info.id.clone(),
+            previous_start_unix_ms,
+            start_unix_ms,
+        })
+    }
+
     pub(crate) fn record_clock(&mut self, worker_ms: u64, at_ms: u64) {
         self.clock = Some(ClockSample { worker_ms, at_ms });
         self.is_unresponsive = false;
--- a/crates/scheduler/tests/events.rs
+++ b/crates/scheduler/tests/events.rs
@@ -20,4 +20,32 @@
         format!("{expired:?}"),
         r#"Lapsed { worker: "w-1", runs: 2 }"#
     );
+    let restarted = SchedulerEvent::Restarted {
+        worker: "w-1".into(),
+        previous_start_unix_ms: 5,
+        start_unix_ms: 9,
+    };
+    assert_eq!(
+        format!("{restarted:?}"),
+        r#"Restarted { worker: "w-1", previous_start_unix_ms: 5, start_unix_ms: 9 }"#
+    );
+    let skipped = SchedulerEvent::EndSkipped {
+        worker: "w-1".into(),
+        task: "t".into(),
+        attempt: 1,
+        number: 3,
+    };
+    assert_eq!(
+        format!("{skipped:?}"),
+        r#"EndSkipped { worker: "w-1", task: "t", run: 1, number: 3 }"#
+    );
+    let lost = SchedulerEvent::NotListed {
+        worker: "w-1".into(),
+        task: "t".into(),
+        attempt: 1,
+    };
+    assert_eq!(
+        format!("{lost:?}"),
+        r#"NotListed { worker: "w-1", task: "t", run: 1 }"#
+    );
 }
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -226,6 +226,7 @@
         let report = WorkerReport {
             request_sent_at_ms: self.now_ms,
             worker_clock_ms: self.now_ms,
+            start_unix_ms: None,
             acknowledged_end: 0,
             running: running.collect(),
             ended: ended.collect(),
