Tests of workers that restart under their id, failing; the stand-in's workers can do so

The log has the sequence of the incident: restarted, ends 1 to 6 skipped as already applied, six attempts count as lost, six second attempts, ends 7 to 12.

--- a/crates/fleetd/src/pool/lease_renewal.rs
+++ b/crates/fleetd/src/pool/lease_renewal.rs
@@ -193,11 +193,7 @@
     }
 
     /// Counts and logs an ended attempt, and returns it in the scheduler's form.
-    fn observe_end(
-        &self,
-        worker: &str,
-        ended: users_platform::EndedAttemptReport,
-    ) -> EndedAttempt {
+    fn observe_end(&self, worker: &str, ended: users_platform::EndedAttemptReport) -> EndedAttempt {
         let (outcome, label) = match ended.reason {
             AttemptEndReason::Done => (AttemptOutcome::Done, "done"),
             AttemptEndReason::Failed => (AttemptOutcome::Failed, "failed"),
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -193,18 +193,46 @@
             .apply_start_outcome(worker, task, attempt, outcome, clock, self.now());
     }
 
+    /// Plans a lease renewal of a worker, which acknowledges ends, and applies the worker's empty report in response. Returns
+    /// the number of the last acknowledged end.
+    pub fn acknowledge(&mut self, key: WorkerKey) -> u64 {
+        let plan = self.scheduler.lease_renewal_plan(key, self.now());
+        let acknowledged_end = plan.map_or(0, |plan| plan.recorded_end);
+        let report = WorkerReport {
+            request_sent_at_ms: self.now_ms,
+            worker_clock_ms: self.now_ms,
+            start_unix_ms: None,
+            acknowledged_end,
+            running: Vec::new(),
+            ended: Vec::new(),
+        };
+        self.scheduler.apply_report(key, report, self.now());
+        acknowledged_end
+    }
+
     pub fn task_name(&self, task: TaskKey) -> SmolStr {
         let job = self.scheduler.job(task.job);
         job.map(|job| job.task_name(task.index)).unwrap_or_default()
     }
 
-    /// Applies a worker's report: running tasks as (name, attempt, progress), and ended attempts as (number, name,
-    /// attempt, outcome).
+    /// Applies a report of a worker whose start is unknown: running tasks as (name, attempt, progress), and ended attempts
+    /// as (number, name, attempt, outcome).
     pub fn report(
         &mut self,
         worker: &str,
         running: &[(SmolStr, u32, u32)],
         ended: &[(u64, SmolStr, u32, AttemptOutcome)],
+    ) {
+        self.report_since(None, worker, running, ended);
+    }
+
+    /// Like [`Pool::report`], from the incarnation that started at `start_unix_ms`.
+    pub fn report_since(
+        &mut self,
+        start_unix_ms: Option<u64>,
+        worker: &str,
+        running: &[(SmolStr, u32, u32)],
+        ended: &[(u64, SmolStr, u32, AttemptOutcome)],
     ) {
         let key = self.key(worker);
         let running = running.iter().map(|(name, attempt, percent)| RunningTask {
@@ -226,7 +254,7 @@
         let report = WorkerReport {
             request_sent_at_ms: self.now_ms,
             worker_clock_ms: self.now_ms,
-            start_unix_ms: None,
+            start_unix_ms,
             acknowledged_end: 0,
             running: running.collect(),
             ended: ended.collect(),
--- /dev/null
+++ b/crates/trefoilpassd/tests/fleet_restarts.rs
@@ -0,0 +1,33 @@
+//! Real daemons and workers that restart under the id that they had.
+
+mod fleet_support;
+
+use std::time::{Duration, Instant};
+
+use fleet_support::{PATIENCE, check_runs, done, start, submit_surely};
+use platform_stand_in::PlatformStandIn;
+
+/// Waits until the workers were told that all ends of their attempts are recorded.
+async fn ends_acknowledged(platform: &PlatformStandIn) {
+    let start = Instant::now();
+    let is_acknowledged = || {
+        let mut attempts = platform.attempts().into_iter();
+        attempts.all(|attempt| attempt.is_end_acknowledged)
+    };
+    while !is_acknowledged() {
+        assert!(start.elapsed() < PATIENCE, "an end is never acknowledged");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_that_are_done_on_an_idle_worker_that_restarted_are_not_started_again() {
+    let (platform, daemons) = start(1, 1).await;
+    submit_surely(&daemons, 1, 6).await;
+    done(&daemons, 1).await;
+    ends_acknowledged(&platform).await;
+    platform.workers[0].restart_under_same_id();
+    submit_surely(&daemons, 2, 6).await;
+    done(&daemons, 2).await;
+    check_runs(&platform, 12);
+}
