scheduler: a worker that restarts under its id begins a new incarnation

Cause: what the scheduler knows of a worker's process was kept by the worker's id, and a worker may now restart under its id. The new process numbers its ends from 1; ends up to the old number were skipped as known, their tasks counted as lost, as no report lists them, and the next lease renewal acknowledged the old number, so that the worker forgot the ends. As many tasks ran twice as the worker had ended before.

What belongs to the process (term, ends, clock, refused size, health) is now one value that is replaced as a whole when a report comes from another start. Ends matter by task and attempt, so that a wrong guess there is harmless; attempts are ended only by what the worker itself reports. Along with it, of the same cause: - ends are acknowledged once, and only soon after a report: an idle worker was told the old number again with the first poll after it had restarted; - a batch that is written after the restart records ends of its own incarnation only; - a lease computed with the clock of the previous process may last as long as workers allow (10 s), not 5 s; - a registry entry with another start has the worker polled before it gets tasks.

--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -258,7 +258,7 @@
             submissions.respond(change.job, SubmitReply::Accepted);
         }
         drop(submissions);
-        self.wake_lease_renewals(batch.ends.iter().map(|(key, _)| *key));
+        self.wake_lease_renewals(batch.ends.iter().map(|ends| ends.worker));
         for command in batch.commands.into_iter().chain(immediate_commands) {
             self.send_command(command);
         }
--- a/crates/fleetd/src/pool/registry.rs
+++ b/crates/fleetd/src/pool/registry.rs
@@ -73,6 +73,7 @@
             Ok(entry) if entry.pool == self.pool => {
                 let info = WorkerInfo {
                     id: entry.id,
+                    start_unix_ms: entry.start_unix_ms,
                     addr: entry.addr,
                     labels: entry.labels,
                     capacity: entry.capacity,
@@ -90,14 +91,15 @@
     /// Gives the scheduler the workers and the queue rules, and starts the lease renewal of new workers.
     fn set_workers(self: &Arc<Self>, entries: &[(SmolStr, WorkerInfo)]) {
         let infos = entries.iter().map(|(_, info)| info.clone()).collect();
-        let keys = {
+        let (keys, may_have_restarted) = {
             let mut scheduler = self.scheduler.lock();
-            scheduler.set_workers(infos, self.node.clock.now());
+            let may_have_restarted = scheduler.set_workers(infos, self.node.clock.now());
             if let Some(document) = self.node.active_config.get() {
                 scheduler.set_queue_rules(queue_rules(&document));
             }
-            scheduler.worker_keys()
+            (scheduler.worker_keys(), may_have_restarted)
         };
         self.start_lease_renewals(&keys);
+        self.wake_lease_renewals(may_have_restarted.into_iter());
     }
 }
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -151,6 +151,7 @@
     let bounds = node.settings.bounds;
     let mut scheduler = Scheduler::new(Limits {
         lease_ms: LEASE_MS.min(bounds.max_lease_ms),
+        max_lease_ms: bounds.max_lease_ms,
         owner_grace_ms: OWNER_GRACE_MS,
         slow_clock_percent: SLOW_CLOCK_PERCENT,
         ended_job_retention_ms: bounds.ended_job_retention_s * 1000,
--- a/crates/scheduler/benches/round.rs
+++ b/crates/scheduler/benches/round.rs
@@ -25,6 +25,7 @@
 /// A pool with this many workers, all full, and this many tasks, most of which wait.
 fn full_pool(workers: usize, tasks: usize) -> Scheduler {
     let mut scheduler = Scheduler::new(Limits {
+        max_lease_ms: 10_000,
         lease_ms: 5000,
         owner_grace_ms: 4000,
         slow_clock_percent: 3,
@@ -39,6 +40,7 @@
     };
     scheduler.set_queue_rules(HashMap::from([("queue".into(), rules)]));
     let infos = (0..workers).map(|number| WorkerInfo {
+        start_unix_ms: None,
         id: format_smolstr!("w-{number}"),
         addr: format_smolstr!("10.0.0.1:{number}"),
         labels: vec!["a".into(), format_smolstr!("rack-{}", number / 12)],
--- a/crates/scheduler/src/adopt.rs
+++ b/crates/scheduler/src/adopt.rs
@@ -39,6 +39,7 @@
         }
         let info = WorkerInfo {
             id: id.clone(),
+            start_unix_ms: None,
             addr: SmolStr::default(),
             labels: Vec::new(),
             capacity: submission::Resources::default(),
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -87,9 +87,19 @@
     pub changes: Vec<RowChange>,
     /// The commands to send after the rows are written.
     pub commands: Vec<WorkerCommand>,
-    /// For workers with ended attempts that are not recorded yet, the number of an ended attempt. All ends of the
-    /// worker up to this number are recorded once the rows of this batch are written.
-    pub ends: Vec<(WorkerKey, u64)>,
+    /// The ended attempts that are recorded once the rows of this batch are written.
+    pub ends: Vec<RecordedEnds>,
+}
+
+/// All ended attempts of a worker's incarnation up to a number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecordedEnds {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// The number of the incarnation among those of the worker that the scheduler has known.
+    pub incarnation: u32,
+    /// The number of the last ended attempt.
+    pub last_end: u64,
 }
 
 impl Batch {
@@ -129,8 +139,12 @@
                 .extend(self.deferred_commands.remove(&job).unwrap_or_default());
         }
         for (key, worker) in &mut self.workers {
-            if let Some(end) = worker.take_written_end(&self.dirty_jobs) {
-                batch.ends.push((key, end));
+            if let Some(last_end) = worker.incarnation.take_written_end(&self.dirty_jobs) {
+                batch.ends.push(RecordedEnds {
+                    worker: key,
+                    incarnation: worker.incarnation.number,
+                    last_end,
+                });
             }
         }
         batch
@@ -156,9 +170,12 @@
                 None => self.recorded_states.remove(&change.job),
             };
         }
-        for &(key, end) in &batch.ends {
-            if let Some(worker) = self.workers.get_mut(key) {
-                worker.recorded_end = worker.recorded_end.max(end);
+        for ends in &batch.ends {
+            let worker = self.workers.get_mut(ends.worker);
+            let incarnation = worker.map(|worker| &mut worker.incarnation);
+            if let Some(incarnation) = incarnation.filter(|known| known.number == ends.incarnation)
+            {
+                incarnation.recorded_end = incarnation.recorded_end.max(ends.last_end);
             }
         }
     }
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -111,7 +111,7 @@
         let accepting = self
             .workers
             .values()
-            .filter(|worker| worker.is_listed && worker.has_accepted_term);
+            .filter(|worker| worker.is_listed && worker.incarnation.has_accepted_term);
         let unavailable = accepting.filter_map(|worker| {
             let reason = worker.unavailable_reason(now.local_ms)?;
             Some((worker.info.id.clone(), reason))
@@ -195,7 +195,7 @@
         let idle = self.workers.values().filter(|worker| {
             worker.is_usable(now.local_ms)
                 && worker.attempts.is_empty()
-                && !worker.has_unrecorded_ends()
+                && !worker.incarnation.has_unrecorded_ends()
         });
         idle.map(|worker| IdleWorker {
             id: worker.info.id.clone(),
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -47,7 +47,7 @@
         }
         let worker = &mut self.workers[key];
         worker.is_drain_blocked = is_drain_blocked;
-        worker.attempts.len() + usize::from(worker.has_unrecorded_ends())
+        worker.attempts.len() + usize::from(worker.incarnation.has_unrecorded_ends())
     }
 
     /// Ends the drain lease of a worker, so that the worker may be given tasks again.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 mod dirty;
 mod draining;
 mod health;
+mod incarnation;
 mod plan;
 mod policy;
 mod ready;
@@ -20,7 +21,7 @@
 mod worker;
 mod workers;
 
-pub use batch::{Batch, RowChange, WorkerCommand};
+pub use batch::{Batch, RecordedEnds, RowChange, WorkerCommand};
 pub use demand::{Demand, IdleWorker};
 pub use policy::PolicyRequest;
 pub use reports::{EndedAttempt, RunningTask, WorkerReport};
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -72,23 +72,41 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        if let Some(event) = worker.record_start(report.start_unix_ms) {
-            self.events.push(event);
+        let previous_start_unix_ms = worker.incarnation.start_unix_ms;
+        let is_restarted = previous_start_unix_ms
+            .zip(report.start_unix_ms)
+            .is_some_and(|(previous, start)| previous != start);
+        if is_restarted {
+            self.begin_incarnation(key, report.start_unix_ms, now);
         }
+        let worker = &mut self.workers[key];
+        worker.incarnation.start_unix_ms = report.start_unix_ms.or(previous_start_unix_ms);
+        worker.may_have_restarted = false;
+        worker.is_unresponsive = false;
         worker.record_clock(report.worker_clock_ms, now.local_ms);
-        if !worker.has_accepted_term && report.running.is_empty() {
+        let has_accepted_term = worker.incarnation.has_accepted_term;
+        if !has_accepted_term && !is_restarted && report.running.is_empty() {
             // No attempt that a previous owner started has a lease on the worker.
             worker.leases_expired_by_ms = now.local_ms;
         }
-        worker.has_accepted_term = true;
-        worker.acknowledged_end = worker.acknowledged_end.max(report.acknowledged_end);
+        // What was acknowledged to a restarted worker were ends of its previous incarnation.
+        let acknowledged_end = if is_restarted {
+            0
+        } else {
+            report.acknowledged_end
+        };
+        worker
+            .incarnation
+            .record_report(acknowledged_end, now.local_ms);
         let last_end = report.ended.iter().map(|end| end.number).max();
         for end in report.ended {
             self.apply_end(key, end, now);
         }
         if let Some(last_end) = last_end {
             let position = self.dirty_jobs.end();
-            self.workers[key].record_received_ends(last_end, position);
+            self.workers[key]
+                .incarnation
+                .record_received_ends(last_end, position);
         }
         let mut listed = Vec::with_capacity(report.running.len());
         for running in report.running {
@@ -100,6 +118,25 @@
         self.update_speed_limits(key);
     }
 
+    /// Replaces what is known of a worker's process, after a report from another incarnation with the same id.
+    fn begin_incarnation(&mut self, key: WorkerKey, start_unix_ms: Option<u64>, now: Now) {
+        let limits = self.limits;
+        let worker = &mut self.workers[key];
+        self.events.push(SchedulerEvent::Restarted {
+            worker: worker.info.id.clone(),
+            previous_start_unix_ms: worker.incarnation.start_unix_ms.unwrap_or(0),
+            start_unix_ms: start_unix_ms.unwrap_or(0),
+        });
+        worker.restart(start_unix_ms);
+        if worker.leases_expired_by_ms > now.local_ms {
+            worker.assume_longest_lease(
+                limits.max_lease_ms,
+                limits.slow_clock_percent,
+                now.local_ms,
+            );
+        }
+    }
+
     /// The task with this name on workers, or `None` when no job of the pool has such a task.
     pub(crate) fn task_by_name(&self, name: &str) -> Option<TaskKey> {
         let job = JobId::parse(name.split('.').next()?)?;
@@ -109,7 +146,7 @@
 
     fn apply_end(&mut self, key: WorkerKey, end: EndedAttempt, now: Now) {
         let worker = &self.workers[key];
-        let is_applied = end.number <= worker.received_end;
+        let is_applied = end.number <= worker.incarnation.received_end;
         let task = self.task_by_name(&end.name);
         let assigned = task.filter(|task| self.is_assigned(key, *task, end.attempt));
         if is_applied {
@@ -124,7 +161,7 @@
             }
             return;
         }
-        self.workers[key].received_end = end.number;
+        self.workers[key].incarnation.received_end = end.number;
         if let Some(task) = task {
             self.remove_not_started(task.job);
         }
@@ -135,7 +172,7 @@
             job.update_checkpoint(task.index, end.checkpoint);
         }
         match end.outcome {
-            AttemptOutcome::Done => self.workers[key].health.record_success(),
+            AttemptOutcome::Done => self.workers[key].incarnation.health.record_success(),
             AttemptOutcome::Failed => self.record_failure(key, task, now),
             AttemptOutcome::Lost => {}
         }
@@ -155,6 +192,7 @@
         let worker = &mut self.workers[key];
         if !has_failed_before
             && worker
+                .incarnation
                 .health
                 .record_failure(task.job, may_blocklist, now.local_ms)
         {
@@ -241,6 +279,7 @@
             let may_blocklist = self.may_blocklist_another(now);
             let worker = &mut self.workers[key];
             if worker
+                .incarnation
                 .health
                 .record_stall(task.job, may_blocklist, now.local_ms)
             {
@@ -318,7 +357,7 @@
         let blocklisted = self
             .workers
             .values()
-            .filter(|worker| worker.health.is_blocklisted(now.local_ms));
+            .filter(|worker| worker.incarnation.health.is_blocklisted(now.local_ms));
         (blocklisted.count() + 1) * 100 <= self.workers.len() * MAX_BLOCKLISTED_PERCENT
     }
 }
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -21,6 +21,8 @@
 pub struct Limits {
     /// The duration of a granted lease in ms, the same for all daemons of the deployment.
     pub lease_ms: u64,
+    /// The duration to which workers shorten a lease, in ms; at least `lease_ms`.
+    pub max_lease_ms: u64,
     /// How long an owner may grant leases after its last recorded write, in ms.
     pub owner_grace_ms: u64,
     /// By how much a worker's clock may run slower than the daemon's, in percent; less than 100.
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -1,24 +1,24 @@
 //! Workers, the attempts that are assigned to them, and their leases.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
 use submission::{Resources, StepSpec, TaskKey};
 
-use crate::dirty::{DirtyJobs, Position};
-use crate::health::Health;
-use crate::types::SchedulerEvent;
+use crate::incarnation::{ClockSample, Incarnation};
 
 slotmap::new_key_type! {
     /// The key of a worker in a scheduler.
     pub struct WorkerKey;
 }
 
-/// A worker's entry in the registry. Each incarnation of a worker has an id of its own.
+/// A worker's entry in the registry. An incarnation of a worker is identified by its id and its start.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerInfo {
-    /// The id of the incarnation.
+    /// The id of the worker. The next incarnation may have the same id.
     pub id: SmolStr,
+    /// The start of the incarnation in ms since 1970 on the worker's clock; `None` when it is unknown.
+    pub start_unix_ms: Option<u64>,
     /// The network address to which commands are sent; empty when the address is unknown.
     pub addr: SmolStr,
     /// The labels of the worker; the last label is the rack.
@@ -50,14 +50,6 @@
     Blocklisted,
 }
 
-/// A reading of a worker's clock, paired with the time on the daemon's clock.
-#[derive(Debug, Clone, Copy)]
-struct ClockSample {
-    worker_ms: u64,
-    /// When the response with the reading arrived, in ms on the daemon's clock.
-    at_ms: u64,
-}
-
 /// An attempt that is assigned to a worker.
 #[derive(Debug, Clone)]
 pub(crate) struct AssignedAttempt {
@@ -102,9 +94,6 @@
     pub(crate) info: WorkerInfo,
     /// Whether the registry lists the worker. Only a listed worker is given new tasks.
     pub(crate) is_listed: bool,
-    /// Whether the worker has accepted a request with this owner's term. From then on the worker refuses the commands
-    /// of previous owners.
-    pub(crate) has_accepted_term: bool,
     /// Whether the last command or lease renewal got no response.
     pub(crate) is_unresponsive: bool,
     /// When the drain lease ends, in ms on the daemon's clock. The worker is given no task before.
@@ -121,24 +110,13 @@
     /// When an attempt was last removed from the worker, or else when the registry first listed the worker, in ms on
     /// the daemon's clock.
     pub(crate) idle_since_ms: u64,
-    /// The size of a task that the worker refused, and until when tasks of that size are not sent (in ms on the
-    /// daemon's clock). Cleared when an attempt ends on the worker.
-    pub(crate) refused_size: Option<(Resources, u64)>,
-    pub(crate) health: Health,
     /// When all leases that may have been granted on the worker have expired, in ms on the daemon's clock.
     pub(crate) leases_expired_by_ms: u64,
-    /// The number of the last ended attempt that was applied.
-    pub(crate) received_end: u64,
-    /// The numbers of ended attempts that were applied and are not recorded. With each comes a position in the queue of
-    /// jobs to write: once all jobs before the position are written, so are all outcomes up to the number.
-    unrecorded_ends: VecDeque<(u64, Position)>,
-    /// The number of the last ended attempt whose outcome is recorded.
-    pub(crate) recorded_end: u64,
-    /// The number of the last ended attempt that was acknowledged to the worker, which then discards the end.
-    pub(crate) acknowledged_end: u64,
-    /// The start of the incarnation that reported last, in ms since 1970 on the worker's clock; `None` when it is unknown.
-    start_unix_ms: Option<u64>,
-    clock: Option<ClockSample>,
+    /// The incarnation that reported last.
+    pub(crate) incarnation: Incarnation,
+    /// Whether the registry shows another start of the worker than it did before, and no report has come since. Until then
+    /// the worker is given no new tasks.
+    pub(crate) may_have_restarted: bool,
 }
 
 /// The content of the next lease renewal of a worker.
@@ -160,7 +138,6 @@
         Self {
             info,
             is_listed: true,
-            has_accepted_term: false,
             is_unresponsive: false,
             drain_until_ms: 0,
             is_drain_blocked: false,
@@ -169,21 +146,18 @@
             used: Resources::default(),
             service_attempts: 0,
             idle_since_ms: 0,
-            refused_size: None,
-            health: Health::default(),
             leases_expired_by_ms,
-            received_end: 0,
-            unrecorded_ends: VecDeque::new(),
-            recorded_end: 0,
-            acknowledged_end: 0,
-            start_unix_ms: None,
-            clock: None,
+            incarnation: Incarnation::default(),
+            may_have_restarted: false,
         }
     }
 
     /// Whether the worker may be given new tasks.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
-        self.is_listed && self.has_accepted_term && self.unavailable_reason(now_ms).is_none()
+        self.is_listed
+            && self.incarnation.has_accepted_term
+            && !self.may_have_restarted
+            && self.unavailable_reason(now_ms).is_none()
     }
 
     /// Why no new task is assigned to a worker that has accepted a request of this owner; `None` when tasks may be
@@ -195,42 +169,13 @@
             Some(UnavailableReason::ShuttingDown)
         } else if now_ms < self.drain_until_ms {
             Some(UnavailableReason::Draining)
-        } else if self.health.is_blocklisted(now_ms) {
+        } else if self.incarnation.health.is_blocklisted(now_ms) {
             Some(UnavailableReason::Blocklisted)
         } else {
             None
         }
     }
 
-    /// Whether any reported end is not recorded yet. If the worker's incarnation ended now, a next owner could not learn
-    /// of that end.
-    pub(crate) fn has_unrecorded_ends(&self) -> bool {
-        self.received_end > self.recorded_end
-    }
-
-    /// Records that the outcomes of all ends up to `end` were applied. The jobs concerned are in the queue of jobs to
-    /// write before `position`.
-    pub(crate) fn record_received_ends(&mut self, end: u64, position: Position) {
-        let last = self.unrecorded_ends.back().map_or(0, |(last, _)| *last);
-        if end > last.max(self.recorded_end) {
-            self.unrecorded_ends.push_back((end, position));
-        }
-    }
-
-    /// Takes the largest number of an ended attempt for which all jobs with outcomes up to the number have left the queue
-    /// of jobs to write; `None` when there is no new one.
-    pub(crate) fn take_written_end(&mut self, dirty_jobs: &DirtyJobs) -> Option<u64> {
-        let mut written = None;
-        while let Some((end, position)) = self.unrecorded_ends.front() {
-            if !dirty_jobs.is_past(*position) {
-                break;
-            }
-            written = Some(*end);
-            self.unrecorded_ends.pop_front();
-        }
-        written
-    }
-
     pub(crate) fn free_capacity(&self) -> Resources {
         self.info.capacity.saturating_sub(self.used)
     }
@@ -251,6 +196,7 @@
     /// Whether a task of this size fits the free capacity and was not refused by the worker lately.
     pub(crate) fn may_fit(&self, footprint: Resources, now_ms: u64) -> bool {
         let is_refused = self
+            .incarnation
             .refused_size
             .is_some_and(|(size, until_ms)| now_ms < until_ms && size.fits(footprint));
         footprint.fits(self.free_capacity()) && !is_refused
@@ -271,25 +217,34 @@
         // Recomputed, because a saturating sum can't be undone by subtraction.
         let footprints = self.attempts.values().map(|attempt| attempt.footprint);
         self.used = footprints.fold(Resources::default(), Resources::saturating_add);
-        self.refused_size = None;
+        self.incarnation.refused_size = None;
         Some(attempt)
     }
 
-    /// Records the start of the incarnation that reported. Returns an event when the reports before came from another one.
-    pub(crate) fn record_start(&mut self, start_unix_ms: Option<u64>) -> Option<SchedulerEvent> {
-        let previous_start_unix_ms = self.start_unix_ms;
-        self.start_unix_ms = start_unix_ms.or(previous_start_unix_ms);
-        let (previous_start_unix_ms, start_unix_ms) = previous_start_unix_ms.zip(start_unix_ms)?;
-        (previous_start_unix_ms != start_unix_ms).then(|| SchedulerEvent::Restarted {
-            worker: self.info.id.clone(),
-            previous_start_unix_ms,
-            start_unix_ms,
-        })
+    /// Begins another incarnation, which started at `start_unix_ms`. The assigned attempts stay: start commands that are on
+    /// their way may reach the new incarnation, and its reports show which attempts run there.
+    pub(crate) fn restart(&mut self, start_unix_ms: Option<u64>) {
+        self.incarnation = self.incarnation.next(start_unix_ms);
+        for attempt in self.attempts.values_mut() {
+            // The new incarnation knows of no stop command.
+            attempt.is_stopping = false;
+        }
     }
 
     pub(crate) fn record_clock(&mut self, worker_ms: u64, at_ms: u64) {
-        self.clock = Some(ClockSample { worker_ms, at_ms });
-        self.is_unresponsive = false;
+        self.incarnation.clock = Some(ClockSample { worker_ms, at_ms });
+    }
+
+    /// Assumes that commands may have granted a lease of `max_lease_ms` from now on: their lease was computed with the clock
+    /// of an earlier incarnation, and the worker shortens it to that time.
+    pub(crate) fn assume_longest_lease(
+        &mut self,
+        max_lease_ms: u64,
+        slow_percent: u64,
+        now_ms: u64,
+    ) {
+        let leases_expired_by_ms = now_ms + max_lease_ms * 100 / (100 - slow_percent) + 1;
+        self.leases_expired_by_ms = self.leases_expired_by_ms.max(leases_expired_by_ms);
     }
 
     /// Grants a lease of `lease_ms` from now on, and returns its end in ms on the worker's clock. Returns `None` while
@@ -304,7 +259,7 @@
         slow_percent: u64,
         now_ms: u64,
     ) -> Option<u64> {
-        let sample = self.clock?;
+        let sample = self.incarnation.clock?;
         let until_ms = sample.worker_ms + now_ms.saturating_sub(sample.at_ms) + lease_ms;
         let span_ms = until_ms - sample.worker_ms;
         let leases_expired_by_ms = sample.at_ms + span_ms * 100 / (100 - slow_percent) + 1;
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -12,7 +12,11 @@
 impl Scheduler {
     /// Replaces the registry entries of the pool's workers. A worker without an entry is given no new tasks, and is
     /// removed once no attempt or lease may be left there. Entries of incarnations that have ended are ignored.
-    pub fn set_workers(&mut self, infos: Vec<WorkerInfo>, now: Now) {
+    ///
+    /// Returns the workers that may have restarted, as their entry shows another start. The registry may lag behind, so that
+    /// only their next report tells; until then they are given no new tasks.
+    pub fn set_workers(&mut self, infos: Vec<WorkerInfo>, now: Now) -> Vec<WorkerKey> {
+        let mut may_have_restarted = Vec::new();
         let leases_expired_by_ms = self.previous_leases_expired_by_ms(now.local_ms);
         for worker in self.workers.values_mut() {
             worker.is_listed = false;
@@ -25,6 +29,12 @@
             }
             if let Some(&key) = self.workers_by_id.get(&info.id) {
                 let worker = &mut self.workers[key];
+                if info.start_unix_ms != worker.info.start_unix_ms
+                    && info.start_unix_ms != worker.incarnation.start_unix_ms
+                {
+                    worker.may_have_restarted = true;
+                    may_have_restarted.push(key);
+                }
                 worker.info = info;
                 worker.is_listed = true;
                 continue;
@@ -43,6 +53,7 @@
         for key in removable.map(|(key, _)| key).collect::<Vec<_>>() {
             self.remove_worker(key);
         }
+        may_have_restarted
     }
 
     /// When all leases that a previous owner may have granted until the end of its grace period have expired, in ms on
@@ -104,7 +115,7 @@
     pub fn has_unrecorded_ends(&self, key: WorkerKey) -> bool {
         self.workers
             .get(key)
-            .is_some_and(Worker::has_unrecorded_ends)
+            .is_some_and(|worker| worker.incarnation.has_unrecorded_ends())
     }
 
     /// Returns the next lease renewal of a worker and grants the lease in it. Returns `None` when the worker needs no
@@ -112,28 +123,30 @@
     pub fn lease_renewal_plan(&mut self, key: WorkerKey, now: Now) -> Option<LeaseRenewalPlan> {
         let limits = self.limits;
         let worker = self.workers.get_mut(key)?;
-        let has_unacknowledged_ends = worker.recorded_end > worker.acknowledged_end;
         if worker.info.addr.is_empty() || (!worker.is_listed && worker.attempts.is_empty()) {
             return None;
         }
-        if worker.has_accepted_term
+        if worker.incarnation.has_accepted_term
             && worker.attempts.is_empty()
-            && !has_unacknowledged_ends
+            && !worker.incarnation.has_unacknowledged_ends()
             && !worker.is_unresponsive
+            && !worker.may_have_restarted
         {
             return None;
         }
         // An unresponsive worker is only polled: renewals that may or may not arrive would postpone the expiry of the
-        // worker's leases indefinitely.
-        let lease_until_ms = if worker.attempts.is_empty() || worker.is_unresponsive {
+        // worker's leases indefinitely. The clock of a worker that may have restarted is unknown.
+        let is_only_polled =
+            worker.attempts.is_empty() || worker.is_unresponsive || worker.may_have_restarted;
+        let lease_until_ms = if is_only_polled {
             None
         } else {
             worker.grant_lease(limits.lease_ms, limits.slow_clock_percent, now.local_ms)
         };
         Some(LeaseRenewalPlan {
             lease_until_ms,
-            recorded_end: worker.recorded_end,
-            is_busy: worker.has_accepted_term && lease_until_ms.is_some(),
+            recorded_end: worker.incarnation.end_to_acknowledge(now.local_ms),
+            is_busy: worker.incarnation.has_accepted_term && lease_until_ms.is_some(),
             is_polled_often: worker
                 .attempts
                 .values()
@@ -163,8 +176,20 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        if let Some(clock_ms) = clock_ms {
-            worker.record_clock(clock_ms, now.local_ms);
+        worker.is_unresponsive &= clock_ms.is_none();
+        let limits = self.limits;
+        let attempt = worker.attempts.get(&task);
+        if let Some(attempt) = attempt.filter(|attempt| attempt.number == number) {
+            if attempt.assigned_at_ms < worker.incarnation.reports_since_ms {
+                // The lease may have been computed with the clock of an earlier incarnation, which may have responded.
+                worker.assume_longest_lease(
+                    limits.max_lease_ms,
+                    limits.slow_clock_percent,
+                    now.local_ms,
+                );
+            } else if let Some(clock_ms) = clock_ms {
+                worker.record_clock(clock_ms, now.local_ms);
+            }
         }
         let Some(attempt) = worker
             .attempts
@@ -181,20 +206,19 @@
             }
             StartOutcome::OutcomeUnknown => worker.is_unresponsive = true,
             StartOutcome::NoFreeCapacity => {
-                worker.refused_size = Some((attempt.footprint, now.local_ms + SIZE_REFUSAL_MS));
-                let refused = worker.refused_size;
+                let refused = Some((attempt.footprint, now.local_ms + SIZE_REFUSAL_MS));
                 self.end_attempt(key, task, number, AttemptOutcome::Lost, now);
                 if let Some(worker) = self.workers.get_mut(key) {
-                    worker.refused_size = refused;
+                    worker.incarnation.refused_size = refused;
                 }
             }
             StartOutcome::Unhealthy => {
-                worker.health.record_refusal(now.local_ms);
+                worker.incarnation.health.record_refusal(now.local_ms);
                 self.end_attempt(key, task, number, AttemptOutcome::Lost, now);
             }
             StartOutcome::Refused => {
                 // The cause of the rejection is expected to last for a while.
-                worker.health.record_refusal(now.local_ms);
+                worker.incarnation.health.record_refusal(now.local_ms);
                 self.end_attempt(key, task, number, AttemptOutcome::Lost, now);
             }
         }
--- a/crates/scheduler/tests/restarts.rs
+++ b/crates/scheduler/tests/restarts.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use scheduler::JobStatus;
+use scheduler::{JobStatus, StartOutcome, WorkerInfo};
 use smol_str::SmolStr;
 use submission::{AttemptOutcome, JobState};
-use support::{Pool, job, starts, step};
+use support::{LEASE_MS, MAX_LEASE_MS, Pool, job, starts, step, worker};
 
 /// The starts of two incarnations of a worker, in ms since 1970.
 const FIRST: Option<u64> = Some(1_785_000_000_000);
@@ -65,3 +65,143 @@
     let plan = pool.scheduler.lease_renewal_plan(key, pool.now());
     assert_eq!(plan.map(|plan| plan.recorded_end), Some(0));
 }
+
+#[test]
+fn ends_of_a_previous_incarnation_that_are_recorded_late_are_not_acknowledged_to_the_next_one() {
+    let mut pool = Pool::new(&["one"]);
+    pool.report_since(FIRST, "one", &[], &[]);
+    let names = start_job(&mut pool, 1, 1);
+    pool.advance(500);
+    let done = (7, names[0].clone(), 1, AttemptOutcome::Done);
+    pool.report_since(FIRST, "one", &[], &[done]);
+    let batch = pool.scheduler.take_batch(98);
+    pool.report_since(SECOND, "one", &[], &[]);
+    pool.scheduler.apply_commit(&batch);
+    let key = pool.key("one");
+    let plan = pool.scheduler.lease_renewal_plan(key, pool.now());
+    assert_eq!(plan.map_or(0, |plan| plan.recorded_end), 0);
+}
+
+#[test]
+fn a_start_command_on_its_way_to_a_restarted_worker_is_not_given_up() {
+    let mut pool = Pool::new(&["one", "two"]);
+    pool.report_since(FIRST, "one", &[], &[]);
+    pool.submit(1, job(vec![step(1)]));
+    let (key, task, attempt) = starts(&pool.round())[0];
+    let name = pool.task_name(task);
+    let id = pool.scheduler.worker(key).unwrap().id.clone();
+    pool.report_since(FIRST, &id, &[], &[]);
+    pool.scheduler.grant_start_lease(key, pool.now());
+    pool.advance(100);
+    pool.report_since(SECOND, &id, &[], &[]);
+    assert!(
+        starts(&pool.round()).is_empty(),
+        "the start command may still reach the worker"
+    );
+    pool.apply_start(key, task, attempt, StartOutcome::Started);
+    pool.advance(10);
+    pool.report_since(SECOND, &id, &[(name.clone(), attempt, 10)], &[]);
+    pool.advance(400);
+    let done = (1, name, attempt, AttemptOutcome::Done);
+    pool.report_since(SECOND, &id, &[], &[done]);
+    assert!(starts(&pool.round()).is_empty());
+    assert!(
+        pool.scheduler
+            .job(submission::JobId(1))
+            .unwrap()
+            .has_ended()
+    );
+}
+
+#[test]
+fn an_attempt_of_the_previous_incarnation_starts_again_after_a_restart() {
+    let mut pool = Pool::new(&["one"]);
+    pool.report_since(FIRST, "one", &[], &[]);
+    start_job(&mut pool, 1, 1);
+    pool.advance(100);
+    pool.report_since(SECOND, "one", &[], &[]);
+    let again = starts(&pool.round());
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].2, 2);
+}
+
+#[test]
+fn a_lease_of_a_restarted_worker_may_last_as_long_as_workers_allow() {
+    let mut pool = Pool::new(&["one", "two"]);
+    pool.report_since(FIRST, "one", &[], &[]);
+    pool.report_since(FIRST, "two", &[], &[]);
+    pool.submit(1, job(vec![step(1)]));
+    let commands = pool.round();
+    let (key, _, _) = starts(&commands)[0];
+    let started = pool.confirm_starts(&commands);
+    let (id, task, attempt) = started[0].clone();
+    let name = pool.task_name(task);
+    pool.advance(100);
+    // The start command carried a lease on the clock of the previous incarnation.
+    pool.report_since(SECOND, &id, &[(name, attempt, 10)], &[]);
+    pool.scheduler.mark_unresponsive(key);
+    pool.advance(MAX_LEASE_MS - LEASE_MS / 10);
+    assert!(
+        starts(&pool.round()).is_empty(),
+        "the lease may be in force"
+    );
+    pool.advance(LEASE_MS / 5);
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
+
+/// The registry entry of a worker that started at `start_unix_ms`.
+fn entry(name: &str, start_unix_ms: Option<u64>) -> WorkerInfo {
+    WorkerInfo {
+        start_unix_ms,
+        ..worker(name)
+    }
+}
+
+#[test]
+fn a_worker_with_a_new_start_in_the_registry_is_polled_before_it_is_given_tasks() {
+    let mut pool = Pool::new(&["one"]);
+    pool.scheduler
+        .set_workers(vec![entry("one", FIRST)], pool.now());
+    pool.report_since(FIRST, "one", &[], &[]);
+    let key = pool.key("one");
+    assert_eq!(pool.scheduler.lease_renewal_plan(key, pool.now()), None);
+    let may_have_restarted = pool
+        .scheduler
+        .set_workers(vec![entry("one", SECOND)], pool.now());
+    assert_eq!(may_have_restarted, [key]);
+    pool.submit(1, job(vec![step(1)]));
+    assert!(starts(&pool.round()).is_empty());
+    let plan = pool.scheduler.lease_renewal_plan(key, pool.now());
+    assert!(plan.is_some_and(|plan| plan.lease_until_ms.is_none()));
+    pool.report_since(SECOND, "one", &[], &[]);
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
+
+#[test]
+fn a_registry_that_lags_behind_does_not_end_the_attempts_of_a_worker() {
+    let mut pool = Pool::new(&["one"]);
+    pool.scheduler
+        .set_workers(vec![entry("one", SECOND)], pool.now());
+    pool.report_since(SECOND, "one", &[], &[]);
+    let names = start_job(&mut pool, 1, 1);
+    pool.scheduler
+        .set_workers(vec![entry("one", FIRST)], pool.now());
+    pool.advance(100);
+    pool.report_since(SECOND, "one", &[(names[0].clone(), 1, 50)], &[]);
+    assert!(starts(&pool.round()).is_empty());
+    let task = pool.scheduler.job(submission::JobId(1)).unwrap().task(0);
+    assert_eq!(task.unwrap().attempt, 1);
+}
+
+#[test]
+fn ends_of_a_restarted_worker_are_acknowledged_although_its_predecessor_was_told_a_higher_number() {
+    let mut pool = pool_with_recorded_ends();
+    let names = start_job(&mut pool, 2, 1);
+    pool.advance(500);
+    let done = (1, names[0].clone(), 1, AttemptOutcome::Done);
+    pool.acknowledged_end = 2;
+    pool.report_since(SECOND, "one", &[], &[done]);
+    assert!(starts(&pool.round()).is_empty());
+    let key = pool.key("one");
+    assert_eq!(pool.acknowledge(key), 1);
+}
--- a/crates/scheduler/tests/support/load.rs
+++ b/crates/scheduler/tests/support/load.rs
@@ -73,6 +73,7 @@
         let names: Vec<SmolStr> = (0..workers).map(|n| format_smolstr!("w-{n:03}")).collect();
         let mut pool = Pool::new(&[]);
         let infos = names.iter().map(|name| WorkerInfo {
+            start_unix_ms: None,
             capacity: Resources {
                 cpu_milli: 32_000,
                 memory_mb: 128_000,
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -15,17 +15,21 @@
 use submission::{AttemptOutcome, JobId, JobSpec, Resources, StepSpec, TaskKey};
 
 pub const LEASE_MS: u64 = 5000;
+pub const MAX_LEASE_MS: u64 = 10_000;
 pub const GRACE_MS: u64 = 4000;
 
 /// A pool in which the daemon, the workers and the store have the same clock.
 pub struct Pool {
     pub scheduler: Scheduler,
     pub now_ms: u64,
+    /// The number of the last end that the polls acknowledge.
+    pub acknowledged_end: u64,
 }
 
 pub fn limits() -> Limits {
     Limits {
         lease_ms: LEASE_MS,
+        max_lease_ms: MAX_LEASE_MS,
         owner_grace_ms: GRACE_MS,
         slow_clock_percent: 3,
         ended_job_retention_ms: 120_000,
@@ -35,6 +39,7 @@
 pub fn worker(name: &str) -> WorkerInfo {
     WorkerInfo {
         id: name.into(),
+        start_unix_ms: None,
         addr: format_smolstr!("{name}:1"),
         labels: vec!["a".into(), "rack-1".into()],
         capacity: Resources {
@@ -89,6 +94,7 @@
         let mut pool = Self {
             scheduler: Scheduler::new(limits()),
             now_ms: 1_000_000,
+            acknowledged_end: 0,
         };
         let rules = QueueRules {
             priority: 0,
@@ -197,17 +203,10 @@
     /// the number of the last acknowledged end.
     pub fn acknowledge(&mut self, key: WorkerKey) -> u64 {
         let plan = self.scheduler.lease_renewal_plan(key, self.now());
-        let acknowledged_end = plan.map_or(0, |plan| plan.recorded_end);
-        let report = WorkerReport {
-            request_sent_at_ms: self.now_ms,
-            worker_clock_ms: self.now_ms,
-            start_unix_ms: None,
-            acknowledged_end,
-            running: Vec::new(),
-            ended: Vec::new(),
-        };
-        self.scheduler.apply_report(key, report, self.now());
-        acknowledged_end
+        self.acknowledged_end = plan.map_or(0, |plan| plan.recorded_end);
+        let worker = self.scheduler.worker(key).map(|info| info.id.clone());
+        self.report(&worker.unwrap_or_default(), &[], &[]);
+        std::mem::take(&mut self.acknowledged_end)
     }
 
     pub fn task_name(&self, task: TaskKey) -> SmolStr {
@@ -255,7 +254,7 @@
             request_sent_at_ms: self.now_ms,
             worker_clock_ms: self.now_ms,
             start_unix_ms,
-            acknowledged_end: 0,
+            acknowledged_end: self.acknowledged_end,
             running: running.collect(),
             ended: ended.collect(),
         };
