--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -13,6 +13,9 @@
 /// The longest time: longer than a lease of 5 s.
 const LONGEST: Duration = Duration::from_millis(6500);
 
+/// The number of the random stream for restarts of workers; the other faults come from stream 0.
+const RESTART_STREAM: u64 = 1;
+
 /// How large a run is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Scale {
@@ -90,8 +93,10 @@
     StoreDown,
     /// The store loses the answer to one of so many transactions.
     StoreLosing(u64),
-    /// A worker ends with all that runs there, and comes back as another life.
+    /// A worker ends with all that runs there, and comes back under another id.
     WorkerEnds(usize),
+    /// A worker ends with all that runs there, and comes back under the id that it had.
+    WorkerRestarts(usize),
 }
 
 /// A fault and when it comes.
@@ -131,10 +136,29 @@
         }
         at += scale.pause.mul_f64(rng.random_range(0.1..2.0));
     }
+    faults.extend(restarts(seed, scale));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
 
+/// The restarts of workers under their ids. They come from a random stream of their own, so that the other faults of a seed
+/// stay the same.
+fn restarts(seed: u64, scale: Scale) -> Vec<Planned> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(RESTART_STREAM);
+    let mut faults = Vec::new();
+    let mut at = scale.pause;
+    while at < scale.faults {
+        at += scale.pause.mul_f64(rng.random_range(0.1..4.0));
+        faults.push(Planned {
+            at,
+            lasts: SHORTEST,
+            fault: Fault::WorkerRestarts(rng.random_range(0..scale.workers)),
+        });
+    }
+    faults
+}
+
 /// The same fault for all other daemons; none for faults of other parts.
 fn series(
     fault: Fault,
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -131,6 +131,7 @@
             Fault::StoreDown => self.set_store(true, 0),
             Fault::StoreLosing(lost_one_in) => self.set_store(false, lost_one_in),
             Fault::WorkerEnds(worker) => self.platform.workers[worker].restart(),
+            Fault::WorkerRestarts(worker) => self.platform.workers[worker].restart_under_same_id(),
         }
     }
 
@@ -152,7 +153,7 @@
                 }
             }
             Fault::StoreDown | Fault::StoreLosing(_) => self.set_store(false, 0),
-            Fault::WorkerEnds(_) => {}
+            Fault::WorkerEnds(_) | Fault::WorkerRestarts(_) => {}
         }
     }
 
