An incarnation that has ended is named by its id and its start

Three places remembered an ended incarnation by the worker's id alone: - the scheduler ignored registry entries with that id for as long as the registry listed it; a worker that restarts under its id rewrites its entry, so that it was never used again by that owner; - the leader told a pool that an id had ended, seen a round or more ago, and the pool gave up the attempts of the next incarnation under that id; - a start command on its way was taken for ineffective once the incarnation had ended, as the next one had another id and rejected it. Under the same id it may start there. Such attempts now wait until the command has got a response or timed out, and a worker that responds keeps its attempts whatever the list of VMs says.

Replies of pools carry the starts of the workers that they name, and the leader names the start with the end. Daemons of earlier builds leave both out, and are understood as before.

--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -180,7 +180,7 @@
         if !scheduler.may_start(worker, task, attempt) {
             return None;
         }
-        let lease_until_ms = scheduler.grant_start_lease(worker, now)?;
+        let lease_until_ms = scheduler.grant_start_lease(worker, task, now)?;
         let job = scheduler.job(task.job)?;
         let authorization = scheduler.authorization(worker, task, now);
         Some((
@@ -222,11 +222,7 @@
             }
             StartResponse::Unhealthy { .. } => (StartOutcome::Unhealthy, None, "unhealthy"),
             StartResponse::OtherIncarnation => {
-                self.scheduler
-                    .lock()
-                    .incarnation_ended(worker, self.node.clock.now());
-                self.recorder_waker.notify_one();
-                return true;
+                return self.remove_replaced_worker(worker, info);
             }
         };
         self.count_command("start", label);
--- a/crates/fleetd/src/pool/lease_renewal.rs
+++ b/crates/fleetd/src/pool/lease_renewal.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use scheduler::{EndedAttempt, LeaseRenewalPlan, RunningTask, WorkerKey, WorkerReport};
+use scheduler::{EndedAttempt, LeaseRenewalPlan, RunningTask, WorkerInfo, WorkerKey, WorkerReport};
 use submission::AttemptOutcome;
 use tokio::sync::Notify;
 use users_platform::{AttemptEndReason, LeaseRenewalRequest, LeaseRenewalResponse};
@@ -112,15 +112,11 @@
                 }
                 Ok(LeaseRenewalResponse::OtherIncarnation) => {
                     self.count_command("hold", "other life");
-                    tracing::info!(
-                        worker = info.id.as_str(),
-                        "worker incarnation ended: another incarnation responded"
-                    );
-                    self.scheduler
-                        .lock()
-                        .incarnation_ended(key, self.node.clock.now());
-                    self.recorder_waker.notify_one();
-                    break;
+                    if self.remove_replaced_worker(key, &info) {
+                        break;
+                    }
+                    self.scheduler.lock().mark_unresponsive(key);
+                    tokio::time::sleep(UNRESPONSIVE_RETRY_DELAY).await;
                 }
                 Ok(LeaseRenewalResponse::Refused) => {
                     self.count_command("hold", "refused");
@@ -155,6 +151,22 @@
         self.renewal_wakers.lock().remove(&key);
     }
 
+    /// Removes a worker after a worker with another id responded at the address of the registry entry `info`. Returns false
+    /// when the entry has changed since.
+    pub(super) fn remove_replaced_worker(&self, key: WorkerKey, info: &WorkerInfo) -> bool {
+        let now = self.node.clock.now();
+        let mut scheduler = self.scheduler.lock();
+        let is_removed = scheduler.worker_replaced(key, info.start_unix_ms, now);
+        drop(scheduler);
+        tracing::info!(
+            worker = info.id.as_str(),
+            is_removed,
+            "worker incarnation ended: another incarnation responded"
+        );
+        self.recorder_waker.notify_one();
+        is_removed
+    }
+
     /// Waits until all reported ends of a worker are recorded.
     async fn ends_recorded(&self, key: WorkerKey, waker: &Notify) {
         while self.scheduler.lock().has_unrecorded_ends(key) {
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -191,13 +191,11 @@
     pub(crate) fn run_round(&self, request: &RoundRequest) -> RoundReply {
         let now = self.node.clock.now();
         let mut scheduler = self.scheduler.lock();
-        for key in request
-            .ended_incarnations
-            .iter()
-            .filter_map(|id| scheduler.worker_key(id))
-            .collect::<Vec<_>>()
-        {
-            scheduler.incarnation_ended(key, now);
+        for id in &request.ended_incarnations {
+            let start_unix_ms = request.ended_starts_unix_ms.get(id).copied();
+            if let Some(key) = scheduler.worker_key(id) {
+                scheduler.incarnation_ended(key, start_unix_ms, now);
+            }
         }
         for key in request
             .cancel_drain
@@ -219,6 +217,12 @@
             });
         let tasks = tasks.collect();
         let demand = scheduler.demand(now);
+        let named = request.drain.iter().chain(&demand.unresponsive);
+        let start = |id: &SmolStr| {
+            let worker = scheduler.worker(scheduler.worker_key(id)?)?;
+            Some((id.clone(), worker.start_unix_ms?))
+        };
+        let starts_unix_ms = named.filter_map(start).collect();
         log_stalled_work(&self.pool, &scheduler, &demand);
         drop(scheduler);
         self.recorder_waker.notify_one();
@@ -231,6 +235,7 @@
             service_workers: demand.service_workers,
             unavailable: demand.unavailable.into_iter().map(|(id, _)| id).collect(),
             unresponsive: demand.unresponsive,
+            starts_unix_ms,
             idle: demand
                 .idle
                 .into_iter()
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -1,6 +1,8 @@
 //! The RPC interface between daemons. Its wire form stays compatible with earlier builds of the daemon: the names of
 //! methods, fields and variants, and the order of parameters.
 
+use std::collections::BTreeMap;
+
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
@@ -65,7 +67,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct WireState(#[serde(with = "WireStateDef")] pub(crate) submission::JobState);
 
-/// The request of the leader to the owner of a pool in each round. Workers are named by their incarnation.
+/// The request of the leader to the owner of a pool in each round. Workers are named by their ids.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct RoundRequest {
     /// The workers to drain.
@@ -77,6 +79,14 @@
     /// The workers whose incarnation was ended by a command to their VM.
     #[serde(rename = "over")]
     pub(crate) ended_incarnations: Vec<SmolStr>,
+    /// The starts of the ended incarnations that are known, by id, in ms since 1970. A worker that has restarted under its
+    /// id has another start.
+    #[serde(
+        rename = "over_starts",
+        default,
+        skip_serializing_if = "BTreeMap::is_empty"
+    )]
+    pub(crate) ended_starts_unix_ms: BTreeMap<SmolStr, u64>,
     /// The workers that will be drained for maintenance; `None` when the request says nothing of them.
     #[serde(rename = "due", default, skip_serializing_if = "Option::is_none")]
     pub(crate) maintenance_due: Option<Vec<SmolStr>>,
@@ -104,6 +114,9 @@
     /// The workers that do not respond, and on which a task runs or may run.
     #[serde(rename = "silent")]
     pub(crate) unresponsive: Vec<SmolStr>,
+    /// The starts of the unresponsive workers and of those to drain, as far as they are known, by id, in ms since 1970.
+    #[serde(rename = "starts", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(crate) starts_unix_ms: BTreeMap<SmolStr, u64>,
     /// The workers that get no new work at present.
     #[serde(rename = "unusable")]
     pub(crate) unavailable: Vec<SmolStr>,
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -66,6 +66,7 @@
         drain: vec!["a".into()],
         cancel_drain: vec!["b".into()],
         ended_incarnations: vec!["c".into()],
+        ended_starts_unix_ms: BTreeMap::new(),
         maintenance_due: None,
     };
     check_json(
@@ -74,11 +75,12 @@
     );
     let request = RoundRequest {
         maintenance_due: Some(vec!["h".into()]),
+        ended_starts_unix_ms: BTreeMap::from([("c".into(), 5)]),
         ..request
     };
     check_json(
         &request,
-        &json!({"empty": ["a"], "keep": ["b"], "over": ["c"], "due": ["h"]}),
+        &json!({"empty": ["a"], "keep": ["b"], "over": ["c"], "over_starts": {"c": 5}, "due": ["h"]}),
     );
     let reply = RoundReply {
         remaining_tasks: vec![1],
@@ -87,6 +89,7 @@
         total_demand_workers: 3,
         service_workers: vec!["d".into()],
         unresponsive: vec!["e".into()],
+        starts_unix_ms: BTreeMap::from([("e".into(), 6)]),
         unavailable: vec!["f".into()],
         idle: vec![("g".into(), 4)],
     };
@@ -94,7 +97,7 @@
         &reply,
         &json!({
             "tasks": [1], "required": 1, "urgent": 2, "wanted": 3, "steady": ["d"], "silent": ["e"], "unusable": ["f"],
-            "idle": [["g", 4]],
+            "starts": {"e": 6}, "idle": [["g", 4]],
         }),
     );
 }
@@ -106,4 +109,5 @@
     }))
     .unwrap();
     assert_eq!(reply.service_demand_workers, 0);
+    assert!(reply.starts_unix_ms.is_empty());
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -34,8 +34,8 @@
     pub(crate) limits: Limits,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     pub(crate) workers_by_id: HashMap<SmolStr, WorkerKey>,
-    /// Ids of ended worker incarnations that the registry, which lags behind, still lists.
-    pub(crate) ended_incarnations: BTreeSet<SmolStr>,
+    /// Ids and starts of ended worker incarnations that the registry, which lags behind, still lists.
+    pub(crate) ended_incarnations: BTreeSet<(SmolStr, Option<u64>)>,
     pub(crate) jobs: HashMap<JobId, Job>,
     pub(crate) queue_rules: HashMap<SmolStr, QueueRules>,
     pub(crate) ready: Ready,
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -52,11 +52,14 @@
 
 /// An attempt that is assigned to a worker.
 #[derive(Debug, Clone)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts")]
 pub(crate) struct AssignedAttempt {
     pub(crate) number: u32,
     /// When a response showed that the start command has taken effect or can't take effect any more; `None` before.
     /// Only the report of a poll that was sent later can show that the attempt does not run.
     pub(crate) settled_at_ms: Option<u64>,
+    /// Whether a start command was sent that has neither got a response nor timed out.
+    pub(crate) is_start_in_flight: bool,
     /// Whether the attempt is known to have started on the worker.
     pub(crate) has_started: bool,
     pub(crate) assigned_at_ms: u64,
@@ -74,6 +77,7 @@
         Self {
             number,
             settled_at_ms: None,
+            is_start_in_flight: false,
             has_started: false,
             assigned_at_ms: now_ms,
             progress_percent: 0,
@@ -152,6 +156,14 @@
         }
     }
 
+    /// Whether nothing known of the worker contradicts that its incarnation started at `start_unix_ms`. Everything agrees with
+    /// an unknown start.
+    pub(crate) fn may_have_start(&self, start_unix_ms: Option<u64>) -> bool {
+        let known = [self.info.start_unix_ms, self.incarnation.start_unix_ms];
+        let mut known = known.into_iter().flatten();
+        start_unix_ms.is_none_or(|start_unix_ms| known.all(|known| known == start_unix_ms))
+    }
+
     /// Whether the worker may be given new tasks.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
         self.is_listed
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -1,10 +1,12 @@
 //! Changes to workers: registry updates, outcomes of commands, lease expiry and the end of incarnations.
 
+use std::collections::BTreeSet;
+
 use submission::{AttemptOutcome, Job, TaskKey};
 
 use crate::scheduler::Scheduler;
 use crate::types::{Now, SchedulerEvent, StartOutcome};
-use crate::worker::{LeaseRenewalPlan, Worker, WorkerInfo, WorkerKey};
+use crate::worker::{AssignedAttempt, LeaseRenewalPlan, Worker, WorkerInfo, WorkerKey};
 
 /// How long no task of a refused size is sent to the worker again, unless an attempt ends there.
 const SIZE_REFUSAL_MS: u64 = 400;
@@ -21,10 +23,12 @@
         for worker in self.workers.values_mut() {
             worker.is_listed = false;
         }
+        let incarnation = |info: &WorkerInfo| (info.id.clone(), info.start_unix_ms);
+        let listed: BTreeSet<_> = infos.iter().map(incarnation).collect();
         self.ended_incarnations
-            .retain(|id| infos.iter().any(|info| info.id == *id));
+            .retain(|ended| listed.contains(ended));
         for info in infos {
-            if self.ended_incarnations.contains(&info.id) {
+            if self.ended_incarnations.contains(&incarnation(&info)) {
                 continue;
             }
             if let Some(&key) = self.workers_by_id.get(&info.id) {
@@ -72,23 +76,69 @@
         }
     }
 
-    /// Removes a worker whose incarnation has ended. The worker's attempts are lost.
-    pub fn incarnation_ended(&mut self, key: WorkerKey, now: Now) {
+    /// Removes a worker after a worker with another id responded at its address. The worker's attempts are lost, and
+    /// commands to it have no effect any more. `start_unix_ms` is the start in the registry entry from which the address was
+    /// taken.
+    ///
+    /// Returns false and changes nothing when the worker has been removed or is known with another start by now.
+    pub fn worker_replaced(
+        &mut self,
+        key: WorkerKey,
+        start_unix_ms: Option<u64>,
+        now: Now,
+    ) -> bool {
+        let worker = self.workers.get(key);
+        if !worker.is_some_and(|worker| worker.may_have_start(start_unix_ms)) {
+            return false;
+        }
+        self.lose_attempts(key, now, |_| true);
+        self.end_incarnation(key);
+        true
+    }
+
+    /// Ends the incarnation of a worker that started at `start_unix_ms`, after its VM was stopped or has left. The attempts
+    /// are lost, except those whose start commands are on their way: these may reach the next incarnation of the worker.
+    /// They stay until the commands have timed out; a later call ends them.
+    ///
+    /// Changes nothing when the worker is known with another start by now, or when it responds although it has attempts.
+    pub fn incarnation_ended(&mut self, key: WorkerKey, start_unix_ms: Option<u64>, now: Now) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
+        let is_unreachable = worker.is_unresponsive || worker.info.addr.is_empty();
+        if !worker.may_have_start(start_unix_ms) || !(is_unreachable || worker.attempts.is_empty())
+        {
+            return;
+        }
+        self.lose_attempts(key, now, |attempt| !attempt.is_start_in_flight);
+        if self.workers[key].attempts.is_empty() {
+            self.end_incarnation(key);
+        }
+    }
+
+    fn end_incarnation(&mut self, key: WorkerKey) {
+        let worker = &self.workers[key];
         if worker.is_listed {
-            self.ended_incarnations.insert(worker.info.id.clone());
+            let incarnation = (worker.info.id.clone(), worker.info.start_unix_ms);
+            self.ended_incarnations.insert(incarnation);
         }
-        let attempts: Vec<_> = worker
-            .attempts
-            .iter()
+        self.remove_worker(key);
+    }
+
+    fn lose_attempts(
+        &mut self,
+        key: WorkerKey,
+        now: Now,
+        is_lost: impl Fn(&AssignedAttempt) -> bool,
+    ) {
+        let attempts = self.workers[key].attempts.iter();
+        let lost = attempts.filter(|(_, attempt)| is_lost(attempt));
+        let lost: Vec<_> = lost
             .map(|(task, attempt)| (*task, attempt.number))
             .collect();
-        for (task, attempt) in attempts {
+        for (task, attempt) in lost {
             self.end_attempt(key, task, attempt, AttemptOutcome::Lost, now);
         }
-        self.remove_worker(key);
     }
 
     /// Returns the keys of all workers, including workers that the registry does not list and to which attempts are
@@ -154,11 +204,14 @@
         })
     }
 
-    /// Grants the lease that a start command carries, and returns its end in ms on the worker's clock. Returns `None`
-    /// when the worker has been removed or no reading of its clock is known.
-    pub fn grant_start_lease(&mut self, key: WorkerKey, now: Now) -> Option<u64> {
+    /// Grants the lease that the start command of a task carries, which is to be sent now, and returns its end in ms on the
+    /// worker's clock. Returns `None` when the worker has been removed or no reading of its clock is known.
+    pub fn grant_start_lease(&mut self, key: WorkerKey, task: TaskKey, now: Now) -> Option<u64> {
         let limits = self.limits;
         let worker = self.workers.get_mut(key)?;
+        if let Some(attempt) = worker.attempts.get_mut(&task) {
+            attempt.is_start_in_flight = true;
+        }
         worker.grant_lease(limits.lease_ms, limits.slow_clock_percent, now.local_ms)
     }
 
@@ -198,6 +251,7 @@
         else {
             return;
         };
+        attempt.is_start_in_flight = false;
         match outcome {
             StartOutcome::Started => {
                 attempt.settled_at_ms = Some(now.local_ms);
@@ -251,21 +305,14 @@
     }
 
     pub(crate) fn expire_leases(&mut self, key: WorkerKey, now: Now) {
-        let attempts: Vec<_> = self.workers[key]
-            .attempts
-            .iter()
-            .map(|(task, attempt)| (*task, attempt.number))
-            .collect();
-        if !attempts.is_empty() {
-            let worker = self.workers[key].info.id.clone();
+        let worker = &self.workers[key];
+        if !worker.attempts.is_empty() {
             self.events.push(SchedulerEvent::LeasesExpired {
-                worker,
-                attempts: attempts.len(),
+                worker: worker.info.id.clone(),
+                attempts: worker.attempts.len(),
             });
         }
-        for (task, attempt) in attempts {
-            self.end_attempt(key, task, attempt, AttemptOutcome::Lost, now);
-        }
+        self.lose_attempts(key, now, |_| true);
         if !self.workers[key].is_listed {
             self.remove_worker(key);
         }
--- a/crates/scheduler/tests/leases.rs
+++ b/crates/scheduler/tests/leases.rs
@@ -131,7 +131,7 @@
 fn an_ended_incarnation_is_not_added_again_while_the_registry_still_lists_it() {
     let mut pool = Pool::new(&["one"]);
     pool.scheduler
-        .incarnation_ended(pool.key("one"), pool.now());
+        .incarnation_ended(pool.key("one"), None, pool.now());
     pool.set_registry(&["one"]);
     assert!(pool.scheduler.worker_keys().is_empty());
     // The next incarnation has another id.
--- a/crates/scheduler/tests/restarts.rs
+++ b/crates/scheduler/tests/restarts.rs
@@ -91,7 +91,7 @@
     let name = pool.task_name(task);
     let id = pool.scheduler.worker(key).unwrap().id.clone();
     pool.report_since(FIRST, &id, &[], &[]);
-    pool.scheduler.grant_start_lease(key, pool.now());
+    pool.scheduler.grant_start_lease(key, task, pool.now());
     pool.advance(100);
     pool.report_since(SECOND, &id, &[], &[]);
     assert!(
@@ -205,3 +205,70 @@
     let key = pool.key("one");
     assert_eq!(pool.acknowledge(key), 1);
 }
+
+#[test]
+fn a_restarted_worker_is_used_although_its_previous_incarnation_has_ended() {
+    let mut pool = Pool::new(&["one"]);
+    pool.scheduler
+        .set_workers(vec![entry("one", FIRST)], pool.now());
+    pool.report_since(FIRST, "one", &[], &[]);
+    pool.scheduler
+        .incarnation_ended(pool.key("one"), FIRST, pool.now());
+    pool.scheduler
+        .set_workers(vec![entry("one", FIRST)], pool.now());
+    assert!(pool.scheduler.worker_keys().is_empty());
+    // The entry of the next incarnation replaces the one of the previous incarnation.
+    pool.scheduler
+        .set_workers(vec![entry("one", SECOND)], pool.now());
+    pool.report_since(SECOND, "one", &[], &[]);
+    pool.submit(1, job(vec![step(1)]));
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
+
+#[test]
+fn the_end_of_a_previous_incarnation_does_not_end_the_attempts_of_the_next_one() {
+    let mut pool = Pool::new(&["one", "two"]);
+    for name in ["one", "two"] {
+        pool.report_since(SECOND, name, &[], &[]);
+    }
+    pool.submit(1, job(vec![step(1)]));
+    let commands = pool.round();
+    let (key, _, _) = starts(&commands)[0];
+    pool.confirm_starts(&commands);
+    pool.scheduler.mark_unresponsive(key);
+    pool.scheduler.incarnation_ended(key, FIRST, pool.now());
+    assert!(!pool.scheduler.worker_replaced(key, FIRST, pool.now()));
+    assert!(starts(&pool.round()).is_empty());
+    pool.scheduler.incarnation_ended(key, SECOND, pool.now());
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
+
+#[test]
+fn a_start_command_on_its_way_outlasts_the_end_of_an_incarnation() {
+    let mut pool = Pool::new(&["one", "two"]);
+    pool.submit(1, job(vec![step(1)]));
+    let (key, task, attempt) = starts(&pool.round())[0];
+    pool.scheduler.grant_start_lease(key, task, pool.now());
+    pool.scheduler.mark_unresponsive(key);
+    pool.scheduler.incarnation_ended(key, None, pool.now());
+    assert!(
+        starts(&pool.round()).is_empty(),
+        "the start command may reach the next incarnation"
+    );
+    let unknown = StartOutcome::OutcomeUnknown;
+    pool.scheduler
+        .apply_start_outcome(key, task, attempt, unknown, None, pool.now());
+    pool.scheduler.incarnation_ended(key, None, pool.now());
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
+
+#[test]
+fn a_worker_that_responds_keeps_its_attempts_although_its_vm_is_said_to_be_down() {
+    let mut pool = Pool::new(&["one", "two"]);
+    pool.submit(1, job(vec![step(1)]));
+    let commands = pool.round();
+    let (key, _, _) = starts(&commands)[0];
+    pool.confirm_starts(&commands);
+    pool.scheduler.incarnation_ended(key, None, pool.now());
+    assert!(starts(&pool.round()).is_empty());
+}
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -193,7 +193,7 @@
         attempt: u32,
         outcome: StartOutcome,
     ) {
-        self.scheduler.grant_start_lease(worker, self.now());
+        self.scheduler.grant_start_lease(worker, task, self.now());
         let clock = (outcome != StartOutcome::OutcomeUnknown).then_some(self.now_ms);
         self.scheduler
             .apply_start_outcome(worker, task, attempt, outcome, clock, self.now());
