scheduler: an authorization ends with the incarnation of the worker that it was given for

Authorizations of the policy service are kept by the worker's id and are valid for one incarnation. After a restart under the id they were sent again until they expired, each refusal cost the worker 0.7 s on the blocklist, and the service was not asked again. They are now forgotten with the incarnation, and one that a worker rejects is forgotten for its step without blame for the worker.

Two tests, both seen failing without the change.

--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -217,6 +217,14 @@
                 // The attempt has started and ended, or was stopped: the next poll tells which.
                 (StartOutcome::Started, Some(clock_ms), "old run")
             }
+            StartResponse::Refused {
+                refusal: StartRefusal::NotAuthorized,
+                clock_ms,
+            } => (
+                StartOutcome::NotAuthorized,
+                Some(clock_ms),
+                "not authorized",
+            ),
             StartResponse::Refused { clock_ms, .. } => {
                 (StartOutcome::Refused, Some(clock_ms), "refused")
             }
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -31,6 +31,20 @@
     },
 }
 
+impl PolicyDecision {
+    /// Removes a worker from the authorized ones. Returns false when the decision authorizes no worker any more, so that the
+    /// service has to be asked again.
+    fn remove_worker(&mut self, worker: &SmolStr) -> bool {
+        match self {
+            Self::Requested { .. } => true,
+            Self::Authorized { authorizations, .. } => {
+                authorizations.remove(worker);
+                !authorizations.is_empty()
+            }
+        }
+    }
+}
+
 /// A request to the policy service: which of these workers may run a step.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PolicyRequest {
@@ -81,6 +95,26 @@
             .cloned()
     }
 
+    /// Forgets the authorization of a worker for the step of a task.
+    pub(crate) fn forget_authorization(&mut self, task: TaskKey, worker: &SmolStr) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let (occurrence, step, _) = job.position(task.index);
+        let step = step_key(task.job, occurrence, step);
+        if let Some(decision) = self.policy_decisions.get_mut(&step)
+            && !decision.remove_worker(worker)
+        {
+            self.policy_decisions.remove(&step);
+        }
+    }
+
+    /// Forgets all authorizations of a worker. They are valid for one incarnation.
+    pub(crate) fn forget_authorizations(&mut self, worker: &SmolStr) {
+        self.policy_decisions
+            .retain(|_, decision| decision.remove_worker(worker));
+    }
+
     /// Returns the requests to send to the policy service now, and records them as sent.
     pub fn policy_requests(&mut self, now: Now) -> Vec<PolicyRequest> {
         self.policy_decisions.retain(|_, decision| match decision {
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -186,6 +186,9 @@
     NoFreeCapacity,
     /// The worker reported itself as unhealthy and did not start the attempt.
     Unhealthy,
+    /// The worker rejected the authorization of the policy service: it has expired, or was given to the worker's previous
+    /// incarnation.
+    NotAuthorized,
     /// The worker rejected the command, or the command could not be sent any more.
     Refused,
     /// The worker did not respond: the attempt may be running or may still start.
@@ -206,9 +209,11 @@
     pub fn after_lost_response(self) -> Self {
         match self {
             Self::Started => Self::Started,
-            Self::NoFreeCapacity | Self::Unhealthy | Self::Refused | Self::OutcomeUnknown => {
-                Self::OutcomeUnknown
-            }
+            Self::NoFreeCapacity
+            | Self::Unhealthy
+            | Self::NotAuthorized
+            | Self::Refused
+            | Self::OutcomeUnknown => Self::OutcomeUnknown,
         }
     }
 }
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -270,6 +270,11 @@
                 worker.incarnation.health.record_refusal(now.local_ms);
                 self.end_attempt(key, task, number, AttemptOutcome::Lost, now);
             }
+            StartOutcome::NotAuthorized => {
+                let worker = worker.info.id.clone();
+                self.forget_authorization(task, &worker);
+                self.end_attempt(key, task, number, AttemptOutcome::Lost, now);
+            }
             StartOutcome::Refused => {
                 // The cause of the rejection is expected to last for a while.
                 worker.incarnation.health.record_refusal(now.local_ms);
--- a/crates/scheduler/tests/policy.rs
+++ b/crates/scheduler/tests/policy.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashMap;
 
-use scheduler::QueueRules;
+use scheduler::{QueueRules, StartOutcome};
 use support::{Pool, job, starts, step};
 
 fn pool() -> Pool {
@@ -68,3 +68,37 @@
     assert!(starts(&pool.round()).is_empty());
     assert_eq!(pool.scheduler.policy_requests(pool.now()).len(), 1);
 }
+
+#[test]
+fn an_authorization_for_the_previous_incarnation_of_a_worker_is_not_used() {
+    let mut pool = pool();
+    pool.report_since(Some(1), "one", &[], &[]);
+    pool.submit(1, job(vec![step(2)]));
+    let requests = pool.scheduler.policy_requests(pool.now());
+    let allowed = vec![("one".into(), "t-1".into())];
+    pool.scheduler
+        .apply_policy_decision(requests[0].task, allowed, 5000, pool.now());
+    pool.report_since(Some(2), "one", &[], &[]);
+    assert!(starts(&pool.round()).is_empty());
+    // Nobody else was authorized, so that the service is asked again.
+    assert_eq!(pool.scheduler.policy_requests(pool.now()).len(), 1);
+}
+
+#[test]
+fn an_authorization_that_a_worker_rejects_is_not_sent_again() {
+    let mut pool = pool();
+    pool.submit(1, job(vec![step(1)]));
+    let requests = pool.scheduler.policy_requests(pool.now());
+    let allowed = vec![("one".into(), "t-1".into()), ("two".into(), "t-2".into())];
+    pool.scheduler
+        .apply_policy_decision(requests[0].task, allowed, 5000, pool.now());
+    let (first, task, attempt) = starts(&pool.round())[0];
+    pool.apply_start(first, task, attempt, StartOutcome::NotAuthorized);
+    let (second, task, attempt) = starts(&pool.round())[0];
+    assert_ne!(first, second);
+    pool.apply_start(second, task, attempt, StartOutcome::NotAuthorized);
+    assert!(starts(&pool.round()).is_empty());
+    // The worker is not to blame, and may run the step with the next authorization.
+    let request = &pool.scheduler.policy_requests(pool.now())[0];
+    assert_eq!(request.workers.len(), 2);
+}
