--- a/crates/fleetd/src/pool/lease_renewal.rs
+++ b/crates/fleetd/src/pool/lease_renewal.rs
@@ -212,6 +212,7 @@
             AttemptEndReason::Stopped => (AttemptOutcome::Lost, "stopped"),
             AttemptEndReason::LeaseExpired => (AttemptOutcome::Lost, "lapsed"),
             AttemptEndReason::GangIncomplete => (AttemptOutcome::Lost, "gang"),
+            AttemptEndReason::Other => (AttemptOutcome::Lost, "other"),
         };
         self.node
             .metrics
