pools: a wave with a deadline beyond the range of times is far away, not overdue

The planned end overflowed and wrapped, so that the wave counted as overdue and drained its VMs at once. The test was seen failing ('attempt to multiply with overflow'; a release build wraps).

--- a/crates/pools/src/wave.rs
+++ b/crates/pools/src/wave.rs
@@ -119,7 +119,8 @@
         Self {
             max_down: max_down.max(1),
             maintenance_ms,
-            planned_end_ms: now_ms + remaining_ms * PLANNED_TIME_PERCENT / 100,
+            planned_end_ms: now_ms
+                .saturating_add(remaining_ms.saturating_mul(PLANNED_TIME_PERCENT) / 100),
             stages: vms
                 .into_iter()
                 .map(|vm| (vm.clone(), initial_stage(&vm)))
--- a/crates/pools/tests/wave.rs
+++ b/crates/pools/tests/wave.rs
@@ -229,3 +229,11 @@
     assert_eq!(wave.down_count(), 1);
     assert_eq!(wave.next_actions(&list(true), 2700).maintain, vms);
 }
+
+#[test]
+fn a_deadline_beyond_the_range_of_times_is_far_away() {
+    let mut wave = new_wave(names(4), 1, u64::MAX);
+    let list = names(4).into_iter().map(|vm| (vm, busy())).collect();
+    // No time presses, so that no more than one busy VM is drained at a time.
+    assert_eq!(wave.next_actions(&list, 1000).drain.len(), 1);
+}
