submission: an occurrence whose due time exceeds the range of times is not due early

first_at + k * interval overflowed and wrapped in a release build, so that such an occurrence started at once. The test was seen failing ('attempt to add with overflow').

--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -38,7 +38,7 @@
     Idle,
     /// The last attempt of the task is assigned to a worker.
     Assigned {
-        /// The id of the worker. Each incarnation of a worker has another id.
+        /// The id of the worker. The worker may have restarted under its id since.
         worker: SmolStr,
     },
     /// The task ended with success.
@@ -312,14 +312,13 @@
             .all(|&step| self.remaining[first + usize::from(step)] == 0)
     }
 
-    /// When an occurrence is due, in ms since the Unix epoch; `None` when the occurrence is due immediately.
-    ///
-    /// The time must not exceed `u64::MAX`, which [`JobSpec::validate`] does not check.
+    /// When an occurrence is due, in ms since the Unix epoch, at most `u64::MAX`; `None` when the occurrence is due
+    /// immediately.
     #[must_use]
     pub fn due_unix_ms(&self, occurrence: u32) -> Option<u64> {
         let spec = &self.spec;
-        (spec.occurrences > 0)
-            .then(|| spec.first_at_unix_ms + u64::from(occurrence) * spec.interval_ms)
+        let after_first_ms = u64::from(occurrence).saturating_mul(spec.interval_ms);
+        (spec.occurrences > 0).then(|| spec.first_at_unix_ms.saturating_add(after_first_ms))
     }
 
     /// The critical path of an occurrence through the steps that are not done: the longest sum of estimated run times
--- a/crates/submission/tests/jobs.rs
+++ b/crates/submission/tests/jobs.rs
@@ -184,3 +184,16 @@
     assert_eq!(serde_json::to_string(&spec).unwrap(), json);
     assert_eq!(serde_json::from_str::<JobSpec>(json).unwrap(), spec);
 }
+
+#[test]
+fn an_occurrence_whose_due_time_exceeds_the_range_is_not_due_early() {
+    let spec = JobSpec {
+        occurrences: 3,
+        first_at_unix_ms: u64::MAX - 5,
+        interval_ms: 10,
+        ..spec(vec![step(1, &[])])
+    };
+    let job = Job::new(JobId(7), "queue".into(), Arc::new(spec), 1);
+    assert_eq!(job.due_unix_ms(0), Some(u64::MAX - 5));
+    assert_eq!(job.due_unix_ms(2), Some(u64::MAX));
+}
