--- a/crates/trefoilpassd/tests/fleet.rs
+++ b/crates/trefoilpassd/tests/fleet.rs
@@ -5,7 +5,9 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-use fleet_support::{PATIENCE, call, check_runs, done, start, submit, submit_surely};
+use fleet_support::{
+    CALLER_WAIT, PATIENCE, call, call_within, check_runs, done, start, submit, submit_surely,
+};
 use platform_stand_in::{StoreFaults, job_body};
 use serde_json::json;
 use test_support::FleetDaemonSpec;
@@ -78,6 +80,28 @@
     check_runs(&platform, 20);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_may_name_a_wait_of_any_length_or_none_that_can_be_read() {
+    let (platform, daemons) = start(1, 1).await;
+    submit_surely(&daemons, 1, 1).await;
+    for (id, wait) in [
+        (2, "18446744073709551615"),
+        (3, "99999999999999999999"),
+        (4, "-1"),
+        (5, "soon"),
+    ] {
+        let path = format!("/q/{id:016x}");
+        let body = Some(job_body("x", 1, false));
+        let request = (reqwest::Method::POST, &daemons[0], path.as_str(), body);
+        let (status, _) = call_within(wait, CALLER_WAIT, request).await;
+        assert_eq!(status, 200, "{wait}");
+    }
+    for id in 1..=5 {
+        done(&daemons, id).await;
+    }
+    check_runs(&platform, 5);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bad_requests_get_a_clear_answer_and_store_nothing() {
     let (platform, daemons) = start(1, 1).await;
