soak: faults go on while a daemon ends in order

A run waited for each ordered end, up to 6 s, before the next fault came. Faults now also overlap with ordered ends as planned.

--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -112,8 +112,8 @@
     for (at, event) in events {
         tokio::time::sleep_until((start + at).into()).await;
         match event {
-            Event::Begin(fault) => stage.begin(fault).await,
-            Event::End(fault) => stage.end(fault),
+            Event::Begin(fault) => stage.begin(fault),
+            Event::End(fault) => stage.end(fault).await,
         }
         stage.look_after().await;
     }
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -8,6 +8,7 @@
 
 use platform_stand_in::{PlatformStandIn, StoreFaults};
 use test_support::{Daemon, FaultProxy, FleetDaemonSpec, ProxyFault, free_addrs};
+use tokio::task::JoinHandle;
 
 use crate::plan::{Fault, Scale, Subject};
 
@@ -17,6 +18,8 @@
 struct Member {
     spec: FleetDaemonSpec,
     process: Option<Daemon>,
+    /// The ordered end of an earlier process, which returns what was wrong with it.
+    ending: Option<JoinHandle<Option<String>>>,
     /// How many faults at present keep it from running.
     kept_down: usize,
     /// How many faults at present pause it.
@@ -61,6 +64,7 @@
             let callers = proxy_to(spec.callers).await;
             members.push(Member {
                 process: None,
+                ending: None,
                 kept_down: 0,
                 paused: 0,
                 log: logs.join(format!("{name}.log")),
@@ -78,7 +82,7 @@
             findings: Vec::new(),
         };
         for member in 0..stage.members.len() {
-            stage.start_process(member);
+            stage.start_process(member).await;
         }
         stage
     }
@@ -91,8 +95,13 @@
             .collect()
     }
 
-    fn start_process(&mut self, number: usize) {
+    /// Starts a daemon, after its earlier process has ended.
+    async fn start_process(&mut self, number: usize) {
         let member = &mut self.members[number];
+        if let Some(ending) = member.ending.take() {
+            let finding = ending.await.unwrap_or_else(|err| Some(err.to_string()));
+            self.findings.extend(finding);
+        }
         let log = File::options().create(true).append(true).open(&member.log);
         let log = log.map_or_else(|_| Stdio::null(), Stdio::from);
         member.process = Some(Daemon::start_fleet(&self.program, &member.spec.yaml(), log));
@@ -108,19 +117,19 @@
             if let Some(status) = process.wait(Duration::from_millis(1)).await {
                 self.findings
                     .push(format!("d{number} ended by itself: {status}"));
-                self.start_process(number);
+                self.start_process(number).await;
             }
         }
     }
 
-    pub(crate) async fn begin(&mut self, fault: Fault) {
+    pub(crate) fn begin(&mut self, fault: Fault) {
         match fault {
             Fault::Link(subject, fault) => self.link(subject).set(fault),
             Fault::Kill(daemon) => {
                 self.members[daemon].kept_down += 1;
                 self.members[daemon].process = None;
             }
-            Fault::Terminate(daemon) => self.terminate(daemon).await,
+            Fault::Terminate(daemon) => self.terminate(daemon),
             Fault::Pause(daemon) => {
                 let member = &mut self.members[daemon];
                 member.paused += 1;
@@ -135,14 +144,14 @@
         }
     }
 
-    pub(crate) fn end(&mut self, fault: Fault) {
+    pub(crate) async fn end(&mut self, fault: Fault) {
         match fault {
             Fault::Link(subject, _) => self.link(subject).set(ProxyFault::None),
             Fault::Kill(daemon) | Fault::Terminate(daemon) => {
                 let member = &mut self.members[daemon];
                 member.kept_down -= 1;
                 if member.kept_down == 0 && member.process.is_none() {
-                    self.start_process(daemon);
+                    self.start_process(daemon).await;
                 }
             }
             Fault::Pause(daemon) => {
@@ -157,7 +166,8 @@
         }
     }
 
-    async fn terminate(&mut self, daemon: usize) {
+    /// Asks a daemon to end. Other faults come while it does.
+    fn terminate(&mut self, daemon: usize) {
         let member = &mut self.members[daemon];
         member.kept_down += 1;
         let Some(mut process) = member.process.take() else {
@@ -168,15 +178,13 @@
             return;
         }
         process.terminate();
-        match process.wait(GRACE).await {
-            Some(status) if status.success() => {}
-            Some(status) => self
-                .findings
-                .push(format!("d{daemon} ended in order with {status}")),
-            None => self
-                .findings
-                .push(format!("d{daemon} did not end within {GRACE:?}")),
-        }
+        member.ending = Some(tokio::spawn(async move {
+            match process.wait(GRACE).await {
+                Some(status) if status.success() => None,
+                Some(status) => Some(format!("d{daemon} ended in order with {status}")),
+                None => Some(format!("d{daemon} did not end within {GRACE:?}")),
+            }
+        }));
     }
 
     fn set_store(&self, is_down: bool, lost_one_in: u64) {
