--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -37,7 +37,7 @@
 }
 
 /// The job in a task's name.
-fn job_of(task: &str) -> Option<u64> {
+pub(crate) fn job_of(task: &str) -> Option<u64> {
     u64::from_str_radix(task.split('.').next()?, 16).ok()
 }
 
@@ -131,7 +131,7 @@
 }
 
 /// When the last of a job's tasks was done; `None` while one is not.
-fn all_done_at(tasks: usize, runs: &[&AttemptRecord]) -> Option<Instant> {
+pub(crate) fn all_done_at(tasks: usize, runs: &[&AttemptRecord]) -> Option<Instant> {
     let done = runs.iter().filter_map(|run| match run.ended {
         Some((at, "done")) => Some((run.task.as_str(), at)),
         _ => None,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,8 +11,10 @@
 mod plan;
 mod play;
 mod stage;
+mod standstill;
 
 pub use checks::findings;
 pub use ledger::{JobKind, JobRecord, Ledger, StateSeen};
 pub use plan::{Fault, Planned, Scale, Subject, plan};
 pub use play::{Report, play};
+pub use standstill::standing_jobs;
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -12,6 +12,7 @@
 use crate::ledger::{JobKind, Ledger};
 use crate::plan::{Fault, Planned, Scale, plan};
 use crate::stage::Stage;
+use crate::standstill::standing_jobs;
 
 /// How long a caller waits for an answer, as the platform's callers do.
 const CALLER_PATIENCE: Duration = Duration::from_secs(3);
@@ -20,6 +21,12 @@
 /// twice as long.
 const FINISH: Duration = Duration::from_secs(28);
 
+/// How long after the faults an accepted job may still have nothing running. The platform asks for 14 s.
+const RECOVERY: Duration = Duration::from_secs(14);
+
+/// How many tasks a worker of the stand-in has room for.
+const TASKS_PER_WORKER: usize = 8;
+
 /// How often jobs are asked for at the end.
 const ASK_PAUSE: Duration = Duration::from_millis(200);
 
@@ -81,6 +88,7 @@
     }
     strike(&mut stage, &faults, start).await;
     while calling.join_next().await.is_some() {}
+    await_progress(&ledger, &mut stage).await;
     finish(&callers, &ledger, &mut stage).await;
 
     let ledger = ledger.lock().clone();
@@ -119,6 +127,31 @@
     }
 }
 
+/// Waits until something of each accepted job runs, or the workers are half full.
+async fn await_progress(ledger: &SharedLedger, stage: &mut Stage) {
+    let until = Instant::now() + RECOVERY;
+    let half = stage.platform.workers.len() * TASKS_PER_WORKER / 2;
+    loop {
+        let runs = stage.platform.attempts();
+        let running = runs.iter().filter(|run| run.ended.is_none()).count();
+        let standing = standing_jobs(&ledger.lock(), &runs, Instant::now());
+        if standing.is_empty() || running >= half {
+            return;
+        }
+        if Instant::now() > until {
+            let findings = standing.into_iter().map(|id| {
+                format!(
+                    "job {id:016x}: it stands still while {running} tasks run, of {half} and more"
+                )
+            });
+            stage.findings.extend(findings);
+            return;
+        }
+        stage.look_after().await;
+        tokio::time::sleep(ASK_PAUSE).await;
+    }
+}
+
 /// Cancels what lasts, and waits until all other accepted jobs are done.
 async fn finish(callers: &[Caller], ledger: &SharedLedger, stage: &mut Stage) {
     let jobs: Vec<_> = ledger
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use platform_stand_in::{AttemptRecord, ReportedState};
-use soak::{JobKind, JobRecord, Ledger, StateSeen, findings};
+use soak::{JobKind, JobRecord, Ledger, StateSeen, findings, standing_jobs};
 
 const JOB: u64 = 0xa1;
 
@@ -166,3 +166,30 @@
         Some("after the job was cancelled"),
     );
 }
+
+#[test]
+fn accepted_jobs_that_stand_still_are_found() {
+    fn check(name: &str, case: &Case, at_ms: u64, expected: bool) {
+        let mut ledger = Ledger::default();
+        ledger.jobs.insert(JOB, case.record.clone());
+        let standing = standing_jobs(&ledger, &case.runs, case.at(at_ms));
+        assert_eq!(!standing.is_empty(), expected, "{name}");
+    }
+    check("just accepted", &Case::new(), 2900, false);
+    check("never started", &Case::new(), 3100, true);
+    let first = Case::new().with_run("a1.0.0.0", 1, 10, Some((310, "done")));
+    check("between two steps", &first, 3200, false);
+    check("the second step never starts", &first, 3400, true);
+    check("served", &served(), 9000, false);
+    let running = Case::new().with_run("a1.0.0.0", 1, 10, None);
+    check("running", &running, 9000, false);
+    let start = Case::new().start;
+    let cancelled = Case::new().with_record(|record| record.cancel_asked = Some(start));
+    check("cancelled", &cancelled, 9000, false);
+    let lasting = Case::new()
+        .with_record(|record| record.kind = JobKind::Lasting { tasks: 2 })
+        .with_run("a1.0.0.0", 1, 10, None);
+    check("one of two tasks that last", &lasting, 9000, true);
+    let lasting = lasting.with_run("a1.0.0.1", 1, 20, None);
+    check("tasks that last", &lasting, 9000, false);
+}
