--- a/crates/trefoilpassd/tests/fleet_outages.rs
+++ b/crates/trefoilpassd/tests/fleet_outages.rs
@@ -2,10 +2,12 @@
 
 mod fleet_support;
 
+use std::process::Stdio;
 use std::time::Duration;
 
 use fleet_support::{
-    CALLER_WAIT, Daemon, call, call_within, check_runs, done, ready, start, submit, submit_surely,
+    CALLER_WAIT, Daemon, call, call_within, check_runs, daemon_logging_to, done, ready, start,
+    submit, submit_surely,
 };
 use platform_stand_in::{PlatformStandIn, StoreFaults, job_body};
 use reqwest::Client;
@@ -201,3 +203,26 @@
     }
     check_runs(&platform, 61);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_reader_of_the_log_that_is_stuck_does_not_stop_a_daemon() {
+    const JOBS: u64 = 60;
+    let platform = PlatformStandIn::start(4).await;
+    platform.configure();
+    // Nobody reads the pipe, which holds some 250 lines.
+    let mut daemons = [daemon_logging_to(Stdio::piped(), &platform, "d0")];
+    ready(&daemons[0]).await;
+    for id in 1..=JOBS {
+        submit_surely(&daemons, id, 6).await;
+    }
+    for id in 1..=JOBS {
+        done(&daemons, id).await;
+    }
+    check_runs(&platform, 360);
+    daemons[0].process.terminate();
+    let status = daemons[0].process.wait(Duration::from_secs(6)).await;
+    assert!(
+        status.is_some_and(|status| status.success()),
+        "it did not end in order: {status:?}"
+    );
+}
--- a/crates/trefoilpassd/tests/fleet_support/mod.rs
+++ b/crates/trefoilpassd/tests/fleet_support/mod.rs
@@ -28,14 +28,18 @@
 }
 
 pub fn daemon(platform: &PlatformStandIn, name: &str) -> Daemon {
-    let spec = FleetDaemonSpec::new(name, platform.store_addr, platform.vms_addr);
-    let program = Path::new(env!("CARGO_BIN_EXE_trefoilpassd"));
     let is_logged = std::env::var_os("TREFOILPASS_TEST_LOG").is_some();
     let log = if is_logged {
         Stdio::inherit()
     } else {
         Stdio::null()
     };
+    daemon_logging_to(log, platform, name)
+}
+
+pub fn daemon_logging_to(log: Stdio, platform: &PlatformStandIn, name: &str) -> Daemon {
+    let spec = FleetDaemonSpec::new(name, platform.store_addr, platform.vms_addr);
+    let program = Path::new(env!("CARGO_BIN_EXE_trefoilpassd"));
     Daemon {
         name: name.to_owned(),
         process: Process::start_fleet(program, &spec.yaml(), log),
