--- a/crates/fleetd/src/leader/inputs.rs
+++ b/crates/fleetd/src/leader/inputs.rs
@@ -8,8 +8,12 @@
 
 use crate::rpc::RoundReply;
 
-/// Logs the demand and the number of VMs of each pool.
-pub(super) fn log_pools(pools: &BTreeMap<SmolStr, PoolState>, vms: &BTreeMap<SmolStr, VmState>) {
+/// Logs the demand and the number of VMs of each pool, and the progress of its owner.
+pub(super) fn log_pools(
+    pools: &BTreeMap<SmolStr, PoolState>,
+    vms: &BTreeMap<SmolStr, VmState>,
+    replies: &BTreeMap<SmolStr, RoundReply>,
+) {
     for (pool, state) in pools {
         let pool_vms = vms.values().filter(|vm| vm.pool == *pool);
         let movable = pool_vms.clone().filter(|vm| vm.is_movable).count();
@@ -18,6 +22,7 @@
         let (urgent, wanted) = (state.urgent_demand_vms, state.total_demand_vms);
         let required = state.service_demand_vms;
         let (useful, other) = (usable.len(), other.len());
+        let progress = replies.get(pool).and_then(|reply| reply.progress.as_ref());
         tracing::info!(
             pool = pool.as_str(),
             required,
@@ -27,6 +32,9 @@
             idle,
             other,
             movable,
+            term = progress.map(|progress| progress.term),
+            recorded_age_ms = progress.map(|progress| progress.recorded_age_ms),
+            first_waiting = progress.map(|progress| progress.first_waiting.as_str()),
             "demand and VMs of a pool"
         );
     }
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -414,7 +414,7 @@
             .collect();
         let pools = pool_states(standby, replies);
         let plan = plan_rebalance(&pools, &vms, self.max_moves());
-        log_pools(&pools, &vms);
+        log_pools(&pools, &vms, replies);
         self.reclaiming = plan.reclaim.into_iter().collect();
         let moves = plan.moves;
         let mut candidates: BTreeMap<SmolStr, Vec<(SmolStr, SmolStr)>> = BTreeMap::new();
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -25,7 +25,9 @@
 use crate::clock::local_ms;
 use crate::node::Node;
 use crate::peer_calls::call_peer;
-use crate::rpc::{JobReply, PoolClient, RoundReply, RoundRequest, SubmitReply, WireState};
+use crate::rpc::{
+    JobReply, OwnerProgress, PoolClient, RoundReply, RoundRequest, SubmitReply, WireState,
+};
 
 use submissions::Submissions;
 
@@ -224,6 +226,14 @@
         };
         let starts_unix_ms = named.filter_map(start).collect();
         log_stalled_work(&self.pool, &scheduler, &demand);
+        let first = scheduler.first_ready_task();
+        let progress = OwnerProgress {
+            term: self.term,
+            recorded_age_ms: self.lease.lock().age_ms(now.local_ms),
+            first_waiting: first.map_or_else(SmolStr::default, |task| {
+                recorder::task_name(&scheduler, task)
+            }),
+        };
         drop(scheduler);
         self.recorder_waker.notify_one();
         log_unavailable_workers(&self.pool, &demand.unavailable);
@@ -236,6 +246,7 @@
             unavailable: demand.unavailable.into_iter().map(|(id, _)| id).collect(),
             unresponsive: demand.unresponsive,
             starts_unix_ms,
+            progress: Some(progress),
             idle: demand
                 .idle
                 .into_iter()
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -122,6 +122,21 @@
     pub(crate) unavailable: Vec<SmolStr>,
     /// The available workers that run no task, each with the time for which the worker has run none, in ms.
     pub(crate) idle: Vec<(SmolStr, u64)>,
+    /// The progress of the owner; `None` from a daemon of an earlier build.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) progress: Option<OwnerProgress>,
+}
+
+/// Whether the owner of a pool makes progress.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OwnerProgress {
+    /// The term of the ownership.
+    pub(crate) term: u64,
+    /// How long ago the last transaction of the owner was sent that the store committed, in ms. Owners renew their lease at
+    /// least once a second.
+    pub(crate) recorded_age_ms: u64,
+    /// The task that is placed first once a worker has room for it; empty when no task waits.
+    pub(crate) first_waiting: SmolStr,
 }
 
 /// The calls to the owner of a pool, and those that transfer the ownership of a shard. A call fails if the
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -92,12 +92,18 @@
         starts_unix_ms: BTreeMap::from([("e".into(), 6)]),
         unavailable: vec!["f".into()],
         idle: vec![("g".into(), 4)],
+        progress: Some(OwnerProgress {
+            term: 7,
+            recorded_age_ms: 8,
+            first_waiting: "t".into(),
+        }),
     };
     check_json(
         &reply,
         &json!({
             "tasks": [1], "required": 1, "urgent": 2, "wanted": 3, "steady": ["d"], "silent": ["e"], "unusable": ["f"],
             "starts": {"e": 6}, "idle": [["g", 4]],
+            "progress": {"term": 7, "recorded_age_ms": 8, "first_waiting": "t"},
         }),
     );
 }
@@ -110,4 +116,5 @@
     .unwrap();
     assert_eq!(reply.service_demand_workers, 0);
     assert!(reply.starts_unix_ms.is_empty());
+    assert_eq!(reply.progress, None);
 }
--- a/crates/ownership/src/lease.rs
+++ b/crates/ownership/src/lease.rs
@@ -35,9 +35,19 @@
         self.renewed_at_ms = self.renewed_at_ms.max(sent_at_ms);
     }
 
+    /// How long before `now_ms` the latest successful write was sent, in ms.
+    ///
+    /// ```
+    /// assert_eq!(ownership::Lease::new(100).age_ms(160), 60);
+    /// ```
+    #[must_use]
+    pub fn age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.renewed_at_ms)
+    }
+
     /// Whether the lease is valid at `now_ms`: the latest successful write was sent less than `duration_ms` earlier.
     #[must_use]
     pub fn is_valid(&self, now_ms: u64, duration_ms: u64) -> bool {
-        now_ms.saturating_sub(self.renewed_at_ms) < duration_ms
+        self.age_ms(now_ms) < duration_ms
     }
 }
