scheduler: an end counts for its attempt, whatever its number

Ends were skipped by their number, though they name the task and the attempt. An end that was applied has no assigned attempt any more, so that nothing has to be skipped; and a restart that no report shows (no start in it) can't hide an end. A report without a start counts as one of the incarnation in the registry.

The log line on skipped ends has no case any more.

--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -54,7 +54,8 @@
     pub request_sent_at_ms: u64,
     /// The worker's clock in ms, as the response carried it.
     pub worker_clock_ms: u64,
-    /// The start of the incarnation that reported, in ms since 1970 on the worker's clock; `None` when it is unknown.
+    /// The start of the incarnation that reported, in ms since 1970 on the worker's clock; `None` when the report has none.
+    /// The start in the registry counts then.
     pub start_unix_ms: Option<u64>,
     /// The number of the last ended attempt that the lease renewal acknowledged as recorded; 0 for none.
     pub acknowledged_end: u64,
@@ -72,15 +73,16 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
+        let start_unix_ms = report.start_unix_ms.or(worker.info.start_unix_ms);
         let previous_start_unix_ms = worker.incarnation.start_unix_ms;
         let is_restarted = previous_start_unix_ms
-            .zip(report.start_unix_ms)
+            .zip(start_unix_ms)
             .is_some_and(|(previous, start)| previous != start);
         if is_restarted {
-            self.begin_incarnation(key, report.start_unix_ms, now);
+            self.begin_incarnation(key, start_unix_ms, now);
         }
         let worker = &mut self.workers[key];
-        worker.incarnation.start_unix_ms = report.start_unix_ms.or(previous_start_unix_ms);
+        worker.incarnation.start_unix_ms = start_unix_ms.or(previous_start_unix_ms);
         worker.may_have_restarted = false;
         worker.is_unresponsive = false;
         worker.record_clock(report.worker_clock_ms, now.local_ms);
@@ -147,29 +149,16 @@
     }
 
     fn apply_end(&mut self, key: WorkerKey, end: EndedAttempt, now: Now) {
-        let worker = &self.workers[key];
-        let is_applied = end.number <= worker.incarnation.received_end;
-        let task = self.task_by_name(&end.name);
-        let assigned = task.filter(|task| self.is_assigned(key, *task, end.attempt));
-        if is_applied {
-            if assigned.is_some() {
-                let worker = worker.info.id.clone();
-                self.events.push(SchedulerEvent::EndSkipped {
-                    worker,
-                    task: end.name,
-                    attempt: end.attempt,
-                    number: end.number,
-                });
-            }
-            return;
-        }
-        self.workers[key].incarnation.received_end = end.number;
-        if let Some(task) = task {
-            self.remove_not_started(task.job);
-        }
-        let Some(task) = assigned else {
+        let incarnation = &mut self.workers[key].incarnation;
+        incarnation.received_end = incarnation.received_end.max(end.number);
+        let Some(task) = self.task_by_name(&end.name) else {
             return;
         };
+        self.remove_not_started(task.job);
+        // An end that was applied before has no assigned attempt any more.
+        if !self.is_assigned(key, task, end.attempt) {
+            return;
+        }
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.update_checkpoint(task.index, end.checkpoint);
         }
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -73,17 +73,6 @@
         /// The start of the incarnation that reported, in ms since 1970 on the worker's clock.
         start_unix_ms: u64,
     },
-    /// A reported end was skipped as already applied, although its attempt is assigned to the worker.
-    EndSkipped {
-        /// The id of the worker.
-        worker: SmolStr,
-        /// The name of the task.
-        task: SmolStr,
-        /// The number of the attempt.
-        attempt: u32,
-        /// The number of the end.
-        number: u64,
-    },
     /// An attempt counts as lost, because its start command was settled and a later report of its worker doesn't list it.
     NotListed {
         /// The id of the worker.
@@ -110,7 +99,6 @@
                 "a worker was blocklisted or its leases expired"
             }
             Self::Restarted { .. } => "a worker restarted under its id",
-            Self::EndSkipped { .. } => "a reported end was skipped as already applied",
             Self::NotListed { .. } => "an attempt counts as lost: its worker does not list it",
         }
     }
@@ -140,18 +128,6 @@
                 .field("previous_start_unix_ms", previous_start_unix_ms)
                 .field("start_unix_ms", start_unix_ms)
                 .finish(),
-            Self::EndSkipped {
-                worker,
-                task,
-                attempt,
-                number,
-            } => f
-                .debug_struct("EndSkipped")
-                .field("worker", worker)
-                .field("task", task)
-                .field("run", attempt)
-                .field("number", number)
-                .finish(),
             Self::NotListed {
                 worker,
                 task,
--- a/crates/scheduler/tests/events.rs
+++ b/crates/scheduler/tests/events.rs
@@ -29,16 +29,6 @@
         format!("{restarted:?}"),
         r#"Restarted { worker: "w-1", previous_start_unix_ms: 5, start_unix_ms: 9 }"#
     );
-    let skipped = SchedulerEvent::EndSkipped {
-        worker: "w-1".into(),
-        task: "t".into(),
-        attempt: 1,
-        number: 3,
-    };
-    assert_eq!(
-        format!("{skipped:?}"),
-        r#"EndSkipped { worker: "w-1", task: "t", run: 1, number: 3 }"#
-    );
     let lost = SchedulerEvent::NotListed {
         worker: "w-1".into(),
         task: "t".into(),
--- a/crates/scheduler/tests/restarts.rs
+++ b/crates/scheduler/tests/restarts.rs
@@ -272,3 +272,43 @@
     pool.scheduler.incarnation_ended(key, None, pool.now());
     assert!(starts(&pool.round()).is_empty());
 }
+
+#[test]
+fn an_end_counts_for_its_attempt_whatever_its_number() {
+    let mut pool = Pool::new(&["one"]);
+    let names = start_job(&mut pool, 1, 2);
+    let done = |number, name: &SmolStr| (number, name.clone(), 1, AttemptOutcome::Done);
+    pool.advance(500);
+    pool.report("one", &[(names[1].clone(), 1, 50)], &[done(9, &names[0])]);
+    pool.round();
+    // The worker may have restarted without a start in its reports.
+    pool.advance(500);
+    pool.report("one", &[], &[done(1, &names[1])]);
+    assert!(starts(&pool.round()).is_empty());
+    assert!(
+        pool.scheduler
+            .job(submission::JobId(1))
+            .unwrap()
+            .has_ended()
+    );
+}
+
+#[test]
+fn a_report_without_a_start_comes_from_the_incarnation_in_the_registry() {
+    let mut pool = pool_with_recorded_ends();
+    pool.scheduler
+        .set_workers(vec![entry("one", SECOND)], pool.now());
+    let names = start_job_after_poll(&mut pool, 2);
+    pool.advance(500);
+    let done = (1, names[0].clone(), 1, AttemptOutcome::Done);
+    pool.report("one", &[], &[done]);
+    assert!(starts(&pool.round()).is_empty());
+    let key = pool.key("one");
+    assert_eq!(pool.acknowledge(key), 1);
+}
+
+/// Has the worker `one` report without a start, then submits a job of one task and starts it.
+fn start_job_after_poll(pool: &mut Pool, id: u64) -> Vec<SmolStr> {
+    pool.report("one", &[], &[]);
+    start_job(pool, id, 1)
+}
