fleetd: a worker that leaves while the registry is read is not used

The operators' warning: a server that had left was in use again after a restart. It can happen here. A registry of more than one page (500 entries, fewer on a narrow link) is read page by page; the changes were then followed from the newest version among all rows. A worker of an earlier page that left while a later page was read had an older version, so that its removal was never seen, and a new owner gave it tasks. So too for rows of operators.

Changes are followed from the version of the first page, and the scheduler gets the workers after the first read of changes; if that fails, at once, so that leases are renewed while the store is away.

--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -16,7 +16,7 @@
 use crate::config::FLEET_SHARD;
 use crate::leader;
 use crate::node::{Node, STORE_TIMEOUT, tables};
-use crate::pool::{read_all_rows, take_over_pool, take_over_shard};
+use crate::pool::{read_all_rows, read_rows_to_follow, take_over_pool, take_over_shard};
 
 /// How often the daemon reads the heartbeat rows and takes over unowned shards.
 const READ_PERIOD: Duration = Duration::from_millis(400);
@@ -235,10 +235,7 @@
     let mut version = None;
     loop {
         let read = match version {
-            None => read_all_rows(&node, OPERATOR_TABLE, "").await.map(|rows| {
-                let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
-                (rows, newest)
-            }),
+            None => read_rows_to_follow(&node, OPERATOR_TABLE, "").await,
             Some(after) => {
                 let feed = node
                     .store
@@ -250,8 +247,8 @@
             }
         };
         match read {
-            Ok((rows, newest)) => {
-                version = Some(newest);
+            Ok((rows, read_version)) => {
+                version = Some(read_version);
                 node.store_responded_at_ms
                     .store(local_ms(), Ordering::Relaxed);
                 for row in rows {
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -32,7 +32,9 @@
 use submissions::Submissions;
 
 pub(crate) use sequence::{Sequence, SequenceError};
-pub(crate) use takeover::{Takeover, decode_jobs, read_all_rows, take_over_pool, take_over_shard};
+pub(crate) use takeover::{
+    Takeover, decode_jobs, read_all_rows, read_rows_to_follow, take_over_pool, take_over_shard,
+};
 
 /// How long an owner continues to renew the leases of workers after its last committed transaction. Together with the
 /// lease of 5 s, running attempts survive the usual outages of the store of 4.5 s. The next owner waits for the same
--- a/crates/fleetd/src/pool/registry.rs
+++ b/crates/fleetd/src/pool/registry.rs
@@ -21,14 +21,15 @@
         let mut entries: Vec<(SmolStr, WorkerInfo)> = Vec::new();
         let mut version = None;
         while !self.has_ended() {
+            let is_first_read = version.is_none();
             let read = match version {
-                None => takeover::read_all_rows(&self.node, WORKER_TABLE, "")
-                    .await
-                    .map(|rows| {
-                        let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
+                None => {
+                    let read = takeover::read_rows_to_follow(&self.node, WORKER_TABLE, "").await;
+                    if read.is_ok() {
                         entries.clear();
-                        (rows, newest)
-                    }),
+                    }
+                    read
+                }
                 Some(after) => {
                     let feed =
                         self.node
@@ -41,18 +42,24 @@
                 }
             };
             match read {
-                Ok((rows, newest)) => {
-                    version = Some(newest);
+                Ok((rows, read_version)) => {
+                    version = Some(read_version);
                     for row in rows {
                         self.apply_entry(&mut entries, &row);
                     }
+                    if is_first_read {
+                        // Workers may have left since their page was read.
+                        continue;
+                    }
                     self.set_workers(&entries);
                 }
                 Err(users_platform::Error::HistoryCompacted) => {
                     version = None;
-                    continue;
+                    self.set_workers_unless_empty(&entries);
                 }
                 Err(err) => {
+                    // The leases of known workers are renewed whether or not the store responds.
+                    self.set_workers_unless_empty(&entries);
                     self.node.metrics.store_failures.inc();
                     tracing::debug!(pool = self.pool.as_str(), error = %err, "failed to read the worker registry");
                 }
@@ -88,6 +95,12 @@
         }
     }
 
+    fn set_workers_unless_empty(self: &Arc<Self>, entries: &[(SmolStr, WorkerInfo)]) {
+        if !entries.is_empty() {
+            self.set_workers(entries);
+        }
+    }
+
     /// Gives the scheduler the workers and the queue rules, and starts the lease renewal of new workers.
     fn set_workers(self: &Arc<Self>, entries: &[(SmolStr, WorkerInfo)]) {
         let infos = entries.iter().map(|(_, info)| info.clone()).collect();
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -217,11 +217,22 @@
 
 /// Reads all rows of a table in a part of the store, page by page. Fails when a read of a page fails.
 pub(crate) async fn read_all_rows(node: &Node, table: &str, part: &str) -> Result<Vec<Row>, Error> {
+    let (rows, _) = read_rows_to_follow(node, table, part).await?;
+    Ok(rows)
+}
+
+/// Like [`read_all_rows`]. Also returns the version after which the changes of the table have to be read: that of the first
+/// page, as later pages don't show what has changed in the range of the earlier ones since.
+pub(crate) async fn read_rows_to_follow(
+    node: &Node,
+    table: &str,
+    part: &str,
+) -> Result<(Vec<Row>, u64), Error> {
     let mut reader = RowReader::new(node, table, part);
     while !reader.is_complete {
         reader.read_page().await?;
     }
-    Ok(reader.rows)
+    Ok((reader.rows, reader.first_version.unwrap_or(0)))
 }
 
 /// A read of all rows of a table in a part of the store. After a failed page, the read goes on where it stopped.
@@ -230,6 +241,8 @@
     table: &'a str,
     part: &'a str,
     rows: Vec<Row>,
+    /// The version of the store at the read of the first page.
+    first_version: Option<u64>,
     page_size: PageSize,
     is_complete: bool,
 }
@@ -241,6 +254,7 @@
             table,
             part,
             rows: Vec::new(),
+            first_version: None,
             page_size: PageSize::new(MAX_PAGE_ROWS, node.settings.machine.link_mbps),
             is_complete: false,
         }
@@ -266,6 +280,7 @@
                 let rows = u32::try_from(page.rows.len()).unwrap_or(u32::MAX);
                 self.page_size.record_page(rows, duration_ms);
                 self.node.clock.record_store_time(page.store_ms);
+                self.first_version.get_or_insert(page.version);
                 self.rows.extend(page.rows);
                 self.is_complete = !page.has_more;
                 Ok(())
--- a/crates/trefoilpassd/tests/fleet_outages.rs
+++ b/crates/trefoilpassd/tests/fleet_outages.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use fleet_support::{
-    CALLER_WAIT, Daemon, call, call_within, check_runs, daemon_logging_to, done, ready, start,
-    submit, submit_surely,
+    CALLER_WAIT, Daemon, call, call_within, check_runs, daemon, daemon_logging_to, done, ready,
+    start, submit, submit_surely,
 };
 use platform_stand_in::{PlatformStandIn, StoreFaults, job_body};
 use reqwest::Client;
@@ -226,3 +226,49 @@
         "it did not end in order: {status:?}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_that_leaves_while_the_registry_is_read_is_not_used() {
+    // Entries of other pools that fill more than one page, after those of the workers.
+    const OTHER_ENTRIES: usize = 700;
+    let platform = PlatformStandIn::start(2).await;
+    let entry = json!({
+        "service": "other", "addr": "127.0.0.1:1", "zone": "z", "state": "ready", "capacity": {"cpu": 1},
+    });
+    for number in 0..OTHER_ENTRIES {
+        let id = format!("z-{number:04}");
+        platform.store.put("servers", &id, &entry);
+    }
+    // The first page of 500 entries takes half a second.
+    platform.store.set_faults(StoreFaults {
+        read_ms_per_row: 1,
+        ..StoreFaults::default()
+    });
+    platform.configure();
+    let daemons = [daemon(&platform, "d0")];
+    let is_owner = || {
+        let row = platform.store.get("daemon", "d0");
+        row.is_some_and(|row| row["holds"]["work"].is_u64())
+    };
+    while !is_owner() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let left = &platform.workers[0];
+    left.stop_registering();
+    platform.store.remove("servers", &left.id());
+    // The second page has a later change.
+    platform.store.put("servers", "z-0699", &entry);
+    for id in 1..=4 {
+        submit_surely(&daemons, id, 6).await;
+    }
+    for id in 1..=4 {
+        done(&daemons, id).await;
+    }
+    let attempts = left.attempts();
+    assert!(
+        attempts.is_empty(),
+        "{} tasks were started on a worker that had left",
+        attempts.len()
+    );
+}
