fleetd: a wave is reported as done before it is recorded as done

Seen by the soak, 1 of 50: all VMs of a wave were maintained, and the wave was never reported as done. The leader recorded it as done at 12:19:10, was killed before it wrote the state for operators, and the next leaders report no wave that is recorded as done. Known before by reading only.

The started VMs are recorded first, then done is reported, then recorded; a leader that loads a wave whose VMs have all started reports it, and not as running first.

The test failed (never reported in 60 s) and passes.

--- a/crates/fleetd/src/leader/waves.rs
+++ b/crates/fleetd/src/leader/waves.rs
@@ -81,7 +81,7 @@
                 now_ms,
                 remaining_ms,
             );
-            if !row.is_done {
+            if !row.is_done && !wave.is_done() {
                 write_status(node, &key, false).await;
             }
             let number = request.number;
@@ -141,7 +141,8 @@
         }
     }
 
-    /// Writes the rows of the waves whose progress has changed.
+    /// Writes the rows of the waves whose progress has changed, and reports the waves that are done. A wave is recorded as
+    /// done only after that was reported, as a later leader reports no wave that is.
     pub(super) async fn write_progress(
         &mut self,
         node: &Node,
@@ -149,31 +150,56 @@
         refusals: &StoreRefusals,
     ) {
         for (key, loaded) in &mut self.loaded {
+            let started_vms = loaded.wave.started_vms().cloned().collect();
             let row = WaveRow {
-                seen_at_ms: loaded.row.seen_at_ms,
-                started_vms: loaded.wave.started_vms().cloned().collect(),
-                is_done: loaded.wave.is_done(),
+                started_vms,
+                ..loaded.row
             };
-            if row == loaded.row {
-                continue;
-            }
-            let row_key = RowKey::new(tables::WAVE, FLEET_SHARD, key.clone());
-            // Serialization of plain data does not fail.
-            let value = serde_json::to_vec(&row).unwrap_or_default();
-            let transaction = Transaction::default().with_write(row_key, value);
-            let written = sequence
-                .lock()
-                .await
-                .commit(node, transaction, |err| refusals.record_failure(err))
-                .await;
-            if written.is_err() {
+            if !loaded.write_row(row, key, node, sequence, refusals).await {
                 return;
             }
-            refusals.record_success();
-            let is_reported = !row.is_done || write_status(node, key, true).await;
-            loaded.row = row;
-            loaded.row.is_done &= is_reported;
+            if loaded.wave.is_done() && !loaded.row.is_done {
+                let is_done = write_status(node, key, true).await;
+                let row = WaveRow {
+                    is_done,
+                    ..loaded.row.clone()
+                };
+                if !loaded.write_row(row, key, node, sequence, refusals).await {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+impl LoadedWave {
+    /// Writes the row of the wave if it has changed. Returns false when another daemon is the leader, or has to be.
+    async fn write_row(
+        &mut self,
+        row: WaveRow,
+        key: &SmolStr,
+        node: &Node,
+        sequence: &tokio::sync::Mutex<Sequence>,
+        refusals: &StoreRefusals,
+    ) -> bool {
+        if row == self.row {
+            return true;
+        }
+        let row_key = RowKey::new(tables::WAVE, FLEET_SHARD, key.clone());
+        // Serialization of plain data does not fail.
+        let value = serde_json::to_vec(&row).unwrap_or_default();
+        let transaction = Transaction::default().with_write(row_key, value);
+        let written = sequence
+            .lock()
+            .await
+            .commit(node, transaction, |err| refusals.record_failure(err))
+            .await;
+        if written.is_err() {
+            return false;
         }
+        refusals.record_success();
+        self.row = row;
+        true
     }
 }
 
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -10,7 +10,7 @@
 const SHORT: [u64; 3] = [101, 102, 103];
 
 /// The seeds that failed once, of the usual size, with the cause.
-const REGRESSIONS: [(u64, &str); 2] = [
+const REGRESSIONS: [(u64, &str); 3] = [
     (
         5,
         "an end that was recorded after a lapse counted as recorded (the stand-in's fault)",
@@ -19,6 +19,10 @@
         24,
         "an end that was recorded after a lapse counted as recorded (the stand-in's fault)",
     ),
+    (
+        29_400_006,
+        "a wave was recorded as done, and the leader killed before it reported that",
+    ),
 ];
 
 /// How many runs play at the same time.
--- a/crates/trefoilpassd/tests/fleet.rs
+++ b/crates/trefoilpassd/tests/fleet.rs
@@ -6,9 +6,10 @@
 use std::time::{Duration, Instant};
 
 use fleet_support::{
-    CALLER_WAIT, PATIENCE, call, call_within, check_runs, done, start, submit, submit_surely,
+    CALLER_WAIT, PATIENCE, call, call_within, check_runs, daemon, done, start, submit,
+    submit_surely,
 };
-use platform_stand_in::{StoreFaults, job_body};
+use platform_stand_in::{PlatformStandIn, StoreFaults, job_body};
 use serde_json::json;
 use test_support::FleetDaemonSpec;
 
@@ -181,6 +182,41 @@
     check_runs(&platform, 1);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_wave_is_reported_as_done_although_the_leader_was_lost_before_it_could() {
+    let (platform, mut daemons) = start(2, 1).await;
+    platform.request_wave(&["m-0", "m-1"], 2, 20);
+    let is_running = |platform: &PlatformStandIn| platform.store.get("status", "wave/1").is_some();
+    let since = Instant::now();
+    while !is_running(&platform) {
+        assert!(since.elapsed() < PATIENCE, "the wave never begins");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    platform.store.set_faults(StoreFaults {
+        rejected_table: "status",
+        ..StoreFaults::default()
+    });
+    while platform.maintained_vms().len() < 2 {
+        assert!(since.elapsed() < PATIENCE, "a VM is never maintained");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // Long enough for the leader to record the progress of the wave.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(!platform.is_wave_done());
+    daemons.clear();
+    platform.store.set_faults(StoreFaults::default());
+    daemons.push(daemon(&platform, "d1"));
+    let since = Instant::now();
+    while !platform.is_wave_done() {
+        assert!(
+            since.elapsed() < PATIENCE,
+            "the wave is never reported as done"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(platform.maintained_vms().len(), 2);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_wave_maintains_each_vm_once_under_its_cap_and_is_reported() {
     let (platform, daemons) = start(3, 1).await;
