--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod command_record;
 mod commands;
+mod ended_incarnations;
 mod inputs;
 mod lease_renewal;
 mod pool_calls;
@@ -22,6 +23,7 @@
 use crate::config::FLEET_SHARD;
 use crate::leader::command_record::CommandRecord;
 use crate::leader::commands::{COMMAND_WINDOW_MS, CommandSender, VmCommand};
+use crate::leader::ended_incarnations::EndedIncarnations;
 use crate::leader::inputs::{
     incarnations_by_vm, log_pools, pool_states, remaining_tasks, wave_vms,
 };
@@ -46,13 +48,6 @@
 /// The maximum number of moves in a round when the settings have no limit on VM commands per second.
 const DEFAULT_MAX_MOVES: usize = 12;
 
-/// A worker incarnation that has ended.
-struct EndedIncarnation {
-    worker: SmolStr,
-    /// The start of the incarnation, in ms since 1970; `None` when it is unknown.
-    start_unix_ms: Option<u64>,
-}
-
 struct Leader {
     node: Arc<Node>,
     calls: PoolCalls,
@@ -66,10 +61,8 @@
     command_record: CommandRecord,
     /// The workers that pools are draining, by pool.
     draining: BTreeMap<SmolStr, BTreeSet<SmolStr>>,
-    /// The worker incarnations that have ended, by pool. The next round tells the pools.
-    ended_incarnations: BTreeMap<SmolStr, Vec<EndedIncarnation>>,
-    /// The starts of workers in the replies of the last round, by id, in ms since 1970.
-    starts_unix_ms: BTreeMap<SmolStr, u64>,
+    /// The worker incarnations that have ended. The next round tells their pools.
+    ended_incarnations: EndedIncarnations,
     /// The workers that were unresponsive in the last round, by pool.
     unresponsive: BTreeMap<SmolStr, Vec<SmolStr>>,
     /// The workers whose drain is cancelled, by pool. The next round tells the pools.
@@ -105,8 +98,7 @@
         maintenance_from_ms: now_ms + delay_ms,
         command_record: CommandRecord::read(&node, term, takeover.previous_owner.as_ref()).await,
         draining: BTreeMap::new(),
-        ended_incarnations: BTreeMap::new(),
-        starts_unix_ms: BTreeMap::new(),
+        ended_incarnations: EndedIncarnations::default(),
         unresponsive: BTreeMap::new(),
         cancelled_drains: BTreeMap::new(),
         reclaiming: BTreeSet::new(),
@@ -222,10 +214,7 @@
             .iter()
             .map(|(pool, reply)| (pool.clone(), reply.unresponsive.clone()));
         self.unresponsive = unresponsive.collect();
-        self.starts_unix_ms.clear();
-        for reply in replies.values() {
-            self.record_starts(reply);
-        }
+        self.ended_incarnations.begin_round(replies.values());
         let list = wave_vms(&listed, &standby, &self.draining, &replies);
         let (mut to_drain, mut commands) = self.waves.next_actions(&list);
         let incarnations = incarnations_by_vm(&listed);
@@ -270,29 +259,12 @@
             if !ended.is_empty() {
                 tracing::info!(pool = pool.as_str(), workers = ?ended, "unresponsive workers ended: they are on no listed VM, or their VM is down");
                 for worker in ended {
-                    self.record_ended_incarnation(pool.clone(), worker);
+                    self.ended_incarnations.insert(pool.clone(), worker);
                 }
             }
         }
     }
 
-    /// Records the starts of workers that a pool has replied with.
-    fn record_starts(&mut self, reply: &RoundReply) {
-        let starts = reply.starts_unix_ms.iter();
-        self.starts_unix_ms
-            .extend(starts.map(|(worker, start)| (worker.clone(), *start)));
-    }
-
-    /// Records that the incarnation of a worker that the last replies named has ended, for the next call to its pool.
-    fn record_ended_incarnation(&mut self, pool: SmolStr, worker: SmolStr) {
-        let start_unix_ms = self.starts_unix_ms.get(&worker).copied();
-        let ended = self.ended_incarnations.entry(pool).or_default();
-        ended.push(EndedIncarnation {
-            worker,
-            start_unix_ms,
-        });
-    }
-
     /// Returns the maximum number of moves in a round.
     #[expect(
         clippy::cast_possible_truncation,
@@ -332,31 +304,20 @@
         let mut requests = Vec::new();
         for pool in pools.filter(|pool| !self.calls.is_under_way(pool)) {
             let draining = self.draining.get(&pool);
-            let ended = self.ended_incarnations.remove(&pool).unwrap_or_default();
-            let ended_starts = ended.iter().filter_map(|ended| {
-                let start_unix_ms = ended.start_unix_ms?;
-                Some((ended.worker.clone(), start_unix_ms))
-            });
-            let request = RoundRequest {
+            let mut request = RoundRequest {
                 drain: draining.into_iter().flatten().cloned().collect(),
                 cancel_drain: self.cancelled_drains.remove(&pool).unwrap_or_default(),
-                ended_starts_unix_ms: ended_starts.collect(),
-                ended_incarnations: ended.into_iter().map(|ended| ended.worker).collect(),
                 maintenance_due: Some(due.remove(&pool).unwrap_or_default()),
+                ..RoundRequest::default()
             };
+            self.ended_incarnations.move_to(&pool, &mut request);
             requests.push((pool, request));
         }
         let ended = self.calls.run_round(&self.node, requests).await;
         for (pool, request) in ended.failed {
-            let cancelled = self.cancelled_drains.entry(pool.clone()).or_default();
+            self.ended_incarnations.take_back(pool.clone(), &request);
+            let cancelled = self.cancelled_drains.entry(pool).or_default();
             cancelled.extend(request.cancel_drain);
-            let incarnations = self.ended_incarnations.entry(pool).or_default();
-            let starts_unix_ms = request.ended_starts_unix_ms;
-            let ended = request.ended_incarnations.into_iter();
-            incarnations.extend(ended.map(|worker| EndedIncarnation {
-                start_unix_ms: starts_unix_ms.get(&worker).copied(),
-                worker,
-            }));
         }
         ended.replies
     }
@@ -444,7 +405,7 @@
             let Ok(Some(reply)) = tokio::time::timeout(REPLY_WAIT, reply).await else {
                 continue;
             };
-            self.record_starts(&reply);
+            self.ended_incarnations.record_starts(&reply);
             for ((vm, worker), tasks) in requested.into_iter().zip(reply.remaining_tasks) {
                 let planned = moves.iter().find(|planned| planned.vm == vm);
                 match planned.filter(|_| tasks == 0) {
@@ -529,7 +490,7 @@
         };
         match outcome {
             VmCommandOutcome::Started => {
-                self.record_ended_incarnation(pool.clone(), worker.clone());
+                self.ended_incarnations.insert(pool.clone(), worker.clone());
             }
             VmCommandOutcome::Busy | VmCommandOutcome::Impossible => {
                 self.cancelled_drains
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -129,7 +129,8 @@
     /// The end of the lease in ms on the worker's clock. `None` when the request only polls the worker, because the
     /// worker has no attempts, is unresponsive, or no reading of its clock is known.
     pub lease_until_ms: Option<u64>,
-    /// The number of the last ended attempt whose outcome is recorded. The worker discards ends up to this number.
+    /// The number of the last ended attempt to acknowledge; 0 to acknowledge none. All outcomes up to it are recorded, and
+    /// the worker discards these ends.
     pub recorded_end: u64,
     /// Whether attempts run on the worker, so that the worker may hold back its response until one of them ends.
     pub is_busy: bool,
