--- a/crates/trefoilpassd/tests/fleet_outages.rs
+++ b/crates/trefoilpassd/tests/fleet_outages.rs
@@ -259,6 +259,8 @@
     platform.store.remove("servers", &left.id());
     // The second page has a later change.
     platform.store.put("servers", "z-0699", &entry);
+    // Until the registry and its changes are read.
+    tokio::time::sleep(Duration::from_secs(2)).await;
     for id in 1..=4 {
         submit_surely(&daemons, id, 6).await;
     }
