--- a/crates/scheduler/tests/restarts.rs
+++ b/crates/scheduler/tests/restarts.rs
@@ -4,7 +4,7 @@
 
 use scheduler::{JobStatus, StartOutcome, WorkerInfo};
 use smol_str::SmolStr;
-use submission::{AttemptOutcome, JobState};
+use submission::{AttemptOutcome, JobId, JobState};
 use support::{LEASE_MS, MAX_LEASE_MS, Pool, job, starts, step, worker};
 
 /// The starts of two incarnations of a worker, in ms since 1970.
@@ -50,7 +50,7 @@
         "a task that was done was started again"
     );
     assert_eq!(
-        pool.scheduler.job_status(submission::JobId(2)),
+        pool.scheduler.job_status(JobId(2)),
         JobStatus::Recorded(JobState::Done)
     );
 }
@@ -105,12 +105,7 @@
     let done = (1, name, attempt, AttemptOutcome::Done);
     pool.report_since(SECOND, &id, &[], &[done]);
     assert!(starts(&pool.round()).is_empty());
-    assert!(
-        pool.scheduler
-            .job(submission::JobId(1))
-            .unwrap()
-            .has_ended()
-    );
+    assert!(pool.has_ended(JobId(1)));
 }
 
 #[test]
@@ -189,7 +184,7 @@
     pool.advance(100);
     pool.report_since(SECOND, "one", &[(names[0].clone(), 1, 50)], &[]);
     assert!(starts(&pool.round()).is_empty());
-    let task = pool.scheduler.job(submission::JobId(1)).unwrap().task(0);
+    let task = pool.scheduler.job(JobId(1)).unwrap().task(0);
     assert_eq!(task.unwrap().attempt, 1);
 }
 
@@ -285,12 +280,7 @@
     pool.advance(500);
     pool.report("one", &[], &[done(1, &names[1])]);
     assert!(starts(&pool.round()).is_empty());
-    assert!(
-        pool.scheduler
-            .job(submission::JobId(1))
-            .unwrap()
-            .has_ended()
-    );
+    assert!(pool.has_ended(JobId(1)));
 }
 
 #[test]
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -12,7 +12,7 @@
     WorkerCommand, WorkerInfo, WorkerKey, WorkerReport,
 };
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
-use submission::{AttemptOutcome, JobId, JobSpec, Resources, StepSpec, TaskKey};
+use submission::{AttemptOutcome, Job, JobId, JobSpec, Resources, StepSpec, TaskKey};
 
 pub const LEASE_MS: u64 = 5000;
 pub const MAX_LEASE_MS: u64 = 10_000;
@@ -209,6 +209,11 @@
         std::mem::take(&mut self.acknowledged_end)
     }
 
+    /// Whether a known job has ended.
+    pub fn has_ended(&self, id: JobId) -> bool {
+        self.scheduler.job(id).is_some_and(Job::has_ended)
+    }
+
     pub fn task_name(&self, task: TaskKey) -> SmolStr {
         let job = self.scheduler.job(task.job);
         job.map(|job| job.task_name(task.index)).unwrap_or_default()
