fleetd: log lines that tell a late command from an early successor

The logs had the time of a command's response only, and nothing of what a new leader waits for, so that they could not tell a command that was sent late from one that was on its way for long, nor a successor that waited too little from one that believed its predecessor gone.

Each command now logs the age of its record, the age of the lease and how long the call took; a new leader logs its predecessor as its row has it, its delay for maintenance and the number of soft-locked VMs. No decision changes.

--- a/crates/fleetd/src/leader/command_record.rs
+++ b/crates/fleetd/src/leader/command_record.rs
@@ -84,6 +84,12 @@
         committed.is_ok().then_some(recorded_at_ms)
     }
 
+    /// Returns how many VMs are soft-locked for this leader.
+    pub(super) fn soft_locked_vms(&self, node: &Node) -> usize {
+        let vms = self.log.vms();
+        vms.filter(|vm| self.is_soft_locked(node, vm)).count()
+    }
+
     /// Returns whether a VM is soft-locked for this leader, because another leader recently recorded a command to the
     /// VM.
     pub(super) fn is_soft_locked(&self, node: &Node, vm: &str) -> bool {
--- a/crates/fleetd/src/leader/commands.rs
+++ b/crates/fleetd/src/leader/commands.rs
@@ -88,6 +88,8 @@
             return VmCommandOutcome::Busy;
         }
         let owner = (self.daemon.as_str(), self.term);
+        let sent_at_ms = local_ms();
+        let lease_age_ms = self.lease.lock().age_ms(sent_at_ms);
         let response = match command {
             VmCommand::Move { vm, pool } => {
                 self.vms
@@ -99,7 +101,12 @@
             }
         };
         let outcome = command_outcome(&response);
-        tracing::info!(order = ?command, term = self.term, answer = ?response, "sent a command to a VM");
+        let recorded_age_ms = sent_at_ms.saturating_sub(recorded_at_ms);
+        let duration_ms = local_ms().saturating_sub(sent_at_ms);
+        tracing::info!(
+            order = ?command, term = self.term, recorded_age_ms, lease_age_ms, duration_ms, answer = ?response,
+            "sent a command to a VM"
+        );
         outcome
     }
 }
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -105,6 +105,13 @@
         last_command_at_ms: now_ms,
         unconfirmed_moves: BTreeMap::new(),
     };
+    tracing::info!(
+        term,
+        previous = ?takeover.previous_owner,
+        maintenance_delay_ms = delay_ms,
+        soft_locked_vms = leader.command_record.soft_locked_vms(&node),
+        "became the leader"
+    );
     let renewal_state = (leader.sequence.clone(), lease, leader.refusals.clone());
     let renewal = tokio::spawn(renew_lease(node.clone(), renewal_state));
     while !renewal.is_finished() {
--- a/crates/pools/src/command_log.rs
+++ b/crates/pools/src/command_log.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Returns the VMs with a recorded command.
+    pub fn vms(&self) -> impl Iterator<Item = &SmolStr> {
+        self.last.keys()
+    }
+
     /// Returns whether a VM is soft-locked for the leader of `term`: the leader may not send commands to the VM,
     /// because the leader of another term recorded a command to the VM less than `soft_lock_ms` ago. `now_ms` is on the
     /// store's clock.
