platform: a command to a VM is written only while it is permitted

What users would see: a leader that was paused for some seconds acts once more, although another daemon leads by then: ONE, as the VM control checks no tokens.

Cause: the leader's lease was checked when the call began. The call then waited for one of four idle connections or for a new one, and wrote the request whenever that was there: up to 0.4 s later, and any time later when the process was paused in between, as the timer of the call stands still too.

A command that is not permitted any more ends without effect.

--- a/crates/fleetd/src/leader/commands.rs
+++ b/crates/fleetd/src/leader/commands.rs
@@ -82,22 +82,16 @@
     }
 
     async fn send(&self, command: &VmCommand, recorded_at_ms: u64) -> VmCommandOutcome {
-        // A successor's soft lock on the VM starts when the command is recorded, so the command must follow soon after.
-        let is_recent = local_ms().saturating_sub(recorded_at_ms) < COMMAND_WINDOW_MS;
-        if !is_recent || !self.may_send_commands() {
-            return VmCommandOutcome::Busy;
-        }
         let owner = (self.daemon.as_str(), self.term);
         let sent_at_ms = local_ms();
         let lease_age_ms = self.lease.lock().age_ms(sent_at_ms);
+        // A successor's soft lock on the VM starts when the command is recorded, so the command must follow soon after.
+        let is_recent = || local_ms().saturating_sub(recorded_at_ms) < COMMAND_WINDOW_MS;
+        let limits = (COMMAND_TIMEOUT, || is_recent() && self.may_send_commands());
         let response = match command {
-            VmCommand::Move { vm, pool } => {
-                self.vms
-                    .move_to_pool(vm, pool, owner, COMMAND_TIMEOUT)
-                    .await
-            }
+            VmCommand::Move { vm, pool } => self.vms.move_to_pool(vm, pool, owner, limits).await,
             VmCommand::Maintain { vm, number, .. } => {
-                self.vms.maintain(vm, *number, owner, COMMAND_TIMEOUT).await
+                self.vms.maintain(vm, *number, owner, limits).await
             }
         };
         let outcome = command_outcome(&response);
