pools: the soft locks of a restarted leader's predecessor last on for other daemons

Cause: a daemon that restarts and leads again waits only a second for the commands of its earlier process, as both are one holder. It shortened these soft locks in the log itself, which it then wrote with its next commands. A third leader, another daemon, read the shortened times: it could command a VM 1.5 s after the first process had. The class: knowledge that holds for one reader is stored for all.

The shortening now belongs to the leader that reads the log (`Leader::with_ended_term`), and the log keeps what happened.

Test: the_next_daemon_waits_for_the_commands_of_a_leader_before_a_restarted_one; failed before ("assertion failed: log.is_soft_locked(a, 3, 13_999)").

--- a/crates/fleetd/src/leader/command_record.rs
+++ b/crates/fleetd/src/leader/command_record.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ownership::OwnerRow;
-use pools::CommandLog;
+use pools::{CommandLog, Leader};
 use users_platform::{RowKey, Transaction};
 
 use crate::clock::local_ms;
@@ -23,7 +23,7 @@
 /// The recent commands of a leader and of the leaders before it.
 pub(super) struct CommandRecord {
     log: CommandLog,
-    term: u64,
+    leader: Leader,
 }
 
 impl CommandRecord {
@@ -32,7 +32,7 @@
     /// the record can't be decoded, waits until the commands in the record can no longer soft-lock a VM, and returns an
     /// empty record.
     pub(super) async fn read(node: &Node, term: u64, previous: Option<&OwnerRow>) -> Self {
-        let mut log: CommandLog = loop {
+        let log: CommandLog = loop {
             match read_all_rows(node, tables::VM_COMMANDS, FLEET_SHARD).await {
                 Ok(rows) => {
                     let value = rows.first().and_then(|row| row.value.as_deref());
@@ -47,11 +47,12 @@
         let restarted = previous.filter(|previous| {
             previous.daemon == node.settings.daemon && previous.incarnation != node.incarnation
         });
+        let mut leader = Leader::new(term);
         if let Some(previous) = restarted {
             let unlocked_from_ms = node.started_at_store_ms() + RESTART_SOFT_LOCK_MS;
-            log.end_term(previous.term, unlocked_from_ms, soft_lock_ms(node));
+            leader = leader.with_ended_term(previous.term, unlocked_from_ms);
         }
-        Self { log, term }
+        Self { log, leader }
     }
 
     /// Records which VMs are about to get a command, and returns when the write began, in ms on the local clock. Writes
@@ -69,7 +70,8 @@
         }
         let vms = commands.iter().map(|command| command.vm().clone());
         let now_ms = node.clock.now().store_ms;
-        self.log.record(vms, self.term, now_ms, soft_lock_ms(node));
+        self.log
+            .record(vms, self.leader.term, now_ms, soft_lock_ms(node));
         let key = RowKey::new(tables::VM_COMMANDS, FLEET_SHARD, SINGLETON_KEY);
         // Serialization of plain data does not fail.
         let value = serde_json::to_vec(&self.log).unwrap_or_default();
@@ -95,7 +97,7 @@
     pub(super) fn is_soft_locked(&self, node: &Node, vm: &str) -> bool {
         let now_ms = node.clock.now().store_ms;
         self.log
-            .is_soft_locked(vm, self.term, now_ms, soft_lock_ms(node))
+            .is_soft_locked(vm, &self.leader, now_ms, soft_lock_ms(node))
     }
 }
 
--- a/crates/pools/src/command_log.rs
+++ b/crates/pools/src/command_log.rs
@@ -12,17 +12,60 @@
 /// of the store.
 ///
 /// ```
-/// use pools::CommandLog;
+/// use pools::{CommandLog, Leader};
 /// let mut log = CommandLog::default();
 /// log.record(["vm-1".into()], 1, 5_000, 3_000);
-/// assert!(log.is_soft_locked("vm-1", 2, 6_000, 3_000));
-/// assert!(!log.is_soft_locked("vm-2", 2, 6_000, 3_000));
+/// assert!(log.is_soft_locked("vm-1", &Leader::new(2), 6_000, 3_000));
+/// assert!(!log.is_soft_locked("vm-2", &Leader::new(2), 6_000, 3_000));
 /// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CommandLog {
     last: BTreeMap<SmolStr, LastCommand>,
 }
 
+/// A leader, as far as soft locks depend on it.
+///
+/// ```
+/// use pools::Leader;
+/// let leader = Leader::new(3).with_ended_term(2, 4_000);
+/// assert_eq!(leader.term, 3);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Leader {
+    /// The term of the leader.
+    pub term: u64,
+    ended_term: Option<EndedTerm>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct EndedTerm {
+    term: u64,
+    unlocked_from_ms: u64,
+}
+
+impl Leader {
+    /// Creates the leader of a term. Commands of all other terms soft-lock VMs for it.
+    #[must_use]
+    pub fn new(term: u64) -> Self {
+        Self {
+            term,
+            ended_term: None,
+        }
+    }
+
+    /// Ends the soft locks of the commands that were recorded in `term` at `unlocked_from_ms` on the store's clock, unless they
+    /// end earlier. To be used when the leader of that term was an earlier process of the same daemon, which has ended: for
+    /// all other daemons the soft locks last on.
+    #[must_use]
+    pub fn with_ended_term(mut self, term: u64, unlocked_from_ms: u64) -> Self {
+        self.ended_term = Some(EndedTerm {
+            term,
+            unlocked_from_ms,
+        });
+        self
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct LastCommand {
     /// The term of the leader that recorded the command.
@@ -50,29 +93,26 @@
         self.last.extend(vms.into_iter().map(|vm| (vm, command)));
     }
 
-    /// Ends the soft locks of the commands that the leader of `term` recorded at `unlocked_from_ms`, unless they end earlier.
-    /// To be used when the process of that leader is known to have ended before.
-    pub fn end_term(&mut self, term: u64, unlocked_from_ms: u64, soft_lock_ms: u64) {
-        let at_ms = unlocked_from_ms.saturating_sub(soft_lock_ms);
-        for command in self.last.values_mut() {
-            if command.term == term {
-                command.at_ms = command.at_ms.min(at_ms);
-            }
-        }
-    }
-
     /// Returns the VMs with a recorded command.
     pub fn vms(&self) -> impl Iterator<Item = &SmolStr> {
         self.last.keys()
     }
 
-    /// Returns whether a VM is soft-locked for the leader of `term`: the leader may not send commands to the VM,
-    /// because the leader of another term recorded a command to the VM less than `soft_lock_ms` ago. `now_ms` is on the
-    /// store's clock.
+    /// Returns whether a VM is soft-locked for a leader, which may not send commands to the VM then: the leader of another
+    /// term recorded a command to the VM less than `soft_lock_ms` ago. `now_ms` is on the store's clock.
     #[must_use]
-    pub fn is_soft_locked(&self, vm: &str, term: u64, now_ms: u64, soft_lock_ms: u64) -> bool {
+    pub fn is_soft_locked(
+        &self,
+        vm: &str,
+        leader: &Leader,
+        now_ms: u64,
+        soft_lock_ms: u64,
+    ) -> bool {
         self.last.get(vm).is_some_and(|command| {
-            command.term != term && now_ms < command.at_ms.saturating_add(soft_lock_ms)
+            let until_ms = command.at_ms.saturating_add(soft_lock_ms);
+            let ended = leader.ended_term.filter(|ended| ended.term == command.term);
+            let until_ms = ended.map_or(until_ms, |ended| until_ms.min(ended.unlocked_from_ms));
+            command.term != leader.term && now_ms < until_ms
         })
     }
 }
--- a/crates/pools/src/lib.rs
+++ b/crates/pools/src/lib.rs
@@ -8,5 +8,5 @@
 mod wave;
 
 pub use balance::{Move, PoolState, RebalancePlan, VmState, plan_rebalance};
-pub use command_log::CommandLog;
+pub use command_log::{CommandLog, Leader};
 pub use wave::{MaintenanceWave, VmCommandOutcome, WaveActions, WaveVm};
