fleetd: a maintenance wave leaves VMs alone that another leader commanded lately

Cause: only moves followed the record of commands, VM by VM. Commands of waves waited for a fixed time from the takeover, 4.8 s, in which the timeout of a command (0.8 s) was left out, or for 3.3 s from the last command that a leader that had ended in order told of.

A soft-locked VM now counts as not up for waves: it is neither drained nor maintained. The delay from the takeover stays, for the limit on VMs that are down at the same time.

Test: a_wave_sends_no_command_to_a_vm_that_another_leader_commanded_lately; without the change it fails with left: ["free", "locked"].

--- a/crates/fleetd/src/leader/inputs.rs
+++ b/crates/fleetd/src/leader/inputs.rs
@@ -75,12 +75,13 @@
     standby.chain(responding).collect()
 }
 
-/// Returns the state of each listed VM for the planning of maintenance waves.
+/// Returns the state of each listed VM for the planning of maintenance waves. A soft-locked VM counts as not up.
 pub(super) fn wave_vms(
     listed: &[ListedVm],
     standby: &BTreeSet<SmolStr>,
     draining: &BTreeMap<SmolStr, BTreeSet<SmolStr>>,
     replies: &BTreeMap<SmolStr, RoundReply>,
+    is_soft_locked: impl Fn(&str) -> bool,
 ) -> BTreeMap<SmolStr, WaveVm> {
     let wave_vm = |vm: &ListedVm| {
         let is_standby = standby.contains(&vm.pool);
@@ -98,7 +99,7 @@
             .iter()
             .any(|worker| service_workers.clone().any(|id| id == worker));
         let state = WaveVm {
-            is_up: vm.phase == VmPhase::Up,
+            is_up: vm.phase == VmPhase::Up && !is_soft_locked(&vm.vm),
             is_standby,
             is_drained: is_standby || vm.worker_id.is_none() || tasks == Some(0),
             is_idle,
@@ -123,3 +124,6 @@
         .position(|worker| vm.worker_id.as_ref() == Some(worker))?;
     replies.get(&vm.pool)?.remaining_tasks.get(index).copied()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -222,7 +222,8 @@
             .map(|(pool, reply)| (pool.clone(), reply.unresponsive.clone()));
         self.unresponsive = unresponsive.collect();
         self.ended_incarnations.begin_round(replies.values());
-        let list = wave_vms(&listed, &standby, &self.draining, &replies);
+        let is_soft_locked = |vm: &str| self.command_record.is_soft_locked(&self.node, vm);
+        let list = wave_vms(&listed, &standby, &self.draining, &replies, is_soft_locked);
         let (mut to_drain, mut commands) = self.waves.next_actions(&list);
         let incarnations = incarnations_by_vm(&listed);
         commands.extend(self.move_commands(&listed, &standby, &replies).await);
