ownership: an owner that restarted after the rows were read is not replaced

What users would see: around the restart of a leader or of a pool's owner two daemons act for a moment; the second leader also skips the gap to the first one's commands.

Cause: a daemon reads the heartbeat rows, then the owner row of a shard that seems unowned. If the owner restarted in between and took its shard back, the owner row names an incarnation that the heartbeat rows don't show yet. That counted as "not serving", and the start of the *earlier* incarnation as the time by which the owner had ended: the shard was taken from a live daemon, and maintenance began at once. The second read comes up to seconds after the first one, when other shards are taken over before. The class: absence from an old view is taken for an end.

Test: an_owner_that_restarted_after_the_rows_were_read_is_not_replaced; fails with the old rule (assertion failed: peers.may_be_serving(a, 2, 8)).

--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -86,7 +86,8 @@
         term,
         lease: lease.clone(),
     };
-    let delay_ms = maintenance_delay_ms(&node, takeover.previous_owner.as_ref());
+    let previous = takeover.previous_owner.as_ref();
+    let delay_ms = maintenance_delay_ms(&node, previous, takeover.previous_version);
     let now_ms = node.clock.now().store_ms;
     let mut leader = Leader {
         node: node.clone(),
@@ -132,8 +133,8 @@
 }
 
 /// Returns how long from now a new leader waits until the leader maintains VMs, in ms, to keep the gap to the commands
-/// of the `previous` leader. 0 without a previous leader.
-fn maintenance_delay_ms(node: &Node, previous: Option<&OwnerRow>) -> u64 {
+/// of the `previous` leader, whose row has the store's version `version`. 0 without a previous leader.
+fn maintenance_delay_ms(node: &Node, previous: Option<&OwnerRow>, version: u64) -> u64 {
     let Some(previous) = previous else {
         return 0;
     };
@@ -142,10 +143,10 @@
         let next_at_ms = previous.last_command_at_ms + gap_ms;
         return next_at_ms.saturating_sub(node.clock.now().store_ms);
     }
-    let restarted = node
-        .peers
-        .lock()
-        .restarted_at_ms(&previous.daemon, &previous.incarnation);
+    let restarted =
+        node.peers
+            .lock()
+            .restarted_at_ms(&previous.daemon, &previous.incarnation, version);
     match restarted {
         // The process that sent the last command had ended by the time the daemon's next incarnation started.
         Some(at_ms) => (at_ms + gap_ms).saturating_sub(node.clock.now().store_ms),
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -43,6 +43,8 @@
     pub(crate) sent_at_ms: u64,
     /// The row of the previous owner; `None` if the shard had no owner, or the row can't be decoded.
     pub(crate) previous_owner: Option<OwnerRow>,
+    /// The store's version of the row of the previous owner; 0 if there was none.
+    pub(crate) previous_version: u64,
 }
 
 /// Takes over a shard that has no owner, or whose owner is this process, is not serving, has released the shard, hands
@@ -72,13 +74,13 @@
     let previous_owner: Option<OwnerRow> =
         value.and_then(|value| serde_json::from_slice(value).ok());
     if let Some(owner) = &previous_owner {
-        let is_serving = node
-            .peers
-            .lock()
-            .is_serving(&owner.daemon, &owner.incarnation);
+        let may_be_serving =
+            node.peers
+                .lock()
+                .may_be_serving(&owner.daemon, &owner.incarnation, version);
         let evidence = OwnerEvidence {
             is_self: owner.incarnation == node.incarnation,
-            is_serving,
+            may_be_serving,
             is_unannounced: node.is_owner_unannounced(shard, version),
             handed_over_term,
         };
@@ -104,7 +106,9 @@
     let sent_at_ms = local_ms();
     match node.store.commit(&transaction, STORE_TIMEOUT).await? {
         CommitOutcome::Conflict { .. } => Ok(None),
-        CommitOutcome::Committed { version } => {
+        CommitOutcome::Committed {
+            version: committed_version,
+        } => {
             node.begin_term(shard, term);
             node.metrics.takeovers.inc();
             let from = previous_owner
@@ -114,14 +118,15 @@
                 unit = shard.as_str(),
                 term,
                 from,
-                version,
+                version = committed_version,
                 "took over a shard"
             );
             Ok(Some(Takeover {
                 term,
-                sequence: Sequence::new(shard.clone(), term, version),
+                sequence: Sequence::new(shard.clone(), term, committed_version),
                 sent_at_ms,
                 previous_owner,
+                previous_version: version,
             }))
         }
     }
--- a/crates/ownership/src/peers.rs
+++ b/crates/ownership/src/peers.rs
@@ -64,8 +64,8 @@
 pub struct OwnerEvidence {
     /// Whether the row names the incarnation of the daemon that decides.
     pub is_self: bool,
-    /// Whether the owner is alive and not shutting down.
-    pub is_serving: bool,
+    /// Whether the owner may be alive and not shutting down.
+    pub may_be_serving: bool,
     /// Whether the owner has not announced the shard in its heartbeat row in time.
     pub is_unannounced: bool,
     /// The term of the daemon that hands the shard over; `None` when no daemon does.
@@ -85,7 +85,7 @@
     ///     is_released: false,
     ///     last_command_at_ms: 0,
     /// };
-    /// let serving = OwnerEvidence { is_serving: true, ..OwnerEvidence::default() };
+    /// let serving = OwnerEvidence { may_be_serving: true, ..OwnerEvidence::default() };
     /// assert!(!row.may_be_replaced(serving));
     /// assert!(row.may_be_replaced(OwnerEvidence { handed_over_term: Some(3), ..serving }));
     /// assert!(!row.may_be_replaced(OwnerEvidence { handed_over_term: Some(2), ..serving }));
@@ -95,7 +95,7 @@
         evidence.is_self
             || self.is_released
             || evidence.is_unannounced
-            || !evidence.is_serving
+            || !evidence.may_be_serving
             || evidence.handed_over_term == Some(self.term)
     }
 }
@@ -189,13 +189,16 @@
         peer.is_some_and(|peer| peer.is_unreachable)
     }
 
-    /// When the current incarnation of a daemon started, in milliseconds of the store's clock.
+    /// When the incarnation of a daemon started that came after `incarnation`, which wrote a row with the store's version
+    /// `version`, in milliseconds of the store's clock.
     ///
-    /// `None` when `incarnation` is still the current incarnation, or when the daemon has no row.
+    /// `None` when no later incarnation is known: `incarnation` is still the current one, the daemon has no row, or its row is
+    /// older than `version` and may be of an earlier incarnation.
     #[must_use]
-    pub fn restarted_at_ms(&self, daemon: &str, incarnation: &str) -> Option<u64> {
-        let row = &self.by_daemon.get(daemon)?.row;
-        (row.incarnation != incarnation).then_some(row.started_at_ms)
+    pub fn restarted_at_ms(&self, daemon: &str, incarnation: &str, version: u64) -> Option<u64> {
+        let peer = self.by_daemon.get(daemon)?;
+        let is_later = peer.row.incarnation != incarnation && peer.version > version;
+        is_later.then_some(peer.row.started_at_ms)
     }
 
     /// The shards that the row of `daemon` lists, if the row is of an earlier incarnation than `incarnation`. That
@@ -235,11 +238,19 @@
         })
     }
 
-    /// Whether `incarnation` is the current incarnation of `daemon`, alive and not shutting down.
+    /// Whether `incarnation`, which wrote a row with the store's version `version`, may be the current incarnation of
+    /// `daemon`, alive and not shutting down.
+    ///
+    /// A heartbeat row of another incarnation that is older than `version`, or a missing one, tells nothing of `incarnation`: it
+    /// may have started since the rows were read.
     #[must_use]
-    pub fn is_serving(&self, daemon: &str, incarnation: &str) -> bool {
-        self.by_daemon.get(daemon).is_some_and(|peer| {
-            peer.row.incarnation == incarnation && self.is_alive(peer) && !peer.row.is_shutting_down
+    pub fn may_be_serving(&self, daemon: &str, incarnation: &str, version: u64) -> bool {
+        self.by_daemon.get(daemon).is_none_or(|peer| {
+            if peer.row.incarnation == incarnation {
+                self.is_alive(peer) && !peer.row.is_shutting_down
+            } else {
+                peer.version < version
+            }
         })
     }
 
--- a/crates/ownership/tests/peers.rs
+++ b/crates/ownership/tests/peers.rs
@@ -45,13 +45,13 @@
     update(&mut peers, 1, &rows, 0);
     for _ in 0..4 {
         update(&mut peers, 1, &rows, GAP_MS);
-        assert!(peers.is_serving("a", "1"));
+        assert!(peers.may_be_serving("a", "1", 0));
     }
     update(&mut peers, 1, &rows, GAP_MS);
-    assert!(!peers.is_serving("a", "1"));
+    assert!(!peers.may_be_serving("a", "1", 0));
     update(&mut peers, 2, &rows, GAP_MS);
-    assert!(peers.is_serving("a", "1"));
-    assert!(!peers.is_serving("a", "2"));
+    assert!(peers.may_be_serving("a", "1", 0));
+    assert!(!peers.may_be_serving("a", "2", 0));
 }
 
 #[test]
@@ -61,7 +61,7 @@
     update(&mut peers, 1, &rows, 0);
     // During a long gap the store may have been unavailable to the daemon as well.
     update(&mut peers, 1, &rows, 60_000);
-    assert!(peers.is_serving("a", "1"));
+    assert!(peers.may_be_serving("a", "1", 0));
 }
 
 #[test]
@@ -71,12 +71,12 @@
     update(&mut peers, 1, &rows, 0);
     peers.mark_unreachable("a");
     update(&mut peers, 1, &rows, GAP_MS);
-    assert!(peers.is_serving("a", "1"));
+    assert!(peers.may_be_serving("a", "1", 0));
     update(&mut peers, 1, &rows, UNREACHABLE_DEAD_AFTER_MS - GAP_MS);
-    assert!(!peers.is_serving("a", "1"));
+    assert!(!peers.may_be_serving("a", "1", 0));
     update(&mut peers, 2, &rows, GAP_MS);
     update(&mut peers, 2, &rows, UNREACHABLE_DEAD_AFTER_MS);
-    assert!(peers.is_serving("a", "1"));
+    assert!(peers.may_be_serving("a", "1", 0));
 }
 
 #[test]
@@ -134,9 +134,9 @@
 fn a_restart_is_reported_only_for_a_former_incarnation() {
     let mut peers = peers();
     update(&mut peers, 1, &[row("a", "2", &[])], 0);
-    assert_eq!(peers.restarted_at_ms("a", "1"), Some(5));
-    assert_eq!(peers.restarted_at_ms("a", "2"), None);
-    assert_eq!(peers.restarted_at_ms("b", "1"), None);
+    assert_eq!(peers.restarted_at_ms("a", "1", 0), Some(5));
+    assert_eq!(peers.restarted_at_ms("a", "2", 0), None);
+    assert_eq!(peers.restarted_at_ms("b", "1", 0), None);
 }
 
 #[test]
@@ -212,3 +212,23 @@
     assert!(taken_over("a") <= 1);
     assert!(taken_over("b") >= 1 && taken_over("c") >= 1);
 }
+
+#[test]
+fn an_owner_that_restarted_after_the_rows_were_read_is_not_replaced() {
+    let mut peers = peers();
+    let rows = [row("a", "1", &[("fleet", 3)]), row("b", "1", &[])];
+    update(&mut peers, 7, &rows, 0);
+    for _ in 0..5 {
+        update(&mut peers, 7, &rows, GAP_MS);
+    }
+    assert!(!peers.may_be_serving("a", "1", 5), "a is dead");
+    // The owner row, read later, names the next incarnation of the daemon, which took the shard back.
+    assert!(peers.may_be_serving("a", "2", 8));
+    assert_eq!(peers.restarted_at_ms("a", "2", 8), None);
+    // A daemon that was started after the read of the rows.
+    assert!(peers.may_be_serving("c", "1", 8));
+    // The heartbeat row of a later incarnation shows that the one of the owner row has ended.
+    update(&mut peers, 9, &[row("a", "3", &[])], GAP_MS);
+    assert!(!peers.may_be_serving("a", "2", 8));
+    assert_eq!(peers.restarted_at_ms("a", "2", 8), Some(5));
+}
