fleetd: a leader passes on until when the leaders before it may act

What users would see: when leaders follow one another quickly, the third maintains VMs while the first may still do so: more VMs down than the wave allows, and commands of two leaders too close together.

Cause: a leader that took over from one that may still be active waited for 4.8 s, but told its successor only of its own commands: with a release or a hand-over "nothing since my start", and after a kill nothing at all. The successor then waited for 3.3 s from then, at times less than 2 s from the first leader's last command. The class: a waiting time that is kept in the memory of one process.

The owner row of the fleet shard now has until when earlier leaders may send commands, from the takeover on (the field that told of the last command, so that daemons of different builds understand each other). What a successor has to wait for is decided in pools::earlier_commands_until_ms.

Test: a_leader_that_ends_soon_does_not_hide_the_commands_of_the_one_before; with the old rule it fails (left: 10600, right: 11500).

--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -16,7 +16,7 @@
 
 use ownership::{Lease, OwnerRow};
 use parking_lot::Mutex;
-use pools::{VmCommandOutcome, VmState, plan_rebalance};
+use pools::{PreviousLeader, VmCommandOutcome, VmState, plan_rebalance};
 use smol_str::SmolStr;
 use users_platform::{ListedVm, RowKey, Transaction, VmPhase};
 
@@ -69,8 +69,8 @@
     cancelled_drains: BTreeMap<SmolStr, Vec<SmolStr>>,
     /// The VMs that pools are draining for other pools.
     reclaiming: BTreeSet<SmolStr>,
-    /// When the last command got its response or timed out, in ms on the store's clock. Before the first command, when
-    /// this leader started.
+    /// Until when commands may be sent that a successor has to keep a gap to, in ms on the store's clock: when the last
+    /// command got its response or timed out, or until when the leaders before this one may send commands.
     last_command_at_ms: u64,
     /// The moves whose outcome is unknown: the target pool by VM. A move is sent again until its outcome is known.
     unconfirmed_moves: BTreeMap<SmolStr, SmolStr>,
@@ -87,8 +87,11 @@
         lease: lease.clone(),
     };
     let previous = takeover.previous_owner.as_ref();
-    let delay_ms = maintenance_delay_ms(&node, previous, takeover.previous_version);
     let now_ms = node.clock.now().store_ms;
+    let earlier_commands_until_ms =
+        earlier_commands_until_ms(&node, previous, takeover.previous_version, now_ms);
+    let gap_ms = node.settings.bounds.leader_gap_ms + LEADER_GAP_MARGIN_MS;
+    let maintenance_from_ms = previous.map_or(now_ms, |_| earlier_commands_until_ms + gap_ms);
     let mut leader = Leader {
         node: node.clone(),
         calls: PoolCalls::default(),
@@ -96,20 +99,20 @@
         sequence: Arc::new(tokio::sync::Mutex::new(takeover.sequence)),
         refusals: Arc::default(),
         waves: Waves::default(),
-        maintenance_from_ms: now_ms + delay_ms,
+        maintenance_from_ms,
         command_record: CommandRecord::read(&node, term, takeover.previous_owner.as_ref()).await,
         draining: BTreeMap::new(),
         ended_incarnations: EndedIncarnations::default(),
         unresponsive: BTreeMap::new(),
         cancelled_drains: BTreeMap::new(),
         reclaiming: BTreeSet::new(),
-        last_command_at_ms: now_ms,
+        last_command_at_ms: earlier_commands_until_ms,
         unconfirmed_moves: BTreeMap::new(),
     };
     tracing::info!(
         term,
         previous = ?takeover.previous_owner,
-        maintenance_delay_ms = delay_ms,
+        maintenance_delay_ms = maintenance_from_ms.saturating_sub(now_ms),
         soft_locked_vms = leader.command_record.soft_locked_vms(&node),
         "became the leader"
     );
@@ -132,27 +135,28 @@
     node.end_term(&FLEET_SHARD.into(), term);
 }
 
-/// Returns how long from now a new leader waits until the leader maintains VMs, in ms, to keep the gap to the commands
-/// of the `previous` leader, whose row has the store's version `version`. 0 without a previous leader.
-fn maintenance_delay_ms(node: &Node, previous: Option<&OwnerRow>, version: u64) -> u64 {
+/// Returns until when the leaders before this one may send commands, in ms on the store's clock; 0 without a previous leader.
+/// `previous` is the row of the previous leader and `version` the store's version of it.
+pub(crate) fn earlier_commands_until_ms(
+    node: &Node,
+    previous: Option<&OwnerRow>,
+    version: u64,
+    now_ms: u64,
+) -> u64 {
     let Some(previous) = previous else {
         return 0;
     };
-    let gap_ms = node.settings.bounds.leader_gap_ms + LEADER_GAP_MARGIN_MS;
-    if previous.is_released {
-        let next_at_ms = previous.last_command_at_ms + gap_ms;
-        return next_at_ms.saturating_sub(node.clock.now().store_ms);
-    }
     let restarted =
         node.peers
             .lock()
             .restarted_at_ms(&previous.daemon, &previous.incarnation, version);
-    match restarted {
-        // The process that sent the last command had ended by the time the daemon's next incarnation started.
-        Some(at_ms) => (at_ms + gap_ms).saturating_sub(node.clock.now().store_ms),
-        // The previous leader may send commands until the end of its command window.
-        None => gap_ms + COMMAND_WINDOW_MS,
-    }
+    let leader = match restarted {
+        _ if previous.is_released => PreviousLeader::Ended,
+        Some(by_ms) => PreviousLeader::ProcessEnded { by_ms },
+        None => PreviousLeader::MayBeActive,
+    };
+    let recorded_until_ms = previous.last_command_at_ms;
+    pools::earlier_commands_until_ms(recorded_until_ms, leader, now_ms, COMMAND_WINDOW_MS)
 }
 
 impl Leader {
@@ -247,7 +251,8 @@
             self.apply_outcome(&command, outcome, &incarnations);
         }
         if has_commands {
-            self.last_command_at_ms = self.node.clock.now().store_ms;
+            let now_ms = self.node.clock.now().store_ms;
+            self.last_command_at_ms = self.last_command_at_ms.max(now_ms);
         }
         self.waves
             .write_progress(&self.node, &self.sequence, &self.refusals)
--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use ownership::DaemonRow;
+use ownership::{DaemonRow, OwnerRow};
 use smol_str::SmolStr;
 use users_platform::{
     CONFIG_KEY, Error, OPERATOR_TABLE, Row, RowKey, Transaction, WAVE_PREFIX, decode_config,
@@ -15,7 +15,7 @@
 use crate::clock::local_ms;
 use crate::config::FLEET_SHARD;
 use crate::leader;
-use crate::node::{Node, STORE_TIMEOUT, tables};
+use crate::node::{Node, STORE_TIMEOUT, STORE_TIMEOUT_MS, tables};
 use crate::pool::{read_all_rows, read_rows_to_follow, take_over_pool, take_over_shard};
 
 /// How often the daemon reads the heartbeat rows and takes over unowned shards.
@@ -216,16 +216,27 @@
 ) -> Result<bool, Error> {
     let shard = SmolStr::from(FLEET_SHARD);
     let term = handover.as_ref().map(|handover| handover.term);
-    let Some(mut takeover) = take_over_shard(node, &shard, term).await? else {
+    let previous_owner = |owner: Option<&OwnerRow>| {
+        let mut owner = owner.cloned();
+        if let Some(handover) = &handover
+            && let Some(owner) = owner.as_mut().filter(|owner| owner.term == handover.term)
+        {
+            owner.is_released = true;
+            owner.last_command_at_ms = handover.last_command_at_ms;
+        }
+        owner
+    };
+    let last_command_at_ms = |owner: Option<&OwnerRow>, version| {
+        let owner = previous_owner(owner);
+        // The takeover takes effect by the time of the response to it.
+        let now_ms = node.clock.now().store_ms + STORE_TIMEOUT_MS;
+        leader::earlier_commands_until_ms(node, owner.as_ref(), version, now_ms)
+    };
+    let takeover = take_over_shard(node, &shard, term, last_command_at_ms).await?;
+    let Some(mut takeover) = takeover else {
         return Ok(false);
     };
-    let previous_owner = takeover.previous_owner.as_mut();
-    if let Some(handover) = handover
-        && let Some(owner) = previous_owner.filter(|owner| owner.term == handover.term)
-    {
-        owner.is_released = true;
-        owner.last_command_at_ms = handover.last_command_at_ms;
-    }
+    takeover.previous_owner = previous_owner(takeover.previous_owner.as_ref());
     tokio::spawn(leader::run(node.clone(), takeover));
     Ok(true)
 }
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -21,7 +21,10 @@
 
 /// How long a call to the store may take: thirty times its usual duration, and longer than a call takes while the store
 /// is 50 times slower than usual.
-pub(crate) const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(STORE_TIMEOUT_MS);
+
+/// [`STORE_TIMEOUT`] in ms.
+pub(crate) const STORE_TIMEOUT_MS: u64 = 1000;
 
 /// How long a worker may take to respond to a command or a poll, beyond the time for which a poll lets the worker wait.
 /// Fifty times the usual response time; a lost command delays the caller by the whole timeout.
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -51,10 +51,14 @@
 /// the shard over (`handed_over_term` is the term of the daemon that does), or has not announced its ownership to the
 /// peers in time. Returns `None` when another daemon was faster, when the owner still serves the shard, or when this daemon
 /// owns the shard or is taking it over. Fails when the store does; the transaction may then have taken effect.
+///
+/// `last_command_at_ms` returns what the owner row records under this name, from the previous owner and the store's version of
+/// its row.
 pub(crate) async fn take_over_shard(
     node: &Node,
     shard: &SmolStr,
     handed_over_term: Option<u64>,
+    last_command_at_ms: impl FnOnce(Option<&OwnerRow>, u64) -> u64,
 ) -> Result<Option<Takeover>, Error> {
     let Some(_takeover) = node.begin_takeover(shard) else {
         return Ok(None);
@@ -94,7 +98,7 @@
         incarnation: node.incarnation.clone(),
         term,
         is_released: false,
-        last_command_at_ms: 0,
+        last_command_at_ms: last_command_at_ms(previous_owner.as_ref(), version),
     };
     let sequence_key = RowKey::new(tables::SEQUENCE, shard.clone(), SINGLETON_KEY);
     let first = SequenceRow { term, number: 0 };
@@ -139,7 +143,8 @@
     pool: &SmolStr,
     handed_over_term: Option<u64>,
 ) -> Result<bool, Error> {
-    let Some(takeover) = take_over_shard(node, pool, handed_over_term).await? else {
+    let takeover = take_over_shard(node, pool, handed_over_term, |_, _| 0);
+    let Some(takeover) = takeover.await? else {
         return Ok(false);
     };
     tokio::spawn(start_owner(node.clone(), pool.clone(), takeover));
--- a/crates/ownership/src/peers.rs
+++ b/crates/ownership/src/peers.rs
@@ -51,10 +51,11 @@
     pub term: u64,
     /// Whether the owner has released the shard, so that another daemon may take over the shard at once.
     pub is_released: bool,
-    /// When the last command of an owner that released the shard had ended, in milliseconds of the store's clock.
+    /// Until when commands may be sent that a successor has to keep a gap to, in milliseconds of the store's clock.
     ///
-    /// For an owner that sent no command, when the owner took over the shard. 0 while the shard isn't released, and in
-    /// rows that lack the field.
+    /// When the owner takes the shard over: until when the owners before it may send commands. When the owner releases the
+    /// shard: when its last command ended, unless the owners before it may send commands for longer. 0 for shards without
+    /// such a gap, and in rows that lack the field.
     #[serde(default, rename = "last_order_at_ms")]
     pub last_command_at_ms: u64,
 }
--- a/crates/pools/src/lib.rs
+++ b/crates/pools/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod balance;
 mod command_log;
+mod leader_gap;
 mod wave;
 
 pub use balance::{Move, PoolState, RebalancePlan, VmState, plan_rebalance};
 pub use command_log::{CommandLog, Leader};
+pub use leader_gap::{PreviousLeader, earlier_commands_until_ms};
 pub use wave::{MaintenanceWave, VmCommandOutcome, WaveActions, WaveVm};
