pools: a repeated command without effect leaves the outcome of the first one unknown

What users would see: more VMs of a wave down at once than its limit; a move that is forgotten while it goes on.

Cause: a maintenance command whose response was lost is repeated. When the repeat was refused (429), got no connection or was not permitted any more, its outcome "not started" replaced the unknown outcome of the first command: the VM no longer counted as down.

Such a command has an outcome of its own now, which leaves the VM as it was; likewise for moves and for the drain of the VM.

Test: a_repeated_command_without_effect_leaves_...; before, it fails (left: 0, right: 1: the VM may be down by the first command).

--- a/crates/fleetd/src/leader/commands.rs
+++ b/crates/fleetd/src/leader/commands.rs
@@ -112,7 +112,7 @@
         Ok(VmCommandResponse::NotInWave | VmCommandResponse::Impossible { .. }) => {
             VmCommandOutcome::Impossible
         }
-        Err(err) if err.is_without_effect() => VmCommandOutcome::Busy,
+        Err(err) if err.is_without_effect() => VmCommandOutcome::WithoutEffect,
         Err(_) => VmCommandOutcome::Unknown,
     }
 }
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -453,8 +453,7 @@
                 .is_some_and(|worker| workers.contains(worker))
         };
         let is_unusable = reply.is_some_and(|reply| contains(&reply.unavailable));
-        let is_reserved =
-            self.unconfirmed_moves.contains_key(&vm.vm) || self.waves.is_in_progress(&vm.vm);
+        let is_reserved = self.is_reserved(&vm.vm);
         VmState {
             pool: self
                 .unconfirmed_moves
@@ -475,6 +474,11 @@
         }
     }
 
+    /// Whether a VM is being drained for a wave, or a command to it may be under way.
+    fn is_reserved(&self, vm: &str) -> bool {
+        self.unconfirmed_moves.contains_key(vm) || self.waves.is_in_progress(vm)
+    }
+
     fn apply_outcome(
         &mut self,
         command: &VmCommand,
@@ -490,6 +494,7 @@
                     VmCommandOutcome::Unknown => {
                         self.unconfirmed_moves.insert(vm.clone(), pool.clone())
                     }
+                    VmCommandOutcome::WithoutEffect => None,
                     _ => self.unconfirmed_moves.remove(vm),
                 };
                 vm
@@ -506,7 +511,11 @@
             VmCommandOutcome::Started => {
                 self.ended_incarnations.insert(pool.clone(), worker.clone());
             }
-            VmCommandOutcome::Busy | VmCommandOutcome::Impossible => {
+            // Another command may be under way to the VM.
+            VmCommandOutcome::WithoutEffect if self.is_reserved(vm) => {}
+            VmCommandOutcome::Busy
+            | VmCommandOutcome::WithoutEffect
+            | VmCommandOutcome::Impossible => {
                 self.cancelled_drains
                     .entry(pool.clone())
                     .or_default()
--- a/crates/pools/src/wave.rs
+++ b/crates/pools/src/wave.rs
@@ -26,8 +26,10 @@
 pub enum VmCommandOutcome {
     /// The operation has started, through this command or an earlier one.
     Started,
-    /// The operation has not started; the command may be sent again later.
+    /// The operation has not started, and no earlier command has started it; the command may be sent again later.
     Busy,
+    /// The command had no effect, as it was not sent or was refused unread. An earlier one may have had an effect.
+    WithoutEffect,
     /// The outcome is unknown, because no response arrived: the operation may have started, or may still start.
     Unknown,
     /// The operation can never start, for example because the VM is not part of the maintenance wave.
@@ -323,6 +325,9 @@
 
     /// Records the outcome of a maintenance command to a VM. Does nothing for a VM that is not part of the wave.
     pub fn record_outcome(&mut self, vm: &str, outcome: VmCommandOutcome, now_ms: u64) {
+        if outcome == VmCommandOutcome::WithoutEffect {
+            return self.record_not_sent(vm, now_ms);
+        }
         let Some(stage) = self.stages.get_mut(vm) else {
             return;
         };
@@ -330,7 +335,7 @@
             VmCommandOutcome::Started => MaintenanceStage::Started {
                 started_at_ms: now_ms,
             },
-            VmCommandOutcome::Busy => MaintenanceStage::Waiting {
+            VmCommandOutcome::Busy | VmCommandOutcome::WithoutEffect => MaintenanceStage::Waiting {
                 not_before_ms: now_ms + BUSY_RETRY_DELAY_MS,
             },
             VmCommandOutcome::Unknown => MaintenanceStage::OutcomeUnknown {
--- a/crates/pools/tests/wave.rs
+++ b/crates/pools/tests/wave.rs
@@ -237,3 +237,29 @@
     // No time presses, so that no more than one busy VM is drained at a time.
     assert_eq!(wave.next_actions(&list, 1000).drain.len(), 1);
 }
+
+#[test]
+fn a_repeated_command_without_effect_leaves_the_outcome_of_the_first_one_unknown() {
+    let mut wave = new_wave(names(2), 1, 30_000);
+    let idle = WaveVm {
+        is_drained: true,
+        is_idle: true,
+        ..busy()
+    };
+    let list: BTreeMap<_, _> = names(2).into_iter().map(|vm| (vm, idle.clone())).collect();
+    let mut maintain =
+        |wave: &mut MaintenanceWave, now_ms| wave.next_actions(&list, now_ms).maintain;
+    assert!(maintain(&mut wave, 0).is_empty());
+    let first = maintain(&mut wave, 300);
+    assert_eq!(first.len(), 1);
+    wave.record_outcome(&first[0], VmCommandOutcome::Unknown, 1100);
+    assert_eq!(maintain(&mut wave, 1500), first, "the command is repeated");
+    wave.record_outcome(&first[0], VmCommandOutcome::WithoutEffect, 1500);
+    assert_eq!(
+        wave.down_count(),
+        1,
+        "the VM may be down by the first command"
+    );
+    assert!(maintain(&mut wave, 1600).is_empty());
+    assert_eq!(maintain(&mut wave, 1900), first);
+}
