ownership: an owner that announces its shard is not replaced as unannounced

What users would see: a live owner or leader replaced for no reason.

Cause: an owner counts as unannounced 2 s after its row was first seen while no serving daemon listed the shard. That it has announced the shard since was not looked at: a hand-over from a former owner, which counts only in its own term, replaced the present owner when the daemon had tried a takeover once before.

Test: an_owner_announces_a_shard_only_in_the_term_of_its_row, for the decision; the takeover itself has no test of its own.

--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -78,14 +78,14 @@
     let previous_owner: Option<OwnerRow> =
         value.and_then(|value| serde_json::from_slice(value).ok());
     if let Some(owner) = &previous_owner {
-        let may_be_serving =
-            node.peers
-                .lock()
-                .may_be_serving(&owner.daemon, &owner.incarnation, version);
+        let peers = node.peers.lock();
+        let may_be_serving = peers.may_be_serving(&owner.daemon, &owner.incarnation, version);
+        let is_announced = peers.announces(shard, owner);
+        drop(peers);
         let evidence = OwnerEvidence {
             is_self: owner.incarnation == node.incarnation,
             may_be_serving,
-            is_unannounced: node.is_owner_unannounced(shard, version),
+            is_unannounced: !is_announced && node.is_owner_unannounced(shard, version),
             handed_over_term,
         };
         if !owner.may_be_replaced(evidence) {
--- a/crates/ownership/src/peers.rs
+++ b/crates/ownership/src/peers.rs
@@ -74,6 +74,26 @@
 }
 
 impl OwnerRow {
+    /// What is assumed of an owner whose row can't be decoded, when the highest term that is known otherwise is `term`: that it
+    /// may be serving, under a name that no daemon has.
+    ///
+    /// ```
+    /// use ownership::{OwnerEvidence, OwnerRow};
+    /// let row = OwnerRow::unreadable(7);
+    /// assert_eq!(row.term, 7);
+    /// assert!(!row.may_be_replaced(OwnerEvidence { may_be_serving: true, ..OwnerEvidence::default() }));
+    /// ```
+    #[must_use]
+    pub fn unreadable(term: u64) -> Self {
+        Self {
+            daemon: SmolStr::default(),
+            incarnation: SmolStr::default(),
+            term,
+            is_released: false,
+            last_command_at_ms: 0,
+        }
+    }
+
     /// Whether another term may replace the one of this row. A handover counts only from the term of this row: a daemon
     /// that was cut off may hand over a shard that another daemon has taken over since.
     ///
@@ -280,6 +300,20 @@
         owners.max_by_key(|owner| owner.term)
     }
 
+    /// Whether the heartbeat row of the owner that a shard's row names lists the shard in the term of that row.
+    ///
+    /// ```
+    /// use ownership::{OwnerRow, Peers};
+    /// let peers = Peers::new(1800, 900, 800);
+    /// assert!(!peers.announces("pool", &OwnerRow::unreadable(3)));
+    /// ```
+    #[must_use]
+    pub fn announces(&self, shard: &str, owner: &OwnerRow) -> bool {
+        let peer = self.by_daemon.get(&owner.daemon);
+        let peer = peer.filter(|peer| peer.row.incarnation == owner.incarnation);
+        peer.is_some_and(|peer| peer.row.owned_shards.get(shard) == Some(&owner.term))
+    }
+
     /// Whether the shard's owner is alive and not shutting down.
     fn has_serving_owner(&self, shard: &str) -> bool {
         let owner = self.shard_owner(shard);
--- a/crates/ownership/tests/peers.rs
+++ b/crates/ownership/tests/peers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ownership::{DaemonRow, Peers};
+use ownership::{DaemonRow, OwnerRow, Peers};
 use smol_str::{SmolStr, format_smolstr};
 
 const DEAD_AFTER_MS: u64 = 1800;
@@ -232,3 +232,19 @@
     assert!(!peers.may_be_serving("a", "2", 8));
     assert_eq!(peers.restarted_at_ms("a", "2", 8), Some(5));
 }
+
+#[test]
+fn an_owner_announces_a_shard_only_in_the_term_of_its_row() {
+    let mut peers = peers();
+    update(&mut peers, 1, &[row("a", "1", &[("fleet", 3)])], 0);
+    let owner = |daemon: &str, incarnation: &str, term| OwnerRow {
+        daemon: daemon.into(),
+        incarnation: incarnation.into(),
+        ..OwnerRow::unreadable(term)
+    };
+    assert!(peers.announces("fleet", &owner("a", "1", 3)));
+    assert!(!peers.announces("fleet", &owner("a", "1", 4)));
+    assert!(!peers.announces("fleet", &owner("a", "2", 3)));
+    assert!(!peers.announces("fleet", &owner("b", "1", 3)));
+    assert!(!peers.announces("pool", &owner("a", "1", 3)));
+}
