fleetd: a daemon confirms a handover only from an earlier term

A daemon that is asked to take a shard over answered yes when it owned the shard in any term. One that was cut off and does not know yet that it was deposed said so too, and the present owner then ended its ownership: the shard had no owner until the next takeover. The daemon now compares its term with that of the daemon that hands over.

--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -259,6 +259,15 @@
         })
     }
 
+    /// Whether this daemon has taken a shard over from the term of a peer that hands it over, as when the peer repeats a call
+    /// whose response was lost; `None` while this daemon does not own the shard. An earlier term of this daemon has been
+    /// replaced by that of the peer, but the daemon does not know so yet.
+    pub(crate) fn has_taken_over(&self, shard: &str, peer_term: Option<u64>) -> Option<bool> {
+        let owned_shards = self.owned_shards.lock();
+        let own_term = owned_shards.get(shard)?;
+        Some(peer_term.is_none_or(|peer_term| *own_term > peer_term))
+    }
+
     /// Records the term in which this daemon owns a shard, and wakes the loop that writes the heartbeat row.
     pub(crate) fn begin_term(&self, shard: &SmolStr, term: u64) {
         self.owned_shards.lock().insert(shard.clone(), term);
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -203,9 +203,8 @@
     }
 
     async fn take_over_pool(&self, pool: SmolStr, term: Option<u64>) -> RpcResult<bool> {
-        if self.node.owned_shards.lock().contains_key(&pool) {
-            // The peer repeats a call that succeeded, but whose response was lost.
-            return Ok(true);
+        if let Some(is_taken_over) = self.node.has_taken_over(&pool, term) {
+            return Ok(is_taken_over);
         }
         if self.node.is_shutting_down.load(Ordering::Acquire) || self.node.is_store_unavailable() {
             return Ok(false);
@@ -218,9 +217,8 @@
     }
 
     async fn take_over_fleet(&self, last_command_at_ms: u64, term: Option<u64>) -> RpcResult<bool> {
-        if self.node.owned_shards.lock().contains_key(FLEET_SHARD) {
-            // The peer repeats a call that succeeded, but whose response was lost.
-            return Ok(true);
+        if let Some(is_taken_over) = self.node.has_taken_over(FLEET_SHARD, term) {
+            return Ok(is_taken_over);
         }
         if self.node.is_shutting_down.load(Ordering::Acquire) || self.node.is_store_unavailable() {
             return Ok(false);
--- a/crates/trefoilpassd/tests/fleet_outages.rs
+++ b/crates/trefoilpassd/tests/fleet_outages.rs
@@ -147,13 +147,16 @@
     assert!(status.is_some_and(|status| status.success()));
 }
 
-/// Asks a daemon to take the pool over from the owner with this term.
-async fn hand_over(daemon: &Daemon, term: u64) {
+/// Asks a daemon to take the pool over from the owner with this term. Returns whether the daemon owns the pool then.
+async fn hand_over(daemon: &Daemon, term: u64) -> bool {
     let call = json!({"jsonrpc": "2.0", "id": 1, "method": "pool_take", "params": ["work", term]});
     let client = Client::builder().no_proxy().build().unwrap();
     let request = client.post(&daemon.peers).body(call.to_string());
     let response = request.header("content-type", "application/json").send();
-    assert_eq!(response.await.unwrap().status(), 200);
+    let response = response.await.unwrap();
+    assert_eq!(response.status(), 200);
+    let response: Value = response.json().await.unwrap();
+    response["result"].as_bool().unwrap()
 }
 
 fn owned_term(platform: &PlatformStandIn, daemon: &Daemon) -> Option<u64> {
@@ -184,6 +187,19 @@
     check_runs(&platform, 8);
 }
 
+/// A daemon that was cut off may not know yet that it was deposed. The owner that asks it would end its own ownership.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_with_an_earlier_term_does_not_confirm_that_it_has_taken_a_pool_over() {
+    let (platform, daemons) = start(2, 2).await;
+    submit_surely(&daemons, 1, 1).await;
+    let (owner, _) = split_owner(&platform, &daemons);
+    let term = owned_term(&platform, owner).unwrap();
+    assert!(!hand_over(owner, term).await, "from its own term");
+    assert!(!hand_over(owner, term + 1).await, "from a later term");
+    assert!(hand_over(owner, term - 1).await, "a repeated call");
+    assert_eq!(owned_term(&platform, owner), Some(term));
+}
+
 /// On a narrow link, not all rows of a pool arrive within the time in which a read has to be answered.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_pool_is_taken_over_although_its_rows_arrive_slowly() {
