fleetd: terms rise although the row of an owner can't be decoded

What users would see: a shard whose owner row can't be read, as one of another build, is owned in term 1 again: a lower token after a higher one (ONE), commands that workers refuse, and no waiting for the previous owner.

Cause: a row that can't be decoded counted as no row.

Such an owner is now taken for one that may be serving in the highest term that the sequence row and the heartbeat rows show.

Test: terms_rise_although_the_row_of_an_owner_can_not_be_decoded; before, it fails as the next term is 1.

--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -41,7 +41,7 @@
     pub(crate) sequence: Sequence,
     /// The local time at which the transaction of the takeover was sent, in ms. The lease on the shard starts then.
     pub(crate) sent_at_ms: u64,
-    /// The row of the previous owner; `None` if the shard had no owner, or the row can't be decoded.
+    /// The row of the previous owner; `None` if the shard had no owner.
     pub(crate) previous_owner: Option<OwnerRow>,
     /// The store's version of the row of the previous owner; 0 if there was none.
     pub(crate) previous_version: u64,
@@ -75,8 +75,14 @@
     let owner_row = page.rows.first();
     let version = owner_row.map_or(0, |row| row.version);
     let value = owner_row.and_then(|row| row.value.as_deref());
-    let previous_owner: Option<OwnerRow> =
-        value.and_then(|value| serde_json::from_slice(value).ok());
+    let previous_owner = match value.map(serde_json::from_slice::<OwnerRow>) {
+        None => None,
+        Some(Ok(owner)) => Some(owner),
+        Some(Err(err)) => {
+            tracing::error!(unit = shard.as_str(), version, error = %err, "failed to decode the owner row of a shard");
+            Some(OwnerRow::unreadable(highest_term(node, shard).await?))
+        }
+    };
     if let Some(owner) = &previous_owner {
         let peers = node.peers.lock();
         let may_be_serving = peers.may_be_serving(&owner.daemon, &owner.incarnation, version);
@@ -136,6 +142,19 @@
     }
 }
 
+/// Returns the highest term of a shard by the shard's sequence row and the heartbeat rows; 0 when none is known.
+async fn highest_term(node: &Node, shard: &SmolStr) -> Result<u64, Error> {
+    let rows = read_all_rows(node, tables::SEQUENCE, shard).await?;
+    let sequence_rows = rows.iter().filter_map(|row| row.value.as_deref());
+    let terms = sequence_rows.filter_map(|value| {
+        let row = serde_json::from_slice::<SequenceRow>(value);
+        row.ok().map(|row| row.term)
+    });
+    let announced = node.peers.lock().shard_owner(shard);
+    let announced = announced.map(|owner| owner.term);
+    Ok(terms.chain(announced).max().unwrap_or(0))
+}
+
 /// Takes over a pool and starts its scheduler in the background. Returns false when the pool was not taken over; fails
 /// when the store does. See [`take_over_shard`].
 pub(crate) async fn take_over_pool(
--- a/crates/trefoilpassd/tests/fleet_outages.rs
+++ b/crates/trefoilpassd/tests/fleet_outages.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use fleet_support::{
-    CALLER_WAIT, Daemon, call, call_within, check_runs, daemon, daemon_logging_to, done, ready,
-    start, submit, submit_surely,
+    CALLER_WAIT, Daemon, PATIENCE, call, call_within, check_runs, daemon, daemon_logging_to, done,
+    ready, start, submit, submit_surely,
 };
 use platform_stand_in::{PlatformStandIn, StoreFaults, job_body};
 use reqwest::Client;
@@ -200,6 +200,33 @@
     assert_eq!(owned_term(&platform, owner), Some(term));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn terms_rise_although_the_row_of_an_owner_can_not_be_decoded() {
+    let (platform, mut daemons) = start(2, 2).await;
+    submit_surely(&daemons, 1, 4).await;
+    let (owner, others) = split_owner(&platform, &daemons);
+    let (first, second) = (owner.name.clone(), others[0].name.clone());
+    let term = owned_term(&platform, owner).unwrap();
+    assert!(hand_over(others[0], term).await);
+    let row = json!({"table": "owner", "part": "work", "key": "it", "value": "ew=="});
+    let call = json!({"expectRev": [], "writes": [row], "remove": []});
+    let client = Client::builder().no_proxy().build().unwrap();
+    let url = format!("http://{}/v1/rows-tx", platform.store_addr);
+    let response = client.post(url).body(call.to_string()).send().await;
+    assert_eq!(response.unwrap().status(), 200);
+    let lost = daemons.iter_mut().find(|daemon| daemon.name == second);
+    lost.unwrap().process.kill();
+    daemons.retain(|daemon| daemon.name == first);
+    let start = std::time::Instant::now();
+    while owned_term(&platform, &daemons[0]).is_none_or(|found| found <= term) {
+        assert!(start.elapsed() < PATIENCE, "no later term begins");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(owned_term(&platform, &daemons[0]).is_some_and(|found| found > term + 1));
+    submit_surely(&daemons, 2, 4).await;
+    done(&daemons, 2).await;
+}
+
 /// On a narrow link, not all rows of a pool arrive within the time in which a read has to be answered.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_pool_is_taken_over_although_its_rows_arrive_slowly() {
