fleetd: the estimate of the store's clock does not run ahead of it

Cause: the estimate kept the best sample and fell by at most 0.1% of its age. A local clock that gains more, or a store's clock that is set back by less than a minute, left it ahead for good; a response without a time counted as a reset.

Each response bounds the offset from both sides, as its time lies between the request and the response. The estimate keeps to both bounds; the allowance for drift and the rule for resets go.

--- a/crates/fleetd/src/clock.rs
+++ b/crates/fleetd/src/clock.rs
@@ -7,12 +7,6 @@
 use rustix::time::{ClockId, clock_gettime};
 use scheduler::Now;
 
-/// The local clock gains at most one ms in this many on the store's clock.
-const MAX_DRIFT_DIVISOR: u64 = 1000;
-
-/// No response is under way for longer. A sample that is further back shows that the store's clock was reset.
-const MAX_TRANSIT_MS: i64 = 60_000;
-
 /// Reads the local clocks and estimates the store's clock. Clones share the estimate.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Clock {
@@ -49,38 +43,32 @@
         }
     }
 
-    /// Updates the estimate of the store's clock from `store_ms`, the time in a response of the store.
-    pub(crate) fn record_store_time(&self, store_ms: u64) {
-        self.store_estimate.lock().record(store_ms, local_ms());
+    /// Updates the estimate of the store's clock from `store_ms`, the time in a response of the store to a request that was
+    /// sent at `sent_at_ms` on the local clock. A response without a time changes nothing.
+    pub(crate) fn record_store_time(&self, store_ms: u64, sent_at_ms: u64) {
+        if store_ms > 0 {
+            let mut estimate = self.store_estimate.lock();
+            estimate.record(store_ms, sent_at_ms, local_ms());
+        }
     }
 }
 
 /// An estimate of the store's clock.
 ///
-/// A response shows a time that is past by as much as the response was under way, so that the sample with the largest offset
-/// is the best one. Offsets fall slowly with their age, in case the local clock runs fast.
+/// The store's time in a response is a time between the request and the response, so that each response bounds the offset
+/// between the clocks from both sides. The estimate is the highest lower bound that no later response contradicts.
 #[derive(Debug, Clone, Copy, Default)]
 struct StoreEstimate {
     /// The store's clock minus the local clock, in ms; `None` until the store's first response.
     offset_ms: Option<i64>,
-    /// When the offset was last updated, in ms on the local clock.
-    updated_at_ms: u64,
 }
 
 impl StoreEstimate {
-    fn record(&mut self, store_ms: u64, local_ms: u64) {
-        let sample_ms = store_ms.cast_signed() - local_ms.cast_signed();
-        let age_ms = local_ms.saturating_sub(self.updated_at_ms);
-        let drift_ms = (age_ms / MAX_DRIFT_DIVISOR).cast_signed();
-        let is_better = |offset_ms: i64| sample_ms >= offset_ms.saturating_sub(drift_ms);
-        let is_reset = |offset_ms: i64| offset_ms.saturating_sub(sample_ms) > MAX_TRANSIT_MS;
-        if self
-            .offset_ms
-            .is_none_or(|offset_ms| is_better(offset_ms) || is_reset(offset_ms))
-        {
-            self.offset_ms = Some(sample_ms);
-            self.updated_at_ms = local_ms;
-        }
+    fn record(&mut self, store_ms: u64, sent_at_ms: u64, received_at_ms: u64) {
+        let lowest_ms = store_ms.cast_signed() - received_at_ms.cast_signed();
+        let highest_ms = store_ms.cast_signed() - sent_at_ms.cast_signed();
+        let offset_ms = self.offset_ms.unwrap_or(lowest_ms);
+        self.offset_ms = Some(offset_ms.min(highest_ms).max(lowest_ms));
     }
 
     fn store_ms(&self, local_ms: u64) -> u64 {
--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -248,11 +248,12 @@
         let read = match version {
             None => read_rows_to_follow(&node, OPERATOR_TABLE, "").await,
             Some(after) => {
+                let sent_at_ms = local_ms();
                 let feed = node
                     .store
                     .feed(OPERATOR_TABLE, after, FEED_WAIT, FEED_TIMEOUT);
                 feed.await.map(|feed| {
-                    node.clock.record_store_time(feed.store_ms);
+                    node.clock.record_store_time(feed.store_ms, sent_at_ms);
                     (feed.rows, feed.version)
                 })
             }
--- a/crates/fleetd/src/pool/registry.rs
+++ b/crates/fleetd/src/pool/registry.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 use users_platform::{Row, WORKER_TABLE, WorkerState, decode_worker};
 
+use crate::clock::local_ms;
 use crate::config::queue_rules;
 use crate::node::STORE_TIMEOUT;
 use crate::pool::{PoolOwner, takeover};
@@ -31,12 +32,13 @@
                     read
                 }
                 Some(after) => {
+                    let sent_at_ms = local_ms();
                     let feed =
                         self.node
                             .store
                             .feed(WORKER_TABLE, after, Duration::ZERO, STORE_TIMEOUT);
                     feed.await.map(|feed| {
-                        self.node.clock.record_store_time(feed.store_ms);
+                        self.node.clock.record_store_time(feed.store_ms, sent_at_ms);
                         (feed.rows, feed.version)
                     })
                 }
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -70,8 +70,9 @@
         from: "",
         until: "",
     };
+    let read_at_ms = local_ms();
     let page = node.store.read(range, 1, STORE_TIMEOUT).await?;
-    node.clock.record_store_time(page.store_ms);
+    node.clock.record_store_time(page.store_ms, read_at_ms);
     let owner_row = page.rows.first();
     let version = owner_row.map_or(0, |row| row.version);
     let value = owner_row.and_then(|row| row.value.as_deref());
@@ -308,7 +309,7 @@
                 let duration_ms = local_ms().saturating_sub(sent_at_ms);
                 let rows = u32::try_from(page.rows.len()).unwrap_or(u32::MAX);
                 self.page_size.record_page(rows, duration_ms);
-                self.node.clock.record_store_time(page.store_ms);
+                self.node.clock.record_store_time(page.store_ms, sent_at_ms);
                 self.first_version.get_or_insert(page.version);
                 self.rows.extend(page.rows);
                 self.is_complete = !page.has_more;
