--- a/crates/pools/tests/wave.rs
+++ b/crates/pools/tests/wave.rs
@@ -247,8 +247,7 @@
         ..busy()
     };
     let list: BTreeMap<_, _> = names(2).into_iter().map(|vm| (vm, idle.clone())).collect();
-    let mut maintain =
-        |wave: &mut MaintenanceWave, now_ms| wave.next_actions(&list, now_ms).maintain;
+    let maintain = |wave: &mut MaintenanceWave, now_ms| wave.next_actions(&list, now_ms).maintain;
     assert!(maintain(&mut wave, 0).is_empty());
     let first = maintain(&mut wave, 300);
     assert_eq!(first.len(), 1);
