Pool: no start command for a worker whose capacity has shrunk since

A start that was planned and recorded while a worker had room was sent although the registry showed a smaller capacity by then. Workers of a pool without `rejects_overload` accept it and run more than they have; others refuse it, which is priced too.

Cause: the capacity was looked at when a start is planned, not when the command is sent, after the write to the store, a wait for the link and a wait for one of the worker's two slots.

The commands check `Scheduler::fits_capacity` right before each send. A first send that doesn't fit counts as refused for want of free capacity, so that the task starts elsewhere and the worker is not blocklisted; a repeated one ends as unknown and is stopped, as before. Each refused start leaves the assigned attempts, so that as many as fit are still sent.

Seen failing before the check (with a `fits_capacity` that is always true): a_start_that_was_recorded_before_the_capacity_shrank_is_not_sent.

--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -97,14 +97,15 @@
         };
         for sent_count in 0..MAX_START_SENDS {
             self.wait_for_link(task, &checkpoint).await;
-            let Some((lease_until_ms, name, spec, authorization)) =
-                self.prepare_start(worker, task, attempt)
-            else {
-                if sent_count == 0 {
-                    self.apply_start_outcome(worker, task, attempt, StartOutcome::Refused, None);
+            let prepared = self.prepare_start(worker, task, attempt);
+            let (lease_until_ms, name, spec, authorization) = match prepared {
+                Ok(prepared) => prepared,
+                Err(outcome) if sent_count == 0 => {
+                    self.count_command("start", "not sent");
+                    self.apply_start_outcome(worker, task, attempt, outcome, None);
                     return;
                 }
-                break;
+                Err(_) => break,
             };
             let command = StartCommand {
                 task: &name,
@@ -164,26 +165,31 @@
     }
 
     /// Grants the lease of a start command and returns the end of the lease (in ms on the worker's clock), the task's
-    /// name, the job's spec and the authorization of the policy service. Returns `None` when the command must not be
-    /// sent any more.
+    /// name, the job's spec and the authorization of the policy service. Fails when the command must not be sent any
+    /// more, with its outcome if it has not been sent before.
     fn prepare_start(
         &self,
         worker: WorkerKey,
         task: TaskKey,
         attempt: u32,
-    ) -> Option<(u64, SmolStr, Arc<submission::JobSpec>, Option<SmolStr>)> {
+    ) -> Result<(u64, SmolStr, Arc<submission::JobSpec>, Option<SmolStr>), StartOutcome> {
         if !self.may_send_commands() {
-            return None;
+            return Err(StartOutcome::Refused);
         }
         let now = self.node.clock.now();
         let mut scheduler = self.scheduler.lock();
         if !scheduler.may_start(worker, task, attempt) {
-            return None;
+            return Err(StartOutcome::Refused);
+        }
+        if !scheduler.fits_capacity(worker) {
+            return Err(StartOutcome::NoFreeCapacity);
         }
-        let lease_until_ms = scheduler.grant_start_lease(worker, task, now)?;
-        let job = scheduler.job(task.job)?;
+        let lease_until_ms = scheduler
+            .grant_start_lease(worker, task, now)
+            .ok_or(StartOutcome::Refused)?;
+        let job = scheduler.job(task.job).ok_or(StartOutcome::Refused)?;
         let authorization = scheduler.authorization(worker, task, now);
-        Some((
+        Ok((
             lease_until_ms,
             job.task_name(task.index),
             job.spec().clone(),
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -158,7 +158,7 @@
 pub enum StartOutcome {
     /// The worker has started the attempt, which may have ended since.
     Started,
-    /// The worker has too little free capacity.
+    /// The worker has too little free capacity, or the command could not be sent because the capacity has shrunk.
     NoFreeCapacity,
     /// The worker reported itself as unhealthy and did not start the attempt.
     Unhealthy,
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -193,6 +193,11 @@
         self.info.capacity.saturating_sub(self.used)
     }
 
+    /// Whether the capacity, which may have shrunk, suffices for all attempts that run or may run on the worker.
+    pub(crate) fn fits_capacity(&self) -> bool {
+        self.used.fits(self.info.capacity)
+    }
+
     /// Whether the worker is being drained and the drain waits for room on another worker.
     pub(crate) fn has_blocked_drain(&self, now_ms: u64) -> bool {
         self.is_drain_blocked && now_ms < self.drain_until_ms
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -344,4 +344,12 @@
             .is_none_or(|worker| worker.info.is_shutting_down);
         self.is_assigned(key, task, number) && !has_ended && !is_shutting_down
     }
+
+    /// Returns whether the worker's capacity suffices for its assigned attempts. Checked right before each start command,
+    /// as the capacity may have shrunk since the start was planned and workers may accept starts beyond it. False for a
+    /// removed worker.
+    #[must_use]
+    pub fn fits_capacity(&self, key: WorkerKey) -> bool {
+        self.workers.get(key).is_some_and(Worker::fits_capacity)
+    }
 }
--- /dev/null
+++ b/crates/scheduler/tests/capacity.rs
@@ -0,0 +1,60 @@
+//! Workers whose capacity shrinks and grows while tasks run there.
+
+mod support;
+
+use scheduler::{StartOutcome, WorkerInfo};
+use smol_str::SmolStr;
+use submission::Resources;
+use support::{Pool, job, starts, step, worker};
+
+/// Sets the capacity in the registry entry of the worker `one`, in thousandths of a core.
+fn set_cpu(pool: &mut Pool, cpu_milli: u32) {
+    pool.scheduler
+        .set_workers(vec![entry(cpu_milli)], pool.now());
+}
+
+fn entry(cpu_milli: u32) -> WorkerInfo {
+    let entry = worker("one");
+    let capacity = Resources {
+        cpu_milli,
+        ..entry.capacity
+    };
+    WorkerInfo { capacity, ..entry }
+}
+
+/// Submits a job of `tasks` tasks of a core each and starts those that fit. Returns their names.
+fn start_tasks(pool: &mut Pool, id: u64, tasks: u32) -> Vec<SmolStr> {
+    pool.submit(id, job(vec![step(tasks)]));
+    let commands = pool.round();
+    let started = pool.confirm_starts(&commands);
+    let names = started.iter().map(|(_, task, _)| pool.task_name(*task));
+    names.collect()
+}
+
+#[test]
+fn a_start_that_was_recorded_before_the_capacity_shrank_is_not_sent() {
+    let mut pool = Pool::new(&["one"]);
+    start_tasks(&mut pool, 1, 1);
+    pool.submit(2, job(vec![step(3)]));
+    let planned = starts(&pool.round());
+    assert_eq!(planned.len(), 3);
+    set_cpu(&mut pool, 2000);
+    let mut sent = 0;
+    for (worker, task, attempt) in planned {
+        if pool.scheduler.fits_capacity(worker) {
+            sent += 1;
+            pool.apply_start(worker, task, attempt, StartOutcome::Started);
+        } else {
+            pool.apply_start(worker, task, attempt, StartOutcome::NoFreeCapacity);
+        }
+    }
+    assert_eq!(sent, 1, "one core is left beside the running task");
+    assert!(starts(&pool.round()).is_empty());
+    pool.advance(500);
+    set_cpu(&mut pool, 4000);
+    assert_eq!(
+        starts(&pool.round()).len(),
+        2,
+        "the capacity has grown again"
+    );
+}
