scheduler: attempts that are being stopped count although they are not assigned

A worker's report may list attempts that this owner has not assigned to it, such as late starts, or attempts of an earlier owner whose job has moved on. They were sent a stop command, but their resources counted as free at once. A stop takes up to `stopMs`, so that a start in that time brought a worker that refuses nothing over its capacity.

The resources of such attempts in the last report are now part of what is occupied; an attempt of a task that the pool does not know may need the whole worker. A worker with such attempts is polled until a report does not list them, also if it has no other attempts, and its lease is not renewed for them. They are part of the incarnation, as another process runs none of them.

--- a/crates/scheduler/src/incarnation.rs
+++ b/crates/scheduler/src/incarnation.rs
@@ -38,6 +38,9 @@
     /// The size of a task that the process refused, and until when tasks of that size are not sent (in ms on the daemon's
     /// clock). Cleared when an attempt ends on the worker.
     pub(crate) refused_size: Option<(Resources, u64)>,
+    /// The resources in use by attempts that the last report lists as running and that are not assigned to the worker. They
+    /// are being stopped.
+    pub(crate) used_by_unassigned: Resources,
     pub(crate) health: Health,
     /// The number of the last ended attempt that was applied.
     pub(crate) received_end: u64,
@@ -71,6 +74,11 @@
         self.acknowledged_end = self.acknowledged_end.max(acknowledged_end);
     }
 
+    /// Whether attempts that are not assigned to the worker were running at the last report.
+    pub(crate) fn has_unassigned_attempts(&self) -> bool {
+        self.used_by_unassigned != Resources::default()
+    }
+
     /// Whether any reported end is not recorded yet. If the incarnation ended now, a next owner could not learn of that end.
     pub(crate) fn has_unrecorded_ends(&self) -> bool {
         self.received_end > self.recorded_end
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -1,7 +1,7 @@
 //! Reports of workers: running tasks, ended attempts, and assigned attempts that do not run.
 
 use smol_str::SmolStr;
-use submission::{AttemptOutcome, JobId, TaskKey};
+use submission::{AttemptOutcome, JobId, Resources, TaskKey};
 
 use crate::batch::WorkerCommand;
 use crate::scheduler::Scheduler;
@@ -16,6 +16,13 @@
 /// not in the workers.
 const MAX_BLOCKLISTED_PERCENT: usize = 34;
 
+/// The resources of a task that no job of the pool has: those of the whole worker.
+const ANY_FOOTPRINT: Resources = Resources {
+    cpu_milli: u32::MAX,
+    memory_mb: u32::MAX,
+    gpus: u32::MAX,
+};
+
 /// A task that runs on a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunningTask {
@@ -111,11 +118,16 @@
                 .record_received_ends(last_end, position);
         }
         let mut listed = Vec::with_capacity(report.running.len());
+        let mut used_by_unassigned = Resources::default();
         for running in report.running {
             if let Some(task) = self.apply_running(key, &running, now) {
                 listed.push(task);
+            } else {
+                let footprint = self.footprint_by_name(&running.name);
+                used_by_unassigned = used_by_unassigned.saturating_add(footprint);
             }
         }
+        self.workers[key].incarnation.used_by_unassigned = used_by_unassigned;
         self.end_unlisted(key, &listed, report.request_sent_at_ms, now);
         self.update_speed_limits(key);
     }
@@ -148,6 +160,13 @@
         Some(TaskKey { job, index })
     }
 
+    /// The resources of the task with this name on workers.
+    fn footprint_by_name(&self, name: &str) -> Resources {
+        let task = self.task_by_name(name);
+        let job = task.and_then(|task| Some((self.jobs.get(&task.job)?, task.index)));
+        job.map_or(ANY_FOOTPRINT, |(job, index)| job.step(index).footprint())
+    }
+
     fn apply_end(&mut self, key: WorkerKey, end: EndedAttempt, now: Now) {
         let incarnation = &mut self.workers[key].incarnation;
         incarnation.received_end = incarnation.received_end.max(end.number);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -189,13 +189,19 @@
         }
     }
 
+    /// The resources of all attempts that run or may run on the worker, with those that are being stopped.
+    fn occupied(&self) -> Resources {
+        self.used
+            .saturating_add(self.incarnation.used_by_unassigned)
+    }
+
     pub(crate) fn free_capacity(&self) -> Resources {
-        self.info.capacity.saturating_sub(self.used)
+        self.info.capacity.saturating_sub(self.occupied())
     }
 
     /// Whether the capacity, which may have shrunk, suffices for all attempts that run or may run on the worker.
     pub(crate) fn fits_capacity(&self) -> bool {
-        self.used.fits(self.info.capacity)
+        self.occupied().fits(self.info.capacity)
     }
 
     /// Whether the worker is being drained and the drain waits for room on another worker.
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -179,6 +179,7 @@
         if worker.incarnation.has_accepted_term
             && worker.attempts.is_empty()
             && !worker.incarnation.has_unacknowledged_ends()
+            && !worker.incarnation.has_unassigned_attempts()
             && !worker.is_unresponsive
             && !worker.may_have_restarted
         {
@@ -193,14 +194,17 @@
         } else {
             worker.grant_lease(limits.lease_ms, limits.slow_clock_percent, now.local_ms)
         };
+        let has_unassigned_attempts = worker.incarnation.has_unassigned_attempts();
         Some(LeaseRenewalPlan {
             lease_until_ms,
             recorded_end: worker.incarnation.end_to_acknowledge(now.local_ms),
-            is_busy: worker.incarnation.has_accepted_term && lease_until_ms.is_some(),
-            is_polled_often: worker
-                .attempts
-                .values()
-                .any(|attempt| !attempt.is_service || attempt.footprint.cpu_milli == 0),
+            is_busy: worker.incarnation.has_accepted_term
+                && (lease_until_ms.is_some() || has_unassigned_attempts),
+            is_polled_often: has_unassigned_attempts
+                || worker
+                    .attempts
+                    .values()
+                    .any(|attempt| !attempt.is_service || attempt.footprint.cpu_milli == 0),
         })
     }
 
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -4,8 +4,8 @@
 
 use scheduler::{StartOutcome, WorkerInfo};
 use smol_str::SmolStr;
-use submission::Resources;
-use support::{Pool, job, starts, step, worker};
+use submission::{Resources, StepSpec, TaskKey};
+use support::{Pool, job, starts, step, stops, worker};
 
 /// Sets the capacity in the registry entry of the worker `one`, in thousandths of a core.
 fn set_cpu(pool: &mut Pool, cpu_milli: u32) {
@@ -58,3 +58,43 @@
         "the capacity has grown again"
     );
 }
+
+#[test]
+fn an_attempt_that_is_being_stopped_counts_until_a_report_does_not_list_it() {
+    let unassigned = StepSpec {
+        required_label: "none".into(),
+        ..step(1)
+    };
+    let cases = [
+        ("of a known task", Some(unassigned), 3),
+        ("of an unknown task", None, 0),
+    ];
+    for (name, known_step, startable) in cases {
+        let mut pool = Pool::new(&["one"]);
+        let mut stopping = SmolStr::new("00000000000000ff.0.0.0");
+        if let Some(step) = known_step {
+            let job = pool.submit(1, job(vec![step]));
+            stopping = pool.task_name(TaskKey { job, index: 0 });
+        }
+        pool.advance(10);
+        pool.report("one", &[(stopping.clone(), 7, 50)], &[]);
+        pool.submit(2, job(vec![step(4)]));
+        let commands = pool.round();
+        assert_eq!(stops(&commands), [(stopping, 7)], "{name}");
+        let started = pool.confirm_starts(&commands);
+        assert_eq!(started.len(), startable, "{name}");
+        let key = pool.key("one");
+        let plan = pool.scheduler.lease_renewal_plan(key, pool.now());
+        assert!(
+            plan.is_some_and(|plan| plan.is_busy && plan.is_polled_often),
+            "{name}"
+        );
+        pool.advance(300);
+        let running = started.iter();
+        let running: Vec<_> = running
+            .map(|(_, task, attempt)| (pool.task_name(*task), *attempt, 50))
+            .collect();
+        pool.report("one", &running, &[]);
+        assert_eq!(starts(&pool.round()).len(), 4 - startable, "{name}");
+    }
+}
