scheduler: a worker over its shrunk capacity gets no best-effort task

A best-effort task reserves no CPU, and so fitted a worker whose other tasks had more CPU than its capacity since that shrank: the free capacity is cut off at 0. The same holds for any task that needs none of the resource that is short. A start then leaves the worker over its capacity.

A task now fits when everything on the worker with it is within the capacity. Nothing is stopped on a worker over its capacity, as its tasks may go on and only starts are limited.

Seen failing before: a_worker_over_its_shrunk_capacity_gets_no_task_until_ enough_have_ended, "a best-effort task". The two other tests guard what held already: a job that fits no worker while the capacity is small waits and is not given up, and a capacity of 0 is followed by a larger one.

--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -217,13 +217,15 @@
         self.info.capacity.saturating_sub(used)
     }
 
-    /// Whether a task of this size fits the free capacity and was not refused by the worker lately.
+    /// Whether a task of this size fits the free capacity and was not refused by the worker lately. A worker that has more
+    /// than its capacity, which may have shrunk, fits no task, not even one that needs none of what is short.
     pub(crate) fn may_fit(&self, footprint: Resources, now_ms: u64) -> bool {
         let is_refused = self
             .incarnation
             .refused_size
             .is_some_and(|(size, until_ms)| now_ms < until_ms && size.fits(footprint));
-        footprint.fits(self.free_capacity()) && !is_refused
+        let occupied = self.occupied().saturating_add(footprint);
+        occupied.fits(self.info.capacity) && !is_refused
     }
 
     pub(crate) fn insert(&mut self, task: TaskKey, attempt: AssignedAttempt) {
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -4,8 +4,8 @@
 
 use scheduler::{StartOutcome, WorkerInfo};
 use smol_str::SmolStr;
-use submission::{Resources, StepSpec, TaskKey};
-use support::{Pool, job, starts, step, stops, worker};
+use submission::{AttemptOutcome, Resources, StepSpec, TaskKey};
+use support::{Pool, job, sized_step, starts, step, stops, worker};
 
 /// Sets the capacity in the registry entry of the worker `one`, in thousandths of a core.
 fn set_cpu(pool: &mut Pool, cpu_milli: u32) {
@@ -98,3 +98,64 @@
         assert_eq!(starts(&pool.round()).len(), 4 - startable, "{name}");
     }
 }
+
+#[test]
+fn a_worker_over_its_shrunk_capacity_gets_no_task_until_enough_have_ended() {
+    let best_effort = StepSpec {
+        is_best_effort: true,
+        ..step(1)
+    };
+    for (name, next) in [
+        ("a small task", sized_step(100)),
+        ("a best-effort task", best_effort),
+    ] {
+        let mut pool = Pool::new(&["one"]);
+        let names = start_tasks(&mut pool, 1, 3);
+        set_cpu(&mut pool, 2500);
+        pool.submit(2, job(vec![next]));
+        let commands = pool.round();
+        assert!(starts(&commands).is_empty(), "{name}");
+        assert!(
+            stops(&commands).is_empty(),
+            "{name}: no work is thrown away"
+        );
+        pool.advance(500);
+        let running = [(names[1].clone(), 1, 50), (names[2].clone(), 1, 50)];
+        let done = (1, names[0].clone(), 1, AttemptOutcome::Done);
+        pool.report("one", &running, &[done]);
+        assert_eq!(starts(&pool.round()).len(), 1, "{name}");
+    }
+}
+
+#[test]
+fn a_job_that_fits_no_worker_while_the_capacity_is_small_starts_when_it_has_grown_again() {
+    let mut pool = Pool::new(&["one"]);
+    set_cpu(&mut pool, 1000);
+    let large = pool.submit(1, job(vec![sized_step(3000)]));
+    let small = pool.submit(2, job(vec![sized_step(500)]));
+    let commands = pool.round();
+    let started = pool.confirm_starts(&commands);
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].1.job, small);
+    for _ in 0..100 {
+        pool.advance(1000);
+        pool.report("one", &[(pool.task_name(started[0].1), 1, 50)], &[]);
+        assert!(starts(&pool.round()).is_empty());
+    }
+    assert!(!pool.has_ended(large));
+    set_cpu(&mut pool, 4000);
+    let commands = pool.round();
+    let started = starts(&commands);
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].1.job, large);
+}
+
+#[test]
+fn a_worker_without_any_capacity_gets_no_task_and_is_used_when_it_has_grown() {
+    let mut pool = Pool::new(&["one"]);
+    set_cpu(&mut pool, 0);
+    pool.submit(1, job(vec![step(2)]));
+    assert!(starts(&pool.round()).is_empty());
+    set_cpu(&mut pool, 1500);
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
