scheduler: no task for a restarted worker before its own entry is read

A worker may restart under its id as another kind. Once a report showed the new start, tasks were planned with the capacity and the labels of the registry entry, which may still be that of the previous process: up to a heartbeat and a read later. The opposite order, the entry first, was handled.

A worker is now given tasks only while its entry and its reports show the same start, as far as both name one. The worker writes its entry when it starts, so that this takes no longer than the registry lags.

--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -165,11 +165,19 @@
         start_unix_ms.is_none_or(|start_unix_ms| known.all(|known| known == start_unix_ms))
     }
 
+    /// Whether the registry entry is that of the incarnation that reported last, as far as their starts are known. Another
+    /// incarnation may have another capacity and other labels.
+    fn is_entry_current(&self) -> bool {
+        let starts = self.info.start_unix_ms.zip(self.incarnation.start_unix_ms);
+        self.is_listed
+            && !self.may_have_restarted
+            && starts.is_none_or(|(listed, reported)| listed == reported)
+    }
+
     /// Whether the worker may be given new tasks.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
-        self.is_listed
+        self.is_entry_current()
             && self.incarnation.has_accepted_term
-            && !self.may_have_restarted
             && self.unavailable_reason(now_ms).is_none()
     }
 
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -159,3 +159,25 @@
     set_cpu(&mut pool, 1500);
     assert_eq!(starts(&pool.round()).len(), 1);
 }
+
+#[test]
+fn a_worker_that_restarted_as_another_kind_gets_no_task_until_its_new_entry_is_read() {
+    const STARTS: [Option<u64>; 2] = [Some(1_785_000_000_000), Some(1_785_000_060_000)];
+    let mut pool = Pool::new(&["one"]);
+    let entry = |start_unix_ms, cpu_milli| WorkerInfo {
+        start_unix_ms,
+        ..entry(cpu_milli)
+    };
+    pool.scheduler
+        .set_workers(vec![entry(STARTS[0], 4000)], pool.now());
+    pool.report_since(STARTS[0], "one", &[], &[]);
+    pool.report_since(STARTS[1], "one", &[], &[]);
+    pool.submit(1, job(vec![step(4)]));
+    assert!(
+        starts(&pool.round()).is_empty(),
+        "the capacity is that of the previous incarnation"
+    );
+    pool.scheduler
+        .set_workers(vec![entry(STARTS[1], 1000)], pool.now());
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
