scheduler: a recorded start is not sent against the worker's present entry

A start that was recorded before was sent to a worker that has left the pool or the registry, that may have restarted, or that has lost the required label as it restarted as another kind under its id.

`may_start` now looks at all that placement looks at in the entry: that it is listed, that it is of the process that reported last, and the label.

--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -165,7 +165,7 @@
         };
         let usable = self.workers.iter().filter(|(worker_key, worker)| {
             worker.is_usable(now.local_ms)
-                && has_label(worker, &step.required_label)
+                && worker.has_label(&step.required_label)
                 && is_authorized(&worker.info.id)
                 && fits(worker, step, *worker_key, gang_workers, now)
                 && is_below_step_limit(worker, job, step, key, *worker_key, gang_workers)
@@ -205,7 +205,7 @@
         };
         self.workers.iter().any(|(worker_key, worker)| {
             worker.is_usable(now.local_ms)
-                && has_label(worker, &step.required_label)
+                && worker.has_label(&step.required_label)
                 && step.footprint().fits(worker.capacity_beside_services())
                 && is_below_step_limit(worker, job, step, key, worker_key, &[])
         })
@@ -264,10 +264,6 @@
     job.step_tasks(key.occurrence, usize::from(key.step)).len()
 }
 
-fn has_label(worker: &Worker, label: &SmolStr) -> bool {
-    label.is_empty() || worker.info.labels.contains(label)
-}
-
 /// Whether the step's limit on tasks per worker allows one more task on the worker.
 fn is_below_step_limit(
     worker: &Worker,
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -167,13 +167,18 @@
 
     /// Whether the registry entry is that of the incarnation that reported last, as far as their starts are known. Another
     /// incarnation may have another capacity and other labels.
-    fn is_entry_current(&self) -> bool {
+    pub(crate) fn is_entry_current(&self) -> bool {
         let starts = self.info.start_unix_ms.zip(self.incarnation.start_unix_ms);
         self.is_listed
             && !self.may_have_restarted
             && starts.is_none_or(|(listed, reported)| listed == reported)
     }
 
+    /// Whether the worker has a label; true for the empty label.
+    pub(crate) fn has_label(&self, label: &SmolStr) -> bool {
+        label.is_empty() || self.info.labels.contains(label)
+    }
+
     /// Whether the worker may be given new tasks.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
         self.is_entry_current()
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use submission::{AttemptOutcome, Job, TaskKey};
+use submission::{AttemptOutcome, TaskKey};
 
 use crate::scheduler::Scheduler;
 use crate::types::{Now, SchedulerEvent, StartOutcome};
@@ -337,16 +337,21 @@
         attempt.is_some_and(|attempt| attempt.number == number)
     }
 
-    /// Returns whether this attempt is assigned to the worker and may still be started: the job has not ended and the
-    /// worker is not shutting down.
+    /// Returns whether this attempt is assigned to the worker and may still be started: the job has not ended, and the
+    /// registry lists the worker as the process that reported last, not as shutting down, and with the label that the step
+    /// requires.
     #[must_use]
     pub fn may_start(&self, key: WorkerKey, task: TaskKey, number: u32) -> bool {
-        let has_ended = self.jobs.get(&task.job).is_none_or(Job::has_ended);
-        let is_shutting_down = self
-            .workers
-            .get(key)
-            .is_none_or(|worker| worker.info.is_shutting_down);
-        self.is_assigned(key, task, number) && !has_ended && !is_shutting_down
+        let job = self.jobs.get(&task.job);
+        let Some(job) = job.filter(|job| !job.has_ended()) else {
+            return false;
+        };
+        let has_place = self.workers.get(key).is_some_and(|worker| {
+            worker.is_entry_current()
+                && !worker.info.is_shutting_down
+                && worker.has_label(&job.step(task.index).required_label)
+        });
+        has_place && self.is_assigned(key, task, number)
     }
 
     /// Returns whether the worker's capacity suffices for its assigned attempts. Checked right before each start command,
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -181,3 +181,48 @@
         .set_workers(vec![entry(STARTS[1], 1000)], pool.now());
     assert_eq!(starts(&pool.round()).len(), 1);
 }
+
+#[test]
+fn a_recorded_start_is_not_sent_to_a_worker_that_its_entry_does_not_allow_any_more() {
+    const START: Option<u64> = Some(1_785_000_000_000);
+    let listed = WorkerInfo {
+        start_unix_ms: START,
+        ..worker("one")
+    };
+    let restarted = WorkerInfo {
+        start_unix_ms: START.map(|start| start + 60_000),
+        ..listed.clone()
+    };
+    let other_kind = WorkerInfo {
+        labels: vec!["b".into(), "rack-1".into()],
+        ..listed.clone()
+    };
+    let shutting_down = WorkerInfo {
+        is_shutting_down: true,
+        ..listed.clone()
+    };
+    let cases = [
+        ("unchanged", vec![listed.clone()], true),
+        ("left", vec![], false),
+        ("restarted", vec![restarted], false),
+        ("of another kind", vec![other_kind], false),
+        ("shutting down", vec![shutting_down], false),
+    ];
+    for (name, entries, may_start) in cases {
+        let mut pool = Pool::new(&["one"]);
+        pool.scheduler.set_workers(vec![listed.clone()], pool.now());
+        pool.report_since(START, "one", &[], &[]);
+        let labelled = StepSpec {
+            required_label: "a".into(),
+            ..step(1)
+        };
+        pool.submit(1, job(vec![labelled]));
+        let (key, task, attempt) = starts(&pool.round())[0];
+        pool.scheduler.set_workers(entries, pool.now());
+        assert_eq!(
+            pool.scheduler.may_start(key, task, attempt),
+            may_start,
+            "{name}"
+        );
+    }
+}
