soak: commands of two leaders to one VM keep their gap

The soak checked nothing of what leaders send to the VM control, and its leaders had little to do: VMs were never moved, and a leader was struck no more often than another daemon. Callers of the platform reported that two nodes acted as the leader.

The stand-in of the VM control records VM, leader, term and time of each command, and moves VMs to a standby pool and back. Callers call in bursts, so that VMs are released and fetched again. The leader, which is the daemon that sent the last command, is killed, ended in order and paused for longer than the gap, also one leader right after the other. A finding is a lower term after a higher one, one term of two leaders, or commands of two leaders to one VM less than 3,000 ms apart (`steward_gap_ms` in the daemons' settings).

`checks.rs` shows each finding; the check of the standstill counts the workers in use, as those on standby have no room.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -22,6 +22,10 @@
 /// The longest pause between two calls of a caller.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// How long callers call, and then pause, in turns. The demand then rises and falls, and VMs are moved to the standby pool and
+/// back.
+const BURST: Duration = Duration::from_secs(2);
+
 pub(crate) type SharedLedger = Arc<Mutex<Ledger>>;
 
 /// Calls until `until`. Connections stay open over the whole run.
@@ -34,7 +38,9 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     rng.set_stream(number + 1);
     let mut job = (number + 1) << 32;
+    let start = Instant::now();
     while Instant::now() < until {
+        await_burst(start).await;
         job += 1;
         let kind = kind(&mut rng);
         ledger.lock().jobs.insert(job, JobRecord::new(kind));
@@ -50,6 +56,15 @@
     }
 }
 
+async fn await_burst(start: Instant) {
+    let elapsed_ms = start.elapsed().as_millis();
+    let burst_ms = BURST.as_millis();
+    if elapsed_ms / burst_ms % 2 == 1 {
+        let rest_ms = burst_ms - elapsed_ms % burst_ms;
+        tokio::time::sleep(Duration::from_millis(u64::try_from(rest_ms).unwrap_or(0))).await;
+    }
+}
+
 fn kind(rng: &mut ChaCha8Rng) -> JobKind {
     match rng.random_range(0..10) {
         0 => JobKind::Lasting { tasks: 2 },
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,11 +2,12 @@
 //! what callers, workers and VMs see.
 //!
 //! A seed decides all faults and all calls. Connections pass loopback proxies that delay, cut, silence and freeze them
-//! one way; processes are killed, paused, ended in order and started again by signals; the store refuses, or loses
-//! answers; workers end and come back as new lives.
+//! one way; processes are killed, paused, ended in order and started again by signals, the leader more often than the
+//! others; the store refuses, or loses answers; workers end and come back as new lives.
 
 mod callers;
 mod checks;
+mod leaders;
 mod ledger;
 mod plan;
 mod play;
@@ -14,6 +15,7 @@
 mod standstill;
 
 pub use checks::findings;
+pub use leaders::leader_findings;
 pub use ledger::{JobKind, JobRecord, Ledger, StateSeen};
 pub use plan::{Fault, Planned, Scale, Subject, plan};
 pub use play::{Report, play};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -22,6 +22,9 @@
     /// Plays large runs: 24 daemons and 40 workers.
     #[arg(long)]
     large: bool,
+    /// Plays runs for the commands of leaders: 5 daemons and 12 workers.
+    #[arg(long, conflicts_with = "large")]
+    leaders: bool,
     /// The daemon's program.
     #[arg(long, default_value = "target/release/trefoilpassd")]
     program: PathBuf,
@@ -35,6 +38,8 @@
     let args = Args::parse();
     let scale = if args.large {
         Scale::large()
+    } else if args.leaders {
+        Scale::leaders()
     } else {
         Scale::usual()
     };
@@ -82,10 +87,11 @@
         jobs,
         accepted,
         runs,
+        vm_commands,
         findings,
     } = report;
     println!(
-        "seed {seed}: {} faults, {jobs} jobs, {accepted} accepted, {runs} runs",
+        "seed {seed}: {} faults, {jobs} jobs, {accepted} accepted, {runs} runs, {vm_commands} commands to VMs",
         faults.len()
     );
     if findings.is_empty() {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! Which faults come when: a seed decides.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -16,6 +17,12 @@
 /// The number of the random stream for restarts of workers; the other faults come from stream 0.
 const RESTART_STREAM: u64 = 1;
 
+/// The number of the random stream for faults of the leader.
+const LEADER_STREAM: u64 = 2;
+
+/// The time for which a paused leader is paused: longer than the gap between the commands of two leaders.
+const LEADER_PAUSE: Range<Duration> = Duration::from_millis(3100)..LONGEST;
+
 /// How large a run is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Scale {
@@ -53,6 +60,18 @@
         }
     }
 
+    /// A run with many commands to VMs, and longer, in which more of the faults strike the leader.
+    #[must_use]
+    pub fn leaders() -> Self {
+        Self {
+            daemons: 5,
+            workers: 12,
+            callers: 16,
+            faults: Duration::from_secs(30),
+            pause: Duration::from_millis(1500),
+        }
+    }
+
     /// A run near the limits of a machine.
     #[must_use]
     pub fn large() -> Self {
@@ -89,6 +108,12 @@
     Terminate(usize),
     /// A daemon is paused, and goes on at the end.
     Pause(usize),
+    /// The daemon that sent the last command to a VM is killed, and started again at the end.
+    KillLeader,
+    /// That daemon is asked to end, and started again at the end.
+    TerminateLeader,
+    /// That daemon is paused, and goes on at the end.
+    PauseLeader,
     /// The store refuses all calls.
     StoreDown,
     /// The store loses the answer to one of so many transactions.
@@ -137,6 +162,7 @@
         at += scale.pause.mul_f64(rng.random_range(0.1..2.0));
     }
     faults.extend(restarts(seed, scale));
+    faults.extend(leader_faults(seed, scale));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
@@ -159,6 +185,36 @@
     faults
 }
 
+/// The faults of the leader, of which some end one leader right after the other. They come from a random stream of their own,
+/// like [`restarts`].
+fn leader_faults(seed: u64, scale: Scale) -> Vec<Planned> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(LEADER_STREAM);
+    let mut faults = Vec::new();
+    let mut at = scale.pause;
+    while at < scale.faults {
+        at += scale.pause.mul_f64(rng.random_range(1.0..4.0));
+        let lasts = rng.random_range(SHORTEST..LONGEST);
+        let pause = rng.random_range(LEADER_PAUSE);
+        let series: &[_] = match rng.random_range(0..7) {
+            0 => &[(Fault::KillLeader, lasts)],
+            1 => &[(Fault::TerminateLeader, lasts)],
+            2 => &[(Fault::KillLeader, SHORTEST); 2],
+            3 => &[(Fault::TerminateLeader, SHORTEST); 3],
+            4 => &[
+                (Fault::KillLeader, SHORTEST),
+                (Fault::TerminateLeader, lasts),
+            ],
+            _ => &[(Fault::PauseLeader, pause)],
+        };
+        for &(fault, lasts) in series {
+            faults.push(Planned { at, lasts, fault });
+            at += rng.random_range(SHORTEST..scale.pause * 2);
+        }
+    }
+    faults
+}
+
 /// The same fault for all other daemons; none for faults of other parts.
 fn series(
     fault: Fault,
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -9,6 +9,7 @@
 
 use crate::callers::{SharedLedger, ask, call_until, cancel};
 use crate::checks::findings;
+use crate::leaders::leader_findings;
 use crate::ledger::{JobKind, Ledger};
 use crate::plan::{Fault, Planned, Scale, plan};
 use crate::stage::Stage;
@@ -46,12 +47,14 @@
     pub accepted: usize,
     /// How many runs workers began.
     pub runs: usize,
+    /// How many commands to VMs were received.
+    pub vm_commands: usize,
     /// The promises that were broken.
     pub findings: Vec<String>,
 }
 
 enum Event {
-    Begin(Fault),
+    Begin(Planned),
     End(Fault),
 }
 
@@ -96,6 +99,8 @@
     let mut found = findings(&ledger, &runs);
     found.append(&mut stage.findings);
     found.extend(wave_findings(&stage, most_down, &vms));
+    let commands = stage.platform.vm_commands();
+    found.extend(leader_findings(&commands, start));
     let accepted = ledger.jobs.values().filter(|job| job.accepted.is_some());
     Report {
         seed,
@@ -103,6 +108,7 @@
         jobs: ledger.jobs.len(),
         accepted: accepted.count(),
         runs: runs.len(),
+        vm_commands: commands.len(),
         findings: found,
     }
 }
@@ -111,16 +117,17 @@
 async fn strike(stage: &mut Stage, faults: &[Planned], start: Instant) {
     let begins = faults
         .iter()
-        .map(|planned| (planned.at, Event::Begin(planned.fault)));
-    let ends = faults
-        .iter()
-        .map(|planned| (planned.at + planned.lasts, Event::End(planned.fault)));
-    let mut events: Vec<_> = begins.chain(ends).collect();
-    events.sort_by_key(|(at, _)| *at);
-    for (at, event) in events {
+        .map(|planned| (planned.at, Event::Begin(*planned)));
+    let mut events: Vec<_> = begins.collect();
+    while let Some(next) = (0..events.len()).min_by_key(|index| events[*index].0) {
+        let (at, event) = events.swap_remove(next);
         tokio::time::sleep_until((start + at).into()).await;
         match event {
-            Event::Begin(fault) => stage.begin(fault),
+            Event::Begin(planned) => {
+                let fault = stage.resolve(planned.fault);
+                stage.begin(fault);
+                events.push((at + planned.lasts, Event::End(fault)));
+            }
             Event::End(fault) => stage.end(fault).await,
         }
         stage.look_after().await;
@@ -130,8 +137,8 @@
 /// Waits until something of each accepted job runs, or the workers are half full.
 async fn await_progress(ledger: &SharedLedger, stage: &mut Stage) {
     let until = Instant::now() + RECOVERY;
-    let half = stage.platform.workers.len() * TASKS_PER_WORKER / 2;
     loop {
+        let half = stage.platform.workers_in_use() * TASKS_PER_WORKER / 2;
         let runs = stage.platform.attempts();
         let running = runs.iter().filter(|run| run.ended.is_none()).count();
         let standing = standing_jobs(&ledger.lock(), &runs, Instant::now());
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -48,7 +48,7 @@
     /// Starts everything; the daemons' logs go to `logs`.
     pub(crate) async fn start(program: &Path, logs: &Path, scale: Scale) -> Self {
         let platform = PlatformStandIn::start(scale.workers).await;
-        platform.configure();
+        platform.configure_with_standby();
         let mut workers = Vec::new();
         for worker in &platform.workers {
             let proxy = proxy_to(worker.addr).await;
@@ -122,6 +122,25 @@
         }
     }
 
+    /// The fault of the daemon that is struck: the leader, for the faults of a leader.
+    pub(crate) fn resolve(&self, fault: Fault) -> Fault {
+        match fault {
+            Fault::KillLeader => Fault::Kill(self.leader()),
+            Fault::TerminateLeader => Fault::Terminate(self.leader()),
+            Fault::PauseLeader => Fault::Pause(self.leader()),
+            other => other,
+        }
+    }
+
+    /// The daemon that sent the last command to a VM; the first one before any command.
+    fn leader(&self) -> usize {
+        let commands = self.platform.vm_commands();
+        let last = commands.last().map(|command| command.leader.as_str());
+        let is_leader = |member: &Member| Some(member.spec.name.as_str()) == last;
+        self.members.iter().position(is_leader).unwrap_or(0)
+    }
+
+    /// `fault` is none of a leader; see [`Stage::resolve`].
     pub(crate) fn begin(&mut self, fault: Fault) {
         match fault {
             Fault::Link(subject, fault) => self.link(subject).set(fault),
@@ -141,6 +160,7 @@
             Fault::StoreLosing(lost_one_in) => self.set_store(false, lost_one_in),
             Fault::WorkerEnds(worker) => self.platform.workers[worker].restart(),
             Fault::WorkerRestarts(worker) => self.platform.workers[worker].restart_under_same_id(),
+            Fault::KillLeader | Fault::TerminateLeader | Fault::PauseLeader => {}
         }
     }
 
@@ -162,7 +182,11 @@
                 }
             }
             Fault::StoreDown | Fault::StoreLosing(_) => self.set_store(false, 0),
-            Fault::WorkerEnds(_) | Fault::WorkerRestarts(_) => {}
+            Fault::WorkerEnds(_)
+            | Fault::WorkerRestarts(_)
+            | Fault::KillLeader
+            | Fault::TerminateLeader
+            | Fault::PauseLeader => {}
         }
     }
 
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use platform_stand_in::{AttemptRecord, ReportedState};
-use soak::{JobKind, JobRecord, Ledger, StateSeen, findings, standing_jobs};
+use platform_stand_in::{AttemptRecord, ReportedState, VmCommandRecord};
+use soak::{JobKind, JobRecord, Ledger, StateSeen, findings, leader_findings, standing_jobs};
 
 const JOB: u64 = 0xa1;
 
@@ -193,3 +193,33 @@
     let lasting = lasting.with_run("a1.0.0.1", 1, 20, None);
     check("tasks that last", &lasting, 9000, false);
 }
+
+#[test]
+fn leaders_that_command_one_vm_too_close_together_are_found() {
+    let start = Instant::now();
+    let command = |vm: &str, leader: &str, term, at_ms| VmCommandRecord {
+        vm: vm.to_owned(),
+        leader: leader.to_owned(),
+        term,
+        received_at: start + Duration::from_millis(at_ms),
+    };
+    let check = |second: VmCommandRecord, expected: Option<&str>| {
+        let commands = [command("m-0", "d0", 3, 100), second];
+        let found = leader_findings(&commands, start);
+        match expected {
+            None => assert!(found.is_empty(), "{commands:?}: {found:?}"),
+            Some(expected) => assert!(
+                found.len() == 1 && found[0].contains(expected),
+                "{commands:?}: {found:?}"
+            ),
+        }
+    };
+    check(command("m-0", "d0", 3, 110), None);
+    check(command("m-0", "d0", 4, 110), None);
+    check(command("m-1", "d1", 4, 110), None);
+    check(command("m-0", "d1", 4, 3100), None);
+    check(command("m-0", "d1", 4, 3099), Some("within the gap"));
+    check(command("m-0", "d1", 3, 9000), Some("one term"));
+    check(command("m-0", "d1", 2, 9000), Some("a lower term"));
+    check(command("m-0", "d0", 2, 9000), Some("a lower term"));
+}
