fleetd: an owner whose transactions get no response gives its pool up

Callers saw accepted jobs that stand still and submissions without an outcome, as long as transactions of a pool's owner got no response while the store answered everything else, for example where transactions with jobs don't get through a link on which heartbeats do. The owner retried the transaction for ever: it kept its pool, since its heartbeat row showed it alive, reported demand from memory, and sent no commands, since its lease was older than 4 s. Only an owner that the store refuses handed over.

An owner now watches its lease. If the last committed transaction is older than the 4 s after which the owner may send no commands, although the store responded to this daemon all the while, the owner logs what it last did and what waits, hands the pool over to another daemon, or ends its ownership if there is none. Time in which the store does not respond to the daemon at all does not count, so that an outage deposes nobody.

A panic of one of the loops needs no guard: the release profile aborts, and the daemon is replaced.

--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod lease_renewal;
 mod policy;
+mod progress;
 mod recorder;
 mod registry;
 mod sequence;
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -206,6 +206,7 @@
     node.pool_owners.lock().insert(pool, owner.clone());
     tokio::spawn(owner.clone().record(takeover.sequence));
     tokio::spawn(owner.clone().watch_store());
+    tokio::spawn(owner.clone().watch_progress());
     tokio::spawn(owner.clone().request_policy_decisions());
     tokio::spawn(owner.watch_registry());
 }
--- a/crates/trefoilpassd/tests/fleet_outages.rs
+++ b/crates/trefoilpassd/tests/fleet_outages.rs
@@ -3,7 +3,7 @@
 mod fleet_support;
 
 use std::process::Stdio;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fleet_support::{
     CALLER_WAIT, Daemon, PATIENCE, call, call_within, check_runs, daemon, daemon_logging_to, done,
@@ -317,3 +317,36 @@
         attempts.len()
     );
 }
+
+/// For example, transactions with jobs don't get through a narrow link on which heartbeats do.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_whose_transactions_get_no_response_is_replaced() {
+    let (platform, daemons) = start(2, 2).await;
+    submit_surely(&daemons, 1, 1).await;
+    let term = || {
+        let rows = daemons
+            .iter()
+            .filter_map(|daemon| platform.store.get("daemon", &daemon.name));
+        rows.filter_map(|row| row["holds"]["work"].as_u64()).max()
+    };
+    let first_term = term().expect("an owner of the pool");
+    platform.store.set_faults(StoreFaults {
+        silent_table: "job",
+        ..StoreFaults::default()
+    });
+    submit(&daemons[0], 2, 1).await;
+    let start = Instant::now();
+    while term().is_none_or(|term| term == first_term) {
+        assert!(
+            start.elapsed() < Duration::from_secs(20),
+            "the owner keeps the pool, and records nothing"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    platform.store.set_faults(StoreFaults::default());
+    submit_surely(&daemons, 2, 1).await;
+    for id in 1..=2 {
+        done(&daemons, id).await;
+    }
+    check_runs(&platform, 2);
+}
