fleetd: the registry of workers is read although it arrives slowly

Callers saw accepted jobs that are never started by a new owner on a narrow link: it read the registry from the first page again after each page that took longer than a read may (1 s), and with pages of the full size, since each read began anew. The owner then knew no worker, while the registry and the list of VMs had them.

The read now goes on where it stopped, with smaller pages, like that of a pool's rows.

`workers_are_used_although_their_registry_arrives_slowly` failed before ("job 1 is never done: 200 {"state":"queued"}" after 60 s) and passes.

--- a/crates/fleetd/src/pool/registry.rs
+++ b/crates/fleetd/src/pool/registry.rs
@@ -21,15 +21,25 @@
     pub(crate) async fn watch_registry(self: Arc<Self>) {
         let mut entries: Vec<(SmolStr, WorkerInfo)> = Vec::new();
         let mut version = None;
+        // A read of the whole registry that failed, to be continued: each read from the start could fail on a narrow link.
+        let mut partial_read: Option<takeover::RowReader<'_>> = None;
         while !self.has_ended() {
             let is_first_read = version.is_none();
             let read = match version {
                 None => {
-                    let read = takeover::read_rows_to_follow(&self.node, WORKER_TABLE, "").await;
-                    if read.is_ok() {
-                        entries.clear();
+                    let reader = partial_read.take();
+                    let mut reader = reader
+                        .unwrap_or_else(|| takeover::RowReader::new(&self.node, WORKER_TABLE, ""));
+                    match reader.read_rest().await {
+                        Ok(()) => {
+                            entries.clear();
+                            Ok(reader.into_rows_to_follow())
+                        }
+                        Err(err) => {
+                            partial_read = Some(reader);
+                            Err(err)
+                        }
                     }
-                    read
                 }
                 Some(after) => {
                     let sent_at_ms = local_ms();
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -260,14 +260,12 @@
     part: &str,
 ) -> Result<(Vec<Row>, u64), Error> {
     let mut reader = RowReader::new(node, table, part);
-    while !reader.is_complete {
-        reader.read_page().await?;
-    }
-    Ok((reader.rows, reader.first_version.unwrap_or(0)))
+    reader.read_rest().await?;
+    Ok(reader.into_rows_to_follow())
 }
 
 /// A read of all rows of a table in a part of the store. After a failed page, the read goes on where it stopped.
-struct RowReader<'a> {
+pub(crate) struct RowReader<'a> {
     node: &'a Node,
     table: &'a str,
     part: &'a str,
@@ -279,7 +277,7 @@
 }
 
 impl<'a> RowReader<'a> {
-    fn new(node: &'a Node, table: &'a str, part: &'a str) -> Self {
+    pub(crate) fn new(node: &'a Node, table: &'a str, part: &'a str) -> Self {
         Self {
             node,
             table,
@@ -291,6 +289,19 @@
         }
     }
 
+    /// Reads the remaining pages. Fails when a read of a page fails, and can then be called again.
+    pub(crate) async fn read_rest(&mut self) -> Result<(), Error> {
+        while !self.is_complete {
+            self.read_page().await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the rows, and the version after which the changes of the table have to be read.
+    pub(crate) fn into_rows_to_follow(self) -> (Vec<Row>, u64) {
+        (self.rows, self.first_version.unwrap_or(0))
+    }
+
     /// Reads the next page. The size of the pages follows how long they take.
     async fn read_page(&mut self) -> Result<(), Error> {
         let from = self.rows.last().map(|row| format!("{}\u{1}", row.key.key));
--- a/crates/trefoilpassd/tests/fleet_outages.rs
+++ b/crates/trefoilpassd/tests/fleet_outages.rs
@@ -318,6 +318,30 @@
     );
 }
 
+/// On a narrow link, the registry does not arrive within the time in which a read has to be answered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn workers_are_used_although_their_registry_arrives_slowly() {
+    const OTHER_ENTRIES: usize = 60;
+    let platform = PlatformStandIn::start(2).await;
+    let entry = json!({
+        "service": "other", "addr": "127.0.0.1:1", "zone": "z", "state": "ready", "capacity": {"cpu": 1},
+    });
+    for number in 0..OTHER_ENTRIES {
+        let id = format!("z-{number:04}");
+        platform.store.put("servers", &id, &entry);
+    }
+    platform.store.set_faults(StoreFaults {
+        read_ms_per_row: 25,
+        ..StoreFaults::default()
+    });
+    platform.configure();
+    let daemons = [daemon(&platform, "d0")];
+    ready(&daemons[0]).await;
+    submit_surely(&daemons, 1, 2).await;
+    done(&daemons, 1).await;
+    check_runs(&platform, 2);
+}
+
 /// For example, transactions with jobs don't get through a narrow link on which heartbeats do.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_owner_whose_transactions_get_no_response_is_replaced() {
