scheduler: a start response shows that the worker has restarted under its id

The longest lease was assumed only once a report had shown the restart. But the response to the start command shows it too: its clock is behind any time that the clock of the previous incarnation could show. Such a response now makes the scheduler assume the longest lease and doesn't replace the reading of the clock.

`a_start_response_of_the_next_incarnation_keeps_the_attempt_until_the_longest_lease_has_expired` failed before ("the lease may be in force") and passes. Still open: a start command whose response is lost too, on a worker that restarted just before.

--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -60,6 +60,9 @@
     pub(crate) settled_at_ms: Option<u64>,
     /// Whether a start command was sent that has neither got a response nor timed out.
     pub(crate) is_start_in_flight: bool,
+    /// The earliest time on the worker's clock at which the incarnation for which the start command's lease was computed can
+    /// respond to the command, in ms.
+    pub(crate) earliest_response_ms: u64,
     /// Whether the attempt is known to have started on the worker.
     pub(crate) has_started: bool,
     pub(crate) assigned_at_ms: u64,
@@ -78,6 +81,7 @@
             number,
             settled_at_ms: None,
             is_start_in_flight: false,
+            earliest_response_ms: 0,
             has_started: false,
             assigned_at_ms: now_ms,
             progress_percent: 0,
@@ -286,6 +290,15 @@
         self.leases_expired_by_ms = self.leases_expired_by_ms.max(leases_expired_by_ms);
     }
 
+    /// The earliest time that the worker's clock can show now, in ms, if it runs slow by `slow_percent`; 0 while no reading
+    /// of the clock is known. The clock of a later incarnation starts anew.
+    pub(crate) fn earliest_clock_ms(&self, slow_percent: u64, now_ms: u64) -> u64 {
+        self.incarnation.clock.map_or(0, |sample| {
+            let elapsed_ms = now_ms.saturating_sub(sample.at_ms);
+            sample.worker_ms + elapsed_ms * (100 - slow_percent) / 100
+        })
+    }
+
     /// Grants a lease of `lease_ms` from now on, and returns its end in ms on the worker's clock. Returns `None` while
     /// no reading of the worker's clock is known.
     ///
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -213,8 +213,10 @@
     pub fn grant_start_lease(&mut self, key: WorkerKey, task: TaskKey, now: Now) -> Option<u64> {
         let limits = self.limits;
         let worker = self.workers.get_mut(key)?;
+        let earliest_ms = worker.earliest_clock_ms(limits.slow_clock_percent, now.local_ms);
         if let Some(attempt) = worker.attempts.get_mut(&task) {
             attempt.is_start_in_flight = true;
+            attempt.earliest_response_ms = earliest_ms;
         }
         worker.grant_lease(limits.lease_ms, limits.slow_clock_percent, now.local_ms)
     }
@@ -237,7 +239,11 @@
         let limits = self.limits;
         let attempt = worker.attempts.get(&task);
         if let Some(attempt) = attempt.filter(|attempt| attempt.number == number) {
-            if attempt.assigned_at_ms < worker.incarnation.reports_since_ms {
+            let is_of_next_incarnation =
+                clock_ms.is_some_and(|clock_ms| clock_ms < attempt.earliest_response_ms);
+            if is_of_next_incarnation
+                || attempt.assigned_at_ms < worker.incarnation.reports_since_ms
+            {
                 // The lease may have been computed with the clock of an earlier incarnation, which may have responded.
                 worker.assume_longest_lease(
                     limits.max_lease_ms,
--- a/crates/scheduler/tests/restarts.rs
+++ b/crates/scheduler/tests/restarts.rs
@@ -144,6 +144,29 @@
     assert_eq!(starts(&pool.round()).len(), 1);
 }
 
+#[test]
+fn a_start_response_of_the_next_incarnation_keeps_the_attempt_until_the_longest_lease_has_expired()
+{
+    let mut pool = Pool::new(&["one", "two"]);
+    pool.submit(1, job(vec![step(1)]));
+    let (key, task, attempt) = starts(&pool.round())[0];
+    pool.advance(100);
+    let now = pool.now();
+    pool.scheduler.grant_start_lease(key, task, now);
+    // The worker restarted since its last report: its clock is behind.
+    let outcome = StartOutcome::Started;
+    pool.scheduler
+        .apply_start_outcome(key, task, attempt, outcome, Some(1000), now);
+    pool.scheduler.mark_unresponsive(key);
+    pool.advance(MAX_LEASE_MS - LEASE_MS / 10);
+    assert!(
+        starts(&pool.round()).is_empty(),
+        "the lease may be in force"
+    );
+    pool.advance(LEASE_MS);
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
+
 /// The registry entry of a worker that started at `start_unix_ms`.
 fn entry(name: &str, start_unix_ms: Option<u64>) -> WorkerInfo {
     WorkerInfo {
