scheduler: a report that may lack ends shows no attempt as lost

A worker reports at most 500 ends at a time. With more of them, for instance after many small tasks of a job ended together, an attempt that was done was in neither list of the report, counted as lost and was started again after it was done. The response now tells whether further ends may follow, and unlisted attempts then wait for a later report.

Found by reading.

--- a/crates/fleetd/src/pool/lease_renewal.rs
+++ b/crates/fleetd/src/pool/lease_renewal.rs
@@ -89,6 +89,7 @@
                     start_unix_ms,
                     running,
                     ended,
+                    has_more_ends,
                 }) => {
                     self.count_command("hold", "answered");
                     let has_ended_attempts = !ended.is_empty();
@@ -102,6 +103,7 @@
                             .into_iter()
                             .map(|ended| self.observe_end(&info.id, ended))
                             .collect(),
+                        has_more_ends,
                     };
                     self.apply_report(key, report);
                     if has_ended_attempts {
--- a/crates/scheduler/benches/round.rs
+++ b/crates/scheduler/benches/round.rs
@@ -91,6 +91,7 @@
         acknowledged_end: 0,
         running: Vec::new(),
         ended,
+        has_more_ends: false,
     }
 }
 
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -70,6 +70,8 @@
     pub running: Vec<RunningTask>,
     /// The ended attempts that were not acknowledged to the worker before.
     pub ended: Vec<EndedAttempt>,
+    /// Whether `ended` may lack later ends, because a report holds a limited number of them.
+    pub has_more_ends: bool,
 }
 
 impl Scheduler {
@@ -128,7 +130,9 @@
             }
         }
         self.workers[key].incarnation.used_by_unassigned = used_by_unassigned;
-        self.end_unlisted(key, &listed, report.request_sent_at_ms, now);
+        if !report.has_more_ends {
+            self.end_unlisted(key, &listed, report.request_sent_at_ms, now);
+        }
         self.update_speed_limits(key);
     }
 
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -24,6 +24,8 @@
     pub now_ms: u64,
     /// The number of the last end that the polls acknowledge.
     pub acknowledged_end: u64,
+    /// Whether the reports of workers hold only the first of their ends.
+    pub has_more_ends: bool,
 }
 
 pub fn limits() -> Limits {
@@ -95,6 +97,7 @@
             scheduler: Scheduler::new(limits()),
             now_ms: 1_000_000,
             acknowledged_end: 0,
+            has_more_ends: false,
         };
         let rules = QueueRules {
             priority: 0,
@@ -262,6 +265,7 @@
             acknowledged_end: self.acknowledged_end,
             running: running.collect(),
             ended: ended.collect(),
+            has_more_ends: self.has_more_ends,
         };
         self.scheduler.apply_report(key, report, self.now());
     }
