--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -179,7 +179,7 @@
         if allowed.is_empty() {
             return;
         }
-        let until_ms = now.local_ms + valid_ms;
+        let until_ms = now.local_ms.saturating_add(valid_ms);
         let authorizations = allowed.into_iter().collect();
         self.policy_decisions.insert(
             step_key(task.job, occurrence, step),
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -262,7 +262,7 @@
             self.update_ready(step, now);
         }
         while let Some(&(ended_ms, job)) = self.ended_jobs.first() {
-            if now.store_ms < ended_ms + self.limits.ended_job_retention_ms {
+            if now.store_ms < ended_ms.saturating_add(self.limits.ended_job_retention_ms) {
                 break;
             }
             self.ended_jobs.remove(&(ended_ms, job));
--- a/crates/scheduler/src/speed_limits.rs
+++ b/crates/scheduler/src/speed_limits.rs
@@ -53,8 +53,10 @@
                     attempt.speed_limit_percent,
                     job.task_name(task.index),
                 ));
-            } else if let Some(percent) =
-                (attempt.load * 100).checked_div(step.tail_latency_target_ms)
+            } else if let Some(percent) = attempt
+                .load
+                .saturating_mul(100)
+                .checked_div(step.tail_latency_target_ms)
             {
                 worst_percent = worst_percent.max(percent);
             }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -312,8 +312,8 @@
         now_ms: u64,
     ) -> Option<u64> {
         let sample = self.incarnation.clock?;
-        let until_ms = sample.worker_ms + now_ms.saturating_sub(sample.at_ms) + lease_ms;
-        let span_ms = until_ms - sample.worker_ms;
+        let span_ms = now_ms.saturating_sub(sample.at_ms) + lease_ms;
+        let until_ms = sample.worker_ms.saturating_add(span_ms);
         let leases_expired_by_ms = sample.at_ms + span_ms * 100 / (100 - slow_percent) + 1;
         self.leases_expired_by_ms = self.leases_expired_by_ms.max(leases_expired_by_ms);
         Some(until_ms)
