scheduler: a best-effort task whose speed limit is unknown gets another command

After a lost command that slowed a best-effort task down, the task was taken for one at full speed, so that no command followed while the tail latency was low: it stayed slow until it ended. The same held for tasks that a previous owner had slowed down, for a command that the worker refused, and for one that was not sent as the owner's lease had run out. Whether the worker applies the last speed limit is now known or not; if not, the next low or high tail latency sends a command.

--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -335,12 +335,13 @@
         attempt: u32,
         speed_limit_percent: u32,
     ) {
-        let Some(info) = self
-            .worker_info(worker)
-            .filter(|_| self.may_send_commands())
-        else {
+        let Some(info) = self.worker_info(worker) else {
             return;
         };
+        if !self.may_send_commands() {
+            self.scheduler.lock().forget_speed_limit(worker, &name);
+            return;
+        }
         let target = (name.as_str(), attempt);
         let command = self.node.workers.set_speed_limit(
             &info.addr,
@@ -351,8 +352,7 @@
         );
         let response = command.await;
         self.count_command("pace", response_label(&response));
-        if response.is_err() {
-            // The speed limit on the worker is unknown after a lost command.
+        if !matches!(response, Ok(true)) {
             self.scheduler.lock().forget_speed_limit(worker, &name);
         }
     }
--- a/crates/scheduler/src/adopt.rs
+++ b/crates/scheduler/src/adopt.rs
@@ -27,6 +27,7 @@
             let key = self.worker_or_unlisted(&worker, now);
             // The first poll carries this owner's term, after which the commands of previous owners have no effect.
             attempt.settled_at_ms = Some(0);
+            attempt.is_speed_limit_known = false;
             self.workers[key].insert(task, attempt);
         }
         self.recorded_states.insert(id, job.state());
--- a/crates/scheduler/src/speed_limits.rs
+++ b/crates/scheduler/src/speed_limits.rs
@@ -22,8 +22,8 @@
 const MIN_SPEED_LIMIT_PERCENT: u32 = 13;
 
 impl Scheduler {
-    /// Records that a command to set a speed limit got no response: the task counts as running at full speed, until a
-    /// report shows that its speed limit has to be lowered. An unknown task is ignored.
+    /// Records that a command to set a speed limit may not have taken effect: the worker may apply that speed limit or an
+    /// earlier one, until the next command. An unknown task is ignored.
     pub fn forget_speed_limit(&mut self, key: WorkerKey, name: &str) {
         let Some(task) = self.task_by_name(name) else {
             return;
@@ -33,7 +33,7 @@
             .get_mut(key)
             .and_then(|worker| worker.attempts.get_mut(&task));
         if let Some(attempt) = attempt {
-            attempt.speed_limit_percent = 100;
+            attempt.is_speed_limit_known = false;
         }
     }
 
@@ -50,7 +50,7 @@
                 best_effort.push((
                     *task,
                     attempt.number,
-                    attempt.speed_limit_percent,
+                    (attempt.speed_limit_percent, attempt.is_speed_limit_known),
                     job.task_name(task.index),
                 ));
             } else if let Some(percent) = attempt
@@ -61,13 +61,15 @@
                 worst_percent = worst_percent.max(percent);
             }
         }
-        for (task, number, current_percent, name) in best_effort {
+        let is_kept = (SPEED_UP_BELOW_PERCENT..=SLOW_DOWN_ABOVE_PERCENT).contains(&worst_percent);
+        for (task, number, (current_percent, is_known), name) in best_effort {
             let next_percent = next_speed_limit_percent(current_percent, worst_percent);
-            if next_percent == current_percent {
+            if next_percent == current_percent && (is_known || is_kept) {
                 continue;
             }
             if let Some(attempt) = self.workers[key].attempts.get_mut(&task) {
                 attempt.speed_limit_percent = next_percent;
+                attempt.is_speed_limit_known = true;
             }
             self.immediate_commands.push(WorkerCommand::SetSpeedLimit {
                 worker: key,
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -69,7 +69,10 @@
     pub(crate) progress_percent: u32,
     pub(crate) progress_since_ms: u64,
     pub(crate) load: u64,
+    /// The speed limit that the last command set, in percent of full speed.
     pub(crate) speed_limit_percent: u32,
+    /// Whether the worker is known to apply `speed_limit_percent`.
+    pub(crate) is_speed_limit_known: bool,
     pub(crate) is_stopping: bool,
     pub(crate) footprint: Resources,
     pub(crate) is_service: bool,
@@ -88,6 +91,7 @@
             progress_since_ms: now_ms,
             load: 0,
             speed_limit_percent: 100,
+            is_speed_limit_known: true,
             is_stopping: false,
             footprint: step.footprint(),
             is_service: step.is_service,
@@ -269,8 +273,9 @@
     pub(crate) fn restart(&mut self, start_unix_ms: Option<u64>) {
         self.incarnation = self.incarnation.next(start_unix_ms);
         for attempt in self.attempts.values_mut() {
-            // The new incarnation knows of no stop command.
+            // The new incarnation knows of no stop command and of no speed limit.
             attempt.is_stopping = false;
+            attempt.is_speed_limit_known = false;
         }
     }
 
