scheduler: the rows of a batch fit into one call of the store

A batch was limited by its entries alone, while the store accepts calls of at most 1 MB. A burst of large submissions, or the cancellation of many large jobs at once, made a transaction that the store refuses each time: nothing of the pool was recorded any more, whoever owned it. A batch now ends once its rows have 500,000 bytes before their encoding, which leaves room for the rows of the last job.

Found by reading.

--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -1,7 +1,7 @@
 //! Batches of rows to write, and the commands that may be sent after the write.
 
 use smol_str::SmolStr;
-use submission::{Job, JobId, JobState, TaskKey};
+use submission::{Job, JobId, JobSpec, JobState, TaskKey, TaskPhase};
 
 use crate::scheduler::Scheduler;
 use crate::worker::WorkerKey;
@@ -80,6 +80,54 @@
     }
 }
 
+/// The content of rows, in bytes, from which on a batch takes no further job. The store accepts calls of 1 MB, in which
+/// rows are encoded in base64, and a job may add two rows of 64 KB to a batch that is just below.
+const MAX_BATCH_BYTES: usize = 500_000;
+
+/// The size of a task in the progress row of a job without its texts, in bytes.
+const TASK_BYTES: usize = 48;
+
+/// The size of a step in the row of a job without its texts and dependencies, in bytes.
+const STEP_BYTES: usize = 400;
+
+/// The size of a dependency in the row of a job, in bytes.
+const DEPENDENCY_BYTES: usize = 6;
+
+/// The length of a text in a row, which escapes quotes and control characters.
+fn escaped_len(text: &str) -> usize {
+    let lengths = text.bytes().map(|byte| match byte {
+        0..=0x1f => 6,
+        b'"' | b'\\' => 2,
+        _ => 1,
+    });
+    lengths.sum()
+}
+
+/// The size of the row of a job as submitted, in bytes, rounded up.
+fn spec_bytes(spec: &JobSpec) -> usize {
+    let steps = spec.steps.iter().map(|step| {
+        STEP_BYTES
+            + step.dependencies.len() * DEPENDENCY_BYTES
+            + escaped_len(&step.required_label)
+            + escaped_len(&step.data_rack)
+            + escaped_len(&step.image)
+    });
+    escaped_len(&spec.payload) + steps.sum::<usize>()
+}
+
+/// The size of the progress row of a job, in bytes, rounded up.
+fn progress_bytes(job: &Job) -> usize {
+    let attempted = job.tasks().filter(|(_, task)| task.attempt > 0);
+    let tasks = attempted.map(|(_, task)| {
+        let worker = match &task.phase {
+            TaskPhase::Assigned { worker } => escaped_len(worker),
+            TaskPhase::Idle | TaskPhase::Done => 0,
+        };
+        TASK_BYTES + worker + escaped_len(&task.checkpoint)
+    });
+    tasks.sum()
+}
+
 /// Rows to write in one transaction, and what may happen after the write.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Batch {
@@ -118,12 +166,14 @@
 }
 
 impl Scheduler {
-    /// Returns the next rows to write, with at most `max_entries` conditions, writes and removals (but at least one
-    /// job), and does not return them again. Jobs are written in the order in which they changed.
+    /// Returns the next rows to write, with at most `max_entries` conditions, writes and removals, and no more content than
+    /// a transaction holds (but at least one job), and does not return them again. Jobs are written in the order in which they changed.
     pub fn take_batch(&mut self, max_entries: usize) -> Batch {
         let mut batch = Batch::default();
-        let mut entries = 0;
-        while entries + MAX_ENTRIES_PER_JOB <= max_entries.max(MAX_ENTRIES_PER_JOB) {
+        let (mut entries, mut bytes) = (0, 0);
+        while entries + MAX_ENTRIES_PER_JOB <= max_entries.max(MAX_ENTRIES_PER_JOB)
+            && bytes < MAX_BATCH_BYTES
+        {
             let Some(job) = self.dirty_jobs.pop() else {
                 break;
             };
@@ -133,6 +183,12 @@
                 state: self.jobs.get(&job).map(Job::state),
             };
             entries += change.entries();
+            if let Some(job) = self.jobs.get(&job) {
+                bytes += progress_bytes(job);
+                if change.is_new {
+                    bytes += spec_bytes(job.spec());
+                }
+            }
             batch.changes.push(change);
             batch
                 .commands
