fleetd: a stop command is repeated until the worker accepts it

After a start command without a response, a stop command rules out its effect. A worker that refused the stop, as an unhealthy one does with 503, was not asked again: the attempt stayed assigned, no report could show it as lost, and the job never ended. The same held for a stop command that fell into a lapse of the owner's lease. Both are repeated now while the attempt is assigned to the worker and the ownership has not ended.

--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -23,7 +23,7 @@
 /// The size of a start command without the job's payload and the checkpoint, with HTTP headers, in bytes.
 const START_OVERHEAD_BYTES: usize = 400;
 
-/// The retry delay of a stop command without a response.
+/// The retry delay of a stop command that was refused, got no response or could not be sent.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(250);
 
 impl PoolOwner {
@@ -274,7 +274,7 @@
         }
     }
 
-    /// Sends a stop command, and repeats the command while it gets no response and the attempt is assigned to the
+    /// Sends a stop command, and repeats the command until the worker accepts it while the attempt is assigned to the
     /// worker. Without a `task` (the attempt belongs to no assigned task), the command is sent once.
     async fn stop(
         self: Arc<Self>,
@@ -289,28 +289,11 @@
             };
             let is_assigned =
                 task.is_none_or(|task| self.scheduler.lock().is_assigned(worker, task, attempt));
-            if !is_assigned || !self.may_send_commands() {
+            if !is_assigned || self.has_ended() {
                 return;
             }
-            let target = (name.as_str(), attempt);
-            let timeout = self.node.worker_timeout();
-            let sent_at = Instant::now();
-            let stop = self
-                .node
-                .workers
-                .stop(&info.addr, &info.id, target, self.term, timeout);
-            let response = stop.await;
-            self.record_response(worker, sent_at);
-            self.count_command("stop", response_label(&response));
-            if let Ok(is_accepted) = response {
-                tracing::info!(
-                    task = name.as_str(),
-                    run = attempt,
-                    worker = info.id.as_str(),
-                    is_taken = is_accepted,
-                    "sent a stop command"
-                );
-                if let Some(task) = task.filter(|_| is_accepted) {
+            if self.may_send_commands() && self.send_stop(worker, &info, &name, attempt).await {
+                if let Some(task) = task {
                     let now = self.node.clock.now();
                     self.scheduler
                         .lock()
@@ -327,6 +310,37 @@
         }
     }
 
+    /// Sends a stop command once. Returns whether the worker accepted it.
+    async fn send_stop(
+        &self,
+        worker: WorkerKey,
+        info: &WorkerInfo,
+        name: &SmolStr,
+        attempt: u32,
+    ) -> bool {
+        let target = (name.as_str(), attempt);
+        let timeout = self.node.worker_timeout();
+        let sent_at = Instant::now();
+        let stop = self
+            .node
+            .workers
+            .stop(&info.addr, &info.id, target, self.term, timeout);
+        let response = stop.await;
+        self.record_response(worker, sent_at);
+        self.count_command("stop", response_label(&response));
+        let Ok(is_accepted) = response else {
+            return false;
+        };
+        tracing::info!(
+            task = name.as_str(),
+            run = attempt,
+            worker = info.id.as_str(),
+            is_taken = is_accepted,
+            "sent a stop command"
+        );
+        is_accepted
+    }
+
     /// Sends a speed limit for a best-effort task, once.
     async fn set_speed_limit(
         self: Arc<Self>,
