fleetd: a job whose progress can't be decoded is not run from the start

A row of the progress table that can't be decoded, as a later build may write it, counted as no progress: the tasks of the job were started again, the done ones too. Such a job is now skipped with an error in the log, and its state is reported as unavailable (503), not as gone.

--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -395,7 +395,7 @@
 /// Reads a job of a pool from the store; none if the pool has no such job.
 ///
 /// # Errors
-/// When a read from the store fails.
+/// When a read from the store fails, or the rows of the job can't be decoded.
 async fn stored_job(
     node: &Arc<Node>,
     pool: &str,
@@ -414,7 +414,14 @@
         };
         rows.extend(node.store.read(range, 1, STORE_TIMEOUT).await?.rows);
     }
-    Ok(decode_jobs(rows).into_iter().next())
+    let is_stored = rows.iter().any(|row| row.key.table == tables::JOB);
+    match decode_jobs(rows).into_iter().next() {
+        None if is_stored => Err(users_platform::Error::Malformed {
+            what: key.into(),
+            message: "the rows of the job can't be decoded".into(),
+        }),
+        job => Ok(job),
+    }
 }
 
 async fn cancel(node: &Arc<Node>, queue: &Queue, id: JobId) -> ApiResponse {
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -1,6 +1,6 @@
 //! Takes over the ownership of shards, and loads the rows of a pool that was taken over.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -338,10 +338,11 @@
 }
 
 /// Decodes the jobs from rows of the tables [`tables::JOB`] and [`tables::PROGRESS`]. Rows that can't be decoded are
-/// logged and skipped.
+/// logged and skipped, and so are jobs whose progress is in such a row: their tasks may be done.
 pub(crate) fn decode_jobs(rows: Vec<Row>) -> Vec<Job> {
     let mut specs = Vec::new();
     let mut progress: HashMap<JobId, JobRecord> = HashMap::new();
+    let mut undecoded = HashSet::new();
     for row in rows {
         let id = JobId::parse(&row.key.key);
         let value = row.value.as_deref().unwrap_or_default();
@@ -356,7 +357,8 @@
             }
             _ => {
                 let (table, key) = (row.key.table.as_str(), row.key.key.as_str());
-                tracing::warn!(table, key, "failed to decode a row; skipped the row");
+                tracing::error!(table, key, "failed to decode a row; skipped the job");
+                undecoded.extend(id);
             }
         }
     }
@@ -364,5 +366,9 @@
         let job = Job::new(id, row.queue, Arc::new(row.spec), row.accepted_at_ms);
         job.with_record(progress.remove(&id).unwrap_or_default())
     };
-    specs.into_iter().map(job).collect()
+    let specs = specs.into_iter();
+    specs
+        .filter(|(id, _)| !undecoded.contains(id))
+        .map(job)
+        .collect()
 }
