fleetd: the rows of an existing job are read until they can be

A job that was submitted as new and turned out to have rows was dropped from the scheduler when its rows could not be read at once: its caller was told that it is accepted, and it did not run before the next takeover. The read is now repeated until it succeeds or the ownership ends. The caller gets its answer before, as the rows exist, and the failures count as those of transactions do, so that other submissions are refused and the pool is handed over as usual.

--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -21,6 +21,9 @@
 /// The time after which an owner that has nothing to record renews its lease by an empty transaction, in ms.
 const IDLE_RENEWAL_MS: u64 = 1000;
 
+/// The retry delay after a failed read of the rows of a job.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// The maximum number of entries for jobs in a transaction. The store accepts 100 entries in a call, and the sequence
 /// row takes two.
 const MAX_ENTRIES_PER_TRANSACTION: usize = 98;
@@ -102,9 +105,11 @@
                         .inc();
                     batch.remove_jobs(&existing);
                     for id in existing {
+                        {
+                            let mut submissions = self.submissions.lock();
+                            submissions.respond(id, SubmitReply::Accepted);
+                        }
                         self.reload_job(id).await;
-                        let mut submissions = self.submissions.lock();
-                        submissions.respond(id, SubmitReply::Accepted);
                     }
                     return Some(sent_at_ms);
                 }
@@ -215,34 +220,46 @@
     }
 
     /// Replaces a job that was submitted as new, but has rows in the store already, by the job that the rows describe:
-    /// the rows are valid, and the plan for the new job is not. Removes the job from the scheduler when the rows can't
-    /// be read.
+    /// the rows are valid, and the plan for the new job is not. Reads the rows with as many tries as it takes, until the
+    /// ownership ends: the job would not run before the next takeover otherwise.
     async fn reload_job(&self, id: JobId) {
+        self.scheduler.lock().remove_job(id, self.node.clock.now());
+        while !self.has_ended() {
+            match self.read_job_rows(id).await {
+                Ok(rows) => {
+                    self.record_store_success();
+                    let now = self.node.clock.now();
+                    let mut scheduler = self.scheduler.lock();
+                    // The job may have been submitted again meanwhile.
+                    scheduler.remove_job(id, now);
+                    for job in takeover::decode_jobs(rows) {
+                        scheduler.adopt_job(job, now);
+                    }
+                    return;
+                }
+                Err(err) => {
+                    self.record_store_failure(&err);
+                    tracing::warn!(job = %id, error = %err, "failed to read the rows of an existing job; retrying");
+                    tokio::time::sleep(READ_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    async fn read_job_rows(&self, id: JobId) -> Result<Vec<Row>, users_platform::Error> {
         let key = id.to_string();
+        let until = format!("{key}~");
         let mut rows = Vec::new();
         for table in [tables::JOB, tables::PROGRESS] {
-            let until = format!("{key}~");
             let range = KeyRange {
                 table,
                 part: &self.pool,
                 from: &key,
                 until: &until,
             };
-            match self.node.store.read(range, 1, STORE_TIMEOUT).await {
-                Ok(page) => rows.extend(page.rows),
-                Err(err) => {
-                    tracing::warn!(job = key, error = %err, "failed to read the rows of an existing job");
-                    self.scheduler.lock().remove_job(id, self.node.clock.now());
-                    return;
-                }
-            }
-        }
-        let now = self.node.clock.now();
-        let mut scheduler = self.scheduler.lock();
-        scheduler.remove_job(id, now);
-        for job in takeover::decode_jobs(rows) {
-            scheduler.adopt_job(job, now);
+            rows.extend(self.node.store.read(range, 1, STORE_TIMEOUT).await?.rows);
         }
+        Ok(rows)
     }
 
     /// Executes a batch whose rows are written: responds to callers, sends the commands, and wakes the lease renewals
--- a/crates/trefoilpassd/tests/fleet_rows.rs
+++ b/crates/trefoilpassd/tests/fleet_rows.rs
@@ -2,8 +2,10 @@
 
 mod fleet_support;
 
-use fleet_support::{call, check_runs, daemon, done, ready, submit_surely};
-use platform_stand_in::PlatformStandIn;
+use std::time::Duration;
+
+use fleet_support::{call, check_runs, daemon, done, ready, start, submit, submit_surely};
+use platform_stand_in::{PlatformStandIn, StoreFaults};
 use serde_json::{Value, json};
 
 /// Writes the rows of an accepted job with one task.
@@ -37,3 +39,25 @@
     assert_eq!(status, 503, "an accepted job is reported as unknown");
     check_runs(&platform, 2);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_whose_rows_can_not_be_read_for_a_while_is_run() {
+    let (platform, daemons) = start(1, 1).await;
+    submit_surely(&daemons, 1, 1).await;
+    done(&daemons, 1).await;
+    // The owner does not know the job, as after a lost answer.
+    put_job(&platform, 2, &json!({}));
+    platform.store.set_faults(StoreFaults {
+        unreadable_table: "job",
+        ..StoreFaults::default()
+    });
+    let repeated = submit(&daemons[0], 2, 1);
+    let outage = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        platform.store.set_faults(StoreFaults::default());
+    };
+    let (status, ()) = tokio::join!(repeated, outage);
+    assert_eq!(status, 200);
+    done(&daemons, 2).await;
+    check_runs(&platform, 2);
+}
