fleetd: a job whose row is too large is refused at once

Callers may send bodies of 256 KB, the store accepts rows of 64 KB. A job with a long label made a transaction that the store refused again and again: after 0.7 s all new jobs of the transaction were refused, and the refusals counted as those of a store that serves other daemons, so that the pool was handed over. The size of the row is now checked first (status 413).

Before: '(503, 503)' instead of '(413, 200)' for a large and a small job at the same time in the new test.

--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -19,7 +19,7 @@
 use crate::config::{FLEET_SHARD, find_queue};
 use crate::node::{Node, STORE_TIMEOUT, tables};
 use crate::peer_calls::{CALL_TIMEOUT, call_peer};
-use crate::pool::decode_jobs;
+use crate::pool::{decode_jobs, fits_row};
 use crate::rpc::{JobReply, PoolClient, SubmitReply, SubmitRequest, WireState};
 
 /// The delay after which callers may retry a request that the daemon can't serve now, for instance because the owner of
@@ -234,6 +234,10 @@
     if let Err(err) = spec.validate() {
         return ApiResponse::bad_request(&err.to_string());
     }
+    // A transaction with a row that the store refuses would fail again and again, and others with it.
+    if !fits_row(&queue.name, &spec) {
+        return ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE);
+    }
     for pool in node.active_config.previous_pools(queue) {
         // A job that is submitted again after its queue was assigned to another pool stays in its pool.
         match stored_job(node, &pool, id).await {
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -32,6 +32,7 @@
 
 use submissions::Submissions;
 
+pub(crate) use recorder::fits_row;
 pub(crate) use sequence::{Sequence, SequenceError};
 pub(crate) use takeover::{
     Takeover, decode_jobs, read_all_rows, read_rows_to_follow, take_over_pool, take_over_shard,
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -7,7 +7,7 @@
 
 use scheduler::{Batch, RowChange, Scheduler};
 use submission::{Job, JobId, JobRecord, JobSpec};
-use users_platform::{KeyRange, Row, RowKey, Transaction};
+use users_platform::{KeyRange, MAX_ROW_BYTES, Row, RowKey, Transaction};
 
 use crate::clock::local_ms;
 use crate::node::{STORE_TIMEOUT, tables};
@@ -293,6 +293,16 @@
     serde_json::to_vec(&row).unwrap_or_default()
 }
 
+/// Whether the row of a job fits into the store.
+pub(crate) fn fits_row(queue: &smol_str::SmolStr, spec: &JobSpec) -> bool {
+    let row = JobRow {
+        queue: queue.clone(),
+        accepted_at_ms: u64::MAX,
+        spec: spec.clone(),
+    };
+    serde_json::to_vec(&row).is_ok_and(|row| row.len() <= MAX_ROW_BYTES)
+}
+
 /// A row of the table [`tables::JOB`]: a job as accepted. The row never changes.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub(crate) struct JobRow {
--- a/crates/trefoilpassd/tests/fleet_rows.rs
+++ b/crates/trefoilpassd/tests/fleet_rows.rs
@@ -1,11 +1,11 @@
-//! Real daemons and rows in the store that can't be read.
+//! Real daemons and rows in the store that can't be read, or are too large.
 
 mod fleet_support;
 
 use std::time::Duration;
 
 use fleet_support::{call, check_runs, daemon, done, ready, start, submit, submit_surely};
-use platform_stand_in::{PlatformStandIn, StoreFaults};
+use platform_stand_in::{PlatformStandIn, StoreFaults, job_body};
 use serde_json::{Value, json};
 
 /// Writes the rows of an accepted job with one task.
@@ -61,3 +61,31 @@
     done(&daemons, 2).await;
     check_runs(&platform, 2);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_too_large_for_a_row_is_refused_and_delays_no_other() {
+    let (platform, daemons) = start(1, 1).await;
+    submit_surely(&daemons, 1, 1).await;
+    let mut config = platform.store.get("op", "config").unwrap();
+    config["version"] = json!(4);
+    config["limits"]["maxBodyBytes"] = json!(262_144);
+    platform.store.put("op", "config", &config);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let step = json!({"count": 1, "cpu": 500, "requires": "x".repeat(70_000)});
+    let large = json!({"spec": "x", "steps": [step]}).to_string();
+    let large = call(
+        reqwest::Method::POST,
+        &daemons[0],
+        "/q/0000000000000002",
+        Some(large),
+    );
+    let small = call(
+        reqwest::Method::POST,
+        &daemons[0],
+        "/q/0000000000000003",
+        Some(job_body("x", 1, false)),
+    );
+    let ((large, _), (small, _)) = tokio::join!(large, small);
+    assert_eq!((large, small), (413, 200));
+    done(&daemons, 3).await;
+}
