fleetd: waves without a row are no longer requested after a full read

A wave whose row was removed while the store's history was compacted stayed requested: a full read of the operators' rows only added waves. It now drops those that have no row.

Before: 'left: [1, 3, 4], right: [3, 4]' in the new test.

--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -1,6 +1,7 @@
 //! Membership: writes this daemon's heartbeat row, reads the rows of its peers, takes over unowned shards, and follows
 //! the operators' rows.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -245,6 +246,7 @@
 pub(crate) async fn follow_operator_rows(node: Arc<Node>) {
     let mut version = None;
     loop {
+        let is_complete = version.is_none();
         let read = match version {
             None => read_rows_to_follow(&node, OPERATOR_TABLE, "").await,
             Some(after) => {
@@ -263,9 +265,7 @@
                 version = Some(read_version);
                 node.store_responded_at_ms
                     .store(local_ms(), Ordering::Relaxed);
-                for row in rows {
-                    apply_operator_row(&node, &row);
-                }
+                apply_operator_rows(&node, &rows, is_complete);
             }
             Err(Error::HistoryCompacted) => version = None,
             Err(err) => {
@@ -277,6 +277,18 @@
     }
 }
 
+/// Applies changed rows of the operators, or all of them (`is_complete`): waves without a row are then no longer requested.
+fn apply_operator_rows(node: &Node, rows: &[Row], is_complete: bool) {
+    if is_complete {
+        let keys: BTreeSet<_> = rows.iter().map(|row| &row.key.key).collect();
+        let mut waves = node.requested_waves.lock();
+        waves.retain(|key, _| keys.contains(key));
+    }
+    for row in rows {
+        apply_operator_row(node, row);
+    }
+}
+
 fn apply_operator_row(node: &Node, row: &Row) {
     let key = &row.key.key;
     let value = row.value.as_deref().unwrap_or_default();
@@ -311,3 +323,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fleetd/src/membership/tests/mod.rs
@@ -0,0 +1,48 @@
+//! The rows of the operators that are in force.
+
+use ownership::Peers;
+use serde_json::json;
+use users_platform::HttpClient;
+
+use super::*;
+use crate::metrics::Metrics;
+
+fn node() -> Node {
+    let settings = "\
+        {daemon: d, ip: 127.0.0.1, zone: z, callers_addr: 127.0.0.1:1, ready_addr: 127.0.0.1:2, peer_port: 3, \
+        metrics_port: 4, store_addr: 127.0.0.1:5, vms_addr: 127.0.0.1:6, bounds: {grace_s: 6, longest_lease_ms: 10000, \
+        keep_ended_s: 120, steward_gap_ms: 4000, maintenance_s: 2}}";
+    let settings = serde_norway::from_str(settings).unwrap();
+    let http = HttpClient::new(FEED_TIMEOUT, FEED_TIMEOUT).unwrap();
+    let metrics = Metrics::new(http.costs()).unwrap();
+    let peers = Peers::new(DEAD_AFTER_MS, UNREACHABLE_DEAD_AFTER_MS, MAX_READ_GAP_MS);
+    Node::new(settings, "d-1".into(), &http, metrics, peers)
+}
+
+fn wave_row(number: u64, is_removed: bool) -> Row {
+    let wave = json!({"wave": number, "machines": ["m"], "deadlineS": 9, "cap": 1});
+    Row {
+        key: RowKey::new(OPERATOR_TABLE, "", format!("{WAVE_PREFIX}{number}")),
+        value: (!is_removed).then(|| wave.to_string().into_bytes()),
+        version: number,
+        is_removed,
+    }
+}
+
+fn requested(node: &Node) -> Vec<u64> {
+    let waves = node.requested_waves.lock();
+    waves.values().map(|wave| wave.number).collect()
+}
+
+#[test]
+fn waves_whose_rows_were_removed_while_the_history_was_compacted_are_not_requested() {
+    let node = node();
+    apply_operator_rows(&node, &[wave_row(1, false), wave_row(2, false)], true);
+    apply_operator_rows(&node, &[wave_row(3, false)], false);
+    assert_eq!(requested(&node), [1, 2, 3]);
+    apply_operator_rows(&node, &[wave_row(2, true)], false);
+    assert_eq!(requested(&node), [1, 3]);
+    // The removal of the first row is no longer in the history.
+    apply_operator_rows(&node, &[wave_row(3, false), wave_row(4, false)], true);
+    assert_eq!(requested(&node), [3, 4]);
+}
