fleetd: a response of a peer never counts as a connection that failed

Whether a call to a peer made a connection is told by the text of the error. That text was searched in responses of the peer as well, which may quote any text, and a call with a response counted as one without effect. Only errors of the transport are searched now. A second test checks the text with a connection that is refused.

--- a/crates/fleetd/src/peer_calls.rs
+++ b/crates/fleetd/src/peer_calls.rs
@@ -71,7 +71,7 @@
         }
         // jsonrpsee distinguishes a failed connection from a lost response only in the text of the error.
         let message = err.to_smolstr();
-        if message.contains("(Connect)") {
+        if matches!(err, ClientError::Transport(_)) && message.contains("(Connect)") {
             Self::Unreachable { message }
         } else {
             Self::Failed { message }
@@ -162,3 +162,6 @@
         is_answered
     }
 }
+
+#[cfg(test)]
+mod tests;
