--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -39,6 +39,7 @@
         ended: Option<(u64, &'static str)>,
     ) -> Self {
         self.runs.push(AttemptRecord {
+            stops_at: None,
             task: format!("00000000000000{task}"),
             attempt: run,
             is_service: false,
