scheduler: a task under which workers crash again and again is given up

Cause: an attempt that ends with its worker is Lost, and Lost counts for nothing. A retry without a budget.

A crash now counts for each task that may have run on the worker: another id answers at its address, its VM is gone, another start reports under its id, or it is silent and not in the registry; not when it was drained lately or is shutting down, and not for silence alone. A task is given up at the second crash if only tasks of its job can have caused it, else at the third. Suspects are placed apart where there is room; from the second crash on they are isolated, on at most half of the workers.

Service tasks are given up at the third crash in a row, an attempt that has run for 5 s clears the count: the rule has no exception for them, and a service that crashes every worker serves nobody.

The count is a field of its own in the job's row, as earlier builds can't read a longer task entry but skip unknown fields. It is in the row from which the next start command follows.

New log lines name the tasks of a crash with their counts and the tasks given up; two counters count them.

--- a/crates/fleetd/src/metrics.rs
+++ b/crates/fleetd/src/metrics.rs
@@ -21,6 +21,8 @@
     pub(crate) commit_duration_s: Histogram,
     pub(crate) worker_commands: IntCounterVec,
     pub(crate) attempt_outcomes: IntCounterVec,
+    pub(crate) worker_crashes: IntCounter,
+    pub(crate) tasks_given_up: IntCounter,
     pub(crate) takeovers: IntCounter,
     pub(crate) store_failures: IntCounter,
     pub(crate) dropped_log_lines: IntCounter,
@@ -131,6 +133,14 @@
                 "Attempts that ended on workers.",
                 &["end"],
             )?,
+            worker_crashes: counter(
+                "worker_crashes_total",
+                "Workers that crashed under their tasks.",
+            )?,
+            tasks_given_up: counter(
+                "tasks_given_up_total",
+                "Tasks given up because workers crash under them.",
+            )?,
             takeovers: counter("takeovers_total", "Shards taken over.")?,
             store_failures: counter("store_failures_total", "Calls to the store that failed.")?,
             dropped_log_lines: counter(
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use scheduler::{Batch, RowChange, Scheduler};
+use scheduler::{Batch, RowChange, Scheduler, SchedulerEvent};
 use submission::{Job, JobId, JobRecord, JobSpec};
 use users_platform::{KeyRange, MAX_ROW_BYTES, Row, RowKey, Transaction};
 
@@ -58,6 +58,11 @@
         scheduler.tick(now);
         scheduler.plan(now);
         for event in scheduler.drain_events() {
+            match &event {
+                SchedulerEvent::Crashed { .. } => self.node.metrics.worker_crashes.inc(),
+                SchedulerEvent::GivenUp { .. } => self.node.metrics.tasks_given_up.inc(),
+                _ => {}
+            }
             tracing::warn!(pool = self.pool.as_str(), note = ?event, "{}", event.message());
         }
         scheduler.take_batch(MAX_ENTRIES_PER_TRANSACTION)
--- a/crates/scheduler/src/adopt.rs
+++ b/crates/scheduler/src/adopt.rs
@@ -19,7 +19,7 @@
                 assigned.push((
                     worker.clone(),
                     task_key,
-                    AssignedAttempt::new(task.attempt, job.step(index), now.local_ms),
+                    AssignedAttempt::new(task.attempt, job.step(index), task.crashes, now.local_ms),
                 ));
             }
         }
@@ -28,6 +28,7 @@
             // The first poll carries this owner's term, after which the commands of previous owners have no effect.
             attempt.settled_at_ms = Some(0);
             attempt.is_speed_limit_known = false;
+            attempt.may_have_begun = true;
             self.workers[key].insert(task, attempt);
         }
         self.recorded_states.insert(id, job.state());
--- /dev/null
+++ b/crates/scheduler/src/crashes.rs
@@ -0,0 +1,155 @@
+//! Workers that crash under tasks.
+//!
+//! A task may crash each worker that starts it. Each crash counts for all tasks that may have run on the worker, as the
+//! scheduler can't tell which of them was the cause. Such tasks are suspects: they are placed apart from each other where
+//! there is room, so that a next crash shows the cause, and are isolated after a second crash.
+
+use submission::TaskKey;
+
+use crate::scheduler::Scheduler;
+use crate::types::{Now, SchedulerEvent};
+use crate::worker::{AssignedAttempt, Crash, Worker, WorkerKey};
+
+/// The number of crashes from which a task is isolated: its worker is given no other task meanwhile.
+pub(crate) const ISOLATED_FROM_CRASHES: u32 = 2;
+
+/// The largest part of a pool's workers on which tasks are isolated at a time, in percent. Each of them may crash, but most
+/// isolated tasks are innocent and must not wait for long.
+const MAX_ISOLATING_PERCENT: usize = 50;
+
+/// The duration after which a service task that still runs is not the cause of a crash.
+const SURVIVED_MS: u64 = 5000;
+
+/// How long after the end of its drain lease the end of a worker counts as planned, in ms. A command to a VM may take effect
+/// seconds later.
+const PLANNED_END_MS: u64 = 5000;
+
+impl AssignedAttempt {
+    /// Whether the attempt is of a service task that has run for so long that the task does not crash workers.
+    pub(crate) fn has_survived(&self, now_ms: u64) -> bool {
+        self.is_service && now_ms.saturating_sub(self.assigned_at_ms) >= SURVIVED_MS
+    }
+
+    fn may_have_crashed_worker(&self, now_ms: u64) -> bool {
+        self.may_have_begun && !self.has_survived(now_ms)
+    }
+}
+
+impl Worker {
+    /// Whether the worker is about to end by itself or through a command to its VM.
+    fn has_planned_end(&self, now_ms: u64) -> bool {
+        let is_drained = self.drain_until_ms > 0 && now_ms < self.drain_until_ms + PLANNED_END_MS;
+        self.info.is_shutting_down || is_drained
+    }
+
+    /// The tasks that may have caused a crash of the worker. Empty when the end of the worker is planned.
+    fn suspects(&self, now_ms: u64) -> Vec<(TaskKey, Crash)> {
+        if self.has_planned_end(now_ms) {
+            return Vec::new();
+        }
+        let attempts = self.attempts.iter();
+        let suspects = attempts.filter(|(_, attempt)| attempt.may_have_crashed_worker(now_ms));
+        let suspects: Vec<_> = suspects.map(|(task, _)| *task).collect();
+        let is_alone = suspects.windows(2).all(|pair| pair[0].job == pair[1].job);
+        let suspects = suspects.into_iter();
+        suspects.map(|task| (task, Crash { is_alone })).collect()
+    }
+
+    /// Whether a task may be placed on the worker beside the tasks there.
+    pub(crate) fn may_join(&self) -> bool {
+        self.isolated_attempts == 0
+    }
+}
+
+impl Scheduler {
+    /// Counts the crash of a worker for the selected attempts that may have run there, and for the tasks whose leases
+    /// expired there.
+    pub(crate) fn record_crash(
+        &mut self,
+        key: WorkerKey,
+        now: Now,
+        is_selected: impl Fn(&AssignedAttempt) -> bool,
+    ) {
+        self.record_expired_crashes(key, now);
+        let worker = &self.workers[key];
+        let mut suspects = worker.suspects(now.local_ms);
+        suspects.retain(|(task, _)| worker.attempts.get(task).is_some_and(&is_selected));
+        self.count_crashes(key, suspects, now);
+    }
+
+    /// Counts a crash for the tasks whose leases expired while the worker was silent.
+    pub(crate) fn record_expired_crashes(&mut self, key: WorkerKey, now: Now) {
+        let worker = &mut self.workers[key];
+        let expired = std::mem::take(&mut worker.expired);
+        if !worker.has_planned_end(now.local_ms) {
+            self.count_crashes(key, expired, now);
+        }
+    }
+
+    /// Remembers the tasks whose leases expire, for the case that the silent worker has crashed.
+    pub(crate) fn expect_crash(&mut self, key: WorkerKey, now: Now) {
+        let worker = &mut self.workers[key];
+        let suspects = worker.suspects(now.local_ms);
+        worker.expired.extend(suspects);
+    }
+
+    /// Marks the attempts that may have run on the previous incarnation of a worker. Those that the next one does not list
+    /// were there when it crashed.
+    pub(crate) fn mark_crashed(&mut self, key: WorkerKey, now: Now) {
+        let worker = &mut self.workers[key];
+        for (task, crash) in worker.suspects(now.local_ms) {
+            if let Some(attempt) = worker.attempts.get_mut(&task) {
+                attempt.crash = Some(crash);
+            }
+        }
+    }
+
+    /// Counts a crash of a worker for tasks, and gives up those under which too many workers crashed.
+    pub(crate) fn count_crashes(
+        &mut self,
+        key: WorkerKey,
+        crashed: Vec<(TaskKey, Crash)>,
+        now: Now,
+    ) {
+        let mut counts = Vec::new();
+        let mut given_up = Vec::new();
+        for (task, crash) in crashed {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let has_failed = job.record_crash(task.index, crash.is_alone, now.store_ms);
+            let count = job.task(task.index).map_or(0, |task| task.crashes);
+            let name = job.task_name(task.index);
+            counts.push((name.clone(), count));
+            self.dirty_jobs.insert(task.job);
+            if has_failed {
+                given_up.push(SchedulerEvent::GivenUp {
+                    task: name,
+                    crashes: count,
+                });
+                self.finish_job(task.job);
+            }
+        }
+        if !counts.is_empty() {
+            let worker = self.workers[key].info.id.clone();
+            let crashed = SchedulerEvent::Crashed {
+                worker,
+                tasks: counts,
+            };
+            self.events.push(crashed);
+            self.events.extend(given_up);
+        }
+    }
+
+    /// Whether one more worker may be given a task that has to be isolated, if `crashes` are so many.
+    pub(crate) fn may_isolate_another(&self, crashes: u32) -> bool {
+        if crashes < ISOLATED_FROM_CRASHES {
+            return true;
+        }
+        let workers = self.workers.values().filter(|worker| worker.is_listed);
+        let max_isolating = (workers.count() * MAX_ISOLATING_PERCENT / 100).max(2);
+        let isolating = self.workers.values();
+        let isolating = isolating.filter(|worker| worker.isolated_attempts > 0);
+        isolating.count() < max_isolating
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 mod adopt;
 mod arrivals;
 mod batch;
+mod crashes;
 mod demand;
 mod dirty;
 mod draining;
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 use submission::{Job, Resources, StepSpec, TaskKey, TaskPhase};
 
+use crate::crashes::ISOLATED_FROM_CRASHES;
 use crate::ready::StepKey;
 use crate::scheduler::Scheduler;
 use crate::types::Now;
@@ -81,11 +82,17 @@
             job.task(index)
                 .is_some_and(|task| task.phase == TaskPhase::Idle)
         });
+        let crashes = |job: &Job, index| job.task(index).map_or(0, |task| task.crashes);
+        let mut idle: Vec<_> = idle.collect();
+        // Suspects may have to wait and don't hold up the others.
+        idle.sort_by_key(|&index| crashes(job, index));
         let mut placement = Placement::default();
-        for index in idle.collect::<Vec<_>>() {
+        for index in idle {
             let job = &self.jobs[&key.job];
             let step = &job.spec().steps[usize::from(key.step)];
-            let Some(worker) = self.choose(job, step, key, &[], now) else {
+            let crashes = crashes(job, index);
+            let Some(worker) = self.choose(job, step, key, crashes, &[], now) else {
+                let is_unconstrained = is_unconstrained && crashes < ISOLATED_FROM_CRASHES;
                 let is_oversized = is_unconstrained && !self.fits_an_empty_worker(needs);
                 placement.unplaced = Some(if is_unconstrained && !is_oversized {
                     Unplaced::NoRoom
@@ -123,9 +130,11 @@
         if !all_idle {
             return not_placed;
         }
+        let members = tasks.clone().filter_map(|index| job.task(index));
+        let crashes = members.map(|task| task.crashes).max().unwrap_or(0);
         let mut chosen = Vec::new();
         for _ in tasks.clone() {
-            let Some(worker) = self.choose(job, step, key, &chosen, now) else {
+            let Some(worker) = self.choose(job, step, key, crashes, &chosen, now) else {
                 return not_placed;
             };
             chosen.push(worker);
@@ -149,15 +158,20 @@
     }
 
     /// The best worker for one more task of a step, or `None` when no usable worker has enough free capacity and meets
-    /// the constraints of the step. `gang_workers` are the workers already chosen for other tasks of the gang.
+    /// the constraints of the step. `crashes` is the number of workers that crashed under the task, and `gang_workers` are the
+    /// workers already chosen for other tasks of the gang.
     fn choose(
         &self,
         job: &Job,
         step: &StepSpec,
         key: StepKey,
+        crashes: u32,
         gang_workers: &[WorkerKey],
         now: Now,
     ) -> Option<WorkerKey> {
+        if !self.may_isolate_another(crashes) {
+            return None;
+        }
         let preferred_rack = self.preferred_rack(job, step, key, gang_workers);
         let has_policy = self.has_policy(&job.queue);
         let is_authorized = |worker: &SmolStr| {
@@ -165,6 +179,7 @@
         };
         let usable = self.workers.iter().filter(|(worker_key, worker)| {
             worker.is_usable(now.local_ms)
+                && worker.may_join()
                 && worker.has_label(&step.required_label)
                 && is_authorized(&worker.info.id)
                 && fits(worker, step, *worker_key, gang_workers, now)
@@ -173,10 +188,21 @@
         usable
             .max_by_key(|(_, worker)| {
                 let is_preferred_rack = worker.info.rack() == preferred_rack;
+                // Fewer tasks are lost when a suspect crashes its worker, and a suspect without neighbours is shown to be
+                // the cause.
+                let batch_attempts = worker.attempts.len() - worker.service_attempts;
+                let suspect_order = if crashes > 0 {
+                    usize::MAX - batch_attempts
+                } else {
+                    0
+                };
                 // Workers with service tasks stay in the pool in any case. Other workers become idle sooner when they
                 // are used last, and the fullest of them first, and the VM of an idle worker can leave the pool.
                 (
+                    crashes == 0 || worker.suspect_attempts == 0,
+                    suspect_order,
                     is_preferred_rack,
+                    worker.suspect_attempts == 0,
                     !(step.is_service && worker.is_maintenance_due),
                     worker.service_attempts > 0,
                     !worker.attempts.is_empty(),
@@ -205,6 +231,7 @@
         };
         self.workers.iter().any(|(worker_key, worker)| {
             worker.is_usable(now.local_ms)
+                && worker.may_join()
                 && worker.has_label(&step.required_label)
                 && step.footprint().fits(worker.capacity_beside_services())
                 && is_below_step_limit(worker, job, step, key, worker_key, &[])
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -91,6 +91,7 @@
             self.begin_incarnation(key, start_unix_ms, now);
         }
         let worker = &mut self.workers[key];
+        worker.expired.clear();
         worker.incarnation.start_unix_ms = start_unix_ms.or(previous_start_unix_ms);
         worker.may_have_restarted = false;
         worker.is_unresponsive = false;
@@ -138,6 +139,8 @@
 
     /// Replaces what is known of a worker's process, after a report from another incarnation with the same id.
     fn begin_incarnation(&mut self, key: WorkerKey, start_unix_ms: Option<u64>, now: Now) {
+        self.record_expired_crashes(key, now);
+        self.mark_crashed(key, now);
         let limits = self.limits;
         let worker = &mut self.workers[key];
         self.events.push(SchedulerEvent::Restarted {
@@ -270,6 +273,7 @@
         if attempt.settled_at_ms.is_none() {
             attempt.settled_at_ms = Some(now.local_ms);
         }
+        attempt.crash = None;
         let had_started = std::mem::replace(&mut attempt.has_started, true);
         if attempt.progress_percent != running.progress_percent {
             attempt.progress_percent = running.progress_percent;
@@ -279,6 +283,7 @@
         let stalled_ms = now.local_ms.saturating_sub(attempt.progress_since_ms);
         let was_stopping = attempt.is_stopping;
         let number = attempt.number;
+        let has_survived = attempt.has_survived(now.local_ms);
         if !had_started {
             self.remove_not_started(task.job);
         }
@@ -286,6 +291,10 @@
             return Some(task);
         };
         job.update_checkpoint(task.index, running.checkpoint.clone());
+        if has_survived && job.forget_crashes(task.index) {
+            self.workers[key].clear_suspect(task);
+            self.dirty_jobs.insert(task.job);
+        }
         let may_stall = !job.step(task.index).is_service && !job.step(task.index).is_gang;
         if job.has_ended() && !was_stopping {
             self.issue_stop(key, task, number);
@@ -352,9 +361,13 @@
                 && !listed.contains(task)
         });
         let unlisted: Vec<_> = unlisted
-            .map(|(task, attempt)| (*task, attempt.number))
+            .map(|(task, attempt)| (*task, attempt.number, attempt.crash))
             .collect();
-        for (task, attempt) in unlisted {
+        let crashed = unlisted
+            .iter()
+            .filter_map(|(task, _, crash)| Some((*task, (*crash)?)));
+        self.count_crashes(key, crashed.collect(), now);
+        for (task, attempt, _) in unlisted {
             if let Some(job) = self.jobs.get(&task.job) {
                 self.events.push(SchedulerEvent::NotListed {
                     worker: self.workers[key].info.id.clone(),
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -307,7 +307,7 @@
     }
 
     /// Removes an ended job from the ready steps and adds stop commands for its running attempts.
-    fn finish_job(&mut self, id: JobId) {
+    pub(crate) fn finish_job(&mut self, id: JobId) {
         self.service_jobs.remove(&id);
         self.remove_not_started(id);
         let job = &self.jobs[&id];
@@ -436,9 +436,10 @@
             return;
         };
         let attempt = job.assign(task.index, worker.info.id.clone(), min_attempt);
+        let crashes = job.task(task.index).map_or(0, |task| task.crashes);
         worker.insert(
             task,
-            AssignedAttempt::new(attempt, job.step(task.index), now.local_ms),
+            AssignedAttempt::new(attempt, job.step(task.index), crashes, now.local_ms),
         );
         let checkpoint = job.task(task.index).map(|task| task.checkpoint.clone());
         let command = WorkerCommand::Start {
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -82,6 +82,20 @@
         /// The number of the attempt.
         attempt: u32,
     },
+    /// A worker crashed while attempts may have run there.
+    Crashed {
+        /// The id of the worker.
+        worker: SmolStr,
+        /// The names of the tasks, each with the number of workers that have crashed under it.
+        tasks: Vec<(SmolStr, u32)>,
+    },
+    /// A task is given up, because too many workers crashed under it.
+    GivenUp {
+        /// The name of the task.
+        task: SmolStr,
+        /// The number of workers that crashed under the task.
+        crashes: u32,
+    },
 }
 
 impl SchedulerEvent {
@@ -100,6 +114,8 @@
             }
             Self::Restarted { .. } => "a worker restarted under its id",
             Self::NotListed { .. } => "an attempt counts as lost: its worker does not list it",
+            Self::Crashed { .. } => "a worker crashed under its tasks",
+            Self::GivenUp { .. } => "a task is given up: workers crash under it",
         }
     }
 }
@@ -138,6 +154,16 @@
                 .field("task", task)
                 .field("run", attempt)
                 .finish(),
+            Self::Crashed { worker, tasks } => f
+                .debug_struct("Crashed")
+                .field("worker", worker)
+                .field("tasks", tasks)
+                .finish(),
+            Self::GivenUp { task, crashes } => f
+                .debug_struct("GivenUp")
+                .field("task", task)
+                .field("crashes", crashes)
+                .finish(),
         }
     }
 }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -5,6 +5,7 @@
 use smol_str::SmolStr;
 use submission::{Resources, StepSpec, TaskKey};
 
+use crate::crashes::ISOLATED_FROM_CRASHES;
 use crate::incarnation::{ClockSample, Incarnation};
 
 slotmap::new_key_type! {
@@ -50,6 +51,13 @@
     Blocklisted,
 }
 
+/// The unexpected end of an incarnation on which an attempt may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Crash {
+    /// Whether no task of another job can have caused the crash.
+    pub(crate) is_alone: bool,
+}
+
 /// An attempt that is assigned to a worker.
 #[derive(Debug, Clone)]
 #[expect(clippy::struct_excessive_bools, reason = "independent facts")]
@@ -63,6 +71,12 @@
     /// The earliest time on the worker's clock at which the incarnation for which the start command's lease was computed can
     /// respond to the command, in ms.
     pub(crate) earliest_response_ms: u64,
+    /// Whether a start command may have reached the worker.
+    pub(crate) may_have_begun: bool,
+    /// The crash of the incarnation on which the attempt may have run. The attempt may run on the next one nevertheless.
+    pub(crate) crash: Option<Crash>,
+    /// The number of workers that had crashed under the task when the attempt was assigned.
+    pub(crate) crashes: u32,
     /// Whether the attempt is known to have started on the worker.
     pub(crate) has_started: bool,
     pub(crate) assigned_at_ms: u64,
@@ -79,9 +93,12 @@
 }
 
 impl AssignedAttempt {
-    pub(crate) fn new(number: u32, step: &StepSpec, now_ms: u64) -> Self {
+    pub(crate) fn new(number: u32, step: &StepSpec, crashes: u32, now_ms: u64) -> Self {
         Self {
             number,
+            may_have_begun: false,
+            crash: None,
+            crashes,
             settled_at_ms: None,
             is_start_in_flight: false,
             earliest_response_ms: 0,
@@ -99,6 +116,12 @@
     }
 }
 
+impl AssignedAttempt {
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.crashes >= ISOLATED_FROM_CRASHES
+    }
+}
+
 /// A worker, with the attempts and leases that the scheduler has given to the worker.
 #[derive(Debug, Clone)]
 #[expect(clippy::struct_excessive_bools, reason = "independent facts")]
@@ -119,6 +142,13 @@
     pub(crate) used: Resources,
     /// The number of `attempts` of service tasks.
     pub(crate) service_attempts: usize,
+    /// The number of `attempts` of tasks under which workers have crashed.
+    pub(crate) suspect_attempts: usize,
+    /// The number of `attempts` that have to be isolated.
+    pub(crate) isolated_attempts: usize,
+    /// Tasks whose leases expired on the worker while it was silent. They count as crashed under when the incarnation turns
+    /// out to have ended.
+    pub(crate) expired: Vec<(TaskKey, Crash)>,
     /// When an attempt was last removed from the worker, or else when the registry first listed the worker, in ms on
     /// the daemon's clock.
     pub(crate) idle_since_ms: u64,
@@ -158,6 +188,9 @@
             attempts: BTreeMap::new(),
             used: Resources::default(),
             service_attempts: 0,
+            suspect_attempts: 0,
+            isolated_attempts: 0,
+            expired: Vec::new(),
             idle_since_ms: 0,
             leases_expired_by_ms,
             incarnation: Incarnation::default(),
@@ -251,15 +284,37 @@
 
     pub(crate) fn insert(&mut self, task: TaskKey, attempt: AssignedAttempt) {
         self.used = self.used.saturating_add(attempt.footprint);
-        self.service_attempts += usize::from(attempt.is_service);
+        self.count(&attempt);
         if let Some(replaced) = self.attempts.insert(task, attempt) {
-            self.service_attempts -= usize::from(replaced.is_service);
+            self.uncount(&replaced);
+        }
+    }
+
+    /// Makes a task no suspect any more.
+    pub(crate) fn clear_suspect(&mut self, task: TaskKey) {
+        if let Some(mut attempt) = self.attempts.remove(&task) {
+            self.uncount(&attempt);
+            attempt.crashes = 0;
+            self.count(&attempt);
+            self.attempts.insert(task, attempt);
         }
     }
 
+    fn count(&mut self, attempt: &AssignedAttempt) {
+        self.service_attempts += usize::from(attempt.is_service);
+        self.suspect_attempts += usize::from(attempt.crashes > 0);
+        self.isolated_attempts += usize::from(attempt.is_isolated());
+    }
+
+    fn uncount(&mut self, attempt: &AssignedAttempt) {
+        self.service_attempts -= usize::from(attempt.is_service);
+        self.suspect_attempts -= usize::from(attempt.crashes > 0);
+        self.isolated_attempts -= usize::from(attempt.is_isolated());
+    }
+
     pub(crate) fn remove(&mut self, task: TaskKey, now_ms: u64) -> Option<AssignedAttempt> {
         let attempt = self.attempts.remove(&task)?;
-        self.service_attempts -= usize::from(attempt.is_service);
+        self.uncount(&attempt);
         self.idle_since_ms = now_ms;
         // Recomputed, because a saturating sum can't be undone by subtraction.
         let footprints = self.attempts.values().map(|attempt| attempt.footprint);
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -55,6 +55,7 @@
                 && now.local_ms > worker.leases_expired_by_ms
         });
         for key in removable.map(|(key, _)| key).collect::<Vec<_>>() {
+            self.record_expired_crashes(key, now);
             self.remove_worker(key);
         }
         may_have_restarted
@@ -91,6 +92,7 @@
         if !worker.is_some_and(|worker| worker.may_have_start(start_unix_ms)) {
             return false;
         }
+        self.record_crash(key, now, |_| true);
         self.lose_attempts(key, now, |_| true);
         self.end_incarnation(key);
         true
@@ -110,6 +112,7 @@
         {
             return;
         }
+        self.record_crash(key, now, |attempt| !attempt.is_start_in_flight);
         self.lose_attempts(key, now, |attempt| !attempt.is_start_in_flight);
         if self.workers[key].attempts.is_empty() {
             self.end_incarnation(key);
@@ -217,6 +220,7 @@
         if let Some(attempt) = worker.attempts.get_mut(&task) {
             attempt.is_start_in_flight = true;
             attempt.earliest_response_ms = earliest_ms;
+            attempt.may_have_begun = true;
         }
         worker.grant_lease(limits.lease_ms, limits.slow_clock_percent, now.local_ms)
     }
@@ -327,6 +331,11 @@
                 attempts: worker.attempts.len(),
             });
         }
+        if self.workers[key].is_listed {
+            self.expect_crash(key, now);
+        } else {
+            self.record_crash(key, now, |_| true);
+        }
         self.lose_attempts(key, now, |_| true);
         if !self.workers[key].is_listed {
             self.remove_worker(key);
--- /dev/null
+++ b/crates/scheduler/tests/crashes.rs
@@ -0,0 +1,368 @@
+//! Tasks that crash the workers that start them.
+
+mod support;
+
+use std::sync::Arc;
+
+use scheduler::{JobStatus, Scheduler, WorkerInfo, WorkerKey};
+use smol_str::{SmolStr, format_smolstr};
+use submission::{AttemptOutcome, Job, JobId, JobRecord, JobState, TaskKey, TaskRecord};
+use support::{GRACE_MS, LEASE_MS, Pool, job, limits, service_step, starts, step, worker};
+
+const DEADLY: JobId = JobId(1);
+
+/// How the scheduler learns that the incarnation of a worker has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Evidence {
+    AnotherIdResponds,
+    VmIsDown,
+    AnotherStartReports,
+    AnotherIdRespondsAfterTheLease,
+    SilentAndNotListed,
+}
+
+const ALL_EVIDENCE: [Evidence; 5] = [
+    Evidence::AnotherIdResponds,
+    Evidence::VmIsDown,
+    Evidence::AnotherStartReports,
+    Evidence::AnotherIdRespondsAfterTheLease,
+    Evidence::SilentAndNotListed,
+];
+
+/// A pool whose workers crash and come back under a new id or a new start.
+struct Workers {
+    pool: Pool,
+    infos: Vec<WorkerInfo>,
+    incarnations: u64,
+}
+
+impl Workers {
+    fn new(count: u64) -> Self {
+        let mut workers = Self {
+            pool: Pool::new(&[]),
+            infos: Vec::new(),
+            incarnations: 0,
+        };
+        for _ in 0..count {
+            workers.add();
+        }
+        workers.register();
+        workers
+    }
+
+    fn add(&mut self) {
+        self.incarnations += 1;
+        let name = format_smolstr!("worker-{}", self.incarnations);
+        self.infos.push(WorkerInfo {
+            start_unix_ms: Some(self.incarnations),
+            ..worker(&name)
+        });
+    }
+
+    /// Lists the workers in the registry, and lets each worker without attempts report.
+    fn register(&mut self) {
+        self.pool
+            .scheduler
+            .set_workers(self.infos.clone(), self.pool.now());
+        for info in self.infos.clone() {
+            self.pool
+                .report_since(info.start_unix_ms, &info.id, &[], &[]);
+        }
+    }
+
+    fn crash(&mut self, key: WorkerKey, evidence: Evidence) {
+        let now = self.pool.now();
+        let info = self.pool.scheduler.worker(key).unwrap().clone();
+        self.infos.retain(|other| other.id != info.id);
+        match evidence {
+            Evidence::AnotherIdResponds => {
+                assert!(
+                    self.pool
+                        .scheduler
+                        .worker_replaced(key, info.start_unix_ms, now)
+                );
+                self.add();
+            }
+            Evidence::VmIsDown => {
+                self.pool.scheduler.mark_unresponsive(key);
+                self.pool
+                    .scheduler
+                    .incarnation_ended(key, info.start_unix_ms, now);
+                self.add();
+            }
+            Evidence::AnotherStartReports => {
+                self.incarnations += 1;
+                self.infos.push(WorkerInfo {
+                    start_unix_ms: Some(self.incarnations),
+                    ..info
+                });
+            }
+            Evidence::AnotherIdRespondsAfterTheLease => {
+                self.pool.scheduler.mark_unresponsive(key);
+                self.pool.advance(GRACE_MS + 2 * LEASE_MS);
+                let now = self.pool.now();
+                self.pool
+                    .scheduler
+                    .worker_replaced(key, info.start_unix_ms, now);
+                self.add();
+            }
+            Evidence::SilentAndNotListed => {
+                self.pool.scheduler.mark_unresponsive(key);
+                self.pool
+                    .scheduler
+                    .set_workers(self.infos.clone(), self.pool.now());
+                self.pool.advance(GRACE_MS + 2 * LEASE_MS);
+                self.add();
+            }
+        }
+        self.pool.advance(10);
+        self.register();
+    }
+
+    /// Plays rounds in which a task of a deadly job crashes its worker and all other tasks end, until nothing starts any
+    /// more. Returns all starts.
+    fn play(&mut self, evidence: Evidence, is_deadly: impl Fn(JobId) -> bool) -> Vec<TaskKey> {
+        let mut started = Vec::new();
+        let mut ends = 0;
+        for _ in 0..40 {
+            let commands = self.pool.round();
+            let running = starts(&commands);
+            if running.is_empty() {
+                break;
+            }
+            self.pool.confirm_starts(&commands);
+            started.extend(running.iter().map(|(_, task, _)| *task));
+            self.pool.advance(50);
+            let deadly = running.iter().filter(|(_, task, _)| is_deadly(task.job));
+            let mut crashing: Vec<_> = deadly.map(|(worker, ..)| *worker).collect();
+            crashing.dedup();
+            let mut reports: Vec<(SmolStr, u64, Vec<_>)> = Vec::new();
+            for (key, task, attempt) in &running {
+                if crashing.contains(key) {
+                    continue;
+                }
+                ends += 1;
+                let info = self.pool.scheduler.worker(*key).unwrap();
+                let end = (
+                    ends,
+                    self.pool.task_name(*task),
+                    *attempt,
+                    AttemptOutcome::Done,
+                );
+                let start = info.start_unix_ms.unwrap();
+                reports.push((info.id.clone(), start, vec![end]));
+            }
+            for (id, start, ended) in reports {
+                let running = self.still_running(&id, &running, &ended);
+                self.pool.report_since(Some(start), &id, &running, &ended);
+            }
+            for key in crashing {
+                if self.pool.scheduler.worker(key).is_some() {
+                    self.crash(key, evidence);
+                }
+            }
+        }
+        started
+    }
+
+    /// The tasks of a round that still run on a worker.
+    fn still_running(
+        &self,
+        id: &str,
+        started: &[(WorkerKey, TaskKey, u32)],
+        ended: &[(u64, SmolStr, u32, AttemptOutcome)],
+    ) -> Vec<(SmolStr, u32, u32)> {
+        let key = self.pool.key(id);
+        let here = started.iter().filter(|(worker, task, attempt)| {
+            *worker == key && self.pool.scheduler.is_assigned(key, *task, *attempt)
+        });
+        let names = here.map(|(_, task, attempt)| (self.pool.task_name(*task), *attempt, 50));
+        let running = names.filter(|(name, ..)| ended.iter().all(|(_, other, ..)| other != name));
+        running.collect()
+    }
+
+    fn state(&self, id: JobId) -> JobStatus {
+        self.pool.scheduler.job_status(id)
+    }
+}
+
+#[test]
+fn a_task_that_crashes_each_worker_is_not_started_again_after_three_crashes() {
+    for evidence in ALL_EVIDENCE {
+        let mut workers = Workers::new(4);
+        workers.pool.submit(DEADLY.0, job(vec![step(1)]));
+        let started = workers.play(evidence, |id| id == DEADLY);
+        assert!(
+            (2..=3).contains(&started.len()),
+            "{evidence:?}: {}",
+            started.len()
+        );
+        assert_eq!(
+            workers.state(DEADLY),
+            JobStatus::Recorded(JobState::Failed),
+            "{evidence:?}"
+        );
+    }
+}
+
+#[test]
+fn the_neighbours_of_a_task_that_crashes_workers_are_done() {
+    for evidence in ALL_EVIDENCE {
+        let mut workers = Workers::new(4);
+        workers.pool.submit(DEADLY.0, job(vec![step(1)]));
+        for id in 2..=9 {
+            workers.pool.submit(id, job(vec![step(1)]));
+        }
+        let started = workers.play(evidence, |id| id == DEADLY);
+        let deadly = started.iter().filter(|task| task.job == DEADLY).count();
+        assert!(deadly <= 3, "{evidence:?}: {deadly}");
+        assert_eq!(workers.state(DEADLY), JobStatus::Recorded(JobState::Failed));
+        for id in 2..=9 {
+            let state = workers.state(JobId(id));
+            assert_eq!(
+                state,
+                JobStatus::Recorded(JobState::Done),
+                "{evidence:?}: job {id}"
+            );
+        }
+    }
+}
+
+#[test]
+fn workers_that_fall_silent_are_drained_or_shut_down_do_not_count_as_crashed() {
+    #[derive(Debug, Clone, Copy)]
+    enum End {
+        Silent,
+        Drained,
+        ShutDown,
+    }
+    for end in [End::Silent, End::Drained, End::ShutDown] {
+        let mut workers = Workers::new(2);
+        workers.pool.submit(1, job(vec![step(1)]));
+        for _ in 0..5 {
+            let commands = workers.pool.round();
+            let (key, ..) = starts(&commands)[0];
+            workers.pool.confirm_starts(&commands);
+            let info = workers.pool.scheduler.worker(key).unwrap().clone();
+            match end {
+                End::Silent => {
+                    workers.pool.scheduler.mark_unresponsive(key);
+                    workers.pool.advance(GRACE_MS + 2 * LEASE_MS);
+                    workers.register();
+                }
+                End::Drained => {
+                    workers.pool.scheduler.drain(key, workers.pool.now());
+                    workers.crash(key, Evidence::VmIsDown);
+                }
+                End::ShutDown => {
+                    let is_ending = |other: &&mut WorkerInfo| other.id == info.id;
+                    let entry = workers.infos.iter_mut().find(is_ending).unwrap();
+                    entry.is_shutting_down = true;
+                    let infos = workers.infos.clone();
+                    workers
+                        .pool
+                        .scheduler
+                        .set_workers(infos, workers.pool.now());
+                    workers.crash(key, Evidence::VmIsDown);
+                }
+            }
+        }
+        assert_eq!(
+            workers.state(JobId(1)),
+            JobStatus::Recorded(JobState::Running),
+            "{end:?}"
+        );
+    }
+}
+
+#[test]
+fn a_next_owner_goes_on_counting_the_crashes_under_a_task() {
+    let mut workers = Workers::new(4);
+    workers.pool.submit(DEADLY.0, job(vec![step(1)]));
+    let commands = workers.pool.round();
+    workers.pool.confirm_starts(&commands);
+    workers.crash(starts(&commands)[0].0, Evidence::AnotherIdResponds);
+    let recorded = workers.pool.scheduler.job(DEADLY).unwrap();
+    let row = recorded.record();
+    let spec = recorded.spec().clone();
+    let restored = Job::new(DEADLY, "queue".into(), spec, 0);
+    let restored = restored.with_record(row);
+    workers.pool.scheduler = Scheduler::new(limits());
+    workers
+        .pool
+        .scheduler
+        .adopt_job(restored, workers.pool.now());
+    workers.register();
+    let started = workers.play(Evidence::AnotherIdResponds, |id| id == DEADLY);
+    assert!(started.len() <= 2, "{}", started.len());
+    assert_eq!(workers.state(DEADLY), JobStatus::Recorded(JobState::Failed));
+}
+
+/// Adopts a job of one task under which `crashes` workers have crashed.
+fn adopt_suspect(workers: &mut Workers, id: u64, crashes: u32) {
+    let record = JobRecord {
+        tasks: vec![TaskRecord(crashes, 0, false, "".into(), "".into())],
+        crashes: vec![(0, crashes)],
+        ..JobRecord::default()
+    };
+    let suspect = Job::new(JobId(id), "queue".into(), Arc::new(job(vec![step(1)])), 0);
+    let now = workers.pool.now();
+    workers
+        .pool
+        .scheduler
+        .adopt_job(suspect.with_record(record), now);
+}
+
+#[test]
+fn tasks_under_which_workers_crash_again_take_a_part_of_the_workers_and_no_neighbours() {
+    let mut workers = Workers::new(8);
+    for id in 1..=5 {
+        adopt_suspect(&mut workers, id, 2);
+    }
+    for id in 6..=20 {
+        workers.pool.submit(id, job(vec![step(1)]));
+    }
+    let started = starts(&workers.pool.round());
+    let is_suspect = |task: &TaskKey| task.job.0 <= 5;
+    let suspects: Vec<_> = started
+        .iter()
+        .filter(|(_, task, _)| is_suspect(task))
+        .collect();
+    assert_eq!(suspects.len(), 4);
+    for (worker, task, _) in suspects {
+        let on_worker = started.iter().filter(|(other, ..)| other == worker);
+        assert_eq!(on_worker.count(), 1, "{task:?} has neighbours");
+    }
+    assert_eq!(started.len(), 19, "the other jobs have to wait");
+}
+
+#[test]
+fn a_service_task_that_runs_for_a_while_does_not_crash_workers() {
+    let mut workers = Workers::new(3);
+    workers.pool.submit(1, job(vec![service_step(1, 0)]));
+    for _ in 0..6 {
+        let commands = workers.pool.round();
+        let (key, task, attempt) = starts(&commands)[0];
+        workers.pool.confirm_starts(&commands);
+        workers.pool.advance(6000);
+        let info = workers.pool.scheduler.worker(key).unwrap().clone();
+        let running = [(workers.pool.task_name(task), attempt, 100)];
+        workers
+            .pool
+            .report_since(info.start_unix_ms, &info.id, &running, &[]);
+        workers.crash(key, Evidence::AnotherIdResponds);
+    }
+    assert_eq!(
+        workers.state(JobId(1)),
+        JobStatus::Recorded(JobState::Running)
+    );
+}
+
+#[test]
+fn a_service_task_that_crashes_each_worker_at_once_is_given_up() {
+    let mut workers = Workers::new(4);
+    workers.pool.submit(DEADLY.0, job(vec![service_step(1, 0)]));
+    let started = workers.play(Evidence::AnotherIdResponds, |id| id == DEADLY);
+    assert_eq!(started.len(), 3);
+    assert_eq!(workers.state(DEADLY), JobStatus::Recorded(JobState::Failed));
+}
--- a/crates/scheduler/tests/events.rs
+++ b/crates/scheduler/tests/events.rs
@@ -38,4 +38,20 @@
         format!("{lost:?}"),
         r#"NotListed { worker: "w-1", task: "t", run: 1 }"#
     );
+    let crashed = SchedulerEvent::Crashed {
+        worker: "w-1".into(),
+        tasks: vec![("t".into(), 2)],
+    };
+    assert_eq!(
+        format!("{crashed:?}"),
+        r#"Crashed { worker: "w-1", tasks: [("t", 2)] }"#
+    );
+    let given_up = SchedulerEvent::GivenUp {
+        task: "t".into(),
+        crashes: 2,
+    };
+    assert_eq!(
+        format!("{given_up:?}"),
+        r#"GivenUp { task: "t", crashes: 2 }"#
+    );
 }
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -25,12 +25,18 @@
     Running,
     /// All tasks are done.
     Done,
-    /// A task reached its maximum number of failed attempts.
+    /// A task reached its maximum number of failed attempts, or too many workers crashed under it.
     Failed,
     /// A caller cancelled the job.
     Cancelled,
 }
 
+/// The number of workers that crashed under a task after which the task is given up.
+const MAX_CRASHES: u32 = 3;
+
+/// Like [`MAX_CRASHES`], when no other job can have caused the last crash.
+const MAX_CRASHES_ALONE: u32 = 2;
+
 /// The phase of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TaskPhase {
@@ -52,6 +58,9 @@
     pub attempt: u32,
     /// The number of failed attempts.
     pub failures: u32,
+    /// The number of workers that crashed while an attempt may have run there. Service tasks start anew when an attempt
+    /// has run for a while.
+    pub crashes: u32,
     /// The current phase.
     pub phase: TaskPhase,
     /// The newest known checkpoint; empty for none.
@@ -94,6 +103,7 @@
         let new_task = Task {
             attempt: 0,
             failures: 0,
+            crashes: 0,
             phase: TaskPhase::Idle,
             checkpoint: SmolStr::default(),
         };
@@ -137,10 +147,16 @@
             self.tasks[index] = Task {
                 attempt,
                 failures,
+                crashes: 0,
                 phase,
                 checkpoint,
             };
         }
+        for (index, crashes) in record.crashes {
+            if let Some(task) = self.tasks.get_mut(index as usize) {
+                task.crashes = crashes;
+            }
+        }
         self
     }
 
@@ -163,11 +179,14 @@
         };
         let last_attempted = self.tasks.iter().rposition(|task| task.attempt > 0);
         let listed = last_attempted.map_or(0, |index| index + 1);
+        let crashed = self.tasks().filter(|(_, task)| task.crashes > 0);
+        let crashed = crashed.filter(|(_, task)| task.phase != TaskPhase::Done);
         JobRecord {
             is_cancelled: self.is_cancelled,
             has_failed: self.has_failed,
             ended_at_ms: self.ended_at_ms,
             tasks: self.tasks[..listed].iter().map(record).collect(),
+            crashes: crashed.map(|(index, task)| (index, task.crashes)).collect(),
         }
     }
 
@@ -447,6 +466,52 @@
         true
     }
 
+    /// Records that a worker crashed while an attempt of a task may have run there, at `store_ms` on the store's clock.
+    /// `is_alone` tells that no task of another job can have caused the crash. Returns whether the task is given up now, so
+    /// that the job has failed. Ignored when the job has ended or the task is done.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use submission::{Job, JobId, JobSpec, JobState, StepSpec};
+    /// let steps = vec![StepSpec { tasks: 1, ..StepSpec::default() }];
+    /// let spec = Arc::new(JobSpec { steps, ..JobSpec::default() });
+    /// let mut job = Job::new(JobId(7), "queue".into(), spec, 0);
+    /// assert!(!job.record_crash(0, true, 10));
+    /// assert!(job.record_crash(0, true, 20));
+    /// assert_eq!(job.state(), JobState::Failed);
+    /// ```
+    pub fn record_crash(&mut self, index: u32, is_alone: bool, store_ms: u64) -> bool {
+        if self.has_ended() || self.task(index).is_none() {
+            return false;
+        }
+        let is_service = self.step(index).is_service;
+        let task = &mut self.tasks[index as usize];
+        if task.phase == TaskPhase::Done {
+            return false;
+        }
+        task.crashes += 1;
+        let max_crashes = if is_alone && !is_service {
+            MAX_CRASHES_ALONE
+        } else {
+            MAX_CRASHES
+        };
+        if task.crashes < max_crashes {
+            return false;
+        }
+        self.has_failed = true;
+        self.ended_at_ms = store_ms.max(1);
+        true
+    }
+
+    /// Forgets the crashes under a task whose attempt has run long enough not to be their cause. Returns whether there
+    /// were any.
+    ///
+    /// # Panics
+    /// If `index` is not the index of a task of the job.
+    pub fn forget_crashes(&mut self, index: u32) -> bool {
+        std::mem::take(&mut self.tasks[index as usize].crashes) > 0
+    }
+
     /// Cancels the job at `store_ms` on the store's clock. Returns false and changes nothing when the job has ended.
     pub fn cancel(&mut self, store_ms: u64) -> bool {
         if self.has_ended() {
--- a/crates/submission/src/record.rs
+++ b/crates/submission/src/record.rs
@@ -9,7 +9,7 @@
     /// Whether a caller cancelled the job.
     #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_cancelled: bool,
-    /// Whether the job failed because a task reached its maximum number of failed attempts.
+    /// Whether the job failed because a task reached its maximum number of failed attempts or of crashes.
     #[serde(rename = "f", default, skip_serializing_if = "std::ops::Not::not")]
     pub has_failed: bool,
     /// When the job ended, in ms on the store's clock; 0 while the job has not ended.
@@ -18,6 +18,10 @@
     /// The progress of each task, by the index of the task in the job.
     #[serde(rename = "t", default)]
     pub tasks: Vec<TaskRecord>,
+    /// The index in the job of each task under which workers crashed, with the number of these crashes. Earlier builds
+    /// ignore this field, whereas they can't read a task with more fields.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<(u32, u32)>,
 }
 
 /// The progress of a task as stored. The fields are, in this order: the number of the last attempt (0 before the first
--- a/crates/submission/tests/jobs.rs
+++ b/crates/submission/tests/jobs.rs
@@ -121,6 +121,62 @@
     assert_eq!(restored.state(), JobState::Running);
 }
 
+#[test]
+fn a_task_under_which_workers_crash_is_given_up() {
+    fn check(is_service: bool, is_alone: bool, expected_crashes: u32) {
+        let mut job = job(vec![StepSpec {
+            is_service,
+            ..step(2, &[])
+        }]);
+        let crashes = (1..=9).find(|_| {
+            let attempt = job.assign(1, "worker".into(), 0);
+            let is_given_up = job.record_crash(1, is_alone, 5);
+            job.end_attempt(1, attempt, AttemptOutcome::Lost, 2, 5);
+            is_given_up
+        });
+        assert_eq!(crashes, Some(expected_crashes), "{is_service} {is_alone}");
+        assert_eq!((job.state(), job.ended_at_ms()), (JobState::Failed, 5));
+    }
+    check(false, true, 2);
+    check(false, false, 3);
+    check(true, true, 3);
+    check(true, false, 3);
+}
+
+#[test]
+fn crashes_under_a_task_do_not_count_once_the_task_is_done_or_its_job_has_ended() {
+    let mut job = job(vec![step(2, &[])]);
+    let attempt = job.assign(0, "worker".into(), 0);
+    assert!(job.end_attempt(0, attempt, AttemptOutcome::Done, 1, 5));
+    for _ in 0..4 {
+        assert!(!job.record_crash(0, true, 6));
+    }
+    assert!(job.cancel(7));
+    for _ in 0..4 {
+        assert!(!job.record_crash(1, true, 8));
+    }
+    assert_eq!(job.state(), JobState::Cancelled);
+    assert!(!job.record_crash(9, true, 8));
+}
+
+/// Daemons of an earlier build read the rows of this one, and the reverse.
+#[test]
+fn a_row_with_crashes_keeps_the_form_that_earlier_builds_read() {
+    let mut job = job(vec![step(2, &[])]);
+    job.assign(1, "one".into(), 0);
+    let without = r#"{"e":0,"t":[[0,0,false,"",""],[1,0,false,"one",""]]}"#;
+    assert_eq!(serde_json::to_string(&job.record()).unwrap(), without);
+    job.record_crash(1, true, 5);
+    let with = r#"{"e":0,"t":[[0,0,false,"",""],[1,0,false,"one",""]],"c":[[1,1]]}"#;
+    assert_eq!(serde_json::to_string(&job.record()).unwrap(), with);
+    for (row, crashes) in [(without, 0), (with, 1)] {
+        let record = serde_json::from_str(row).unwrap();
+        let restored = Job::new(JobId(7), "queue".into(), job.spec().clone(), 1);
+        let restored = restored.with_record(record);
+        assert_eq!(restored.task(1).map(|task| task.crashes), Some(crashes));
+    }
+}
+
 #[test]
 fn a_task_name_gives_back_the_index_of_its_task() {
     let spec = JobSpec {
--- /dev/null
+++ b/crates/trefoilpassd/tests/fleet_crashes.rs
@@ -0,0 +1,53 @@
+//! Real daemons and tasks that crash the workers that start them.
+
+mod fleet_support;
+
+use std::time::{Duration, Instant};
+
+use fleet_support::{Daemon, PATIENCE, call, done, start, submit_surely};
+use platform_stand_in::{CRASHING_PAYLOAD, job_body};
+use reqwest::Method;
+
+/// The number of crashes after which a task is not started again.
+const MAX_CRASHES: usize = 3;
+
+/// Waits until a job is shown as failed.
+async fn failed(daemon: &Daemon, path: &str) {
+    let start = Instant::now();
+    loop {
+        let (status, body) = call(Method::GET, daemon, path, None).await;
+        if status == 200 && body["state"] == "failed" {
+            return;
+        }
+        assert!(
+            start.elapsed() < PATIENCE,
+            "job {path} is never given up: {status} {body}"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_task_that_crashes_each_worker_is_given_up_and_other_jobs_are_done() {
+    const DEADLY: u64 = 1;
+    const OTHERS: std::ops::RangeInclusive<u64> = 2..=8;
+    let (platform, daemons) = start(4, 2).await;
+    let path = format!("/q/{DEADLY:016x}");
+    let deadly = job_body(CRASHING_PAYLOAD, 1, false);
+    let submitted = call(Method::POST, &daemons[0], &path, Some(deadly)).await;
+    assert_eq!(submitted.0, 200);
+    for id in OTHERS {
+        submit_surely(&daemons, id, 4).await;
+    }
+    failed(&daemons[0], &path).await;
+    for id in OTHERS {
+        done(&daemons, id).await;
+    }
+    let attempts = platform.attempts();
+    let name = format!("{DEADLY:016x}.");
+    let deadly = attempts
+        .iter()
+        .filter(|attempt| attempt.task.starts_with(&name));
+    let starts = deadly.count();
+    assert!(starts <= MAX_CRASHES, "started {starts} times");
+}
