scheduler: a worker that crashes by itself does not convict the tasks on it

What callers saw: with the budget of crashes, innocent jobs were shown as failed while two of three workers restarted by themselves every 0.43 s and 0.71 s (fleet_restarts.rs, tasks_run_once_while_workers_restart_again_and_again: left: "failed", right: "failed").

Cause: each crash counted against the tasks on the worker alone, although the worker may be the cause; two crashes with no task of another job beside were enough.

A worker that crashed within 10 s, also while idle, counts as unstable. Suspects are placed on other workers where there is room, and a task with two crashes waits for one, as long as there is one that can run it. The rule "second crash when alone" goes: an innocent job's failure costs its caller more than a third crash costs the pool.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -3,8 +3,11 @@
 //! A task may crash each worker that starts it. Each crash counts for all tasks that may have run on the worker, as the
 //! scheduler can't tell which of them was the cause. Such tasks are suspects: they are placed apart from each other where
 //! there is room, so that a next crash shows the cause, and are isolated after a second crash.
+//!
+//! The worker may be the cause too. Suspects are placed on workers that have not crashed lately where there is room, and
+//! isolated tasks wait for such a worker.
 
-use submission::TaskKey;
+use submission::{StepSpec, TaskKey};
 
 use crate::scheduler::Scheduler;
 use crate::types::{Now, SchedulerEvent};
@@ -20,6 +23,9 @@
 /// The duration after which a service task that still runs is not the cause of a crash.
 const SURVIVED_MS: u64 = 5000;
 
+/// How long a worker that crashed counts as unstable, in ms.
+const UNSTABLE_MS: u64 = 10_000;
+
 /// How long after the end of its drain lease the end of a worker counts as planned, in ms. A command to a VM may take effect
 /// seconds later.
 const PLANNED_END_MS: u64 = 5000;
@@ -49,10 +55,15 @@
         }
         let attempts = self.attempts.iter();
         let suspects = attempts.filter(|(_, attempt)| attempt.may_have_crashed_worker(now_ms));
-        let suspects: Vec<_> = suspects.map(|(task, _)| *task).collect();
-        let is_alone = suspects.windows(2).all(|pair| pair[0].job == pair[1].job);
-        let suspects = suspects.into_iter();
-        suspects.map(|task| (task, Crash { is_alone })).collect()
+        let is_unstable = self.is_unstable(now_ms);
+        suspects
+            .map(|(task, _)| (*task, Crash { is_unstable }))
+            .collect()
+    }
+
+    /// Whether the worker has crashed lately.
+    pub(crate) fn is_unstable(&self, now_ms: u64) -> bool {
+        self.crashed_at_ms > 0 && now_ms.saturating_sub(self.crashed_at_ms) < UNSTABLE_MS
     }
 
     /// Whether a task may be placed on the worker beside the tasks there.
@@ -102,6 +113,9 @@
                 attempt.crash = Some(crash);
             }
         }
+        if !worker.has_planned_end(now.local_ms) {
+            worker.crashed_at_ms = now.local_ms.max(1);
+        }
     }
 
     /// Counts a crash of a worker for tasks, and gives up those under which too many workers crashed.
@@ -111,13 +125,16 @@
         crashed: Vec<(TaskKey, Crash)>,
         now: Now,
     ) {
+        if !crashed.is_empty() {
+            self.workers[key].crashed_at_ms = now.local_ms.max(1);
+        }
         let mut counts = Vec::new();
         let mut given_up = Vec::new();
         for (task, crash) in crashed {
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
-            let has_failed = job.record_crash(task.index, crash.is_alone, now.store_ms);
+            let has_failed = job.record_crash(task.index, crash.is_unstable, now.store_ms);
             let count = job.task(task.index).map_or(0, |task| task.crashes);
             let name = job.task_name(task.index);
             counts.push((name.clone(), count));
@@ -141,6 +158,19 @@
         }
     }
 
+    /// Whether a task under which `crashes` workers crashed has to wait for a worker that has not crashed lately: it has to be
+    /// isolated, and there is such a worker that can run tasks of the step.
+    pub(crate) fn needs_stable_worker(&self, crashes: u32, step: &StepSpec, now: Now) -> bool {
+        let mut workers = self.workers.values();
+        crashes >= ISOLATED_FROM_CRASHES
+            && workers.any(|worker| {
+                worker.is_usable(now.local_ms)
+                    && !worker.is_unstable(now.local_ms)
+                    && worker.has_label(&step.required_label)
+                    && step.footprint().fits(worker.info.capacity)
+            })
+    }
+
     /// Whether one more worker may be given a task that has to be isolated, if `crashes` are so many.
     pub(crate) fn may_isolate_another(&self, crashes: u32) -> bool {
         if crashes < ISOLATED_FROM_CRASHES {
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -172,6 +172,7 @@
         if !self.may_isolate_another(crashes) {
             return None;
         }
+        let needs_stable_worker = self.needs_stable_worker(crashes, step, now);
         let preferred_rack = self.preferred_rack(job, step, key, gang_workers);
         let has_policy = self.has_policy(&job.queue);
         let is_authorized = |worker: &SmolStr| {
@@ -180,6 +181,7 @@
         let usable = self.workers.iter().filter(|(worker_key, worker)| {
             worker.is_usable(now.local_ms)
                 && worker.may_join()
+                && !(needs_stable_worker && worker.is_unstable(now.local_ms))
                 && worker.has_label(&step.required_label)
                 && is_authorized(&worker.info.id)
                 && fits(worker, step, *worker_key, gang_workers, now)
@@ -199,6 +201,7 @@
                 // Workers with service tasks stay in the pool in any case. Other workers become idle sooner when they
                 // are used last, and the fullest of them first, and the VM of an idle worker can leave the pool.
                 (
+                    crashes == 0 || !worker.is_unstable(now.local_ms),
                     crashes == 0 || worker.suspect_attempts == 0,
                     suspect_order,
                     is_preferred_rack,
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -54,8 +54,8 @@
 /// The unexpected end of an incarnation on which an attempt may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Crash {
-    /// Whether no task of another job can have caused the crash.
-    pub(crate) is_alone: bool,
+    /// Whether the worker had crashed shortly before too.
+    pub(crate) is_unstable: bool,
 }
 
 /// An attempt that is assigned to a worker.
@@ -149,6 +149,8 @@
     /// Tasks whose leases expired on the worker while it was silent. They count as crashed under when the incarnation turns
     /// out to have ended.
     pub(crate) expired: Vec<(TaskKey, Crash)>,
+    /// When the worker last crashed, in ms on the daemon's clock; 0 when it has not. Kept when the worker restarts under its id.
+    pub(crate) crashed_at_ms: u64,
     /// When an attempt was last removed from the worker, or else when the registry first listed the worker, in ms on
     /// the daemon's clock.
     pub(crate) idle_since_ms: u64,
@@ -191,6 +193,7 @@
             suspect_attempts: 0,
             isolated_attempts: 0,
             expired: Vec::new(),
+            crashed_at_ms: 0,
             idle_since_ms: 0,
             leases_expired_by_ms,
             incarnation: Incarnation::default(),
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -366,3 +366,61 @@
     assert_eq!(started.len(), 3);
     assert_eq!(workers.state(DEADLY), JobStatus::Recorded(JobState::Failed));
 }
+
+#[test]
+fn a_task_is_not_given_up_because_its_workers_crash_by_themselves() {
+    let mut workers = Workers::new(1);
+    workers.pool.submit(7, job(vec![step(1)]));
+    let crash = |workers: &mut Workers, id: &str| {
+        let commands = workers.pool.round();
+        let started = starts(&commands);
+        workers.pool.confirm_starts(&commands);
+        let key = workers.pool.key(id);
+        assert!(started.iter().all(|(worker, ..)| *worker == key));
+        workers.crash(key, Evidence::AnotherStartReports);
+        started.len()
+    };
+    // There is no other worker. The third crash does not tell whether the task or the worker is the cause.
+    for crashes in 1..=3 {
+        assert_eq!(crash(&mut workers, "worker-1"), 1, "{crashes}");
+        let state = workers.state(JobId(7));
+        assert_ne!(state, JobStatus::Recorded(JobState::Failed), "{crashes}");
+    }
+    // Another worker comes, on which the task ends.
+    workers.add();
+    workers.register();
+    let commands = workers.pool.round();
+    let started = starts(&commands);
+    let other = workers.infos.last().unwrap().id.clone();
+    assert_eq!(started[0].0, workers.pool.key(&other));
+}
+
+#[test]
+fn a_worker_that_crashed_while_it_was_idle_gets_no_suspect_while_there_is_another() {
+    let mut workers = Workers::new(1);
+    workers.pool.submit(7, job(vec![step(1)]));
+    for _ in 0..2 {
+        let commands = workers.pool.round();
+        workers.pool.confirm_starts(&commands);
+        let key = workers.pool.key("worker-1");
+        workers.crash(key, Evidence::AnotherStartReports);
+    }
+    // The other worker has no room. The first one crashes on, with nothing on it.
+    workers.add();
+    workers.infos.last_mut().unwrap().capacity.memory_mb = 99;
+    workers.register();
+    for _ in 0..50 {
+        let key = workers.pool.key("worker-1");
+        workers.crash(key, Evidence::AnotherStartReports);
+        workers.pool.advance(300);
+    }
+    workers
+        .infos
+        .iter_mut()
+        .for_each(|info| info.capacity.memory_mb = 8000);
+    workers.register();
+    let commands = workers.pool.round();
+    let other = workers.infos.iter().find(|info| info.id != "worker-1");
+    let other = workers.pool.key(&other.unwrap().id);
+    assert_eq!(starts(&commands)[0].0, other);
+}
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -34,8 +34,8 @@
 /// The number of workers that crashed under a task after which the task is given up.
 const MAX_CRASHES: u32 = 3;
 
-/// Like [`MAX_CRASHES`], when no other job can have caused the last crash.
-const MAX_CRASHES_ALONE: u32 = 2;
+/// Like [`MAX_CRASHES`], when the last worker had crashed shortly before too and may be the cause.
+const MAX_CRASHES_WITH_UNSTABLE_WORKER: u32 = 4;
 
 /// The phase of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -467,8 +467,8 @@
     }
 
     /// Records that a worker crashed while an attempt of a task may have run there, at `store_ms` on the store's clock.
-    /// `is_alone` tells that no task of another job can have caused the crash. Returns whether the task is given up now, so
-    /// that the job has failed. Ignored when the job has ended or the task is done.
+    /// `is_unstable` tells that the worker had crashed shortly before too. Returns whether the task is given up now, so that
+    /// the job has failed. Ignored when the job has ended or the task is done.
     ///
     /// ```
     /// use std::sync::Arc;
@@ -476,22 +476,22 @@
     /// let steps = vec![StepSpec { tasks: 1, ..StepSpec::default() }];
     /// let spec = Arc::new(JobSpec { steps, ..JobSpec::default() });
     /// let mut job = Job::new(JobId(7), "queue".into(), spec, 0);
-    /// assert!(!job.record_crash(0, true, 10));
-    /// assert!(job.record_crash(0, true, 20));
+    /// assert!(!job.record_crash(0, false, 10));
+    /// assert!(!job.record_crash(0, false, 20));
+    /// assert!(job.record_crash(0, false, 30));
     /// assert_eq!(job.state(), JobState::Failed);
     /// ```
-    pub fn record_crash(&mut self, index: u32, is_alone: bool, store_ms: u64) -> bool {
+    pub fn record_crash(&mut self, index: u32, is_unstable: bool, store_ms: u64) -> bool {
         if self.has_ended() || self.task(index).is_none() {
             return false;
         }
-        let is_service = self.step(index).is_service;
         let task = &mut self.tasks[index as usize];
         if task.phase == TaskPhase::Done {
             return false;
         }
         task.crashes += 1;
-        let max_crashes = if is_alone && !is_service {
-            MAX_CRASHES_ALONE
+        let max_crashes = if is_unstable {
+            MAX_CRASHES_WITH_UNSTABLE_WORKER
         } else {
             MAX_CRASHES
         };
