--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -235,7 +235,7 @@
         return ApiResponse::bad_request(&err.to_string());
     }
     // A transaction with a row that the store refuses would fail again and again, and others with it.
-    if !fits_row(&queue.name, &spec) {
+    if !fits_row(&queue.name, &SmolStr::default(), &spec) {
         return ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE);
     }
     for pool in node.active_config.previous_pools(queue) {
@@ -252,6 +252,7 @@
     let request = SubmitRequest {
         pool: queue.pool.clone(),
         queue: queue.name.clone(),
+        team: SmolStr::default(),
         id,
         spec,
     };
@@ -305,7 +306,7 @@
 /// Submits a job to the owner of its pool, once. Returns the owner's term, 0 without an owner, and the reply.
 async fn try_submit_to_owner(node: &Arc<Node>, request: SubmitRequest) -> (u64, SubmitReply) {
     if let Some(owner) = node.local_pool_owner(&request.pool) {
-        let reply = owner.submit(request.queue, request.id, request.spec);
+        let reply = owner.submit(request);
         let reply = tokio::time::timeout(CALL_TIMEOUT, reply).await;
         return (owner.term, reply.unwrap_or(SubmitReply::OutcomeUnknown));
     }
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -20,14 +20,15 @@
 use parking_lot::Mutex;
 use scheduler::{Demand, JobStatus, Scheduler, UnavailableReason, WorkerKey};
 use smol_str::SmolStr;
-use submission::{JobId, JobSpec};
+use submission::JobId;
 use tokio::sync::Notify;
 
 use crate::clock::local_ms;
 use crate::node::Node;
 use crate::peer_calls::call_peer;
 use crate::rpc::{
-    JobReply, OwnerProgress, PoolClient, RoundReply, RoundRequest, SubmitReply, WireState,
+    JobReply, OwnerProgress, PoolClient, RoundReply, RoundRequest, SubmitReply, SubmitRequest,
+    WireState,
 };
 
 use submissions::Submissions;
@@ -131,7 +132,8 @@
     /// Submits a job and returns once its rows are written. A job with a known id is not submitted again. Returns
     /// `Refused` for a new job when the store is unavailable before a transaction with the job was sent, `NotOwner` when
     /// the ownership has ended by then, and `OutcomeUnknown` when the ownership ends later.
-    pub(crate) async fn submit(&self, queue: SmolStr, id: JobId, spec: JobSpec) -> SubmitReply {
+    pub(crate) async fn submit(&self, request: SubmitRequest) -> SubmitReply {
+        let id = request.id;
         if self.has_ended() {
             return SubmitReply::NotOwner;
         }
@@ -141,7 +143,9 @@
                 JobStatus::Recorded(_) => return SubmitReply::Accepted,
                 JobStatus::Unknown if self.is_store_unavailable() => return REFUSED_IN_OUTAGE,
                 JobStatus::Unknown => {
-                    scheduler.submit(id, queue, Arc::new(spec), self.node.clock.now());
+                    let spec = Arc::new(request.spec);
+                    let now = self.node.clock.now();
+                    scheduler.submit_for_team(id, request.queue, request.team, spec, now);
                 }
                 JobStatus::NotYetRecorded => {}
             }
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -291,6 +291,7 @@
 pub(crate) fn encode_job_row(job: &Job) -> Vec<u8> {
     let row = JobRow {
         queue: job.queue.clone(),
+        team: job.team.clone(),
         accepted_at_ms: job.accepted_at_ms,
         spec: JobSpec::clone(job.spec()),
     };
@@ -299,9 +300,14 @@
 }
 
 /// Whether the row of a job fits into the store.
-pub(crate) fn fits_row(queue: &smol_str::SmolStr, spec: &JobSpec) -> bool {
+pub(crate) fn fits_row(
+    queue: &smol_str::SmolStr,
+    team: &smol_str::SmolStr,
+    spec: &JobSpec,
+) -> bool {
     let row = JobRow {
         queue: queue.clone(),
+        team: team.clone(),
         accepted_at_ms: u64::MAX,
         spec: spec.clone(),
     };
@@ -312,6 +318,9 @@
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub(crate) struct JobRow {
     pub(crate) queue: smol_str::SmolStr,
+    /// The team that submitted the job; empty for none, and in rows of earlier builds.
+    #[serde(default, skip_serializing_if = "smol_str::SmolStr::is_empty")]
+    pub(crate) team: smol_str::SmolStr,
     /// The time at which the owner accepted the job, on the store's clock in ms.
     pub(crate) accepted_at_ms: u64,
     pub(crate) spec: JobSpec,
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -363,7 +363,8 @@
         }
     }
     let job = |(id, row): (JobId, JobRow)| {
-        let job = Job::new(id, row.queue, Arc::new(row.spec), row.accepted_at_ms);
+        let job =
+            Job::new(id, row.queue, Arc::new(row.spec), row.accepted_at_ms).with_team(row.team);
         job.with_record(progress.remove(&id).unwrap_or_default())
     };
     let specs = specs.into_iter();
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -16,6 +16,9 @@
     pub(crate) pool: SmolStr,
     /// The name of the job's queue.
     pub(crate) queue: SmolStr,
+    /// The team of the caller; empty for none, and from a daemon of an earlier build.
+    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
+    pub(crate) team: SmolStr,
     /// The id of the job.
     pub(crate) id: JobId,
     /// The submitted spec of the job.
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -17,6 +17,7 @@
 fn a_submission_keeps_its_field_names() {
     let request = SubmitRequest {
         pool: "p".into(),
+        team: SmolStr::default(),
         queue: "q".into(),
         id: JobId(7),
         spec: JobSpec {
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -180,7 +180,7 @@
 
     async fn submit(&self, request: SubmitRequest) -> RpcResult<SubmitReply> {
         Ok(match self.node.local_pool_owner(&request.pool) {
-            Some(owner) => owner.submit(request.queue, request.id, request.spec).await,
+            Some(owner) => owner.submit(request).await,
             None => SubmitReply::NotOwner,
         })
     }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -103,10 +103,22 @@
     /// Accepts a job, whose rows come with a later batch. Returns false and changes nothing when the id is already in
     /// use.
     pub fn submit(&mut self, id: JobId, queue: SmolStr, spec: Arc<JobSpec>, now: Now) -> bool {
+        self.submit_for_team(id, queue, SmolStr::default(), spec, now)
+    }
+
+    /// Like [`Scheduler::submit`], for a job of a team; empty for none.
+    pub fn submit_for_team(
+        &mut self,
+        id: JobId,
+        queue: SmolStr,
+        team: SmolStr,
+        spec: Arc<JobSpec>,
+        now: Now,
+    ) -> bool {
         if self.jobs.contains_key(&id) {
             return false;
         }
-        let job = Job::new(id, queue, spec, now.store_ms);
+        let job = Job::new(id, queue, spec, now.store_ms).with_team(team);
         if job.spec().occurrences == 0 {
             let work = job.remaining_batch_work(0);
             self.arrivals
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -85,6 +85,8 @@
     pub id: JobId,
     /// The queue that the job was submitted to.
     pub queue: SmolStr,
+    /// The team that submitted the job; empty for none.
+    pub team: SmolStr,
     /// When the job was accepted, in ms on the store's clock.
     pub accepted_at_ms: u64,
     spec: Arc<JobSpec>,
@@ -114,6 +116,7 @@
         Self {
             id,
             queue,
+            team: SmolStr::default(),
             accepted_at_ms,
             tasks: vec![new_task; task_count as usize],
             remaining,
@@ -124,6 +127,13 @@
         }
     }
 
+    /// Sets the team that submitted the job.
+    #[must_use]
+    pub fn with_team(mut self, team: SmolStr) -> Self {
+        self.team = team;
+        self
+    }
+
     /// Restores the progress of a new job from its stored row. Tasks that the row does not list have had no attempt;
     /// entries of the row beyond the tasks of the job are ignored.
     #[must_use]
