trefoilpass: a configuration of the users' platform is checked before it is sent

`config check-fleet` names errors, queues that can never match, limits that contradict each other, and with --in-force what differs, from files and without a daemon.

--- a/crates/trefoilpass/src/args.rs
+++ b/crates/trefoilpass/src/args.rs
@@ -81,6 +81,14 @@
         /// The document.
         file: PathBuf,
     },
+    /// Check a configuration of the users' platform before it is sent. Fails if it has errors.
+    CheckFleet {
+        /// The configuration, in JSON.
+        file: PathBuf,
+        /// The configuration in force, to show what differs.
+        #[arg(long)]
+        in_force: Option<PathBuf>,
+    },
     /// Compare a document with the one in force.
     Diff {
         /// The document.
--- a/crates/trefoilpass/src/commands.rs
+++ b/crates/trefoilpass/src/commands.rs
@@ -17,7 +17,7 @@
 };
 use crate::error::{DocumentSnafu, Error, ReadFileSnafu, Result};
 use crate::output::{print_json, print_rows};
-use crate::{diff, wait};
+use crate::{check_fleet, diff, wait};
 
 /// How long one call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(15);
@@ -36,6 +36,9 @@
             println!("{}: ok", file.display());
             Ok(())
         }
+        Command::Config(ConfigCommand::CheckFleet { file, in_force }) => {
+            check_fleet::run(&file, in_force.as_deref())
+        }
         command => {
             let rpc = connect(&args.daemons).await?;
             run_remote(&rpc, command, is_json).await
@@ -83,6 +86,9 @@
 async fn config(rpc: &HttpClient, command: ConfigCommand, is_json: bool) -> Result<()> {
     match command {
         ConfigCommand::Check { file } => read_document(&file).map(|_| ()),
+        ConfigCommand::CheckFleet { file, in_force } => {
+            check_fleet::run(&file, in_force.as_deref())
+        }
         ConfigCommand::Show => {
             let document = rpc.config_show().await.map_err(Error::from_call)?;
             if is_json {
--- a/crates/trefoilpass/src/error.rs
+++ b/crates/trefoilpass/src/error.rs
@@ -29,6 +29,13 @@
         path: PathBuf,
         source: settings::Error,
     },
+    #[snafu(display("{}: {source}", path.display()))]
+    Configuration {
+        path: PathBuf,
+        source: users_platform::Error,
+    },
+    #[snafu(display("{}: {errors} errors", path.display()))]
+    ConfigurationErrors { path: PathBuf, errors: usize },
     #[snafu(display("{}", source.message()))]
     Refused { source: OperatorError },
     #[snafu(display("no daemon answers: {message}"))]
@@ -44,6 +51,8 @@
         match self {
             Self::ReadFile { .. }
             | Self::Document { .. }
+            | Self::Configuration { .. }
+            | Self::ConfigurationErrors { .. }
             | Self::Refused {
                 source: OperatorError::BadInput(_),
             } => EXIT_BAD_INPUT,
@@ -60,7 +69,10 @@
     pub(crate) fn next_step(&self) -> &'static str {
         match self {
             Self::ReadFile { .. } => "check the file's name and rights",
-            Self::Document { .. } => "mend the field that is named and run the command again",
+            Self::Document { .. } | Self::Configuration { .. } => {
+                "mend the field that is named and run the command again"
+            }
+            Self::ConfigurationErrors { .. } => "mend the entries that are named, then check again",
             Self::Refused { source } => source.next_step(),
             Self::NoDaemon { .. } => "name entry VMs that run with --daemons ADDR,ADDR",
             Self::Lost { .. } => {
--- a/crates/trefoilpass/src/main.rs
+++ b/crates/trefoilpass/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' command line. It talks to any daemon.
 
 mod args;
+mod check_fleet;
 mod commands;
 mod diff;
 mod error;
--- a/crates/trefoilpass/tests/cli.rs
+++ b/crates/trefoilpass/tests/cli.rs
@@ -166,6 +166,48 @@
     assert!(waves.contains("done"), "{waves}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_of_the_users_platform_is_checked_without_a_daemon() {
+    let cluster = cluster().await;
+    let text = |version: u64, weight: i64, pool: &str| {
+        let limits =
+            r#"{"maxHeaderBytes":1,"maxBodyBytes":1,"headerTimeoutMs":1,"idleTimeoutMs":1}"#;
+        let queue = r#"{"name":"q","host":"h","prefix":"/q/","timeoutMs":1,"stretch":2,"attempts":1,"service":"#;
+        format!(
+            r#"{{"version":{version},"limits":{limits},"services":[{{"name":"p"}}],
+            "routes":[{queue}"{pool}"}}],"tenants":[{{"name":"a","keys":["secret"],"weight":{weight}}}]}}"#
+        )
+    };
+    let in_force = Document::new("in-force", &text(3, 4, "p"));
+    let next = Document::new("next", &text(4, 9, "p"));
+    let command = [
+        "config",
+        "check-fleet",
+        next.path(),
+        "--in-force",
+        in_force.path(),
+    ];
+    let shown = ok(&cluster, &command).await;
+    assert!(shown.contains("change: team a weight 4 -> 9"), "{shown}");
+    assert!(shown.contains("ok, 0 warnings, 1 changes"), "{shown}");
+    let wrong = Document::new("wrong", &text(4, 4, "gone"));
+    fails(
+        &cluster,
+        &["config", "check-fleet", wrong.path()],
+        2,
+        "1 errors",
+    )
+    .await;
+    let undecodable = Document::new("undecodable", &text(4, -1, "p"));
+    fails(
+        &cluster,
+        &["config", "check-fleet", undecodable.path()],
+        2,
+        "-1",
+    )
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn errors_say_what_to_do_next() {
     let cluster = cluster().await;
