fleetd: requests are decided by the key of their caller

A configuration with teams was served as if every queue were public. Now a request to a queue that is not public needs a key of a team (401 without, or with an unknown one), and the job gets that team. Where the settings call for strict revocation, a request with a key is refused (503 with Retry-After) unless the configuration was confirmed as the newest less than the revocation time ago, less a margin; the confirmation counts from the moment at which the read was sent, on the boot-time clock, so that a paused or cut off daemon refuses at once. A configuration that can't be decoded confirms nothing. Jobs of another team get 403; the calls between daemons name the team in an optional last parameter.

--- a/crates/access/src/keys.rs
+++ b/crates/access/src/keys.rs
@@ -65,7 +65,7 @@
 pub struct Keys {
     teams_by_key: HashMap<SmolStr, SmolStr>,
     has_teams: bool,
-    shared_keys: usize,
+    duplicates: usize,
 }
 
 impl fmt::Debug for Keys {
@@ -102,7 +102,7 @@
                     Entry::Vacant(entry) => {
                         entry.insert(team.clone());
                     }
-                    Entry::Occupied(entry) if *entry.get() != team => index.shared_keys += 1,
+                    Entry::Occupied(entry) if *entry.get() != team => index.duplicates += 1,
                     Entry::Occupied(_) => {}
                 }
             }
@@ -112,8 +112,8 @@
 
     /// How often a team lists a key that belongs to an earlier team.
     #[must_use]
-    pub fn shared_keys(&self) -> usize {
-        self.shared_keys
+    pub fn duplicates(&self) -> usize {
+        self.duplicates
     }
 
     /// Decides whether a request may be handled, and for whom. Without teams, and unless the rules require keys, all
--- a/crates/access/tests/decisions.rs
+++ b/crates/access/tests/decisions.rs
@@ -22,8 +22,8 @@
     Keys::new(names.zip(keys.iter().map(Vec::as_slice)))
 }
 
-fn team(name: &str) -> Result<Caller, Refusal> {
-    Ok(Caller::Team(name.into()))
+fn team(name: &str) -> Caller {
+    Caller::Team(name.into())
 }
 
 #[test]
@@ -33,13 +33,13 @@
     let stale = Err(Refusal::StaleConfig);
     // Rules, public queue, key, age of the configuration in ms, decision.
     let cases = [
-        (STRICT, false, Some("k1"), Some(0), team("a")),
-        (STRICT, false, Some("k2"), Some(900), team("a")),
-        (STRICT, false, Some("k3"), Some(4949), team("b")),
+        (STRICT, false, Some("k1"), Some(0), Ok(team("a"))),
+        (STRICT, false, Some("k2"), Some(900), Ok(team("a"))),
+        (STRICT, false, Some("k3"), Some(4949), Ok(team("b"))),
         (STRICT, false, Some("k3"), Some(4950), stale.clone()),
         (STRICT, false, Some("k3"), Some(u64::MAX), stale.clone()),
         (STRICT, false, Some("k3"), None, stale.clone()),
-        (LENIENT, false, Some("k3"), Some(60_000), team("b")),
+        (LENIENT, false, Some("k3"), Some(60_000), Ok(team("b"))),
         (STRICT, false, None, Some(900), Err(Refusal::NoKey)),
         (
             STRICT,
@@ -107,7 +107,7 @@
         key: Some("k"),
         config_age_ms: Some(0),
     };
-    assert_eq!(keys.decide(STRICT, request), team("a"));
-    assert_eq!(keys.shared_keys(), 1);
+    assert_eq!(keys.decide(STRICT, request), Ok(team("a")));
+    assert_eq!(keys.duplicates(), 1);
     assert!(!format!("{keys:?}").contains("\"k\""), "a key is a secret");
 }
--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use access::{AccessRequest, Caller, Keys, Refusal};
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,10 +13,11 @@
 use smol_str::SmolStr;
 use submission::{Job, JobId};
 use users_platform::{
-    CallerRequest, KeyRange, Queue, READY_PATH, decode_caller_wait, decode_job, decode_request,
-    pending_body, state_body,
+    CallerRequest, KeyRange, Queue, READY_PATH, decode_caller_wait, decode_job, decode_key,
+    decode_request, pending_body, state_body,
 };
 
+use crate::clock::local_ms;
 use crate::config::{FLEET_SHARD, find_queue};
 use crate::node::{Node, STORE_TIMEOUT, tables};
 use crate::peer_calls::{CALL_TIMEOUT, call_peer};
@@ -42,6 +44,8 @@
     status: StatusCode,
     body: String,
     retry_after_s: Option<u32>,
+    /// Why the caller has no access, in logs and metrics.
+    refusal: Option<&'static str>,
 }
 
 impl ApiResponse {
@@ -50,6 +54,7 @@
             status,
             body: String::new(),
             retry_after_s: None,
+            refusal: None,
         }
     }
 
@@ -66,6 +71,23 @@
         response
     }
 
+    /// Refuses a request by its key. The request had no effect.
+    fn refused(refusal: Refusal) -> Self {
+        let mut response = match refusal {
+            Refusal::NoKey | Refusal::UnknownKey => Self::new(StatusCode::UNAUTHORIZED),
+            Refusal::StaleConfig => Self::unavailable(RETRY_AFTER_S),
+        };
+        response.refusal = Some(refusal.name());
+        response
+    }
+
+    /// Status 403 for a request about a job of another team. The request had no effect.
+    fn other_team() -> Self {
+        let mut response = Self::new(StatusCode::FORBIDDEN);
+        response.refusal = Some("other_team");
+        response
+    }
+
     fn bad_request(reason: &str) -> Self {
         let body = serde_json::json!({ "error": reason }).to_string();
         Self::new(StatusCode::BAD_REQUEST).with_body(body)
@@ -81,6 +103,8 @@
     call: &'static str,
     /// The id of the job, or else the queue or the path.
     subject: SmolStr,
+    /// The team whose key the request carries; empty for none.
+    team: SmolStr,
     /// How long the caller waits for the response, in ms; 0 when the request does not tell.
     caller_wait_ms: u64,
     is_answered: bool,
@@ -94,6 +118,7 @@
             started_at: Instant::now(),
             call: "none",
             subject: SmolStr::default(),
+            team: SmolStr::default(),
             caller_wait_ms: 0,
             is_answered: false,
         }
@@ -103,15 +128,25 @@
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// The team for the log, which leaves it out where there is none.
+    fn logged_team(&self) -> Option<&str> {
+        (!self.team.is_empty()).then_some(self.team.as_str())
+    }
+
     fn count(&self, status: &str) {
         let responses = &self.node.metrics.responses;
         responses.with_label_values(&[self.call, status]).inc();
     }
 
     /// Records the response. The log leaves out the states that were found.
-    fn record_response(&mut self, status: StatusCode) {
+    fn record_response(&mut self, response: &ApiResponse) {
+        let status = response.status;
         self.is_answered = true;
         self.count(status.as_str());
+        if let Some(reason) = response.refusal {
+            let refusals = &self.node.metrics.refusals;
+            refusals.with_label_values(&[reason]).inc();
+        }
         let duration_s = self.started_at.elapsed().as_secs_f64();
         self.node.metrics.response_duration_s.observe(duration_s);
         if self.call == "state" && status == StatusCode::OK {
@@ -121,7 +156,9 @@
         tracing::info!(
             call = self.call,
             job = self.subject.as_str(),
+            team = self.logged_team(),
             status = status.as_u16(),
+            reason = response.refusal,
             ms = self.elapsed_ms(),
             caller_wait_ms = self.caller_wait_ms,
             epoch,
@@ -140,6 +177,7 @@
         tracing::info!(
             call = self.call,
             job = self.subject.as_str(),
+            team = self.logged_team(),
             ms = self.elapsed_ms(),
             caller_wait_ms = self.caller_wait_ms,
             "the caller left before the response"
@@ -154,7 +192,7 @@
 ) -> Response<Full<Bytes>> {
     let mut record = RequestRecord::new(node.clone());
     let api_response = route_request(request, node, &mut record).await;
-    record.record_response(api_response.status);
+    record.record_response(&api_response);
     let mut response = Response::new(Full::new(Bytes::from(api_response.body)));
     *response.status_mut() = api_response.status;
     let json = HeaderValue::from_static("application/json");
@@ -164,6 +202,12 @@
             .headers_mut()
             .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     }
+    if api_response.status == StatusCode::UNAUTHORIZED {
+        let scheme = HeaderValue::from_static("Bearer");
+        response
+            .headers_mut()
+            .insert(header::WWW_AUTHENTICATE, scheme);
+    }
     response
 }
 
@@ -173,7 +217,9 @@
     node: &Arc<Node>,
     record: &mut RequestRecord,
 ) -> ApiResponse {
-    let Some(config) = node.active_config.get() else {
+    // Before the configuration is read: it is at least as new as this.
+    let confirmed_at_ms = node.config_confirmed_at_ms();
+    let Some((config, keys)) = node.active_config.get_with_keys() else {
         return ApiResponse::unavailable(RETRY_AFTER_S);
     };
     let (parts, body) = request.into_parts();
@@ -198,19 +244,25 @@
     let caller_wait = decode_caller_wait(&parts.headers);
     let wait_ms = caller_wait.map_or(0, |wait| wait.as_millis());
     record.caller_wait_ms = u64::try_from(wait_ms).unwrap_or(u64::MAX);
+    let key = decode_key(&parts.headers);
+    let caller = match check_access(node, &keys, queue, key, confirmed_at_ms) {
+        Ok(caller) => caller,
+        Err(refusal) => return ApiResponse::refused(refusal),
+    };
+    record.team = caller.team().into();
     match call {
         CallerRequest::Submit(id) => {
             let max_body_bytes = config.limits.max_body_bytes;
             match Limited::new(body, max_body_bytes).collect().await {
-                Ok(body) => submit(node, queue, id, &body.to_bytes(), caller_wait).await,
+                Ok(body) => submit(node, queue, &caller, id, &body.to_bytes(), caller_wait).await,
                 Err(err) if err.is::<http_body_util::LengthLimitError>() => {
                     ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE)
                 }
                 Err(err) => ApiResponse::bad_request(&err.to_string()),
             }
         }
-        CallerRequest::State(id) => state(node, queue, id).await,
-        CallerRequest::Cancel(id) => cancel(node, queue, id).await,
+        CallerRequest::State(id) => state(node, queue, &caller, id).await,
+        CallerRequest::Cancel(id) => cancel(node, queue, &caller, id).await,
         CallerRequest::Pending => pending(node, queue).await,
         CallerRequest::Unknown if parts.method == Method::GET || parts.method == Method::POST => {
             let reason = "the path does not end with a job id of 16 hexadecimal digits";
@@ -220,9 +272,27 @@
     }
 }
 
+/// Decides whether a request with this key may be handled, by a configuration that was read after `confirmed_at_ms`.
+fn check_access(
+    node: &Node,
+    keys: &Keys,
+    queue: &Queue,
+    key: Option<&str>,
+    confirmed_at_ms: Option<u64>,
+) -> Result<Caller, Refusal> {
+    let now_ms = local_ms();
+    let request = AccessRequest {
+        is_public: queue.is_public,
+        key,
+        config_age_ms: confirmed_at_ms.map(|it| now_ms.saturating_sub(it)),
+    };
+    keys.decide(node.settings.bounds.access_rules(), request)
+}
+
 async fn submit(
     node: &Arc<Node>,
     queue: &Queue,
+    caller: &Caller,
     id: JobId,
     body: &[u8],
     caller_wait: Option<Duration>,
@@ -235,12 +305,13 @@
         return ApiResponse::bad_request(&err.to_string());
     }
     // A transaction with a row that the store refuses would fail again and again, and others with it.
-    if !fits_row(&queue.name, &SmolStr::default(), &spec) {
+    if !fits_row(&queue.name, &caller.team().into(), &spec) {
         return ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE);
     }
     for pool in node.active_config.previous_pools(queue) {
         // A job that is submitted again after its queue was assigned to another pool stays in its pool.
         match stored_job(node, &pool, id).await {
+            Ok(Some(job)) if !caller.may_access(&job.team) => return ApiResponse::other_team(),
             Ok(Some(_)) => return ApiResponse::new(StatusCode::OK).with_body("{}".into()),
             Ok(None) => {}
             Err(err) => {
@@ -252,7 +323,7 @@
     let request = SubmitRequest {
         pool: queue.pool.clone(),
         queue: queue.name.clone(),
-        team: SmolStr::default(),
+        team: caller.team().into(),
         id,
         spec,
     };
@@ -260,6 +331,7 @@
         SubmitReply::Accepted => ApiResponse::new(StatusCode::OK).with_body("{}".into()),
         SubmitReply::Refused { retry_after_s } => ApiResponse::unavailable(retry_after_s),
         SubmitReply::NotOwner => ApiResponse::unavailable(RETRY_AFTER_S),
+        SubmitReply::OtherTeam => ApiResponse::other_team(),
         SubmitReply::OutcomeUnknown => ApiResponse::new(StatusCode::GATEWAY_TIMEOUT),
     }
 }
@@ -289,7 +361,9 @@
             SubmitReply::Refused { .. } if in_doubt.is_some_and(|in_doubt| in_doubt >= term) => {
                 return SubmitReply::OutcomeUnknown;
             }
-            SubmitReply::Accepted | SubmitReply::Refused { .. } => return reply,
+            SubmitReply::Accepted | SubmitReply::Refused { .. } | SubmitReply::OtherTeam => {
+                return reply;
+            }
             SubmitReply::OutcomeUnknown => in_doubt = in_doubt.max(Some(term)),
             SubmitReply::NotOwner => node.peers_outdated.notify_one(),
         }
@@ -333,31 +407,35 @@
     (owner.term, reply)
 }
 
-async fn state(node: &Arc<Node>, queue: &Queue, id: JobId) -> ApiResponse {
+async fn state(node: &Arc<Node>, queue: &Queue, caller: &Caller, id: JobId) -> ApiResponse {
     let reply = match node.local_pool_owner(&queue.pool) {
-        Some(owner) => owner.job_state(id),
-        None => request_peer_state(node, &queue.pool, id).await,
+        Some(owner) => owner.job_state(id, caller),
+        None => request_peer_state(node, &queue.pool, caller, id).await,
     };
     match reply {
         JobReply::State(WireState(state)) => {
             ApiResponse::new(StatusCode::OK).with_body(state_body(state))
         }
+        JobReply::OtherTeam => ApiResponse::other_team(),
         JobReply::Absent | JobReply::NotOwner | JobReply::Unknown => {
-            stored_state(node, queue, id).await
+            stored_state(node, queue, caller, id).await
         }
     }
 }
 
-async fn request_peer_state(node: &Arc<Node>, pool: &SmolStr, id: JobId) -> JobReply {
+async fn request_peer_state(
+    node: &Arc<Node>,
+    pool: &SmolStr,
+    caller: &Caller,
+    id: JobId,
+) -> JobReply {
     let Some(owner) = node.reachable_owner(pool) else {
         return JobReply::NotOwner;
     };
-    let pool = pool.clone();
-    let reply = call_peer(
-        node,
-        &owner,
-        |peer| async move { peer.state(pool, id).await },
-    );
+    let (pool, team) = (pool.clone(), caller.to_parameter());
+    let reply = call_peer(node, &owner, |peer| async move {
+        peer.state(pool, id, team).await
+    });
     reply.await.unwrap_or_else(|err| {
         tracing::debug!(job = %id, error = %err, "state request to the pool owner failed");
         JobReply::NotOwner
@@ -365,8 +443,9 @@
 }
 
 /// Responds with the state of a job by its rows in the store. Only the store can tell that a job does not exist.
-async fn stored_state(node: &Arc<Node>, queue: &Queue, id: JobId) -> ApiResponse {
+async fn stored_state(node: &Arc<Node>, queue: &Queue, caller: &Caller, id: JobId) -> ApiResponse {
     match find_job(node, queue, id).await {
+        Ok(Some((_, job))) if !caller.may_access(&job.team) => ApiResponse::other_team(),
         Ok(Some((_, job))) => ApiResponse::new(StatusCode::OK).with_body(state_body(job.state())),
         Ok(None) => ApiResponse::new(StatusCode::GONE),
         Err(err) => {
@@ -429,12 +508,13 @@
     }
 }
 
-async fn cancel(node: &Arc<Node>, queue: &Queue, id: JobId) -> ApiResponse {
-    let mut reply = cancel_in(node, &queue.pool, id).await;
+async fn cancel(node: &Arc<Node>, queue: &Queue, caller: &Caller, id: JobId) -> ApiResponse {
+    let mut reply = cancel_in(node, &queue.pool, caller, id).await;
     if reply == JobReply::Absent {
         reply = match find_job(node, queue, id).await {
             Ok(None) => return ApiResponse::new(StatusCode::GONE),
-            Ok(Some((pool, _))) => cancel_in(node, &pool, id).await,
+            Ok(Some((_, job))) if !caller.may_access(&job.team) => JobReply::OtherTeam,
+            Ok(Some((pool, _))) => cancel_in(node, &pool, caller, id).await,
             Err(err) => {
                 tracing::info!(job = %id, error = %err, "failed to look up a job to cancel in the store");
                 JobReply::Unknown
@@ -443,23 +523,22 @@
     }
     match reply {
         JobReply::State(_) => ApiResponse::new(StatusCode::OK).with_body("{}".into()),
+        JobReply::OtherTeam => ApiResponse::other_team(),
         _ => ApiResponse::unavailable(RETRY_AFTER_S),
     }
 }
 
-async fn cancel_in(node: &Arc<Node>, pool: &SmolStr, id: JobId) -> JobReply {
+async fn cancel_in(node: &Arc<Node>, pool: &SmolStr, caller: &Caller, id: JobId) -> JobReply {
     if let Some(owner) = node.local_pool_owner(pool) {
-        return owner.cancel(id).await;
+        return owner.cancel(id, caller).await;
     }
     let Some(owner) = node.reachable_owner(pool) else {
         return JobReply::NotOwner;
     };
-    let pool = pool.clone();
-    let reply = call_peer(
-        node,
-        &owner,
-        |peer| async move { peer.cancel(pool, id).await },
-    );
+    let (pool, team) = (pool.clone(), caller.to_parameter());
+    let reply = call_peer(node, &owner, |peer| async move {
+        peer.cancel(pool, id, team).await
+    });
     reply.await.unwrap_or_else(|err| {
         tracing::info!(job = %id, daemon = owner.daemon.as_str(), error = %err, "cancellation request to the pool owner failed");
         JobReply::Unknown
@@ -511,5 +590,10 @@
 
 /// Responds with the metrics in the Prometheus text format.
 pub(crate) async fn handle_metrics(_: Request<Incoming>, node: Arc<Node>) -> Response<Full<Bytes>> {
+    if let Some(confirmed_at_ms) = node.config_confirmed_at_ms() {
+        let age_ms = local_ms().saturating_sub(confirmed_at_ms);
+        let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
+        node.metrics.config_age_ms.set(age_ms);
+    }
     Response::new(Full::new(Bytes::from(node.metrics.text())))
 }
--- a/crates/fleetd/src/config.rs
+++ b/crates/fleetd/src/config.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use access::Keys;
 use parking_lot::RwLock;
 use scheduler::QueueRules;
 use smol_str::SmolStr;
@@ -15,7 +16,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ActiveConfig {
     /// None until the first configuration arrives.
-    document: RwLock<Option<Arc<ConfigDocument>>>,
+    current: RwLock<Option<(Arc<ConfigDocument>, Arc<Keys>)>>,
     /// The pools that each queue has been assigned to since this process started, by queue.
     pools_by_queue: RwLock<BTreeMap<SmolStr, BTreeSet<SmolStr>>>,
 }
@@ -24,10 +25,10 @@
     /// Activates a configuration, if its epoch is higher than that of the active one. Returns whether the configuration
     /// was activated.
     pub(crate) fn activate(&self, document: ConfigDocument) -> bool {
-        let mut active = self.document.write();
-        if active
+        let mut current = self.current.write();
+        if current
             .as_ref()
-            .is_some_and(|previous| previous.epoch >= document.epoch)
+            .is_some_and(|(previous, _)| previous.epoch >= document.epoch)
         {
             return false;
         }
@@ -38,13 +39,28 @@
                 .or_default()
                 .insert(queue.pool.clone());
         }
-        *active = Some(Arc::new(document));
+        let teams = document.teams.iter();
+        let keys = Keys::new(teams.map(|team| (team.name.as_str(), team.keys.as_slice())));
+        if keys.duplicates() > 0 {
+            let (epoch, shared) = (document.epoch, keys.duplicates());
+            tracing::warn!(
+                epoch,
+                shared,
+                "teams list keys of other teams, which stay with the first team of the configuration"
+            );
+        }
+        *current = Some((Arc::new(document), Arc::new(keys)));
         true
     }
 
     /// The active configuration; none until the first one arrives.
     pub(crate) fn get(&self) -> Option<Arc<ConfigDocument>> {
-        self.document.read().clone()
+        self.get_with_keys().map(|(document, _)| document)
+    }
+
+    /// The active configuration with the keys of its teams; none until the first one arrives.
+    pub(crate) fn get_with_keys(&self) -> Option<(Arc<ConfigDocument>, Arc<Keys>)> {
+        self.current.read().clone()
     }
 
     /// The other pools that a queue was assigned to since this process started. Earlier jobs of the queue are in them.
--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -245,12 +245,14 @@
 /// Runs the loop that follows the operators' rows: the configuration and the maintenance waves.
 pub(crate) async fn follow_operator_rows(node: Arc<Node>) {
     let mut version = None;
+    // Whether the newest configuration row could be decoded. Revocations in a row that could not are unknown here.
+    let mut is_config_decoded = true;
     loop {
         let is_complete = version.is_none();
+        let sent_at_ms = local_ms();
         let read = match version {
             None => read_rows_to_follow(&node, OPERATOR_TABLE, "").await,
             Some(after) => {
-                let sent_at_ms = local_ms();
                 let feed = node
                     .store
                     .feed(OPERATOR_TABLE, after, FEED_WAIT, FEED_TIMEOUT);
@@ -265,7 +267,12 @@
                 version = Some(read_version);
                 node.store_responded_at_ms
                     .store(local_ms(), Ordering::Relaxed);
-                apply_operator_rows(&node, &rows, is_complete);
+                if let Some(is_decoded) = apply_operator_rows(&node, &rows, is_complete) {
+                    is_config_decoded = is_decoded;
+                }
+                if is_config_decoded {
+                    node.confirm_config(sent_at_ms);
+                }
             }
             Err(Error::HistoryCompacted) => version = None,
             Err(err) => {
@@ -278,31 +285,45 @@
 }
 
 /// Applies changed rows of the operators, or all of them (`is_complete`): waves without a row are then no longer requested.
-fn apply_operator_rows(node: &Node, rows: &[Row], is_complete: bool) {
+/// Returns whether the configuration could be decoded; none if it is not among the rows.
+fn apply_operator_rows(node: &Node, rows: &[Row], is_complete: bool) -> Option<bool> {
     if is_complete {
         let keys: BTreeSet<_> = rows.iter().map(|row| &row.key.key).collect();
         let mut waves = node.requested_waves.lock();
         waves.retain(|key, _| keys.contains(key));
     }
+    let mut is_config_decoded = None;
     for row in rows {
-        apply_operator_row(node, row);
+        if row.key.key == CONFIG_KEY {
+            is_config_decoded = Some(apply_config_row(node, row));
+        } else {
+            apply_wave_row(node, row);
+        }
     }
+    is_config_decoded
 }
 
-fn apply_operator_row(node: &Node, row: &Row) {
-    let key = &row.key.key;
-    let value = row.value.as_deref().unwrap_or_default();
-    if key == CONFIG_KEY {
-        match decode_config(value) {
-            Ok(document) => {
-                let epoch = document.epoch;
-                if node.active_config.activate(document) {
-                    tracing::info!(epoch, version = row.version, "activated a configuration");
-                }
+/// Activates the configuration of a row, if it is newer. Returns whether the row could be decoded.
+fn apply_config_row(node: &Node, row: &Row) -> bool {
+    match decode_config(row.value.as_deref().unwrap_or_default()) {
+        Ok(document) => {
+            let epoch = document.epoch;
+            if node.active_config.activate(document) {
+                tracing::info!(epoch, version = row.version, "activated a configuration");
             }
-            Err(err) => tracing::error!(error = %err, "failed to decode the configuration"),
+            true
         }
-    } else if key.starts_with(WAVE_PREFIX) {
+        Err(err) => {
+            tracing::error!(error = %err, "failed to decode the configuration");
+            false
+        }
+    }
+}
+
+fn apply_wave_row(node: &Node, row: &Row) {
+    let key = &row.key.key;
+    let value = row.value.as_deref().unwrap_or_default();
+    if key.starts_with(WAVE_PREFIX) {
         if row.is_removed {
             node.requested_waves.lock().remove(key);
             return;
--- a/crates/fleetd/src/metrics.rs
+++ b/crates/fleetd/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 use users_platform::{CallCosts, CallKind};
 
@@ -17,6 +17,8 @@
     calls: CallMetrics,
     pub(crate) responses: IntCounterVec,
     pub(crate) response_duration_s: Histogram,
+    pub(crate) refusals: IntCounterVec,
+    pub(crate) config_age_ms: IntGauge,
     pub(crate) commits: IntCounterVec,
     pub(crate) commit_duration_s: Histogram,
     pub(crate) worker_commands: IntCounterVec,
@@ -39,6 +41,37 @@
 }
 
 impl CallMetrics {
+    /// Creates the metrics of calls that cost `costs`. `labeled` registers counters with a name, a help text and labels.
+    fn new(
+        costs: Arc<CallCosts>,
+        labeled: impl Fn(&str, &str, &[&str]) -> prometheus::Result<IntCounterVec>,
+    ) -> prometheus::Result<Self> {
+        let call_labels = ["peer", "call"];
+        Ok(Self {
+            costs,
+            calls: labeled(
+                "platform_calls_total",
+                "Calls to the platform.",
+                &call_labels,
+            )?,
+            sent_bytes: labeled(
+                "platform_sent_bytes_total",
+                "Bytes of request bodies to the platform.",
+                &call_labels,
+            )?,
+            received_bytes: labeled(
+                "platform_received_bytes_total",
+                "Bytes of response bodies from the platform.",
+                &call_labels,
+            )?,
+            duration_us: labeled(
+                "platform_call_microseconds_total",
+                "Time that calls to the platform took, in microseconds.",
+                &call_labels,
+            )?,
+        })
+    }
+
     /// Raises the counters to the present totals.
     fn update(&self) {
         for kind in CallKind::ALL {
@@ -79,32 +112,13 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
-        let call_labels = ["peer", "call"];
-        let calls = CallMetrics {
-            costs,
-            calls: labeled(
-                "platform_calls_total",
-                "Calls to the platform.",
-                &call_labels,
-            )?,
-            sent_bytes: labeled(
-                "platform_sent_bytes_total",
-                "Bytes of request bodies to the platform.",
-                &call_labels,
-            )?,
-            received_bytes: labeled(
-                "platform_received_bytes_total",
-                "Bytes of response bodies from the platform.",
-                &call_labels,
-            )?,
-            duration_us: labeled(
-                "platform_call_microseconds_total",
-                "Time that calls to the platform took, in microseconds.",
-                &call_labels,
-            )?,
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(format!("trefoilpass_{name}"), help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
         };
         Ok(Self {
-            calls,
+            calls: CallMetrics::new(costs, labeled)?,
             responses: labeled(
                 "answers_total",
                 "Responses to callers.",
@@ -114,6 +128,15 @@
                 "answer_seconds",
                 "Time from the headers of a request to the response, in seconds.",
             )?,
+            refusals: labeled(
+                "access_refusals_total",
+                "Requests refused by the key or the team of the caller.",
+                &["reason"],
+            )?,
+            config_age_ms: gauge(
+                "config_age_milliseconds",
+                "Time since the configuration was last confirmed as the newest, in ms.",
+            )?,
             commits: labeled(
                 "commits_total",
                 "Transactions of pools, by outcome.",
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -96,6 +96,9 @@
     /// When the store last responded to a read of the heartbeat rows or of the operators' rows, in ms of the local clock; 0
     /// before the first.
     pub(crate) store_responded_at_ms: AtomicU64,
+    /// When the read was sent that last confirmed the active configuration as the newest, in ms of the local clock; 0 before
+    /// the first.
+    config_confirmed_at_ms: AtomicU64,
     /// Wakes requests that wait for the takeover of a shard, after each read of the heartbeat rows.
     pub(crate) peers_updated: Notify,
     /// The number of callers' requests that this daemon has received and not yet responded to.
@@ -146,6 +149,7 @@
             peers_outdated: Notify::new(),
             is_shutting_down: AtomicBool::new(false),
             store_responded_at_ms: AtomicU64::new(0),
+            config_confirmed_at_ms: AtomicU64::new(0),
             peers_updated: Notify::new(),
             in_flight_requests: AtomicUsize::new(0),
             requested_waves: Mutex::new(BTreeMap::new()),
@@ -217,6 +221,21 @@
         local_ms().saturating_sub(responded_at_ms) > STORE_UNAVAILABLE_AFTER_MS
     }
 
+    /// Records that a read of the operators' rows, sent at this time in ms of the local clock, confirmed the active
+    /// configuration as the newest.
+    pub(crate) fn confirm_config(&self, sent_at_ms: u64) {
+        // Whoever sees this time sees the configuration that was activated before.
+        self.config_confirmed_at_ms
+            .store(sent_at_ms, Ordering::Release);
+    }
+
+    /// When the read was sent that last confirmed the active configuration as the newest, in ms of the local clock; none
+    /// before the first. A configuration that is read afterwards is this one or a newer one.
+    pub(crate) fn config_confirmed_at_ms(&self) -> Option<u64> {
+        let confirmed_at_ms = self.config_confirmed_at_ms.load(Ordering::Acquire);
+        (confirmed_at_ms > 0).then_some(confirmed_at_ms)
+    }
+
     /// The owner of a pool, or `None` when the owner is not this daemon or has not read the pool's jobs yet.
     pub(crate) fn local_pool_owner(&self, pool: &str) -> Option<Arc<PoolOwner>> {
         self.pool_owners.lock().get(pool).cloned()
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -16,11 +16,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use access::Caller;
 use ownership::Lease;
 use parking_lot::Mutex;
 use scheduler::{Demand, JobStatus, Scheduler, UnavailableReason, WorkerKey};
 use smol_str::SmolStr;
-use submission::JobId;
+use submission::{Job, JobId};
 use tokio::sync::Notify;
 
 use crate::clock::local_ms;
@@ -130,6 +131,7 @@
     }
 
     /// Submits a job and returns once its rows are written. A job with a known id is not submitted again. Returns
+    /// `OtherTeam` when the id is that of a job of another team,
     /// `Refused` for a new job when the store is unavailable before a transaction with the job was sent, `NotOwner` when
     /// the ownership has ended by then, and `OutcomeUnknown` when the ownership ends later.
     pub(crate) async fn submit(&self, request: SubmitRequest) -> SubmitReply {
@@ -139,6 +141,11 @@
         }
         let receiver = {
             let mut scheduler = self.scheduler.lock();
+            if let Some(job) = scheduler.job(id)
+                && !is_repeat_of(job, &request)
+            {
+                return SubmitReply::OtherTeam;
+            }
             match scheduler.job_status(id) {
                 JobStatus::Recorded(_) => return SubmitReply::Accepted,
                 JobStatus::Unknown if self.is_store_unavailable() => return REFUSED_IN_OUTAGE,
@@ -155,18 +162,23 @@
         receiver.await.unwrap_or(SubmitReply::OutcomeUnknown)
     }
 
-    /// Returns the recorded state of a job: `Unknown` while its rows are not written, `Absent` for an unknown job, and
-    /// `NotOwner` when the ownership has ended.
-    pub(crate) fn job_state(&self, id: JobId) -> JobReply {
+    /// Returns the recorded state of a job: `Unknown` while its rows are not written, `Absent` for an unknown job,
+    /// `OtherTeam` when the caller has no access, and `NotOwner` when the ownership has ended.
+    pub(crate) fn job_state(&self, id: JobId, caller: &Caller) -> JobReply {
         if self.has_ended() {
             return JobReply::NotOwner;
         }
-        job_reply(&self.scheduler.lock(), id)
+        let scheduler = self.scheduler.lock();
+        if !may_access(&scheduler, id, caller) {
+            return JobReply::OtherTeam;
+        }
+        job_reply(&scheduler, id)
     }
 
     /// Cancels a job and returns the job's state once its rows are written. Returns `Absent` for an unknown job,
-    /// `NotOwner` when the ownership has ended, and `Unknown` when the ownership ends during the call.
-    pub(crate) async fn cancel(&self, id: JobId) -> JobReply {
+    /// `OtherTeam` when the caller has no access, `NotOwner` when the ownership has ended, and `Unknown` when the ownership
+    /// ends during the call.
+    pub(crate) async fn cancel(&self, id: JobId, caller: &Caller) -> JobReply {
         // Repeated, because the rows that are written next may be of a batch that was taken before the cancellation, and
         // a new job that turned out to have rows is replaced by the job of these rows.
         loop {
@@ -175,6 +187,9 @@
             }
             let receiver = {
                 let mut scheduler = self.scheduler.lock();
+                if !may_access(&scheduler, id, caller) {
+                    return JobReply::OtherTeam;
+                }
                 if scheduler.cancel(id, self.node.clock.now()) == JobStatus::Unknown {
                     return JobReply::Absent;
                 }
@@ -386,6 +401,19 @@
     );
 }
 
+/// Whether a caller may read or cancel a job; true for an unknown job.
+fn may_access(scheduler: &Scheduler, id: JobId, caller: &Caller) -> bool {
+    let job = scheduler.job(id);
+    job.is_none_or(|job| caller.may_access(&job.team))
+}
+
+/// Whether a submission with the id of a job may be a repetition of that job's submission. A daemon of an earlier build
+/// repeats it without the team, but to the same queue.
+fn is_repeat_of(job: &Job, request: &SubmitRequest) -> bool {
+    let is_without_team = request.team.is_empty() && request.queue == job.queue;
+    job.team.is_empty() || request.team == job.team || is_without_team
+}
+
 /// Returns the recorded state of a job.
 fn job_reply(scheduler: &Scheduler, id: JobId) -> JobReply {
     match scheduler.job_status(id) {
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -37,6 +37,8 @@
     },
     /// The called daemon does not own the pool. The call had no effect.
     NotOwner,
+    /// The id is that of a job of another team. The call had no effect.
+    OtherTeam,
     /// The outcome is unknown: the row of the job may be written or not.
     #[serde(rename = "Unknown")]
     OutcomeUnknown,
@@ -51,6 +53,8 @@
     Absent,
     /// The called daemon does not own the pool.
     NotOwner,
+    /// The job is of another team than the one that the call names. The call had no effect.
+    OtherTeam,
     /// The state is unknown at present, or the outcome of a cancellation is.
     Unknown,
 }
@@ -158,13 +162,14 @@
         #[argument(rename = "handover")] request: SubmitRequest,
     ) -> RpcResult<SubmitReply>;
 
-    /// Returns the state of a job.
+    /// Returns the state of a job. `team` is the team of the caller whose access is checked, empty for a caller without one;
+    /// absent, as in a call of an earlier build, for no check.
     #[method(name = "state")]
-    async fn state(&self, pool: SmolStr, id: JobId) -> RpcResult<JobReply>;
+    async fn state(&self, pool: SmolStr, id: JobId, team: Option<SmolStr>) -> RpcResult<JobReply>;
 
-    /// Cancels a job.
+    /// Cancels a job. `team` is as in the `state` call.
     #[method(name = "cancel")]
-    async fn cancel(&self, pool: SmolStr, id: JobId) -> RpcResult<JobReply>;
+    async fn cancel(&self, pool: SmolStr, id: JobId, team: Option<SmolStr>) -> RpcResult<JobReply>;
 
     /// Returns the number of jobs of a queue that have not started; none if the called daemon does not own the pool.
     #[method(name = "pending")]
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use access::Caller;
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::server::{Server, ServerConfig};
 use ownership::Peers;
@@ -185,14 +186,16 @@
         })
     }
 
-    async fn state(&self, pool: SmolStr, id: JobId) -> RpcResult<JobReply> {
+    async fn state(&self, pool: SmolStr, id: JobId, team: Option<SmolStr>) -> RpcResult<JobReply> {
+        let caller = Caller::from_parameter(team);
         let owner = self.node.local_pool_owner(&pool);
-        Ok(owner.map_or(JobReply::NotOwner, |owner| owner.job_state(id)))
+        Ok(owner.map_or(JobReply::NotOwner, |owner| owner.job_state(id, &caller)))
     }
 
-    async fn cancel(&self, pool: SmolStr, id: JobId) -> RpcResult<JobReply> {
+    async fn cancel(&self, pool: SmolStr, id: JobId, team: Option<SmolStr>) -> RpcResult<JobReply> {
+        let caller = Caller::from_parameter(team);
         Ok(match self.node.local_pool_owner(&pool) {
-            Some(owner) => owner.cancel(id).await,
+            Some(owner) => owner.cancel(id, &caller).await,
             None => JobReply::NotOwner,
         })
     }
--- a/crates/fleetd/src/settings.rs
+++ b/crates/fleetd/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 
+use access::AccessRules;
 use serde::Deserialize;
 use smol_str::SmolStr;
 use snafu::{ResultExt, Snafu};
@@ -90,6 +91,24 @@
     pub leader_gap_ms: u64,
     /// The duration of the maintenance of a VM, in seconds.
     pub maintenance_s: f64,
+    /// Whether a key of a team is refused once the configuration is so old that the key may have been revoked; callers then
+    /// need a key even under a configuration without teams. Absent where the deployment has no teams.
+    #[serde(default)]
+    pub strict_revoke: Option<bool>,
+    /// How long after its revocation a key may still be used, in ms, if `strict_revoke` is true.
+    #[serde(default)]
+    pub revoke_ms: Option<u64>,
+}
+
+impl Bounds {
+    /// What the deployment requires of callers' keys.
+    pub(crate) fn access_rules(&self) -> AccessRules {
+        let is_strict = self.strict_revoke == Some(true);
+        AccessRules {
+            are_keys_required: is_strict,
+            revocation_ms: self.revoke_ms.filter(|_| is_strict),
+        }
+    }
 }
 
 /// The reason why the settings can't be used.
@@ -103,6 +122,12 @@
         /// The error of the file system.
         source: std::io::Error,
     },
+    /// A revocation is strict, but its time is not given.
+    #[snafu(display("{}: bounds.revoke_ms is missing while bounds.strict_revoke is true", path.display()))]
+    NoRevocationTime {
+        /// The path of the settings file.
+        path: PathBuf,
+    },
     /// The file is not valid YAML, or a field is missing or has the wrong type.
     #[snafu(display("{}: {source}", path.display()))]
     Parse {
@@ -117,10 +142,15 @@
     /// Reads a settings file. Unknown fields are ignored.
     ///
     /// # Errors
-    /// [`SettingsError::Read`] if the file can't be read, and [`SettingsError::Parse`] if its contents are not valid.
+    /// [`SettingsError::Read`] if the file can't be read, [`SettingsError::Parse`] if its contents are not valid, and
+    /// [`SettingsError::NoRevocationTime`] if a strict revocation has no time.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
         let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
-        serde_norway::from_str(&text).context(ParseSnafu { path })
+        let settings: Self = serde_norway::from_str(&text).context(ParseSnafu { path })?;
+        let bounds = &settings.bounds;
+        let is_bounded = bounds.strict_revoke != Some(true) || bounds.revoke_ms.is_some();
+        snafu::ensure!(is_bounded, NoRevocationTimeSnafu { path });
+        Ok(settings)
     }
 
     /// The address for RPC calls from other daemons.
