--- a/crates/fleetd/src/membership/tests/mod.rs
+++ b/crates/fleetd/src/membership/tests/mod.rs
@@ -46,3 +46,33 @@
     apply_operator_rows(&node, &[wave_row(3, false), wave_row(4, false)], true);
     assert_eq!(requested(&node), [3, 4]);
 }
+
+fn config_row(value: &str) -> Row {
+    Row {
+        key: RowKey::new(OPERATOR_TABLE, "", CONFIG_KEY),
+        value: Some(value.into()),
+        version: 1,
+        is_removed: false,
+    }
+}
+
+/// Such a row may revoke a key.
+#[test]
+fn a_configuration_that_can_not_be_decoded_is_not_confirmed() {
+    let node = node();
+    let limits =
+        json!({"maxHeaderBytes": 1, "maxBodyBytes": 1, "headerTimeoutMs": 1, "idleTimeoutMs": 1});
+    let config = |epoch: u64| {
+        config_row(&json!({"version": epoch, "routes": [], "limits": limits}).to_string())
+    };
+    let waves = [wave_row(1, false)];
+    assert_eq!(apply_operator_rows(&node, &waves, true), None);
+    assert_eq!(apply_operator_rows(&node, &[config(2)], false), Some(true));
+    assert_eq!(
+        apply_operator_rows(&node, &[config_row("{")], false),
+        Some(false)
+    );
+    // The last row counts.
+    let rows = [config_row("{"), config(3)];
+    assert_eq!(apply_operator_rows(&node, &rows, false), Some(true));
+}
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -33,6 +33,14 @@
         &request,
         &json!({"pool": "p", "queue": "q", "id": 7, "spec": spec}),
     );
+    let request = SubmitRequest {
+        team: "t".into(),
+        ..request
+    };
+    check_json(
+        &request,
+        &json!({"pool": "p", "queue": "q", "team": "t", "id": 7, "spec": spec}),
+    );
 }
 
 #[test]
@@ -43,9 +51,11 @@
         &json!({"Refused": {"retry_after_s": 3}}),
     );
     check_json(&SubmitReply::NotOwner, &json!("NotOwner"));
+    check_json(&SubmitReply::OtherTeam, &json!("OtherTeam"));
     check_json(&SubmitReply::OutcomeUnknown, &json!("Unknown"));
     check_json(&JobReply::Absent, &json!("Absent"));
     check_json(&JobReply::NotOwner, &json!("NotOwner"));
+    check_json(&JobReply::OtherTeam, &json!("OtherTeam"));
     check_json(&JobReply::Unknown, &json!("Unknown"));
     for (state, name) in [
         (JobState::Queued, "Queued"),
--- a/crates/fleetd/src/settings/tests/mod.rs
+++ b/crates/fleetd/src/settings/tests/mod.rs
@@ -1,5 +1,7 @@
 //! The field names of the settings file.
 
+use std::collections::BTreeMap;
+
 use super::*;
 
 #[test]
@@ -29,4 +31,46 @@
     assert_eq!(settings.bounds.ended_job_retention_s, 3600);
     assert_eq!(settings.bounds.leader_gap_ms, 4000);
     assert!((settings.bounds.maintenance_s - 90.5).abs() < f64::EPSILON);
+    assert_eq!(settings.bounds.access_rules(), AccessRules::default());
+}
+
+/// The lines of the template, with the values that a deployment sets; a value that it does not set is rendered as nothing.
+fn bounds_text(strict_revoke: &str, revoke_ms: &str) -> String {
+    format!(
+        "bounds:\n  grace_s: 1\n  longest_lease_ms: 1\n  keep_ended_s: 1\n  steward_gap_ms: 1\n  maintenance_s: 1\n  \
+        strict_revoke: {strict_revoke}\n  revoke_ms: {revoke_ms}\n"
+    )
+}
+
+#[test]
+fn keys_expire_with_the_configuration_only_where_the_deployment_asks_for_it() {
+    let strict = AccessRules {
+        are_keys_required: true,
+        revocation_ms: Some(5000),
+    };
+    for (strict_revoke, revoke_ms, expected) in [
+        ("", "", AccessRules::default()),
+        ("", "5000", AccessRules::default()),
+        ("false", "5000", AccessRules::default()),
+        ("true", "5000", strict),
+    ] {
+        let text = bounds_text(strict_revoke, revoke_ms);
+        let bounds: BTreeMap<String, Bounds> = serde_norway::from_str(&text).unwrap();
+        assert_eq!(bounds["bounds"].access_rules(), expected, "{text}");
+    }
+}
+
+#[test]
+fn a_strict_revocation_without_a_time_is_an_error() {
+    let path = std::env::temp_dir().join(format!("fleetd-settings-{}.yaml", std::process::id()));
+    let text = "daemon: d1\nip: 10.0.0.1\nzone: a\ncallers_addr: 10.0.0.1:80\nready_addr: 10.0.0.1:81\npeer_port: 82\n\
+        metrics_port: 83\nstore_addr: store:84\nvms_addr: vms:85\n";
+    let read = |bounds: String| {
+        std::fs::write(&path, text.to_owned() + &bounds).unwrap();
+        FleetSettings::read(&path).map_err(|err| err.to_string())
+    };
+    assert!(read(bounds_text("true", "5000")).is_ok());
+    let message = read(bounds_text("true", "")).unwrap_err();
+    std::fs::remove_file(&path).unwrap();
+    assert!(message.contains("bounds.revoke_ms"), "{message}");
 }
--- a/crates/test-support/src/fleet_daemon.rs
+++ b/crates/test-support/src/fleet_daemon.rs
@@ -17,6 +17,7 @@
     metrics: SocketAddr,
     store: SocketAddr,
     vms: SocketAddr,
+    revoke_ms: Option<u64>,
 }
 
 impl FleetDaemonSpec {
@@ -37,9 +38,17 @@
             metrics,
             store,
             vms,
+            revoke_ms: None,
         }
     }
 
+    /// Sets how long after its revocation a key may still be used, in ms. Revocations are then strict.
+    #[must_use]
+    pub fn with_strict_revocation(mut self, revoke_ms: u64) -> Self {
+        self.revoke_ms = Some(revoke_ms);
+        self
+    }
+
     /// Its settings.
     #[must_use]
     pub fn yaml(&self) -> String {
@@ -51,12 +60,16 @@
             metrics,
             store,
             vms,
+            revoke_ms,
         } = self;
+        let revocation = revoke_ms.map_or_else(String::new, |revoke_ms| {
+            format!(", strict_revoke: true, revoke_ms: {revoke_ms}")
+        });
         format!(
             "daemon: {name}\nip: {}\nzone: z\ncallers_addr: {callers}\nready_addr: {ready}\n\
              peer_port: {}\nmetrics_port: {}\nstore_addr: {store}\nvms_addr: {vms}\nnew_field: ignored\n\
              bounds: {{ grace_s: 6, longest_lease_ms: 10000, keep_ended_s: 120, steward_gap_ms: 3000, \
-             maintenance_s: 0.4 }}\n",
+             maintenance_s: 0.4{revocation} }}\n",
             peers.ip(),
             peers.port(),
             metrics.port(),
--- a/crates/trefoilpassd/tests/fleet_support/mod.rs
+++ b/crates/trefoilpassd/tests/fleet_support/mod.rs
@@ -28,20 +28,27 @@
 }
 
 pub fn daemon(platform: &PlatformStandIn, name: &str) -> Daemon {
-    let is_logged = std::env::var_os("TREFOILPASS_TEST_LOG").is_some();
-    let log = if is_logged {
+    daemon_logging_to(test_log(), platform, name)
+}
+
+/// Where a daemon logs unless a test looks at its log.
+pub fn test_log() -> Stdio {
+    if std::env::var_os("TREFOILPASS_TEST_LOG").is_some() {
         Stdio::inherit()
     } else {
         Stdio::null()
-    };
-    daemon_logging_to(log, platform, name)
+    }
 }
 
 pub fn daemon_logging_to(log: Stdio, platform: &PlatformStandIn, name: &str) -> Daemon {
     let spec = FleetDaemonSpec::new(name, platform.store_addr, platform.vms_addr);
+    daemon_of(&spec, log)
+}
+
+pub fn daemon_of(spec: &FleetDaemonSpec, log: Stdio) -> Daemon {
     let program = Path::new(env!("CARGO_BIN_EXE_trefoilpassd"));
     Daemon {
-        name: name.to_owned(),
+        name: spec.name.clone(),
         process: Process::start_fleet(program, &spec.yaml(), log),
         callers: spec.callers,
         peers: spec.peers_url(),
