--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -17,6 +17,8 @@
     decode_request, pending_body, state_body,
 };
 
+use super::request_record::RequestRecord;
+use super::response::{ApiResponse, RETRY_AFTER_S};
 use crate::clock::local_ms;
 use crate::config::{FLEET_SHARD, find_queue};
 use crate::node::{Node, STORE_TIMEOUT, tables};
@@ -24,10 +26,6 @@
 use crate::pool::{decode_jobs, fits_row};
 use crate::rpc::{JobReply, PoolClient, SubmitReply, SubmitRequest, WireState};
 
-/// The delay after which callers may retry a request that the daemon can't serve now, for instance because the owner of
-/// the pool is unknown.
-const RETRY_AFTER_S: u32 = 1;
-
 /// The time for which a submission waits for the next owner of its pool, unless its caller waits more than twice as long.
 /// Most takeovers are done by then, and a caller that waits 3 s can still try another daemon.
 const TAKEOVER_WAIT: Duration = Duration::from_millis(1600);
@@ -39,152 +37,6 @@
 /// quarter of it.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
-/// The content of a response to a caller.
-struct ApiResponse {
-    status: StatusCode,
-    body: String,
-    retry_after_s: Option<u32>,
-    /// Why the caller has no access, in logs and metrics.
-    refusal: Option<&'static str>,
-}
-
-impl ApiResponse {
-    fn new(status: StatusCode) -> Self {
-        Self {
-            status,
-            body: String::new(),
-            retry_after_s: None,
-            refusal: None,
-        }
-    }
-
-    fn with_body(mut self, body: String) -> Self {
-        self.body = body;
-        self
-    }
-
-    /// Status 503 with the delay after which the caller may retry. A submission had no effect and will have none; the
-    /// outcome of a cancellation may be unknown.
-    fn unavailable(retry_after_s: u32) -> Self {
-        let mut response = Self::new(StatusCode::SERVICE_UNAVAILABLE);
-        response.retry_after_s = Some(retry_after_s);
-        response
-    }
-
-    /// Refuses a request by its key. The request had no effect.
-    fn refused(refusal: Refusal) -> Self {
-        let mut response = match refusal {
-            Refusal::NoKey | Refusal::UnknownKey => Self::new(StatusCode::UNAUTHORIZED),
-            Refusal::StaleConfig => Self::unavailable(RETRY_AFTER_S),
-        };
-        response.refusal = Some(refusal.name());
-        response
-    }
-
-    /// Status 403 for a request about a job of another team. The request had no effect.
-    fn other_team() -> Self {
-        let mut response = Self::new(StatusCode::FORBIDDEN);
-        response.refusal = Some("other_team");
-        response
-    }
-
-    fn bad_request(reason: &str) -> Self {
-        let body = serde_json::json!({ "error": reason }).to_string();
-        Self::new(StatusCode::BAD_REQUEST).with_body(body)
-    }
-}
-
-/// The record of a caller's request in the log and the metrics: of its response, or of the caller's departure before it.
-/// The request counts as in flight while the record exists.
-struct RequestRecord {
-    node: Arc<Node>,
-    started_at: Instant,
-    /// The name of the call.
-    call: &'static str,
-    /// The id of the job, or else the queue or the path.
-    subject: SmolStr,
-    /// The team whose key the request carries; empty for none.
-    team: SmolStr,
-    /// How long the caller waits for the response, in ms; 0 when the request does not tell.
-    caller_wait_ms: u64,
-    is_answered: bool,
-}
-
-impl RequestRecord {
-    fn new(node: Arc<Node>) -> Self {
-        node.in_flight_requests.fetch_add(1, Ordering::Relaxed);
-        Self {
-            node,
-            started_at: Instant::now(),
-            call: "none",
-            subject: SmolStr::default(),
-            team: SmolStr::default(),
-            caller_wait_ms: 0,
-            is_answered: false,
-        }
-    }
-
-    fn elapsed_ms(&self) -> u64 {
-        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
-    }
-
-    /// The team for the log, which leaves it out where there is none.
-    fn logged_team(&self) -> Option<&str> {
-        (!self.team.is_empty()).then_some(self.team.as_str())
-    }
-
-    fn count(&self, status: &str) {
-        let responses = &self.node.metrics.responses;
-        responses.with_label_values(&[self.call, status]).inc();
-    }
-
-    /// Records the response. The log leaves out the states that were found.
-    fn record_response(&mut self, response: &ApiResponse) {
-        let status = response.status;
-        self.is_answered = true;
-        self.count(status.as_str());
-        if let Some(reason) = response.refusal {
-            let refusals = &self.node.metrics.refusals;
-            refusals.with_label_values(&[reason]).inc();
-        }
-        let duration_s = self.started_at.elapsed().as_secs_f64();
-        self.node.metrics.response_duration_s.observe(duration_s);
-        if self.call == "state" && status == StatusCode::OK {
-            return;
-        }
-        let epoch = self.node.active_config.get().map_or(0, |it| it.epoch);
-        tracing::info!(
-            call = self.call,
-            job = self.subject.as_str(),
-            team = self.logged_team(),
-            status = status.as_u16(),
-            reason = response.refusal,
-            ms = self.elapsed_ms(),
-            caller_wait_ms = self.caller_wait_ms,
-            epoch,
-            "answered"
-        );
-    }
-}
-
-impl Drop for RequestRecord {
-    fn drop(&mut self) {
-        self.node.in_flight_requests.fetch_sub(1, Ordering::Relaxed);
-        if self.is_answered {
-            return;
-        }
-        self.count("abandoned");
-        tracing::info!(
-            call = self.call,
-            job = self.subject.as_str(),
-            team = self.logged_team(),
-            ms = self.elapsed_ms(),
-            caller_wait_ms = self.caller_wait_ms,
-            "the caller left before the response"
-        );
-    }
-}
-
 /// Handles a request of a caller, and records the outcome in the log and the metrics.
 pub(crate) async fn handle_request(
     request: Request<Incoming>,
--- a/crates/fleetd/src/api/mod.rs
+++ b/crates/fleetd/src/api/mod.rs
@@ -1,6 +1,8 @@
 //! The HTTP API for callers, and the endpoints for readiness and metrics.
 
 mod handlers;
+mod request_record;
+mod response;
 mod server;
 
 pub(crate) use handlers::{handle_metrics, handle_readiness, handle_request};
