fleetd: keys are accepted as soon as the store is back

After an outage, the first read of the operators' rows was held open by the store for 0.9 s, and the configuration was confirmed only then: requests with keys were refused for a second longer than necessary. A read whose confirmation is overdue now has no wait, unless the configuration can't be decoded, which would make the reads follow on each other.

--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -55,6 +55,10 @@
 /// How long a read of the operators' rows may take beyond [`FEED_WAIT`].
 const FEED_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The age of the configuration's last confirmation, in ms, above which it is overdue: more than [`FEED_WAIT`] and the
+/// response time of a slow store. The configuration is this old after failed reads, and after a pause of the process.
+const CONFIRMATION_OVERDUE_MS: u64 = 1200;
+
 /// The delay before a failed read of the operators' rows is retried, and before the next attempt at a heartbeat that is
 /// due at once. After a failed read of the heartbeat rows, that attempt follows after [`READ_PERIOD`].
 const RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -253,9 +257,16 @@
         let read = match version {
             None => read_rows_to_follow(&node, OPERATOR_TABLE, "").await,
             Some(after) => {
-                let feed = node
-                    .store
-                    .feed(OPERATOR_TABLE, after, FEED_WAIT, FEED_TIMEOUT);
+                let confirmed_at_ms = node.config_confirmed_at_ms().unwrap_or(sent_at_ms);
+                let age_ms = sent_at_ms.saturating_sub(confirmed_at_ms);
+                // A read without a wait confirms at once that nothing has changed, unless the configuration is unreadable.
+                let is_overdue = is_config_decoded && age_ms > CONFIRMATION_OVERDUE_MS;
+                let wait = if is_overdue {
+                    Duration::ZERO
+                } else {
+                    FEED_WAIT
+                };
+                let feed = node.store.feed(OPERATOR_TABLE, after, wait, FEED_TIMEOUT);
                 feed.await.map(|feed| {
                     node.clock.record_store_time(feed.store_ms, sent_at_ms);
                     (feed.rows, feed.version)
--- a/crates/trefoilpassd/tests/fleet_keys.rs
+++ b/crates/trefoilpassd/tests/fleet_keys.rs
@@ -235,6 +235,36 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_are_accepted_as_soon_as_the_store_is_back() {
+    let (_platform, [_owner, cut_off], proxy) = start().await;
+    proxy.set(ProxyFault::Cut);
+    becomes(&cut_off, "/q/", "key-a", (200, 503)).await;
+    proxy.set(ProxyFault::None);
+    let delay = becomes(&cut_off, "/q/", "key-a", (503, 200)).await;
+    // The store holds a read of unchanged rows open for 0.9 s.
+    assert!(delay < Duration::from_millis(850), "{delay:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unreadable_configuration_stops_keys_and_does_not_load_the_store() {
+    let (platform, [_owner, daemon], proxy) = start().await;
+    platform
+        .store
+        .put("op", "config", &json!({"version": "nine"}));
+    becomes(&daemon, "/q/", "key-a", (200, 503)).await;
+    let bytes = proxy.bytes();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    // The heartbeat rows and a read of the operators' rows take some 10 kB a second.
+    assert!(
+        proxy.bytes() - bytes < 100_000,
+        "{} bytes",
+        proxy.bytes() - bytes
+    );
+    platform.configure_teams(10, TEAMS);
+    becomes(&daemon, "/q/", "key-a", (503, 200)).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_daemon_that_was_paused_does_not_serve_a_key_that_was_revoked_meanwhile() {
     let (platform, [_owner, paused], _proxy) = start().await;
