scheduler: what each team uses of the pool is counted, and no task starts beyond a team's limit

Cause: the cap of a team holds across pools. A pool that is given a part of it as a limit must not start a task beyond it.

Change: the declared needs of each attempt count for its team from the assignment to the known end, at the four places where attempts are added to a worker or removed, and so do attempts that a report lists without their being assigned. Ended jobs of a team are retained while an attempt of theirs may run, as no report tells the team of a removed job. With a limit set, rounds visit the ready steps through one lane per team; a team whose limit leaves too little CPU for its smallest step is passed over at once, and any team after 200 steps beyond its limit, so that its steps use up nothing of the round. A pool without limits visits its steps as before.

Result: 12 tests.

--- a/crates/scheduler/src/adopt.rs
+++ b/crates/scheduler/src/adopt.rs
@@ -12,15 +12,14 @@
     /// the worker reports, or until the worker's leases have expired.
     pub fn adopt_job(&mut self, job: Job, now: Now) {
         let id = job.id;
+        let team = self.teams.key(&job.team);
         let mut assigned = Vec::new();
         for (index, task) in job.tasks() {
             if let TaskPhase::Assigned { worker } = &task.phase {
                 let task_key = TaskKey { job: id, index };
-                assigned.push((
-                    worker.clone(),
-                    task_key,
-                    AssignedAttempt::new(task.attempt, job.step(index), task.crashes, now.local_ms),
-                ));
+                let step = job.step(index);
+                let attempt = AssignedAttempt::new(task.attempt, step, task.crashes, now.local_ms);
+                assigned.push((worker.clone(), task_key, attempt.with_team(team)));
             }
         }
         for (worker, task, mut attempt) in assigned {
@@ -29,7 +28,7 @@
             attempt.settled_at_ms = Some(0);
             attempt.is_speed_limit_known = false;
             attempt.may_have_begun = true;
-            self.workers[key].insert(task, attempt);
+            self.insert_attempt(key, task, attempt);
         }
         self.recorded_states.insert(id, job.state());
         self.insert_job(job, now);
--- a/crates/scheduler/src/incarnation.rs
+++ b/crates/scheduler/src/incarnation.rs
@@ -9,6 +9,7 @@
 
 use crate::dirty::{DirtyJobs, Position};
 use crate::health::Health;
+use crate::teams::TeamKey;
 
 /// How long after a report the ends in it may be acknowledged, in ms. An acknowledgement that reaches the next incarnation
 /// makes it discard ends that it has not reported. The time is too short for a worker to restart and to end a task.
@@ -41,6 +42,8 @@
     /// The resources in use by attempts that the last report lists as running and that are not assigned to the worker. They
     /// are being stopped.
     pub(crate) used_by_unassigned: Resources,
+    /// What these attempts need, each with the team of its job. Only attempts of known jobs.
+    pub(crate) unassigned: Vec<(Option<TeamKey>, Resources)>,
     pub(crate) health: Health,
     /// The number of the last ended attempt that was applied.
     pub(crate) received_end: u64,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -18,8 +18,10 @@
 mod reports;
 mod scheduler;
 mod speed_limits;
+mod team_steps;
 mod teams;
 mod types;
+mod visits;
 mod worker;
 mod workers;
 
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -9,6 +9,7 @@
 use crate::crashes::ISOLATED_FROM_CRASHES;
 use crate::ready::StepKey;
 use crate::scheduler::Scheduler;
+use crate::teams::Usage;
 use crate::types::Now;
 use crate::worker::{Worker, WorkerKey};
 
@@ -32,8 +33,12 @@
         let mut unplaced = 0;
         let mut restricted = Vec::new();
         let mut too_large = Vec::new();
-        let visited = self.ready.first(MAX_VISITED_STEPS);
-        for key in visited {
+        let mut visits = self.visits(MAX_VISITED_STEPS);
+        let mut visited = 0;
+        while visited < MAX_VISITED_STEPS
+            && let Some(key) = self.next_visit(&mut visits)
+        {
+            visited += 1;
             if starts >= MAX_STARTS {
                 return;
             }
@@ -45,7 +50,7 @@
             starts += placement.started;
             match placement.unplaced {
                 None => self.ready.remove(key),
-                Some(Unplaced::TooLarge) => {}
+                Some(Unplaced::TooLarge | Unplaced::AtTeamLimit) => {}
                 Some(Unplaced::NoRoom) => unplaced += 1,
                 Some(Unplaced::Restricted) => {
                     unplaced += 1;
@@ -62,8 +67,10 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return Placement::default();
         };
+        let team = self.teams.get(&job.team).map(|(team, _)| team);
         let step = &job.spec().steps[usize::from(key.step)];
         let needs = step.footprint();
+        let declared_needs = Usage::of(step.needs, 1);
         if too_large.iter().any(|size| size.fits(needs)) {
             return Placement {
                 started: 0,
@@ -88,6 +95,10 @@
         idle.sort_by_key(|&index| crashes(job, index));
         let mut placement = Placement::default();
         for index in idle {
+            if !self.teams.may_use(team, declared_needs) {
+                placement.unplaced = Some(Unplaced::AtTeamLimit);
+                break;
+            }
             let job = &self.jobs[&key.job];
             let step = &job.spec().steps[usize::from(key.step)];
             let crashes = crashes(job, index);
@@ -130,6 +141,14 @@
         if !all_idle {
             return not_placed;
         }
+        let team = self.teams.get(&job.team).map(|(team, _)| team);
+        let all_needs = Usage::of(step.needs, u32::try_from(tasks.len()).unwrap_or(u32::MAX));
+        if !self.teams.may_use(team, all_needs) {
+            return Placement {
+                started: 0,
+                unplaced: Some(Unplaced::AtTeamLimit),
+            };
+        }
         let members = tasks.clone().filter_map(|index| job.task(index));
         let crashes = members.map(|task| task.crashes).max().unwrap_or(0);
         let mut chosen = Vec::new();
@@ -288,6 +307,8 @@
     /// The constraints of the step allow no worker, or the task is larger than every worker. Workers may be idle
     /// nevertheless.
     Restricted,
+    /// The limit of the team allows no more.
+    AtTeamLimit,
 }
 
 fn step_len(job: &Job, key: StepKey) -> usize {
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -4,7 +4,9 @@
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 
-use submission::JobId;
+use submission::{JobId, Resources};
+
+use crate::team_steps::{Lane, TeamSteps, WaitingStep};
 
 /// A step of an occurrence of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -52,6 +54,8 @@
     by_change: BTreeSet<(u64, StepKey)>,
     /// Steps that are left out of rounds until a round has visited all others.
     deferred: HashSet<StepKey>,
+    /// The steps by team.
+    pub(crate) by_team: TeamSteps,
 }
 
 impl Ready {
@@ -65,6 +69,7 @@
 
     pub(crate) fn remove(&mut self, step: StepKey) {
         self.deferred.remove(&step);
+        self.by_team.remove(step);
         if let Some((rank, changes_at_ms)) = self.ranks.remove(&step) {
             self.order.remove(&(rank, step));
             self.by_change.remove(&(changes_at_ms, step));
@@ -105,4 +110,30 @@
     pub(crate) fn end_deferrals(&mut self) {
         self.deferred.clear();
     }
+
+    pub(crate) fn is_deferred(&self, step: StepKey) -> bool {
+        self.deferred.contains(&step)
+    }
+
+    /// Adds a step without a team to the steps by team.
+    pub(crate) fn insert_without_team(&mut self, step: StepKey, rank: Rank) {
+        let waiting = WaitingStep {
+            lane: Lane { team: None },
+            needs: Resources::default(),
+            idle: 0,
+            together: 0,
+        };
+        self.by_team.insert(step, rank, waiting);
+    }
+
+    /// Adds all steps without a team to the steps by team.
+    pub(crate) fn index_steps_without_team(&mut self) {
+        let steps = self.order.iter().copied();
+        let without_team: Vec<_> = steps
+            .filter(|(_, step)| !self.by_team.contains(*step))
+            .collect();
+        for (rank, step) in without_team {
+            self.insert_without_team(step, rank);
+        }
+    }
 }
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -5,6 +5,7 @@
 
 use crate::batch::WorkerCommand;
 use crate::scheduler::Scheduler;
+use crate::teams::TeamKey;
 use crate::types::{Now, SchedulerEvent};
 use crate::worker::WorkerKey;
 
@@ -122,15 +123,18 @@
         }
         let mut listed = Vec::with_capacity(report.running.len());
         let mut used_by_unassigned = Resources::default();
+        let mut unassigned = Vec::new();
         for running in report.running {
             if let Some(task) = self.apply_running(key, &running, now) {
                 listed.push(task);
             } else {
                 let footprint = self.footprint_by_name(&running.name);
                 used_by_unassigned = used_by_unassigned.saturating_add(footprint);
+                unassigned.extend(self.needs_by_name(&running.name));
             }
         }
         self.workers[key].incarnation.used_by_unassigned = used_by_unassigned;
+        self.set_unassigned(key, unassigned);
         if !report.has_more_ends {
             self.end_unlisted(key, &listed, report.request_sent_at_ms, now);
         }
@@ -141,6 +145,7 @@
     fn begin_incarnation(&mut self, key: WorkerKey, start_unix_ms: Option<u64>, now: Now) {
         self.record_expired_crashes(key, now);
         self.mark_crashed(key, now);
+        self.set_unassigned(key, Vec::new());
         let limits = self.limits;
         let worker = &mut self.workers[key];
         self.events.push(SchedulerEvent::Restarted {
@@ -174,6 +179,13 @@
         job.map_or(ANY_FOOTPRINT, |(job, index)| job.step(index).footprint())
     }
 
+    /// The team of the task with this name on workers, and what the task needs; `None` when no job of the pool has it.
+    fn needs_by_name(&mut self, name: &str) -> Option<(Option<TeamKey>, Resources)> {
+        let task = self.task_by_name(name)?;
+        let job = self.jobs.get(&task.job)?;
+        Some((self.teams.key(&job.team), job.step(task.index).needs))
+    }
+
     fn apply_end(&mut self, key: WorkerKey, end: EndedAttempt, now: Now) {
         let incarnation = &mut self.workers[key].incarnation;
         incarnation.received_end = incarnation.received_end.max(end.number);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -13,6 +13,8 @@
 use crate::dirty::DirtyJobs;
 use crate::policy::PolicyDecision;
 use crate::ready::{Prospect, Rank, Ready, StepKey};
+use crate::team_steps::{Lane, WaitingStep};
+use crate::teams::Teams;
 use crate::types::{JobStatus, Limits, Now, QueueRules, SchedulerEvent};
 use crate::worker::{AssignedAttempt, Worker, WorkerKey};
 
@@ -60,6 +62,7 @@
     pub(crate) policy_decisions: HashMap<StepKey, PolicyDecision>,
     /// The remaining jobs with service tasks.
     pub(crate) service_jobs: BTreeSet<JobId>,
+    pub(crate) teams: Teams,
 }
 
 impl Scheduler {
@@ -86,6 +89,7 @@
             arrivals: Arrivals::default(),
             policy_decisions: HashMap::new(),
             service_jobs: BTreeSet::new(),
+            teams: Teams::default(),
         }
     }
 
@@ -170,11 +174,10 @@
         for (index, task) in job.tasks() {
             let (occurrence, step, _) = job.position(index);
             self.ready.remove(step_key(id, occurrence, step));
-            if let TaskPhase::Assigned { worker } = &task.phase {
-                let key = self.workers_by_id.get(worker);
-                if let Some(worker) = key.and_then(|key| self.workers.get_mut(*key)) {
-                    worker.remove(TaskKey { job: id, index }, now.local_ms);
-                }
+            if let TaskPhase::Assigned { worker } = &task.phase
+                && let Some(&key) = self.workers_by_id.get(worker)
+            {
+                self.remove_attempt(key, TaskKey { job: id, index }, now);
             }
         }
     }
@@ -273,11 +276,12 @@
         for step in self.ready.outdated(now.store_ms) {
             self.update_ready(step, now);
         }
-        while let Some(&(ended_ms, job)) = self.ended_jobs.first() {
-            if now.store_ms < ended_ms.saturating_add(self.limits.ended_job_retention_ms) {
-                break;
-            }
-            self.ended_jobs.remove(&(ended_ms, job));
+        let retention_ms = self.limits.ended_job_retention_ms;
+        let ended = self.ended_jobs.iter().copied();
+        let removable = ended
+            .take_while(|(ended_ms, _)| now.store_ms >= ended_ms.saturating_add(retention_ms))
+            .filter(|(_, job)| !self.may_run_for_team(*job));
+        for (_, job) in removable.collect::<Vec<_>>() {
             self.remove_job(job, now);
             self.dirty_jobs.insert(job);
         }
@@ -292,13 +296,8 @@
         outcome: AttemptOutcome,
         now: Now,
     ) {
-        if let Some(worker) = self.workers.get_mut(key)
-            && worker
-                .attempts
-                .get(&task)
-                .is_some_and(|attempt| attempt.number == number)
-        {
-            worker.remove(task, now.local_ms);
+        if self.is_assigned(key, task, number) {
+            self.remove_attempt(key, task, now);
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -384,6 +383,31 @@
         }
         let (rank, changes_at_ms) = self.rank(job, key, now);
         self.ready.insert(key, rank, changes_at_ms);
+        self.add_to_team(key, rank);
+    }
+
+    /// Adds a ready step to those of its team.
+    fn add_to_team(&mut self, key: StepKey, rank: Rank) {
+        let job = &self.jobs[&key.job];
+        let Some(team) = self.teams.key(&job.team) else {
+            if self.teams.is_active {
+                self.ready.insert_without_team(key, rank);
+            }
+            return;
+        };
+        let step = &job.spec().steps[usize::from(key.step)];
+        let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
+        let idle = tasks.filter(|&index| {
+            job.task(index)
+                .is_some_and(|task| task.phase == TaskPhase::Idle)
+        });
+        let waiting = WaitingStep {
+            lane: Lane { team: Some(team) },
+            needs: step.needs,
+            idle: u32::try_from(idle.count()).unwrap_or(u32::MAX),
+            together: if step.is_gang { step.tasks } else { 1 },
+        };
+        self.ready.by_team.insert(key, rank, waiting);
     }
 
     /// The time by which a job has to be done to meet its latency objective, in ms on the store's clock.
@@ -443,16 +467,19 @@
 
     /// Assigns a task to a worker as the task's next attempt, numbered at least `min_attempt`.
     pub(crate) fn assign(&mut self, key: WorkerKey, task: TaskKey, min_attempt: u32, now: Now) {
-        let worker = &mut self.workers[key];
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let attempt = job.assign(task.index, worker.info.id.clone(), min_attempt);
+        let worker = self.workers[key].info.id.clone();
+        let attempt = job.assign(task.index, worker, min_attempt);
         let crashes = job.task(task.index).map_or(0, |task| task.crashes);
-        worker.insert(
-            task,
-            AssignedAttempt::new(attempt, job.step(task.index), crashes, now.local_ms),
-        );
+        let team = self.teams.key(&job.team);
+        let assigned = AssignedAttempt::new(attempt, job.step(task.index), crashes, now.local_ms);
+        if team.is_some() {
+            let (occurrence, step, _) = job.position(task.index);
+            let step = step_key(task.job, occurrence, step);
+            self.ready.by_team.record_start(step);
+        }
         let checkpoint = job.task(task.index).map(|task| task.checkpoint.clone());
         let command = WorkerCommand::Start {
             worker: key,
@@ -464,6 +491,7 @@
             .entry(task.job)
             .or_default()
             .push(command);
+        self.insert_attempt(key, task, assigned.with_team(team));
         self.dirty_jobs.insert(task.job);
     }
 }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::crashes::ISOLATED_FROM_CRASHES;
 use crate::incarnation::{ClockSample, Incarnation};
+use crate::teams::TeamKey;
 
 slotmap::new_key_type! {
     /// The key of a worker in a scheduler.
@@ -90,6 +91,10 @@
     pub(crate) is_stopping: bool,
     pub(crate) footprint: Resources,
     pub(crate) is_service: bool,
+    /// The team of the job; `None` for no team.
+    pub(crate) team: Option<TeamKey>,
+    /// What the task is declared to need, which counts towards the use of the team.
+    pub(crate) needs: Resources,
 }
 
 impl AssignedAttempt {
@@ -112,8 +117,14 @@
             is_stopping: false,
             footprint: step.footprint(),
             is_service: step.is_service,
+            team: None,
+            needs: step.needs,
         }
     }
+
+    pub(crate) fn with_team(self, team: Option<TeamKey>) -> Self {
+        Self { team, ..self }
+    }
 }
 
 impl AssignedAttempt {
@@ -285,12 +296,17 @@
         occupied.fits(self.info.capacity) && !is_refused
     }
 
-    pub(crate) fn insert(&mut self, task: TaskKey, attempt: AssignedAttempt) {
+    /// Adds an attempt. Returns the attempt of the task that it replaces, if there is one.
+    pub(crate) fn insert(
+        &mut self,
+        task: TaskKey,
+        attempt: AssignedAttempt,
+    ) -> Option<AssignedAttempt> {
         self.used = self.used.saturating_add(attempt.footprint);
         self.count(&attempt);
-        if let Some(replaced) = self.attempts.insert(task, attempt) {
-            self.uncount(&replaced);
-        }
+        let replaced = self.attempts.insert(task, attempt)?;
+        self.uncount(&replaced);
+        Some(replaced)
     }
 
     /// Makes a task no suspect any more.
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -72,6 +72,7 @@
     }
 
     fn remove_worker(&mut self, key: WorkerKey) {
+        self.set_unassigned(key, Vec::new());
         if let Some(worker) = self.workers.remove(key) {
             self.workers_by_id.remove(&worker.info.id);
         }
@@ -337,6 +338,7 @@
             self.record_crash(key, now, |_| true);
         }
         self.lose_attempts(key, now, |_| true);
+        self.set_unassigned(key, Vec::new());
         if !self.workers[key].is_listed {
             self.remove_worker(key);
         }
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -141,6 +141,36 @@
         id
     }
 
+    pub fn submit_for_team(&mut self, id: u64, team: &str, spec: JobSpec) -> JobId {
+        let id = JobId(id);
+        let now = self.now();
+        self.scheduler
+            .submit_for_team(id, "queue".into(), team.into(), Arc::new(spec), now);
+        id
+    }
+
+    /// Limits what teams may use, by the CPU in thousandths of a core.
+    pub fn limit_cpu(&mut self, limits: &[(&str, u32)]) {
+        let limit = |cpu_milli| Resources {
+            cpu_milli,
+            memory_mb: u32::MAX,
+            gpus: u32::MAX,
+        };
+        let limits = limits
+            .iter()
+            .map(|(team, cpu)| ((*team).into(), limit(*cpu)));
+        self.scheduler.set_team_limits(limits.collect());
+    }
+
+    /// What a team uses and waits for, as CPU in thousandths of a core.
+    pub fn team_cpu(&self, team: &str) -> (u32, u32) {
+        let demands = self.scheduler.team_demand();
+        let demand = demands.iter().find(|demand| demand.team == team);
+        demand.map_or((0, 0), |demand| {
+            (demand.in_use.cpu_milli, demand.waiting.cpu_milli)
+        })
+    }
+
     /// Advances all clocks.
     pub fn advance(&mut self, ms: u64) {
         self.now_ms += ms;
--- /dev/null
+++ b/crates/scheduler/tests/teams.rs
@@ -0,0 +1,470 @@
+//! What teams use of a pool, the limits on it, and the shares of a full pool.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use scheduler::{Scheduler, StartOutcome, WorkerCommand};
+use smol_str::SmolStr;
+use submission::{AttemptOutcome, JobId, Resources, StepSpec, TaskKey, TaskPhase};
+use support::{LEASE_MS, Pool, job, limits, sized_step, starts, step};
+
+const WORKERS: [&str; 3] = ["one", "two", "three"];
+
+#[test]
+fn a_team_is_kept_at_its_limit_beside_teams_without_one() {
+    let mut pool = Pool::new(&WORKERS);
+    pool.limit_cpu(&[("red", 3500)]);
+    pool.submit_for_team(1, "red", job(vec![step(8)]));
+    pool.submit_for_team(2, "blue", job(vec![step(4)]));
+    pool.submit(3, job(vec![step(2)]));
+    let commands = pool.round();
+    assert_eq!(starts(&commands).len(), 3 + 4 + 2);
+    assert_eq!(pool.team_cpu("red"), (3000, 5000));
+    assert_eq!(pool.team_cpu("blue"), (4000, 0));
+}
+
+#[test]
+fn each_resource_is_limited() {
+    for resource in 0..3 {
+        let needs = [100, 100, 1];
+        let mut pool = Pool::new(&[]);
+        let mut info = support::worker("one");
+        info.capacity.gpus = 8;
+        pool.scheduler.set_workers(vec![info], pool.now());
+        pool.report("one", &[], &[]);
+        let mut limit = [u32::MAX; 3];
+        limit[resource] = needs[resource] * 2;
+        let resources = |[cpu_milli, memory_mb, gpus]: [u32; 3]| Resources {
+            cpu_milli,
+            memory_mb,
+            gpus,
+        };
+        let limits = [("red".into(), resources(limit))].into();
+        pool.scheduler.set_team_limits(limits);
+        let spec = StepSpec {
+            needs: resources(needs),
+            ..step(5)
+        };
+        pool.submit_for_team(1, "red", job(vec![spec]));
+        assert_eq!(starts(&pool.round()).len(), 2, "resource {resource}");
+    }
+}
+
+#[test]
+fn best_effort_tasks_count_with_all_that_they_are_declared_to_need() {
+    let mut pool = Pool::new(&WORKERS);
+    pool.limit_cpu(&[("red", 2000)]);
+    let spec = StepSpec {
+        is_best_effort: true,
+        ..step(8)
+    };
+    pool.submit_for_team(1, "red", job(vec![spec]));
+    assert_eq!(starts(&pool.round()).len(), 2);
+    assert_eq!(pool.team_cpu("red"), (2000, 6000));
+}
+
+#[test]
+fn a_gang_starts_as_a_whole_below_the_limit_or_not_at_all() {
+    let mut pool = Pool::new(&WORKERS);
+    pool.limit_cpu(&[("red", 3900)]);
+    let gang = StepSpec {
+        is_gang: true,
+        ..step(4)
+    };
+    let small = pool.submit_for_team(1, "red", job(vec![step(1)]));
+    pool.submit_for_team(2, "red", job(vec![gang]));
+    let started = starts(&pool.round());
+    let jobs: Vec<_> = started.iter().map(|(_, task, _)| task.job).collect();
+    assert_eq!(jobs, [small]);
+    pool.limit_cpu(&[("red", 5000)]);
+    assert_eq!(starts(&pool.round()).len(), 4);
+}
+
+/// An operator may lower the cap far below what the team has running.
+#[test]
+fn no_task_starts_while_a_lowered_limit_is_exceeded() {
+    let mut pool = Pool::new(&WORKERS);
+    pool.submit_for_team(1, "red", job(vec![step(10)]));
+    let commands = pool.round();
+    let started = pool.confirm_starts(&commands);
+    pool.limit_cpu(&[("red", 2000)]);
+    for (number, (worker, task, attempt)) in (1..).zip(&started[..8]) {
+        let end = (
+            number,
+            pool.task_name(*task),
+            *attempt,
+            AttemptOutcome::Failed,
+        );
+        pool.advance(10);
+        report_beside(
+            &mut pool,
+            worker,
+            &started[usize::try_from(number).unwrap()..],
+            end,
+        );
+        assert_eq!(starts(&pool.round()), [], "after {number} ends");
+    }
+    assert_eq!(pool.team_cpu("red"), (2000, 8000));
+    let (worker, task, attempt) = started[8].clone();
+    let end = (9, pool.task_name(task), attempt, AttemptOutcome::Failed);
+    pool.advance(10);
+    report_beside(&mut pool, &worker, &started[9..], end);
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
+
+/// Reports an end on a worker and, as running, those of `started` that are on the worker.
+fn report_beside(
+    pool: &mut Pool,
+    worker: &SmolStr,
+    started: &[(SmolStr, TaskKey, u32)],
+    end: (u64, SmolStr, u32, AttemptOutcome),
+) {
+    let running = started.iter().filter(|(id, ..)| id == worker);
+    let running: Vec<_> = running
+        .map(|(_, task, attempt)| (pool.task_name(*task), *attempt, 50))
+        .collect();
+    pool.report(worker, &running, &[end]);
+}
+
+#[test]
+fn an_attempt_counts_while_its_outcome_is_unknown_and_until_its_end_after_a_cancel() {
+    let mut pool = Pool::new(&["one"]);
+    let id = pool.submit_for_team(1, "red", job(vec![step(2)]));
+    let commands = pool.round();
+    let [(worker, first, attempt), (_, second, _)] = starts(&commands)[..] else {
+        panic!("two starts");
+    };
+    pool.apply_start(worker, first, attempt, StartOutcome::OutcomeUnknown);
+    pool.apply_start(worker, second, attempt, StartOutcome::OutcomeUnknown);
+    pool.scheduler.cancel(id, pool.now());
+    pool.round();
+    pool.advance(LEASE_MS);
+    assert_eq!(pool.team_cpu("red"), (2000, 0));
+    let name = pool.task_name(first);
+    pool.report("one", &[(name, attempt, 5)], &[]);
+    pool.advance(10);
+    pool.report("one", &[], &[]);
+    assert_eq!(
+        pool.team_cpu("red"),
+        (1000, 0),
+        "one start may still arrive"
+    );
+    pool.scheduler.mark_unresponsive(worker);
+    pool.advance(2 * LEASE_MS);
+    assert_eq!(pool.team_cpu("red"), (0, 0));
+}
+
+/// A worker may be silent for as long as ended jobs are retained, and its attempts run until their leases expire.
+#[test]
+fn a_removed_job_leaves_no_attempt_without_an_account() {
+    let mut pool = Pool::new(&["one"]);
+    let id = pool.submit_for_team(1, "red", job(vec![step(1)]));
+    let commands = pool.round();
+    pool.confirm_starts(&commands);
+    pool.scheduler.cancel(id, pool.now());
+    pool.round();
+    pool.advance(limits().ended_job_retention_ms + 1);
+    assert_eq!(pool.team_cpu("red"), (1000, 0));
+    pool.report("one", &[], &[]);
+    pool.advance(1);
+    assert!(pool.scheduler.job(id).is_none());
+    assert_eq!(pool.team_cpu("red"), (0, 0));
+}
+
+#[test]
+fn an_attempt_that_runs_without_being_assigned_counts_until_a_report_lacks_it() {
+    let mut pool = Pool::new(&["one"]);
+    pool.limit_cpu(&[("red", 1000)]);
+    let id = pool.submit_for_team(1, "red", job(vec![step(1)]));
+    let name = pool.task_name(TaskKey { job: id, index: 0 });
+    pool.report("one", &[(name, 7, 5)], &[]);
+    assert_eq!(pool.team_cpu("red"), (1000, 1000));
+    assert_eq!(starts(&pool.round()), []);
+    pool.report("one", &[], &[]);
+    assert_eq!(pool.team_cpu("red"), (0, 1000));
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
+
+#[test]
+fn a_new_owner_counts_what_the_rows_record_before_any_worker_reports() {
+    let mut previous = Pool::new(&WORKERS);
+    let id = previous.submit_for_team(1, "red", job(vec![step(6)]));
+    previous.round();
+    let adopted = previous.scheduler.job(id).unwrap().clone();
+    let mut pool = Pool::new(&[]);
+    pool.limit_cpu(&[("red", 6000)]);
+    pool.scheduler.adopt_job(adopted, pool.now());
+    pool.set_registry(&["four"]);
+    pool.report("four", &[], &[]);
+    pool.submit_for_team(2, "red", job(vec![step(1)]));
+    assert_eq!(starts(&pool.round()), []);
+    assert_eq!(pool.team_cpu("red"), (6000, 1000));
+}
+
+/// Thousands of steps of a team at its limit are before those of 19 others, and the round visits at most hundreds.
+#[test]
+fn steps_of_a_team_at_its_limit_do_not_hold_up_other_teams() {
+    let mut pool = Pool::new(&WORKERS);
+    pool.limit_cpu(&[("red", 1000)]);
+    for id in 0..3000 {
+        pool.submit_for_team(id, "red", job(vec![step(1)]));
+    }
+    pool.advance(10);
+    for id in 3000..3010 {
+        let team = format!("team-{id}");
+        pool.submit_for_team(id, &team, job(vec![step(1)]));
+    }
+    let started = starts(&pool.round());
+    assert_eq!(started.len(), 11);
+    assert_eq!(pool.team_cpu("red"), (1000, 2_999_000));
+}
+
+/// Sizes differ from job to job. A step that is larger than the whole limit must not keep the others from starting.
+#[test]
+fn a_step_beyond_the_limit_does_not_block_smaller_ones_of_its_team() {
+    let mut pool = Pool::new(&WORKERS);
+    pool.limit_cpu(&[("red", 1500)]);
+    pool.submit_for_team(1, "red", job(vec![sized_step(2000)]));
+    pool.submit_for_team(2, "red", job(vec![sized_step(1000)]));
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
+
+/// Workers with the runs that they have, each with a lease.
+struct Stage {
+    pool: Pool,
+    jobs: Vec<(JobId, &'static str)>,
+    unsent: Vec<WorkerCommand>,
+    running: BTreeSet<(SmolStr, TaskKey, u32)>,
+    lease_until_ms: BTreeMap<SmolStr, u64>,
+    ends: BTreeMap<SmolStr, u64>,
+    starts_unix_ms: BTreeMap<SmolStr, u64>,
+}
+
+impl Stage {
+    fn new() -> Self {
+        let mut pool = Pool::new(&WORKERS);
+        pool.limit_cpu(&[("red", 5000)]);
+        Self {
+            pool,
+            jobs: Vec::new(),
+            unsent: Vec::new(),
+            running: BTreeSet::new(),
+            lease_until_ms: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            starts_unix_ms: BTreeMap::new(),
+        }
+    }
+
+    fn apply(&mut self, event: u8, pick: usize) {
+        let worker = WORKERS[pick % WORKERS.len()];
+        let now = self.pool.now();
+        match event {
+            0..=2 => {
+                let team = ["red", "blue", ""][pick % 3];
+                let spec = StepSpec {
+                    is_gang: pick.is_multiple_of(5),
+                    is_best_effort: pick.is_multiple_of(7),
+                    is_service: pick.is_multiple_of(11),
+                    ..sized_step(400 + u32::try_from(pick % 9).unwrap() * 100)
+                };
+                let tasks = 1 + u32::try_from(pick % 4).unwrap();
+                let spec = job(vec![StepSpec { tasks, ..spec }, step(1)]);
+                let id = u64::try_from(self.jobs.len()).unwrap();
+                self.jobs
+                    .push((self.pool.submit_for_team(id, team, spec), team));
+            }
+            3 if !self.jobs.is_empty() => {
+                let (id, _) = self.jobs[pick % self.jobs.len()];
+                self.pool.scheduler.cancel(id, now);
+            }
+            4..=6 => {
+                let commands = self.pool.round();
+                self.unsent.extend(commands);
+            }
+            7..=10 if !self.unsent.is_empty() => {
+                let command = self.unsent.swap_remove(pick % self.unsent.len());
+                self.send(&command, pick);
+            }
+            11..=12 => self.report(worker, pick),
+            13 => {
+                self.pool.advance([10, 200, 3000][pick % 3]);
+                let now_ms = self.pool.now_ms;
+                let leases = &self.lease_until_ms;
+                self.running
+                    .retain(|(id, ..)| leases.get(id).is_some_and(|until| *until > now_ms));
+            }
+            14 => {
+                let listed = WORKERS
+                    .iter()
+                    .filter(|id| **id != worker || pick.is_multiple_of(2));
+                let listed: Vec<_> = listed.copied().collect();
+                self.pool.set_registry(&listed);
+            }
+            15 => {
+                if let Some(key) = self.pool.scheduler.worker_key(worker)
+                    && let Some(plan) = self.pool.scheduler.lease_renewal_plan(key, now)
+                    && let Some(until_ms) = plan.lease_until_ms
+                {
+                    self.lease_until_ms.insert(worker.into(), until_ms);
+                }
+            }
+            16 if pick.is_multiple_of(4) => {
+                self.running.retain(|(id, ..)| id != worker);
+                self.ends.remove(worker);
+                let started = self.starts_unix_ms.entry(worker.into()).or_insert(1);
+                *started += 1;
+                self.report(worker, 1);
+            }
+            17 if pick.is_multiple_of(4) => self.take_over(),
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, command: &WorkerCommand, pick: usize) {
+        let now = self.pool.now();
+        match command {
+            WorkerCommand::Start {
+                worker,
+                task,
+                attempt,
+                ..
+            } => {
+                let Some(info) = self.pool.scheduler.worker(*worker) else {
+                    return;
+                };
+                let id = info.id.clone();
+                if !self.pool.scheduler.may_start(*worker, *task, *attempt) {
+                    let outcome = StartOutcome::Refused;
+                    let scheduler = &mut self.pool.scheduler;
+                    scheduler.apply_start_outcome(*worker, *task, *attempt, outcome, None, now);
+                    return;
+                }
+                let scheduler = &mut self.pool.scheduler;
+                let until_ms = scheduler.grant_start_lease(*worker, *task, now);
+                let (arrives, outcome) = [
+                    (true, StartOutcome::Started),
+                    (true, StartOutcome::Started),
+                    (true, StartOutcome::OutcomeUnknown),
+                    (false, StartOutcome::OutcomeUnknown),
+                    (false, StartOutcome::NoFreeCapacity),
+                ][pick % 5];
+                if arrives && let Some(until_ms) = until_ms {
+                    self.lease_until_ms.insert(id.clone(), until_ms);
+                    self.running.insert((id, *task, *attempt));
+                }
+                let clock = (outcome != StartOutcome::OutcomeUnknown).then_some(self.pool.now_ms);
+                let scheduler = &mut self.pool.scheduler;
+                scheduler.apply_start_outcome(*worker, *task, *attempt, outcome, clock, now);
+            }
+            WorkerCommand::Stop {
+                worker,
+                task: Some(task),
+                attempt,
+                ..
+            } => {
+                if let Some(info) = self.pool.scheduler.worker(*worker) {
+                    self.running.remove(&(info.id.clone(), *task, *attempt));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn report(&mut self, worker: &str, pick: usize) {
+        if self.pool.scheduler.worker_key(worker).is_none() {
+            return;
+        }
+        let on_worker = self.running.iter().filter(|(id, ..)| id == worker);
+        let mut on_worker: Vec<_> = on_worker.cloned().collect();
+        let mut ended = Vec::new();
+        if pick.is_multiple_of(2)
+            && let Some((id, task, attempt)) = on_worker.pop()
+        {
+            let number = self.ends.entry(id.clone()).or_default();
+            *number += 1;
+            let outcome = [AttemptOutcome::Done, AttemptOutcome::Failed][pick / 2 % 2];
+            ended.push((*number, self.pool.task_name(task), attempt, outcome));
+            self.running.remove(&(id, task, attempt));
+            let is_gang = self
+                .pool
+                .scheduler
+                .job(task.job)
+                .is_some_and(|job| job.step(task.index).is_gang);
+            if is_gang {
+                // The members of a gang end together.
+                let other = |key: &TaskKey| key.job == task.job;
+                self.running.retain(|(_, key, _)| !other(key));
+                on_worker.retain(|(_, key, _)| !other(key));
+            }
+        }
+        let running = on_worker
+            .iter()
+            .map(|(_, task, attempt)| (self.pool.task_name(*task), *attempt, 50));
+        let running: Vec<_> = running.collect();
+        let start_unix_ms = Some(self.starts_unix_ms.get(worker).copied().unwrap_or(1));
+        self.pool
+            .report_since(start_unix_ms, worker, &running, &ended);
+    }
+
+    /// Lets a new owner adopt the jobs as they are recorded.
+    fn take_over(&mut self) {
+        self.pool.round();
+        self.unsent.clear();
+        let scheduler = Scheduler::new(limits());
+        let previous = std::mem::replace(&mut self.pool.scheduler, scheduler);
+        let now = self.pool.now();
+        for (id, _) in &self.jobs {
+            if let Some(job) = previous.job(*id) {
+                self.pool.scheduler.adopt_job(job.clone(), now);
+            }
+        }
+        self.pool.set_registry(&WORKERS);
+        self.pool.limit_cpu(&[("red", 5000)]);
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        for team in ["red", "blue"] {
+            let (mut in_use, mut waiting) = (0, 0);
+            let of_team = self.jobs.iter().filter(|(_, owner)| *owner == team);
+            for job in of_team.filter_map(|(id, _)| self.pool.scheduler.job(*id)) {
+                for (index, task) in job.tasks() {
+                    let cpu = job.step(index).needs.cpu_milli;
+                    let (occurrence, step, _) = job.position(index);
+                    match task.phase {
+                        TaskPhase::Assigned { .. } => in_use += cpu,
+                        TaskPhase::Idle
+                            if !job.has_ended() && job.is_unblocked(occurrence, step) =>
+                        {
+                            waiting += cpu;
+                        }
+                        TaskPhase::Idle | TaskPhase::Done => {}
+                    }
+                }
+            }
+            prop_assert_eq!(self.pool.team_cpu(team), (in_use, waiting), "{}", team);
+            let running = self.running.iter().filter_map(|(_, task, _)| {
+                let job = self.pool.scheduler.job(task.job)?;
+                (job.team == team).then(|| job.step(task.index).needs.cpu_milli)
+            });
+            let running: u32 = running.sum();
+            prop_assert!(in_use >= running, "{team}: {in_use} counted, {running} run");
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    /// What a team uses is kept incrementally. It must not drift, nor be lower than what runs.
+    #[test]
+    fn the_use_of_teams_equals_a_recount_after_any_events(
+        events in proptest::collection::vec((0..18_u8, 0..60_usize), 1..150),
+    ) {
+        let mut stage = Stage::new();
+        for (event, pick) in events {
+            stage.apply(event, pick);
+            stage.check()?;
+        }
+    }
+}
