scheduler: when all is full, teams below their weighted share of the pool go first

Cause: a team that sends seven times its usual work for some seconds fills the pool, and the jobs of the others, ranked by their latest start alone, wait behind it.

Change: where weights are set, the steps with the same prospect are visited in three tiers: teams below their share and jobs without a team; teams at their share or above; jobs beyond the weight of their team in jobs per second, counted at the submission over a sliding second. Shares are those of weighted dominant resource fairness (Ghodsi et al. 2011), computed once per round from what the teams use and wait for. Service steps come before batch steps as before.

--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -118,7 +118,7 @@
     /// Adds a step without a team to the steps by team.
     pub(crate) fn insert_without_team(&mut self, step: StepKey, rank: Rank) {
         let waiting = WaitingStep {
-            lane: Lane { team: None },
+            lane: Lane::WITHOUT_TEAM,
             needs: Resources::default(),
             idle: 0,
             together: 0,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -128,6 +128,7 @@
             self.arrivals
                 .record(work, job.critical_path_ms(), now.local_ms);
         }
+        self.count_submission(id, &job.team, now);
         self.insert_job(job, now);
         self.dirty_jobs.insert(id);
         true
@@ -170,6 +171,7 @@
         }
         self.ended_jobs.remove(&(job.ended_at_ms(), id));
         self.service_jobs.remove(&id);
+        self.teams.forget_job(id);
         self.deferred_commands.remove(&id);
         for (index, task) in job.tasks() {
             let (occurrence, step, _) = job.position(index);
@@ -402,7 +404,10 @@
                 .is_some_and(|task| task.phase == TaskPhase::Idle)
         });
         let waiting = WaitingStep {
-            lane: Lane { team: Some(team) },
+            lane: Lane {
+                team: Some(team),
+                is_excess: self.teams.is_in_excess(key.job),
+            },
             needs: step.needs,
             idle: u32::try_from(idle.count()).unwrap_or(u32::MAX),
             together: if step.is_gang { step.tasks } else { 1 },
--- a/crates/scheduler/src/team_steps.rs
+++ b/crates/scheduler/src/team_steps.rs
@@ -8,11 +8,21 @@
 use crate::ready::{Rank, StepKey};
 use crate::teams::{TeamKey, Usage};
 
-/// Ready steps that a limit blocks together.
+/// Ready steps that come before or after those of other lanes together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct Lane {
     /// The team of the jobs; `None` for jobs without a team.
     pub(crate) team: Option<TeamKey>,
+    /// Whether the jobs are beyond what the weight of the team entitles to.
+    pub(crate) is_excess: bool,
+}
+
+impl Lane {
+    /// The lane of jobs without a team.
+    pub(crate) const WITHOUT_TEAM: Self = Self {
+        team: None,
+        is_excess: false,
+    };
 }
 
 /// A ready step.
@@ -58,7 +68,7 @@
     }
 }
 
-/// The ready steps of jobs with a team, and those of other jobs once the pool has limits.
+/// The ready steps of jobs with a team, and those of other jobs once the pool has limits or weights.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct TeamSteps {
     lanes: BTreeMap<Lane, BTreeSet<(Rank, StepKey)>>,
--- a/crates/scheduler/src/teams.rs
+++ b/crates/scheduler/src/teams.rs
@@ -1,8 +1,8 @@
-//! The use of the pool by teams, and its limits.
+//! The use of the pool by teams, its limits, and the teams' shares of a full pool.
 //!
 //! Built for a team that sends several times its usual work for some seconds, beside teams that go on as usual.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use smol_str::SmolStr;
 use submission::{JobId, Resources, Task, TaskKey, TaskPhase};
@@ -18,6 +18,9 @@
     gpus: u32::MAX,
 };
 
+/// The time in which a team's jobs are counted against its weight, in ms: a weight is in jobs per second.
+const RATE_WINDOW_MS: u64 = 1000;
+
 /// The use of the pool by a team, and what the team could use beyond it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TeamDemand {
@@ -64,6 +67,16 @@
         }
     }
 
+    /// The sum with each amount reduced to its limit.
+    pub(crate) fn at_most(self, limits: [u64; 3]) -> Self {
+        let [cpu_milli, memory_mb, gpus] = limits;
+        Self {
+            cpu_milli: self.cpu_milli.min(cpu_milli),
+            memory_mb: self.memory_mb.min(memory_mb),
+            gpus: self.gpus.min(gpus),
+        }
+    }
+
     pub(crate) fn amounts(self) -> [u64; 3] {
         [self.cpu_milli, self.memory_mb, self.gpus]
     }
@@ -101,8 +114,12 @@
 pub(crate) struct Team {
     name: SmolStr,
     pub(crate) limit: Resources,
+    /// The team's weight; 0 when the team has none.
+    pub(crate) weight: u32,
     /// The needs of the team's attempts that run or may run on workers of the pool.
     pub(crate) in_use: Usage,
+    /// When the last jobs within the team's weight were submitted, in ms on the daemon's clock, the oldest first.
+    recent_ms: VecDeque<u64>,
 }
 
 impl Team {
@@ -110,7 +127,9 @@
         Self {
             name,
             limit: UNLIMITED,
+            weight: 0,
             in_use: Usage::default(),
+            recent_ms: VecDeque::new(),
         }
     }
 
@@ -136,6 +155,24 @@
             }
         })
     }
+
+    /// Counts a job that is submitted at `now_ms` on the daemon's clock. Returns whether it is beyond what the team's
+    /// weight entitles to.
+    fn is_in_excess(&mut self, now_ms: u64) -> bool {
+        if self.weight == 0 {
+            return false;
+        }
+        while let Some(&at_ms) = self.recent_ms.front()
+            && now_ms.saturating_sub(at_ms) >= RATE_WINDOW_MS
+        {
+            self.recent_ms.pop_front();
+        }
+        if self.recent_ms.len() >= self.weight as usize {
+            return true;
+        }
+        self.recent_ms.push_back(now_ms);
+        false
+    }
 }
 
 /// The teams of a pool.
@@ -144,10 +181,12 @@
     /// By the index of the team's key.
     arena: Vec<Team>,
     keys: HashMap<SmolStr, TeamKey>,
-    /// Whether any team has had a limit.
+    /// Whether any team has had a limit or a weight.
     pub(crate) is_active: bool,
     /// What attempts of jobs without a team use.
     pub(crate) used_without_team: Usage,
+    /// The jobs beyond what the weights of their teams entitle to.
+    excess_jobs: HashSet<JobId>,
 }
 
 impl Teams {
@@ -192,6 +231,14 @@
         team.is_none_or(|key| self.team(key).may_use(more))
     }
 
+    pub(crate) fn is_in_excess(&self, job: JobId) -> bool {
+        self.excess_jobs.contains(&job)
+    }
+
+    pub(crate) fn forget_job(&mut self, job: JobId) {
+        self.excess_jobs.remove(&job);
+    }
+
     fn account(&mut self, team: Option<TeamKey>) -> &mut Usage {
         match team {
             Some(key) => &mut self.team_mut(key).in_use,
@@ -227,8 +274,19 @@
         }
     }
 
-    /// Replaces the weights of the teams, by team: the shares of a pool without enough room for all.
-    pub fn set_team_weights(&mut self, _weights: HashMap<SmolStr, u32>) {}
+    /// Replaces the weights of the teams, by team: the shares of a pool without enough room for all, and the jobs per
+    /// second beyond which a team's jobs come after those of others. A weight of 0 counts as none.
+    pub fn set_team_weights(&mut self, weights: HashMap<SmolStr, u32>) {
+        for (_, team) in self.teams.iter_mut() {
+            team.weight = 0;
+        }
+        for (name, weight) in weights {
+            if let Some(key) = self.teams.key(&name).filter(|_| weight > 0) {
+                self.teams.team_mut(key).weight = weight;
+                self.activate_teams();
+            }
+        }
+    }
 
     /// Returns the demand of each team that uses the pool or waits for it, ordered by team.
     #[must_use]
@@ -246,13 +304,22 @@
         demands
     }
 
-    /// From the first limit on, the ready steps without a team are kept apart too.
+    /// From the first limit or weight on, the ready steps without a team are kept apart too.
     fn activate_teams(&mut self) {
         if !std::mem::replace(&mut self.teams.is_active, true) {
             self.ready.index_steps_without_team();
         }
     }
 
+    /// Counts a job that is submitted now against the weight of its team.
+    pub(crate) fn count_submission(&mut self, id: JobId, team: &SmolStr, now: Now) {
+        if let Some(key) = self.teams.key(team)
+            && self.teams.team_mut(key).is_in_excess(now.local_ms)
+        {
+            self.teams.excess_jobs.insert(id);
+        }
+    }
+
     /// Adds an attempt to a worker, and what the attempt needs to what its team uses.
     pub(crate) fn insert_attempt(
         &mut self,
--- a/crates/scheduler/src/visits.rs
+++ b/crates/scheduler/src/visits.rs
@@ -1,68 +1,167 @@
-//! The order in which a round visits the ready steps of a pool with limits on teams.
+//! The order in which a round visits the ready steps of a pool with limits or weights.
 //!
-//! The steps of a team at its limit are passed over.
+//! Within one prospect, service steps come before batch steps. Among each of them, the steps of teams below their weighted
+//! share of the pool come first, with those of jobs without a team, then the steps of teams above their share, and then
+//! those of jobs beyond what a team's weight entitles to. The shares are those of weighted dominant
+//! resource fairness (Ghodsi et al., "Dominant Resource Fairness", 2011): what no team asks for goes to the others, and no
+//! capacity stays unused. The steps of a team at its limit are passed over.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 
-use crate::ready::{Rank, StepKey};
+use crate::ready::{Prospect, Rank, StepKey};
 use crate::scheduler::Scheduler;
 use crate::team_steps::Lane;
-use crate::teams::TeamKey;
+use crate::teams::{Team, TeamKey, Usage};
 
 /// The number of a team's steps that a round finds to be beyond the team's limit, after which it passes over the team.
 /// Smaller steps behind them may fit. A visit of such a step is a comparison.
 const MAX_BLOCKED_STEPS_PER_TEAM: usize = 200;
 
+/// The halvings of the interval in which the level of the shares lies. The rest is far below the size of a task.
+const LEVEL_HALVINGS: usize = 40;
+
 /// The steps that a round has yet to visit.
 #[derive(Debug)]
 pub(crate) enum Visits {
     /// In the order of rank alone.
     Ranked(std::vec::IntoIter<StepKey>),
-    /// With regard to the limits of teams.
-    Limited(LimitedVisits),
+    /// By the shares and limits of teams.
+    Shared(SharedVisits),
 }
 
 /// The first unvisited steps of all lanes.
 #[derive(Debug)]
-pub(crate) struct LimitedVisits {
+pub(crate) struct SharedVisits {
     heads: BinaryHeap<Reverse<Head>>,
+    shares: Shares,
     blocked_steps: HashMap<TeamKey, usize>,
 }
 
+/// The order of a lane among service steps or batch steps with the same prospect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Tier {
+    BelowShare,
+    AboveShare,
+    Excess,
+}
+
 /// The first unvisited step of a lane.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Head {
+    prospect: Prospect,
+    is_batch: bool,
+    tier: Tier,
     rank: Rank,
     step: StepKey,
     lane: Lane,
 }
 
+/// The weighted shares of the teams in a pool.
+#[derive(Debug, Clone, Copy)]
+struct Shares {
+    capacity: Usage,
+    /// The dominant share up to which a team is below its share, by unit of weight. Infinite when all demand fits.
+    level: f64,
+}
+
+/// A part of a whole; 0 of nothing is 0.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "capacities are far below the limit of exact conversion"
+)]
+fn ratio(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        0.0
+    } else {
+        part as f64 / whole as f64
+    }
+}
+
+fn shares_of(usage: Usage, capacity: Usage) -> [f64; 3] {
+    let mut wholes = capacity.amounts().into_iter();
+    usage
+        .amounts()
+        .map(|part| ratio(part, wholes.next().unwrap_or(0)))
+}
+
+fn dominant(shares: [f64; 3]) -> f64 {
+    shares.into_iter().fold(0.0, f64::max)
+}
+
+impl Shares {
+    /// Whether a team with a weight uses its share of the pool or more.
+    fn is_reached_by(&self, team: &Team) -> bool {
+        team.weight > 0
+            && dominant(shares_of(team.in_use, self.capacity))
+                >= self.level * f64::from(team.weight)
+    }
+}
+
+/// The largest level at which the allocations of all teams fit into `available`. Each team is given as its weight and the
+/// shares of the resources that it asks for.
+fn level(teams: &[(f64, [f64; 3])], available: [f64; 3]) -> f64 {
+    let fits = |level: f64| {
+        let mut sums = [0.0; 3];
+        for (weight, asked) in teams {
+            let part = (level * weight / dominant(*asked)).min(1.0);
+            for (sum, asked) in sums.iter_mut().zip(asked) {
+                *sum += part * asked;
+            }
+        }
+        sums.iter().zip(available).all(|(sum, limit)| *sum <= limit)
+    };
+    let full = teams
+        .iter()
+        .map(|(weight, asked)| dominant(*asked) / weight);
+    let full = full.fold(0.0, f64::max);
+    if fits(full) {
+        return f64::INFINITY;
+    }
+    let (mut low, mut high) = (0.0, full);
+    for _ in 0..LEVEL_HALVINGS {
+        let middle = f64::midpoint(low, high);
+        if fits(middle) {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    low
+}
+
 impl Scheduler {
-    /// The steps that a round visits, at most `max_steps` of them. In a pool with limits, the steps that are
+    /// The steps that a round visits, at most `max_steps` of them. In a pool with limits or weights, the steps that are
     /// passed over because of a limit come on top of them.
     pub(crate) fn visits(&self, max_steps: usize) -> Visits {
         if !self.teams.is_active {
             return Visits::Ranked(self.ready.first(max_steps).into_iter());
         }
-        let mut visits = LimitedVisits {
+        let mut visits = SharedVisits {
             heads: BinaryHeap::new(),
+            shares: self.shares(),
             blocked_steps: HashMap::new(),
         };
         for lane in self.ready.by_team.lanes() {
             self.push_head(&mut visits, lane, None);
         }
-        Visits::Limited(visits)
+        Visits::Shared(visits)
     }
 
     /// The next step to visit; `None` when there is none.
     pub(crate) fn next_visit(&self, visits: &mut Visits) -> Option<StepKey> {
         let visits = match visits {
             Visits::Ranked(steps) => return steps.next(),
-            Visits::Limited(visits) => visits,
+            Visits::Shared(visits) => visits,
         };
         loop {
             let Reverse(head) = visits.heads.pop()?;
+            let tier = self.tier(head.lane, &visits.shares);
+            if tier != head.tier {
+                // The team has reached its share in this round.
+                visits.heads.push(Reverse(Head { tier, ..head }));
+                continue;
+            }
             let least = self.ready.by_team.least(head.step);
             let blocked = head
                 .lane
@@ -88,11 +187,57 @@
         self.ready.by_team.waiting(team).least_cpu_milli() > cpu_milli
     }
 
-    fn push_head(&self, visits: &mut LimitedVisits, lane: Lane, after: Option<(Rank, StepKey)>) {
+    fn push_head(&self, visits: &mut SharedVisits, lane: Lane, after: Option<(Rank, StepKey)>) {
         let mut steps = self.ready.by_team.steps_after(lane, after);
         let Some((rank, step)) = steps.find(|(_, step)| !self.ready.is_deferred(*step)) else {
             return;
         };
-        visits.heads.push(Reverse(Head { rank, step, lane }));
+        visits.heads.push(Reverse(Head {
+            prospect: rank.prospect,
+            is_batch: rank.is_batch,
+            tier: self.tier(lane, &visits.shares),
+            rank,
+            step,
+            lane,
+        }));
+    }
+
+    fn tier(&self, lane: Lane, shares: &Shares) -> Tier {
+        let Some(team) = lane.team else {
+            return Tier::BelowShare;
+        };
+        if lane.is_excess {
+            Tier::Excess
+        } else if shares.is_reached_by(self.teams.team(team)) {
+            Tier::AboveShare
+        } else {
+            Tier::BelowShare
+        }
+    }
+
+    /// The shares of the teams with weights in what the other tasks of the pool leave. A team asks for what it uses and
+    /// waits for, up to its limit.
+    fn shares(&self) -> Shares {
+        let listed = self.workers.values().filter(|worker| worker.is_listed);
+        let capacities = listed.map(|worker| Usage::of(worker.info.capacity, 1));
+        let capacity = capacities.fold(Usage::default(), Usage::plus);
+        let mut others = self.teams.used_without_team;
+        let mut weighted = Vec::new();
+        for (key, team) in self.teams.iter() {
+            if team.weight == 0 {
+                others = others.plus(team.in_use);
+                continue;
+            }
+            let waiting = self.ready.by_team.waiting(key).needs;
+            let asked = shares_of(team.in_use.plus(waiting.at_most(team.headroom())), capacity);
+            if dominant(asked) > 0.0 {
+                weighted.push((f64::from(team.weight), asked));
+            }
+        }
+        let available = shares_of(others, capacity).map(|used| (1.0 - used).max(0.0));
+        Shares {
+            capacity,
+            level: level(&weighted, available),
+        }
     }
 }
--- a/crates/scheduler/tests/support/load.rs
+++ b/crates/scheduler/tests/support/load.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use scheduler::{Scheduler, WorkerInfo};
+use scheduler::{Scheduler, WorkerInfo, WorkerKey};
 use smol_str::{SmolStr, format_smolstr};
 use submission::{AttemptOutcome, JobId, JobSpec, JobState, Resources, StepSpec, TaskKey};
 
@@ -35,9 +35,19 @@
     }
 }
 
+/// A team, with the jobs that it sends.
+#[derive(Debug, Clone)]
+pub struct TeamLoad {
+    pub team: SmolStr,
+    pub kind: JobKind,
+    /// The jobs per 1000 s.
+    pub millijobs_per_s: u64,
+}
+
 /// A job that was submitted.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct SubmittedJob {
+    pub team: SmolStr,
     pub kind: JobKind,
     pub submitted_at_ms: u64,
     pub done_at_ms: Option<u64>,
@@ -65,6 +75,8 @@
     running: HashMap<SmolStr, BTreeMap<TaskKey, (u64, u32)>>,
     ends: HashMap<SmolStr, Vec<(u64, SmolStr, u32, AttemptOutcome)>>,
     end_numbers: HashMap<SmolStr, u64>,
+    /// All started attempts, in order.
+    pub started: Vec<(WorkerKey, TaskKey, u32)>,
 }
 
 impl LoadedPool {
@@ -92,6 +104,7 @@
             running: HashMap::new(),
             ends: HashMap::new(),
             end_numbers: HashMap::new(),
+            started: Vec::new(),
         }
     }
 
@@ -113,14 +126,36 @@
         }
     }
 
-    /// Submits a job.
+    /// Lets the jobs of teams arrive for `duration_ms`.
+    pub fn run_teams(&mut self, loads: &[TeamLoad], duration_ms: u64) {
+        let end_ms = self.pool.now_ms + duration_ms;
+        let mut due_micro = vec![0; loads.len()];
+        while self.pool.now_ms < end_ms {
+            for (load, due_micro) in loads.iter().zip(&mut due_micro) {
+                *due_micro += load.millijobs_per_s * ROUND_MS;
+                while *due_micro >= 1_000_000 {
+                    *due_micro -= 1_000_000;
+                    self.submit_for_team(load.kind, load.team.clone());
+                }
+            }
+            self.round();
+        }
+    }
+
+    /// Submits a job without a team.
     pub fn submit(&mut self, kind: JobKind) {
+        self.submit_for_team(kind, SmolStr::default());
+    }
+
+    pub fn submit_for_team(&mut self, kind: JobKind, team: SmolStr) {
         // Ids are in no order, as callers choose them.
         let id = JobId((self.jobs.len() as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let now = self.pool.now();
         let spec = Arc::new(kind.spec());
-        self.scheduler().submit(id, "queue".into(), spec, now);
+        self.scheduler()
+            .submit_for_team(id, "queue".into(), team.clone(), spec, now);
         let submitted = SubmittedJob {
+            team,
             kind,
             submitted_at_ms: now.local_ms,
             done_at_ms: None,
@@ -167,6 +202,7 @@
         }
         let commands = self.pool.round();
         let started = starts(&commands);
+        self.started.extend(&started);
         self.pool.confirm_starts(&commands);
         for (key, task, attempt) in started {
             let worker = self
