scheduler: work that the limit of its team blocks asks for no VMs

Cause: the demand of a pool counted all waiting and arriving work, and so asked for workers on which a team at its limit may not start a task.

Change: a team's waiting work counts as far as the room below its limit allows, in proportion where a resource is short; its arrivals, which are kept apart while its CPU is limited, as far as the limit leaves room beside that; its service tasks up to the limit. The sums are kept per team, so that the demand does not go through a team's waiting steps.

Result: with 100 jobs a second of a team that is limited to 64 cores, the pool asks for no more than its limit and twice the other work need; without the limit for more than 40 workers of 32 cores.

--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -2,11 +2,14 @@
 //!
 //! Built for queues that peak in turn: for a few seconds, one queue submits several times its mean load.
 
+use std::collections::BTreeMap;
+
 use smol_str::SmolStr;
 use submission::TaskPhase;
 
-use crate::ready::Prospect;
+use crate::ready::{Prospect, Rank, StepKey};
 use crate::scheduler::Scheduler;
+use crate::team_steps::Lane;
 use crate::types::Now;
 use crate::worker::UnavailableReason;
 
@@ -88,7 +91,7 @@
         let (running, running_past_deadline, service_workers) = self.running_cpu(now);
         self.trend.update(running + waiting, now.local_ms);
         let expected_growth = self.trend.growth_cpu_milli_per_s * FORECAST_MS / 1000;
-        let arriving = self.arrivals.cpu_milli(now.local_ms);
+        let arriving = self.arriving_cpu(now);
         let on_time = (running + waiting + expected_growth).max(arriving.saturating_add(waiting));
         let past_objective = running_past_deadline
             + waiting_past_latest_start * PAST_LATEST_START_WEIGHT_PERCENT / 100;
@@ -133,9 +136,12 @@
     /// The number of workers that service steps need because of their limits on tasks per worker.
     fn min_service_workers(&self) -> usize {
         let jobs = self.service_jobs.iter().filter_map(|id| self.jobs.get(id));
-        let steps = jobs.flat_map(|job| &job.spec().steps);
-        let limited = steps.filter(|step| step.is_service && step.max_per_worker > 0);
-        let workers = limited.map(|step| step.tasks.div_ceil(step.max_per_worker));
+        let steps = jobs.flat_map(|job| job.spec().steps.iter().map(move |step| (job, step)));
+        let limited = steps.filter(|(_, step)| step.is_service && step.max_per_worker > 0);
+        let workers = limited.map(|(job, step)| {
+            let tasks = step.tasks.min(self.teams.max_tasks(&job.team, step.needs));
+            tasks.div_ceil(step.max_per_worker)
+        });
         workers.max().map_or(0, |workers| workers as usize)
     }
 
@@ -154,13 +160,35 @@
         with_services.count() + blocked
     }
 
-    /// The CPU, in thousandths of a core, of all service tasks of the pool.
+    /// The CPU, in thousandths of a core, of all service tasks of the pool, as far as the limits of teams allow them.
     fn service_cpu(&self) -> u64 {
-        let jobs = self.service_jobs.iter().filter_map(|id| self.jobs.get(id));
-        let steps = jobs.flat_map(|job| &job.spec().steps);
-        let service = steps.filter(|step| step.is_service);
-        let cpu = service.map(|step| u64::from(step.tasks) * u64::from(step.footprint().cpu_milli));
-        cpu.sum()
+        let mut by_team: BTreeMap<&SmolStr, u64> = BTreeMap::new();
+        for job in self.service_jobs.iter().filter_map(|id| self.jobs.get(id)) {
+            let service = job.spec().steps.iter().filter(|step| step.is_service);
+            let cpu =
+                service.map(|step| u64::from(step.tasks) * u64::from(step.footprint().cpu_milli));
+            *by_team.entry(&job.team).or_default() += cpu.sum::<u64>();
+        }
+        let allowed = by_team
+            .into_iter()
+            .map(|(team, cpu)| cpu.min(self.teams.max_cpu_milli(team)));
+        allowed.sum()
+    }
+
+    /// The CPU that keeps up with the work that arrives, in thousandths of a core. The work of a team with a limit counts
+    /// as far as the limit leaves room for it beside the team's waiting work.
+    fn arriving_cpu(&mut self, now: Now) -> u64 {
+        let mut arriving = self.arrivals.cpu_milli(now.local_ms);
+        for (key, team) in self.teams.iter_mut() {
+            let waiting = self.ready.by_team.waiting(key);
+            let (on_time, past_latest_start) = waiting.startable_cpu_milli(team.headroom());
+            let room = team
+                .max_cpu_milli()
+                .saturating_sub(on_time + past_latest_start);
+            let of_team = team.arrivals.cpu_milli(now.local_ms).min(room);
+            arriving = arriving.saturating_add(of_team);
+        }
+        arriving
     }
 
     /// The CPU, in thousandths of a core, in use by jobs that may meet their latency objective and by jobs that
@@ -205,10 +233,25 @@
     }
 
     /// The CPU, in thousandths of a core, that waiting tasks need: of steps that can still start in time, and of steps
-    /// past their latest start.
+    /// past their latest start. Tasks that the limit of their team blocks are left out.
     fn waiting_cpu(&self) -> (u64, u64) {
+        if !self.teams.is_active {
+            return self.waiting_cpu_of(self.ready.ranked());
+        }
+        let without_team = self.ready.by_team.steps_after(Lane::WITHOUT_TEAM, None);
+        let mut sum = self.waiting_cpu_of(without_team);
+        for (key, team) in self.teams.iter() {
+            let waiting = self.ready.by_team.waiting(key);
+            let (on_time, past_latest_start) = waiting.startable_cpu_milli(team.headroom());
+            sum.0 += on_time;
+            sum.1 += past_latest_start;
+        }
+        sum
+    }
+
+    fn waiting_cpu_of(&self, steps: impl Iterator<Item = (Rank, StepKey)>) -> (u64, u64) {
         let (mut on_time, mut past_latest_start) = (0, 0);
-        for (rank, key) in self.ready.ranked() {
+        for (rank, key) in steps {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -120,6 +120,7 @@
         let waiting = WaitingStep {
             lane: Lane::WITHOUT_TEAM,
             needs: Resources::default(),
+            footprint_cpu_milli: 0,
             idle: 0,
             together: 0,
         };
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -125,7 +125,7 @@
         let job = Job::new(id, queue, spec, now.store_ms).with_team(team);
         if job.spec().occurrences == 0 {
             let work = job.remaining_batch_work(0);
-            self.arrivals
+            self.arrivals_of(&job.team)
                 .record(work, job.critical_path_ms(), now.local_ms);
         }
         self.count_submission(id, &job.team, now);
@@ -409,6 +409,7 @@
                 is_excess: self.teams.is_in_excess(key.job),
             },
             needs: step.needs,
+            footprint_cpu_milli: step.footprint().cpu_milli,
             idle: u32::try_from(idle.count()).unwrap_or(u32::MAX),
             together: if step.is_gang { step.tasks } else { 1 },
         };
--- a/crates/scheduler/src/team_steps.rs
+++ b/crates/scheduler/src/team_steps.rs
@@ -5,7 +5,7 @@
 
 use submission::Resources;
 
-use crate::ready::{Rank, StepKey};
+use crate::ready::{Prospect, Rank, StepKey};
 use crate::teams::{TeamKey, Usage};
 
 /// Ready steps that come before or after those of other lanes together.
@@ -31,6 +31,8 @@
     pub(crate) lane: Lane,
     /// What a task of the step needs.
     pub(crate) needs: Resources,
+    /// The CPU that is reserved for a task of the step, in thousandths of a core.
+    pub(crate) footprint_cpu_milli: u32,
     /// The number of tasks that could start.
     pub(crate) idle: u32,
     /// The number of tasks that start together.
@@ -48,6 +50,10 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct TeamWaiting {
     pub(crate) needs: Usage,
+    /// The reserved CPU of tasks that can start in time, in thousandths of a core.
+    pub(crate) on_time_cpu_milli: u64,
+    /// The reserved CPU of the other tasks, in thousandths of a core.
+    pub(crate) late_cpu_milli: u64,
     /// How many steps need at least this much CPU to start a task, by CPU in thousandths of a core.
     least_cpu_milli: BTreeMap<u64, usize>,
 }
@@ -59,12 +65,36 @@
         least.map_or(0, |(cpu_milli, _)| *cpu_milli)
     }
 
-    fn add(&mut self, step: &WaitingStep, idle: u32) {
+    /// The reserved CPU of the tasks that the headroom below the team's limit allows, in thousandths of a core: of tasks
+    /// that can start in time, which start first, and of others.
+    pub(crate) fn startable_cpu_milli(&self, headroom: [u64; 3]) -> (u64, u64) {
+        let total = self.on_time_cpu_milli + self.late_cpu_milli;
+        let mut startable = total;
+        for (needed, headroom) in self.needs.amounts().into_iter().zip(headroom) {
+            if needed > headroom {
+                let part = u128::from(total) * u128::from(headroom) / u128::from(needed);
+                startable = startable.min(u64::try_from(part).unwrap_or(total));
+            }
+        }
+        let on_time = self.on_time_cpu_milli.min(startable);
+        (on_time, startable - on_time)
+    }
+
+    fn add(&mut self, step: &WaitingStep, rank: Rank, idle: u32) {
         self.needs = self.needs.plus(Usage::of(step.needs, idle));
+        *self.cpu_milli(rank) += u64::from(step.footprint_cpu_milli) * u64::from(idle);
     }
 
-    fn subtract(&mut self, step: &WaitingStep, idle: u32) {
+    fn subtract(&mut self, step: &WaitingStep, rank: Rank, idle: u32) {
         self.needs = self.needs.minus(Usage::of(step.needs, idle));
+        *self.cpu_milli(rank) -= u64::from(step.footprint_cpu_milli) * u64::from(idle);
+    }
+
+    fn cpu_milli(&mut self, rank: Rank) -> &mut u64 {
+        match rank.prospect {
+            Prospect::OnTime => &mut self.on_time_cpu_milli,
+            Prospect::Late | Prospect::TooLate => &mut self.late_cpu_milli,
+        }
     }
 }
 
@@ -92,7 +122,7 @@
                 .resize_with(team.index() + 1, TeamWaiting::default);
         }
         let waiting = &mut self.waiting[team.index()];
-        waiting.add(&step, step.idle);
+        waiting.add(&step, rank, step.idle);
         let least = waiting.least_cpu_milli.entry(step.least().cpu_milli);
         *least.or_default() += 1;
     }
@@ -112,7 +142,7 @@
             return;
         };
         let waiting = &mut self.waiting[team.index()];
-        waiting.subtract(&step, step.idle);
+        waiting.subtract(&step, rank, step.idle);
         let cpu_milli = step.least().cpu_milli;
         if let Some(count) = waiting.least_cpu_milli.get_mut(&cpu_milli) {
             *count -= 1;
@@ -124,13 +154,13 @@
 
     /// Records that a task of a step is not idle any more. An unknown step is ignored.
     pub(crate) fn record_start(&mut self, key: StepKey) {
-        let Some((_, step)) = self.steps.get_mut(&key) else {
+        let Some((rank, step)) = self.steps.get_mut(&key) else {
             return;
         };
         if step.idle > 0 {
             step.idle -= 1;
             if let Some(team) = step.lane.team {
-                self.waiting[team.index()].subtract(step, 1);
+                self.waiting[team.index()].subtract(step, *rank, 1);
             }
         }
     }
--- a/crates/scheduler/src/teams.rs
+++ b/crates/scheduler/src/teams.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 use submission::{JobId, Resources, Task, TaskKey, TaskPhase};
 
+use crate::arrivals::Arrivals;
 use crate::scheduler::Scheduler;
 use crate::types::Now;
 use crate::worker::{AssignedAttempt, WorkerKey};
@@ -120,6 +121,8 @@
     pub(crate) in_use: Usage,
     /// When the last jobs within the team's weight were submitted, in ms on the daemon's clock, the oldest first.
     recent_ms: VecDeque<u64>,
+    /// The work that arrived lately while the team's CPU was limited.
+    pub(crate) arrivals: Arrivals,
 }
 
 impl Team {
@@ -130,6 +133,7 @@
             weight: 0,
             in_use: Usage::default(),
             recent_ms: VecDeque::new(),
+            arrivals: Arrivals::default(),
         }
     }
 
@@ -156,6 +160,18 @@
         })
     }
 
+    /// What the team may use: up to its limit, or what is in use above it. `u64::MAX` for a resource without a limit.
+    fn most(&self) -> [u64; 3] {
+        let mut used = self.in_use.amounts().into_iter();
+        limit_amounts(self.limit).map(|limit| limit.max(used.next().unwrap_or(0)))
+    }
+
+    /// The CPU that the team may use, in thousandths of a core; see [`Team::most`].
+    pub(crate) fn max_cpu_milli(&self) -> u64 {
+        let [cpu_milli, ..] = self.most();
+        cpu_milli
+    }
+
     /// Counts a job that is submitted at `now_ms` on the daemon's clock. Returns whether it is beyond what the team's
     /// weight entitles to.
     fn is_in_excess(&mut self, now_ms: u64) -> bool {
@@ -231,6 +247,25 @@
         team.is_none_or(|key| self.team(key).may_use(more))
     }
 
+    /// The CPU that the team with this name may use, in thousandths of a core; `u64::MAX` without a limit.
+    pub(crate) fn max_cpu_milli(&self, name: &SmolStr) -> u64 {
+        self.get(name)
+            .map_or(u64::MAX, |(_, team)| team.max_cpu_milli())
+    }
+
+    /// How many tasks with these needs the team with this name may have running at once; `u32::MAX` without a limit.
+    pub(crate) fn max_tasks(&self, name: &SmolStr, needs: Resources) -> u32 {
+        let most = self
+            .get(name)
+            .map_or([u64::MAX; 3], |(_, team)| team.most());
+        let needs = Usage::of(needs, 1).amounts();
+        let tasks = most
+            .into_iter()
+            .zip(needs)
+            .filter_map(|(most, need)| most.checked_div(need));
+        u32::try_from(tasks.min().unwrap_or(u64::MAX)).unwrap_or(u32::MAX)
+    }
+
     pub(crate) fn is_in_excess(&self, job: JobId) -> bool {
         self.excess_jobs.contains(&job)
     }
@@ -311,6 +346,16 @@
         }
     }
 
+    /// The arrivals among which the work of a team's job counts: those of the team if its CPU is limited.
+    pub(crate) fn arrivals_of(&mut self, team: &SmolStr) -> &mut Arrivals {
+        match self.teams.key(team) {
+            Some(key) if self.teams.team(key).limit.cpu_milli < u32::MAX => {
+                &mut self.teams.team_mut(key).arrivals
+            }
+            _ => &mut self.arrivals,
+        }
+    }
+
     /// Counts a job that is submitted now against the weight of its team.
     pub(crate) fn count_submission(&mut self, id: JobId, team: &SmolStr, now: Now) {
         if let Some(key) = self.teams.key(team)
--- a/crates/scheduler/tests/teams.rs
+++ b/crates/scheduler/tests/teams.rs
@@ -637,3 +637,46 @@
     assert!(started[0].len() > 500, "{} starts", started[0].len());
     assert!(started[0] == started[1]);
 }
+
+/// Work that has to wait for the limit of its team, not for a worker, asks for no VMs.
+#[test]
+fn a_burst_of_a_team_at_its_limit_asks_for_no_more_workers_than_the_limit() {
+    let kind = JobKind {
+        tasks: 8,
+        cpu_milli: 2400,
+        duration_ms: 800,
+    };
+    let demand = |limit_cpu_milli| {
+        let mut loaded = LoadedPool::new(4);
+        loaded.pool.limit_cpu(&[("red", limit_cpu_milli)]);
+        let loads = [("red", 100_000), ("", 5000)].map(|(team, millijobs_per_s)| TeamLoad {
+            team: team.into(),
+            kind,
+            millijobs_per_s,
+        });
+        loaded.run_teams(&loads, 1500);
+        let now = loaded.pool.now();
+        let demand = loaded.scheduler().demand(now);
+        (demand.urgent_demand_workers, demand.total_demand_workers)
+    };
+    let (urgent, total) = demand(64_000);
+    let without_team = usize::try_from(2 * kind.cpu_milli_for(5) / 32_000).unwrap();
+    assert!(total <= 3 + without_team, "{total} workers");
+    assert!(urgent >= 2, "{urgent} workers");
+    let (_, without_limit) = demand(u32::MAX);
+    assert!(
+        without_limit > 40,
+        "{without_limit} workers without a limit"
+    );
+}
+
+#[test]
+fn service_tasks_beyond_the_limit_of_their_team_ask_for_no_workers() {
+    let mut pool = Pool::new(&WORKERS);
+    pool.limit_cpu(&[("red", 3000)]);
+    pool.submit_for_team(1, "red", job(vec![service_step(24, 1)]));
+    let now = pool.now();
+    assert_eq!(pool.scheduler.demand(now).service_demand_workers, 3);
+    pool.limit_cpu(&[]);
+    assert_eq!(pool.scheduler.demand(now).service_demand_workers, 24);
+}
