--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -13,7 +13,6 @@
 use crate::dirty::DirtyJobs;
 use crate::policy::PolicyDecision;
 use crate::ready::{Prospect, Rank, Ready, StepKey};
-use crate::team_steps::{Lane, WaitingStep};
 use crate::teams::Teams;
 use crate::types::{JobStatus, Limits, Now, QueueRules, SchedulerEvent};
 use crate::worker::{AssignedAttempt, Worker, WorkerKey};
@@ -388,34 +387,6 @@
         self.add_to_team(key, rank);
     }
 
-    /// Adds a ready step to those of its team.
-    fn add_to_team(&mut self, key: StepKey, rank: Rank) {
-        let job = &self.jobs[&key.job];
-        let Some(team) = self.teams.key(&job.team) else {
-            if self.teams.is_active {
-                self.ready.insert_without_team(key, rank);
-            }
-            return;
-        };
-        let step = &job.spec().steps[usize::from(key.step)];
-        let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
-        let idle = tasks.filter(|&index| {
-            job.task(index)
-                .is_some_and(|task| task.phase == TaskPhase::Idle)
-        });
-        let waiting = WaitingStep {
-            lane: Lane {
-                team: Some(team),
-                is_excess: self.teams.is_in_excess(key.job),
-            },
-            needs: step.needs,
-            footprint_cpu_milli: step.footprint().cpu_milli,
-            idle: u32::try_from(idle.count()).unwrap_or(u32::MAX),
-            together: if step.is_gang { step.tasks } else { 1 },
-        };
-        self.ready.by_team.insert(key, rank, waiting);
-    }
-
     /// The time by which a job has to be done to meet its latency objective, in ms on the store's clock.
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/scheduler/src/team_steps.rs
+++ b/crates/scheduler/src/team_steps.rs
@@ -1,11 +1,13 @@
 //! The ready steps by team, so that the steps of a team that is at its limit are passed over as a whole.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Bound;
 
-use submission::Resources;
+use submission::{Resources, TaskPhase};
 
 use crate::ready::{Prospect, Rank, StepKey};
+use crate::scheduler::Scheduler;
 use crate::teams::{TeamKey, Usage};
 
 /// Ready steps that come before or after those of other lanes together.
@@ -54,15 +56,33 @@
     pub(crate) on_time_cpu_milli: u64,
     /// The reserved CPU of the other tasks, in thousandths of a core.
     pub(crate) late_cpu_milli: u64,
-    /// How many steps need at least this much CPU to start a task, by CPU in thousandths of a core.
-    least_cpu_milli: BTreeMap<u64, usize>,
+    /// How many steps need at least this much to start a task, by amount, for each resource.
+    least: [BTreeMap<u64, usize>; 3],
 }
 
 impl TeamWaiting {
-    /// The CPU that the smallest of the steps needs to start a task, in thousandths of a core.
-    pub(crate) fn least_cpu_milli(&self) -> u64 {
-        let least = self.least_cpu_milli.first_key_value();
-        least.map_or(0, |(cpu_milli, _)| *cpu_milli)
+    /// Whether each of the steps needs more of the same resource to start a task than the headroom below the team's limit.
+    pub(crate) fn exceeds(&self, headroom: [u64; 3]) -> bool {
+        let smallest = self.least.iter().map(BTreeMap::first_key_value);
+        let mut resources = smallest.zip(headroom);
+        resources.any(|(smallest, headroom)| smallest.is_some_and(|(amount, _)| *amount > headroom))
+    }
+
+    fn count_least(&mut self, least: Usage) {
+        for (counts, amount) in self.least.iter_mut().zip(least.amounts()) {
+            *counts.entry(amount).or_default() += 1;
+        }
+    }
+
+    fn uncount_least(&mut self, least: Usage) {
+        for (counts, amount) in self.least.iter_mut().zip(least.amounts()) {
+            if let Entry::Occupied(mut count) = counts.entry(amount) {
+                *count.get_mut() -= 1;
+                if *count.get() == 0 {
+                    count.remove();
+                }
+            }
+        }
     }
 
     /// The reserved CPU of the tasks that the headroom below the team's limit allows, in thousandths of a core: of tasks
@@ -123,8 +143,7 @@
         }
         let waiting = &mut self.waiting[team.index()];
         waiting.add(&step, rank, step.idle);
-        let least = waiting.least_cpu_milli.entry(step.least().cpu_milli);
-        *least.or_default() += 1;
+        waiting.count_least(step.least());
     }
 
     /// Removes a step. An unknown step is ignored.
@@ -143,13 +162,7 @@
         };
         let waiting = &mut self.waiting[team.index()];
         waiting.subtract(&step, rank, step.idle);
-        let cpu_milli = step.least().cpu_milli;
-        if let Some(count) = waiting.least_cpu_milli.get_mut(&cpu_milli) {
-            *count -= 1;
-            if *count == 0 {
-                waiting.least_cpu_milli.remove(&cpu_milli);
-            }
-        }
+        waiting.uncount_least(step.least());
     }
 
     /// Records that a task of a step is not idle any more. An unknown step is ignored.
@@ -198,3 +211,33 @@
         steps.into_iter().flatten().copied()
     }
 }
+
+impl Scheduler {
+    /// Adds a ready step to those of its team.
+    pub(crate) fn add_to_team(&mut self, key: StepKey, rank: Rank) {
+        let job = &self.jobs[&key.job];
+        let Some(team) = self.teams.key(&job.team) else {
+            if self.teams.is_active {
+                self.ready.insert_without_team(key, rank);
+            }
+            return;
+        };
+        let step = &job.spec().steps[usize::from(key.step)];
+        let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
+        let idle = tasks.filter(|&index| {
+            job.task(index)
+                .is_some_and(|task| task.phase == TaskPhase::Idle)
+        });
+        let waiting = WaitingStep {
+            lane: Lane {
+                team: Some(team),
+                is_excess: self.teams.is_in_excess(key.job),
+            },
+            needs: step.needs,
+            footprint_cpu_milli: step.footprint().cpu_milli,
+            idle: u32::try_from(idle.count()).unwrap_or(u32::MAX),
+            together: if step.is_gang { step.tasks } else { 1 },
+        };
+        self.ready.by_team.insert(key, rank, waiting);
+    }
+}
--- a/crates/scheduler/src/visits.rs
+++ b/crates/scheduler/src/visits.rs
@@ -181,10 +181,10 @@
         }
     }
 
-    /// Whether the limit of a team leaves too little CPU for any of its steps.
+    /// Whether the limit of a team leaves too little for any of its steps.
     fn is_at_limit(&self, team: TeamKey) -> bool {
-        let [cpu_milli, ..] = self.teams.team(team).headroom();
-        self.ready.by_team.waiting(team).least_cpu_milli() > cpu_milli
+        let headroom = self.teams.team(team).headroom();
+        self.ready.by_team.waiting(team).exceeds(headroom)
     }
 
     fn push_head(&self, visits: &mut SharedVisits, lane: Lane, after: Option<(Rank, StepKey)>) {
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -315,6 +315,14 @@
     starts.collect()
 }
 
+/// Runs a round, and returns the job of each started task in order.
+pub fn started_jobs(pool: &mut Pool) -> Vec<u64> {
+    let started = starts(&pool.round());
+    let mut jobs: Vec<_> = started.iter().map(|(_, task, _)| task.job.0).collect();
+    jobs.sort_unstable();
+    jobs
+}
+
 /// The stop commands among `commands`.
 pub fn stops(commands: &[WorkerCommand]) -> Vec<(SmolStr, u32)> {
     let stops = commands.iter().filter_map(|command| match command {
