--- a/crates/scheduler/benches/round.rs
+++ b/crates/scheduler/benches/round.rs
@@ -1,6 +1,7 @@
 //! Measures one round of a pool's scheduler: placement, and the batch of rows to write.
 //!
-//! Models an overloaded pool: all workers are full, most jobs wait, and each round follows the end of one task.
+//! Models an overloaded pool: all workers are full, most jobs wait, and each round follows the end of one task. In pools
+//! with teams, half of them are at their limits.
 
 #![allow(missing_docs, reason = "the macro's group has none")]
 
@@ -22,8 +23,11 @@
     unix_ms: 1_000_000,
 };
 
+/// The number of teams in pools with teams.
+const TEAMS: u64 = 110;
+
 /// A pool with this many workers, all full, and this many tasks, most of which wait.
-fn full_pool(workers: usize, tasks: usize) -> Scheduler {
+fn full_pool(workers: usize, tasks: usize, has_teams: bool) -> Scheduler {
     let mut scheduler = Scheduler::new(Limits {
         max_lease_ms: 10_000,
         lease_ms: 5000,
@@ -69,9 +73,26 @@
         }],
         ..JobSpec::default()
     });
+    let team = |number: u64| format_smolstr!("team-{number}");
+    if has_teams {
+        // Three tasks.
+        let limit = Resources {
+            cpu_milli: u32::MAX,
+            memory_mb: 10_000,
+            gpus: u32::MAX,
+        };
+        let limited = (0..TEAMS).step_by(2);
+        scheduler.set_team_limits(limited.map(|number| (team(number), limit)).collect());
+        scheduler.set_team_weights((0..TEAMS).map(|number| (team(number), 10)).collect());
+    }
     let jobs = u64::try_from(tasks).unwrap_or(u64::MAX) / u64::from(TASKS_PER_JOB);
     for job in 0..jobs {
-        scheduler.submit(JobId(job), "queue".into(), spec.clone(), NOW);
+        let team = if has_teams {
+            team(job % TEAMS)
+        } else {
+            "".into()
+        };
+        scheduler.submit_for_team(JobId(job), "queue".into(), team, spec.clone(), NOW);
     }
     loop {
         scheduler.plan(NOW);
@@ -113,9 +134,12 @@
 fn rounds(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("round");
     group.sample_size(20);
-    for (workers, tasks) in [(50, 1000), (350, 5000), (1500, 20_000)] {
-        let full = full_pool(workers, tasks);
-        let name = BenchmarkId::from_parameter(format!("{workers} workers, {tasks} tasks"));
+    let sizes = [(50, 1000), (350, 5000), (1500, 20_000)];
+    let sizes = [false, true].map(|has_teams| sizes.map(|size| (size, has_teams)));
+    for ((workers, tasks), has_teams) in sizes.into_iter().flatten() {
+        let full = full_pool(workers, tasks, has_teams);
+        let teams = if has_teams { ", teams" } else { "" };
+        let name = BenchmarkId::from_parameter(format!("{workers} workers, {tasks} tasks{teams}"));
         let prepare = || {
             let mut scheduler = full.clone();
             report_one_end(&mut scheduler);
