--- a/crates/scheduler/tests/team_account.rs
+++ b/crates/scheduler/tests/team_account.rs
@@ -10,10 +10,15 @@
 use submission::{AttemptOutcome, JobId, StepSpec, TaskKey, TaskPhase};
 use support::{Pool, job, limits, sized_step, step};
 
+/// The limit of the first team, as CPU in thousandths of a core.
+const LIMIT_CPU_MILLI: u32 = 5000;
+
 const WORKERS: [&str; 3] = ["one", "two", "three"];
 
 /// Workers with the runs that they have, each with a lease.
 struct Stage {
+    /// What the first team used after the last event, as CPU in thousandths of a core.
+    red_cpu_milli: u32,
     pool: Pool,
     jobs: Vec<(JobId, &'static str)>,
     unsent: Vec<WorkerCommand>,
@@ -26,8 +31,9 @@
 impl Stage {
     fn new() -> Self {
         let mut pool = Pool::new(&WORKERS);
-        pool.limit_cpu(&[("red", 5000)]);
+        pool.limit_cpu(&[("red", LIMIT_CPU_MILLI)]);
         Self {
+            red_cpu_milli: 0,
             pool,
             jobs: Vec::new(),
             unsent: Vec::new(),
@@ -202,10 +208,13 @@
             }
         }
         self.pool.set_registry(&WORKERS);
-        self.pool.limit_cpu(&[("red", 5000)]);
+        self.pool.limit_cpu(&[("red", LIMIT_CPU_MILLI)]);
     }
 
-    fn check(&self) -> Result<(), TestCaseError> {
+    fn check(&mut self) -> Result<(), TestCaseError> {
+        let (red, _) = self.pool.team_cpu("red");
+        let before = std::mem::replace(&mut self.red_cpu_milli, red);
+        prop_assert!(red <= before.max(LIMIT_CPU_MILLI), "{before}, then {red}");
         for team in ["red", "blue"] {
             let (mut in_use, mut waiting) = (0, 0);
             let of_team = self.jobs.iter().filter(|(_, owner)| *owner == team);
@@ -237,7 +246,7 @@
 }
 
 proptest! {
-    /// What a team uses is kept incrementally. It must not drift, nor be lower than what runs.
+    /// What a team uses is kept incrementally. It must not drift, nor be lower than what runs, nor rise above the limit.
     #[test]
     fn the_use_of_teams_equals_a_recount_after_any_events(
         events in proptest::collection::vec((0..18_u8, 0..60_usize), 1..150),
