scheduler: no request to the policy service for a team at its limit

The service handles four steps of a pool at a time. Those of a team at its limit, which can't start, held up the steps of other teams (seen failing before: four requests for the limited team, none for the other).

--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -115,7 +115,8 @@
             .retain(|_, decision| decision.remove_worker(worker));
     }
 
-    /// Returns the requests to send to the policy service now, and records them as sent.
+    /// Returns the requests to send to the policy service now, and records them as sent. There are none for teams at their
+    /// limits.
     pub fn policy_requests(&mut self, now: Now) -> Vec<PolicyRequest> {
         self.policy_decisions.retain(|_, decision| match decision {
             PolicyDecision::Requested { retry_at_ms } => now.local_ms < *retry_at_ms,
@@ -143,6 +144,10 @@
             if !self.has_policy(&job.queue) || self.policy_decisions.contains_key(&key) {
                 continue;
             }
+            let team = self.teams.get(&job.team);
+            if team.is_some_and(|(team, _)| self.is_at_limit(team)) {
+                continue;
+            }
             let index = job.step_tasks(key.occurrence, usize::from(key.step)).start;
             requests.push(PolicyRequest {
                 step: format_smolstr!("{}.{}.{}", key.job, key.occurrence, key.step),
--- a/crates/scheduler/src/visits.rs
+++ b/crates/scheduler/src/visits.rs
@@ -182,7 +182,7 @@
     }
 
     /// Whether the limit of a team leaves too little for any of its steps.
-    fn is_at_limit(&self, team: TeamKey) -> bool {
+    pub(crate) fn is_at_limit(&self, team: TeamKey) -> bool {
         let headroom = self.teams.team(team).headroom();
         self.ready.by_team.waiting(team).exceeds(headroom)
     }
--- a/crates/scheduler/tests/policy.rs
+++ b/crates/scheduler/tests/policy.rs
@@ -102,3 +102,17 @@
     let request = &pool.scheduler.policy_requests(pool.now())[0];
     assert_eq!(request.workers.len(), 2);
 }
+
+/// The service handles few requests at a time, and the decisions expire.
+#[test]
+fn no_request_is_spent_on_steps_of_a_team_at_its_limit() {
+    let mut pool = pool();
+    pool.limit_cpu(&[("red", 500)]);
+    for id in 1..100 {
+        pool.submit_for_team(id, "red", job(vec![step(1)]));
+    }
+    let blue = pool.submit_for_team(100, "blue", job(vec![step(1)]));
+    let requests = pool.scheduler.policy_requests(pool.now());
+    let jobs: Vec<_> = requests.iter().map(|request| request.task.job).collect();
+    assert_eq!(jobs, [blue]);
+}
