fleetd: a refusal reaches a caller that is still sending

A request that is refused by its key was answered before its body was read; hyper then closed the connection, and a caller in the middle of sending got a broken pipe (seen in the test). The rest of the body is now read and dropped beside the response.

--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -33,6 +33,9 @@
 /// How long a caller waits whose request does not tell.
 const DEFAULT_CALLER_WAIT: Duration = Duration::from_secs(3);
 
+/// For how long the rest of a refused request is read: a caller that has begun to send ends within a few round trips.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// How long before the end of the caller's wait a response is sent at the latest, but in a wait of less than 400 ms a
 /// quarter of it.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
@@ -99,7 +102,10 @@
     let key = decode_key(&parts.headers);
     let caller = match check_access(node, &keys, queue, key, confirmed_at_ms) {
         Ok(caller) => caller,
-        Err(refusal) => return ApiResponse::refused(refusal),
+        Err(refusal) => {
+            tokio::spawn(discard_body(body, config.limits.max_body_bytes));
+            return ApiResponse::refused(refusal);
+        }
     };
     record.team = caller.team().into();
     match call {
@@ -124,6 +130,14 @@
     }
 }
 
+/// Reads the rest of a refused request. hyper closes a connection whose request is not read to its end, and a caller that is
+/// still sending would not see the response.
+async fn discard_body(body: Incoming, max_bytes: usize) {
+    let rest = Limited::new(body, max_bytes).collect();
+    // A body that fails, is too long or takes too long ends with its connection.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
+}
+
 /// Decides whether a request with this key may be handled, by a configuration that was read after `confirmed_at_ms`.
 fn check_access(
     node: &Node,
--- a/crates/trefoilpassd/tests/fleet_keys.rs
+++ b/crates/trefoilpassd/tests/fleet_keys.rs
@@ -10,6 +10,8 @@
 use reqwest::{Client, Method};
 use serde_json::{Value, json};
 use test_support::{FaultProxy, FleetDaemonSpec, ProxyFault};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const TEAMS: &[(&str, &[&str])] = &[("a", &["key-a"]), ("b", &["key-b"])];
 
@@ -191,6 +193,26 @@
     }
 }
 
+/// A connection that is closed while its caller still sends loses the response.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_reaches_a_caller_that_is_still_sending() {
+    let (_platform, [daemon, _other], _proxy) = start().await;
+    let mut stream = TcpStream::connect(daemon.callers).await.unwrap();
+    let body = vec![b' '; 15_000];
+    for _ in 0..2 {
+        let head = "POST /q/0000000000000001 HTTP/1.1\r\nhost: jobs.example\r\ncontent-length: 15000\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut response = vec![0; 4096];
+        let read = tokio::time::timeout(CALLER_WAIT, stream.read(&mut response));
+        let length = read.await.expect("no response before the body").unwrap();
+        assert!(response[..length].starts_with(b"HTTP/1.1 401 "));
+        for part in body.chunks(5000) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            stream.write_all(part).await.unwrap();
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn revoked_keys_are_refused_and_added_ones_accepted() {
     let (platform, daemons, _proxy) = start().await;
