fleetd: the leader splits the quotas of teams among the owners of pools

A team's quota holds for all pools together. The leader writes what each pool holds of it in a row of the fleet shard before it raises a limit, and lowers it there once the owner has confirmed the lower limit. A new owner starts nothing of teams with a quota until the leader has addressed it, and plans nothing before it knows a configuration. Nothing is written or sent where no team has a quota.

--- a/crates/fleetd/src/config.rs
+++ b/crates/fleetd/src/config.rs
@@ -6,6 +6,7 @@
 use parking_lot::RwLock;
 use scheduler::QueueRules;
 use smol_str::SmolStr;
+use submission::Resources;
 use users_platform::{ConfigDocument, Queue};
 
 /// The name of the fleet shard, which the leader owns. All other shards are pools, whose names are chosen by operators.
@@ -99,3 +100,22 @@
     });
     rules.collect()
 }
+
+/// The quotas of the teams that have one, by team.
+pub(crate) fn team_quotas(document: &ConfigDocument) -> BTreeMap<SmolStr, Resources> {
+    let limited = document
+        .teams
+        .iter()
+        .filter(|team| team.quota != Resources::default());
+    limited
+        .map(|team| (team.name.clone(), team.quota))
+        .collect()
+}
+
+/// The weights of all teams, by team.
+pub(crate) fn team_weights(document: &ConfigDocument) -> HashMap<SmolStr, u32> {
+    let weights = document.teams.iter();
+    weights
+        .map(|team| (team.name.clone(), team.weight))
+        .collect()
+}
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -6,6 +6,7 @@
 mod inputs;
 mod lease_renewal;
 mod pool_calls;
+mod quotas;
 mod waves;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -30,6 +31,7 @@
 };
 use crate::leader::lease_renewal::{StoreRefusals, renew_lease};
 use crate::leader::pool_calls::{PoolCalls, REPLY_WAIT, call_pool};
+use crate::leader::quotas::Quotas;
 use crate::leader::waves::Waves;
 use crate::node::{Node, SINGLETON_KEY, STORE_TIMEOUT, tables};
 use crate::peer_calls::call_peer;
@@ -60,6 +62,7 @@
     /// leader may be in transit, and the list of VMs doesn't show which VMs these commands take down.
     maintenance_from_ms: u64,
     command_record: CommandRecord,
+    quotas: Quotas,
     /// The workers that pools are draining, by pool.
     draining: BTreeMap<SmolStr, BTreeSet<SmolStr>>,
     /// The worker incarnations that have ended. The next round tells their pools.
@@ -102,6 +105,7 @@
         waves: Waves::default(),
         maintenance_from_ms,
         command_record: CommandRecord::read(&node, term, takeover.previous_owner.as_ref()).await,
+        quotas: Quotas::new(term, previous.is_some()),
         draining: BTreeMap::new(),
         ended_incarnations: EndedIncarnations::default(),
         unresponsive: BTreeMap::new(),
@@ -198,7 +202,9 @@
         };
         let standby = self.standby_pools();
         self.detect_ended_incarnations(&listed);
+        self.quotas.configure(&self.node).await;
         let replies = self.call_pools(&listed, &standby).await;
+        self.exchange_quotas(&replies).await;
         let unresponsive = replies
             .iter()
             .map(|(pool, reply)| (pool.clone(), reply.unresponsive.clone()));
@@ -302,8 +308,14 @@
                 ..RoundRequest::default()
             };
             self.ended_incarnations.move_to(&pool, &mut request);
+            request.quotas = self.quotas.next_message(&pool);
             requests.push((pool, request));
         }
+        if !self.sender.may_send_commands() {
+            for (_, request) in &mut requests {
+                request.quotas = None;
+            }
+        }
         let ended = self.calls.run_round(&self.node, requests).await;
         for (pool, request) in ended.failed {
             self.ended_incarnations.take_back(pool.clone(), &request);
--- a/crates/fleetd/src/metrics.rs
+++ b/crates/fleetd/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use users_platform::{CallCosts, CallKind};
 
@@ -26,6 +26,7 @@
     pub(crate) takeovers: IntCounter,
     pub(crate) store_failures: IntCounter,
     pub(crate) dropped_log_lines: IntCounter,
+    pub(crate) teams: TeamMetrics,
 }
 
 /// Metrics of the calls to the platform, by peer and call.
@@ -57,6 +58,62 @@
     }
 }
 
+/// Metrics of the teams with a quota, by pool and team, for the pools of this daemon. CPU in thousandths of a core.
+#[derive(Debug, Clone)]
+pub(crate) struct TeamMetrics {
+    limit_cpu_milli: IntGaugeVec,
+    in_use_cpu_milli: IntGaugeVec,
+    waiting_cpu_milli: IntGaugeVec,
+}
+
+impl TeamMetrics {
+    fn new(registry: &Registry) -> prometheus::Result<Self> {
+        let gauges = |name: &str, help: &str| {
+            let opts = Opts::new(format!("trefoilpass_{name}"), help);
+            let gauges = IntGaugeVec::new(opts, &["pool", "team"])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, prometheus::Error>(gauges)
+        };
+        Ok(Self {
+            limit_cpu_milli: gauges(
+                "team_limit_cpu_milli",
+                "CPU that the team may use in the pool, in thousandths of a core.",
+            )?,
+            in_use_cpu_milli: gauges(
+                "team_in_use_cpu_milli",
+                "CPU of the team's tasks in the pool, in thousandths of a core.",
+            )?,
+            waiting_cpu_milli: gauges(
+                "team_waiting_cpu_milli",
+                "CPU of the team's waiting tasks in the pool, in thousandths of a core.",
+            )?,
+        })
+    }
+
+    /// Sets the limit of a team in a pool, and what the team uses and waits for, in thousandths of a core.
+    pub(crate) fn set(&self, pool: &str, team: &str, [limit, in_use, waiting]: [u32; 3]) {
+        for (gauges, value) in [
+            (&self.limit_cpu_milli, limit),
+            (&self.in_use_cpu_milli, in_use),
+            (&self.waiting_cpu_milli, waiting),
+        ] {
+            gauges.with_label_values(&[pool, team]).set(value.into());
+        }
+    }
+
+    /// Removes the metrics of a team in a pool.
+    pub(crate) fn remove(&self, pool: &str, team: &str) {
+        for gauges in [
+            &self.limit_cpu_milli,
+            &self.in_use_cpu_milli,
+            &self.waiting_cpu_milli,
+        ] {
+            // Fails for metrics that were never set.
+            let _ = gauges.remove_label_values(&[pool, team]);
+        }
+    }
+}
+
 impl Metrics {
     /// Registers the metrics. `costs` are those of the calls to the platform. Fails when a name or label is invalid or
     /// registered twice.
@@ -147,6 +204,7 @@
                 "dropped_log_lines_total",
                 "Log lines dropped by the rate limit.",
             )?,
+            teams: TeamMetrics::new(&registry)?,
             registry,
         })
     }
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -61,6 +61,8 @@
     pub(crate) const WAVE: &str = "wave";
     /// The recent commands of leaders to VMs, in the part of the fleet shard.
     pub(crate) const VM_COMMANDS: &str = "ordered";
+    /// What each pool holds of a team's quota, by team, in the part of the fleet shard.
+    pub(crate) const QUOTA: &str = "quota";
 }
 
 /// The key in tables that have a single row per part.
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -5,6 +5,7 @@
 mod lease_renewal;
 mod policy;
 mod progress;
+mod quotas;
 mod recorder;
 mod registry;
 mod sequence;
@@ -31,6 +32,7 @@
     WireState,
 };
 
+use quotas::TeamLimits;
 use submissions::Submissions;
 
 pub(crate) use recorder::fits_row;
@@ -88,6 +90,8 @@
     /// without a success since, in ms; 0 if there is none.
     refused_since_ms: AtomicU64,
     submissions: Mutex<Submissions>,
+    /// The limits of teams in the pool. Locked while the scheduler is.
+    team_limits: Mutex<TeamLimits>,
     /// The wakers of the lease renewal loops, by worker.
     renewal_wakers: Mutex<HashMap<WorkerKey, Arc<Notify>>>,
     /// The semaphores that limit the concurrent start commands, by worker.
@@ -107,6 +111,7 @@
             failing_since_ms: AtomicU64::new(0),
             refused_since_ms: AtomicU64::new(0),
             submissions: Mutex::new(Submissions::default()),
+            team_limits: Mutex::new(TeamLimits::new(term)),
             renewal_wakers: Mutex::new(HashMap::new()),
             start_slots: Mutex::new(HashMap::new()),
         }
@@ -195,9 +200,8 @@
         self.scheduler.lock().not_started_jobs(queue)
     }
 
-    /// Applies a leader's requests (ended incarnations, cancelled drains, due maintenance and drains, in this order) and
-    /// returns the
-    /// pool's demand and the state of its workers.
+    /// Applies a leader's requests (ended incarnations, cancelled drains, due maintenance, drains and limits of teams, in
+    /// this order) and returns the pool's demand and the state of its workers.
     pub(crate) fn run_round(&self, request: &RoundRequest) -> RoundReply {
         let now = self.node.clock.now();
         let mut scheduler = self.scheduler.lock();
@@ -226,6 +230,10 @@
                 None => 0,
             });
         let tasks = tasks.collect();
+        let quotas = request
+            .quotas
+            .as_ref()
+            .and_then(|message| self.exchange_limits(&mut scheduler, message, now.local_ms));
         let demand = scheduler.demand(now);
         let named = request.drain.iter().chain(&demand.unresponsive);
         let start = |id: &SmolStr| {
@@ -255,6 +263,7 @@
             unresponsive: demand.unresponsive,
             starts_unix_ms,
             progress: Some(progress),
+            quotas,
             idle: demand
                 .idle
                 .into_iter()
@@ -332,6 +341,9 @@
     pub(crate) fn end(&self) {
         self.has_ended.store(true, Ordering::Release);
         self.submissions.lock().end();
+        self.team_limits
+            .lock()
+            .remove_gauges(&self.node.metrics, &self.pool);
         self.recorder_waker.notify_one();
         for waker in self.renewal_wakers.lock().values() {
             waker.notify_one();
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -56,7 +56,9 @@
         let now = self.node.clock.now();
         let mut scheduler = self.scheduler.lock();
         scheduler.tick(now);
-        scheduler.plan(now);
+        if self.apply_teams(&mut scheduler) {
+            scheduler.plan(now);
+        }
         for event in scheduler.drain_events() {
             match &event {
                 SchedulerEvent::Crashed { .. } => self.node.metrics.worker_crashes.inc(),
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -5,6 +5,7 @@
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
+use quota::{LimitMessage, UsageReply};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use submission::{JobId, JobSpec};
@@ -93,6 +94,9 @@
     /// The workers that will be drained for maintenance; `None` when the request says nothing of them.
     #[serde(rename = "due", default, skip_serializing_if = "Option::is_none")]
     pub(crate) maintenance_due: Option<Vec<SmolStr>>,
+    /// The limits of teams in the pool; `None` when no team has a quota, and from a daemon of an earlier build.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) quotas: Option<LimitMessage>,
 }
 
 /// The response of the owner of a pool to the leader.
@@ -128,6 +132,10 @@
     /// The progress of the owner; `None` from a daemon of an earlier build.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) progress: Option<OwnerProgress>,
+    /// The use of the pool by teams, in reply to `quotas`; `None` while the owner may have been deposed, and from a daemon of
+    /// an earlier build.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) quotas: Option<UsageReply>,
 }
 
 /// Whether the owner of a pool makes progress.
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -69,6 +69,7 @@
         ended_incarnations: vec!["c".into()],
         ended_starts_unix_ms: BTreeMap::new(),
         maintenance_due: None,
+        quotas: None,
     };
     check_json(
         &request,
@@ -98,6 +99,7 @@
             recorded_age_ms: 8,
             first_waiting: "t".into(),
         }),
+        quotas: None,
     };
     check_json(
         &reply,
@@ -118,4 +120,29 @@
     assert_eq!(reply.service_demand_workers, 0);
     assert!(reply.starts_unix_ms.is_empty());
     assert_eq!(reply.progress, None);
+    assert_eq!(reply.quotas, None);
+}
+
+#[test]
+fn limits_of_teams_are_in_a_round_only_where_teams_have_quotas() {
+    let request = RoundRequest {
+        quotas: Some(LimitMessage {
+            leader_term: 1,
+            number: 2,
+            owner_term: 3,
+            echo_ms: 4,
+            ..LimitMessage::default()
+        }),
+        ..RoundRequest::default()
+    };
+    check_json(
+        &request,
+        &json!({
+            "empty": [], "keep": [], "over": [],
+            "quotas": {"leader_term": 1, "number": 2, "owner_term": 3, "echo_ms": 4},
+        }),
+    );
+    let reply: UsageReply = serde_json::from_value(json!({"owner_term": 3, "now_ms": 4})).unwrap();
+    assert_eq!(reply.accepted, None);
+    assert!(reply.usage.is_empty());
 }
--- a/crates/quota/tests/handovers.rs
+++ b/crates/quota/tests/handovers.rs
@@ -248,8 +248,8 @@
             self.rows.extend(changes.writes.clone());
             leader.allocation.apply(changes);
         }
-        for pool in 0..3 {
-            let message = leader.allocation.next_message(POOLS[pool]).unwrap();
+        for (pool, name) in POOLS.into_iter().enumerate() {
+            let message = leader.allocation.next_message(name).unwrap();
             let is_lease_valid = leader
                 .replaced_at_ms
                 .is_none_or(|at_ms| now_ms < at_ms + LEASE_MS);
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -236,95 +236,27 @@
         echo_ms: 10_000,
         limits: limit(100),
     };
+    // Name, leader's term, number, base, owner's term, time, and the limit afterwards.
     let cases = [
-        ("repeated", first.clone(), 10_100, 100),
-        (
-            "overtaken",
-            LimitMessage {
-                number: 4,
-                limits: limit(9),
-                ..first.clone()
-            },
-            10_100,
-            100,
-        ),
-        (
-            "of an earlier leader",
-            LimitMessage {
-                leader_term: 1,
-                number: 9,
-                limits: limit(9),
-                ..first.clone()
-            },
-            10_100,
-            100,
-        ),
-        (
-            "for another term",
-            LimitMessage {
-                owner_term: 6,
-                number: 9,
-                limits: limit(9),
-                ..first.clone()
-            },
-            10_100,
-            100,
-        ),
-        (
-            "late",
-            LimitMessage {
-                number: 9,
-                limits: limit(9),
-                ..first.clone()
-            },
-            12_001,
-            100,
-        ),
-        (
-            "in time",
-            LimitMessage {
-                number: 9,
-                limits: limit(9),
-                ..first.clone()
-            },
-            12_000,
-            9,
-        ),
-        (
-            "changes to another message",
-            LimitMessage {
-                number: 9,
-                base: Some(4),
-                limits: limit(9),
-                ..first.clone()
-            },
-            10_100,
-            100,
-        ),
-        (
-            "changes",
-            LimitMessage {
-                number: 9,
-                base: Some(5),
-                limits: limit(9),
-                ..first.clone()
-            },
-            10_100,
-            9,
-        ),
-        (
-            "a new leader",
-            LimitMessage {
-                leader_term: 3,
-                number: 1,
-                limits: limit(9),
-                ..first.clone()
-            },
-            10_100,
-            9,
-        ),
+        ("repeated", 2, 5, None, 7, 10_100, 100),
+        ("overtaken", 2, 4, None, 7, 10_100, 100),
+        ("of an earlier leader", 1, 9, None, 7, 10_100, 100),
+        ("for another term", 2, 9, None, 6, 10_100, 100),
+        ("late", 2, 9, None, 7, 12_001, 100),
+        ("in time", 2, 9, None, 7, 12_000, 9),
+        ("changes to another message", 2, 9, Some(4), 7, 10_100, 100),
+        ("changes", 2, 9, Some(5), 7, 10_100, 9),
+        ("of a new leader", 3, 1, None, 7, 10_100, 9),
     ];
-    for (name, message, now_ms, expected) in cases {
+    for (name, leader_term, number, base, owner_term, now_ms, expected) in cases {
+        let message = LimitMessage {
+            leader_term,
+            number,
+            base,
+            owner_term,
+            echo_ms: 10_000,
+            limits: limit(9),
+        };
         let mut receiver = LimitReceiver::new(7);
         assert!(receiver.accept(&first, 10_000));
         receiver.accept(&message, now_ms);
