--- a/crates/fleetd/src/metrics.rs
+++ b/crates/fleetd/src/metrics.rs
@@ -61,9 +61,9 @@
 /// Metrics of the teams with a quota, by pool and team, for the pools of this daemon. CPU in thousandths of a core.
 #[derive(Debug, Clone)]
 pub(crate) struct TeamMetrics {
-    limit_cpu_milli: IntGaugeVec,
-    in_use_cpu_milli: IntGaugeVec,
-    waiting_cpu_milli: IntGaugeVec,
+    limit: IntGaugeVec,
+    in_use: IntGaugeVec,
+    waiting: IntGaugeVec,
 }
 
 impl TeamMetrics {
@@ -75,15 +75,15 @@
             Ok::<_, prometheus::Error>(gauges)
         };
         Ok(Self {
-            limit_cpu_milli: gauges(
+            limit: gauges(
                 "team_limit_cpu_milli",
                 "CPU that the team may use in the pool, in thousandths of a core.",
             )?,
-            in_use_cpu_milli: gauges(
+            in_use: gauges(
                 "team_in_use_cpu_milli",
                 "CPU of the team's tasks in the pool, in thousandths of a core.",
             )?,
-            waiting_cpu_milli: gauges(
+            waiting: gauges(
                 "team_waiting_cpu_milli",
                 "CPU of the team's waiting tasks in the pool, in thousandths of a core.",
             )?,
@@ -93,9 +93,9 @@
     /// Sets the limit of a team in a pool, and what the team uses and waits for, in thousandths of a core.
     pub(crate) fn set(&self, pool: &str, team: &str, [limit, in_use, waiting]: [u32; 3]) {
         for (gauges, value) in [
-            (&self.limit_cpu_milli, limit),
-            (&self.in_use_cpu_milli, in_use),
-            (&self.waiting_cpu_milli, waiting),
+            (&self.limit, limit),
+            (&self.in_use, in_use),
+            (&self.waiting, waiting),
         ] {
             gauges.with_label_values(&[pool, team]).set(value.into());
         }
@@ -103,11 +103,7 @@
 
     /// Removes the metrics of a team in a pool.
     pub(crate) fn remove(&self, pool: &str, team: &str) {
-        for gauges in [
-            &self.limit_cpu_milli,
-            &self.in_use_cpu_milli,
-            &self.waiting_cpu_milli,
-        ] {
+        for gauges in [&self.limit, &self.in_use, &self.waiting] {
             // Fails for metrics that were never set.
             let _ = gauges.remove_label_values(&[pool, team]);
         }
