--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -118,8 +118,9 @@
     /// Adds a step without a team to the steps by team.
     pub(crate) fn insert_without_team(&mut self, step: StepKey, rank: Rank) {
         let waiting = WaitingStep {
-            lane: Lane { team: None },
+            lane: Lane::WITHOUT_TEAM,
             needs: Resources::default(),
+            footprint_cpu_milli: 0,
             idle: 0,
             together: 0,
         };
--- a/crates/scheduler/src/team_steps.rs
+++ b/crates/scheduler/src/team_steps.rs
@@ -1,18 +1,30 @@
 //! The ready steps by team, so that the steps of a team that is at its limit are passed over as a whole.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Bound;
 
-use submission::Resources;
+use submission::{Resources, TaskPhase};
 
-use crate::ready::{Rank, StepKey};
+use crate::ready::{Prospect, Rank, StepKey};
+use crate::scheduler::Scheduler;
 use crate::teams::{TeamKey, Usage};
 
-/// Ready steps that a limit blocks together.
+/// Ready steps that come before or after those of other lanes together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct Lane {
     /// The team of the jobs; `None` for jobs without a team.
     pub(crate) team: Option<TeamKey>,
+    /// Whether the jobs are beyond what the weight of the team entitles to.
+    pub(crate) is_excess: bool,
+}
+
+impl Lane {
+    /// The lane of jobs without a team.
+    pub(crate) const WITHOUT_TEAM: Self = Self {
+        team: None,
+        is_excess: false,
+    };
 }
 
 /// A ready step.
@@ -21,6 +33,8 @@
     pub(crate) lane: Lane,
     /// What a task of the step needs.
     pub(crate) needs: Resources,
+    /// The CPU that is reserved for a task of the step, in thousandths of a core.
+    pub(crate) footprint_cpu_milli: u32,
     /// The number of tasks that could start.
     pub(crate) idle: u32,
     /// The number of tasks that start together.
@@ -38,27 +52,73 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct TeamWaiting {
     pub(crate) needs: Usage,
-    /// How many steps need at least this much CPU to start a task, by CPU in thousandths of a core.
-    least_cpu_milli: BTreeMap<u64, usize>,
+    /// The reserved CPU of tasks that can start in time, in thousandths of a core.
+    pub(crate) on_time_cpu_milli: u64,
+    /// The reserved CPU of the other tasks, in thousandths of a core.
+    pub(crate) late_cpu_milli: u64,
+    /// How many steps need at least this much to start a task, by amount, for each resource.
+    least: [BTreeMap<u64, usize>; 3],
 }
 
 impl TeamWaiting {
-    /// The CPU that the smallest of the steps needs to start a task, in thousandths of a core.
-    pub(crate) fn least_cpu_milli(&self) -> u64 {
-        let least = self.least_cpu_milli.first_key_value();
-        least.map_or(0, |(cpu_milli, _)| *cpu_milli)
+    /// Whether each of the steps needs more of the same resource to start a task than the headroom below the team's limit.
+    pub(crate) fn exceeds(&self, headroom: [u64; 3]) -> bool {
+        let smallest = self.least.iter().map(BTreeMap::first_key_value);
+        let mut resources = smallest.zip(headroom);
+        resources.any(|(smallest, headroom)| smallest.is_some_and(|(amount, _)| *amount > headroom))
+    }
+
+    fn count_least(&mut self, least: Usage) {
+        for (counts, amount) in self.least.iter_mut().zip(least.amounts()) {
+            *counts.entry(amount).or_default() += 1;
+        }
+    }
+
+    fn uncount_least(&mut self, least: Usage) {
+        for (counts, amount) in self.least.iter_mut().zip(least.amounts()) {
+            if let Entry::Occupied(mut count) = counts.entry(amount) {
+                *count.get_mut() -= 1;
+                if *count.get() == 0 {
+                    count.remove();
+                }
+            }
+        }
+    }
+
+    /// The reserved CPU of the tasks that the headroom below the team's limit allows, in thousandths of a core: of tasks
+    /// that can start in time, which start first, and of others.
+    pub(crate) fn startable_cpu_milli(&self, headroom: [u64; 3]) -> (u64, u64) {
+        let total = self.on_time_cpu_milli + self.late_cpu_milli;
+        let mut startable = total;
+        for (needed, headroom) in self.needs.amounts().into_iter().zip(headroom) {
+            if needed > headroom {
+                let part = u128::from(total) * u128::from(headroom) / u128::from(needed);
+                startable = startable.min(u64::try_from(part).unwrap_or(total));
+            }
+        }
+        let on_time = self.on_time_cpu_milli.min(startable);
+        (on_time, startable - on_time)
     }
 
-    fn add(&mut self, step: &WaitingStep, idle: u32) {
+    fn add(&mut self, step: &WaitingStep, rank: Rank, idle: u32) {
         self.needs = self.needs.plus(Usage::of(step.needs, idle));
+        *self.cpu_milli(rank) += u64::from(step.footprint_cpu_milli) * u64::from(idle);
     }
 
-    fn subtract(&mut self, step: &WaitingStep, idle: u32) {
+    fn subtract(&mut self, step: &WaitingStep, rank: Rank, idle: u32) {
         self.needs = self.needs.minus(Usage::of(step.needs, idle));
+        *self.cpu_milli(rank) -= u64::from(step.footprint_cpu_milli) * u64::from(idle);
+    }
+
+    fn cpu_milli(&mut self, rank: Rank) -> &mut u64 {
+        match rank.prospect {
+            Prospect::OnTime => &mut self.on_time_cpu_milli,
+            Prospect::Late | Prospect::TooLate => &mut self.late_cpu_milli,
+        }
     }
 }
 
-/// The ready steps of jobs with a team, and those of other jobs once the pool has limits.
+/// The ready steps of jobs with a team, and those of other jobs once the pool has limits or weights.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct TeamSteps {
     lanes: BTreeMap<Lane, BTreeSet<(Rank, StepKey)>>,
@@ -82,9 +142,8 @@
                 .resize_with(team.index() + 1, TeamWaiting::default);
         }
         let waiting = &mut self.waiting[team.index()];
-        waiting.add(&step, step.idle);
-        let least = waiting.least_cpu_milli.entry(step.least().cpu_milli);
-        *least.or_default() += 1;
+        waiting.add(&step, rank, step.idle);
+        waiting.count_least(step.least());
     }
 
     /// Removes a step. An unknown step is ignored.
@@ -102,25 +161,19 @@
             return;
         };
         let waiting = &mut self.waiting[team.index()];
-        waiting.subtract(&step, step.idle);
-        let cpu_milli = step.least().cpu_milli;
-        if let Some(count) = waiting.least_cpu_milli.get_mut(&cpu_milli) {
-            *count -= 1;
-            if *count == 0 {
-                waiting.least_cpu_milli.remove(&cpu_milli);
-            }
-        }
+        waiting.subtract(&step, rank, step.idle);
+        waiting.uncount_least(step.least());
     }
 
     /// Records that a task of a step is not idle any more. An unknown step is ignored.
     pub(crate) fn record_start(&mut self, key: StepKey) {
-        let Some((_, step)) = self.steps.get_mut(&key) else {
+        let Some((rank, step)) = self.steps.get_mut(&key) else {
             return;
         };
         if step.idle > 0 {
             step.idle -= 1;
             if let Some(team) = step.lane.team {
-                self.waiting[team.index()].subtract(step, 1);
+                self.waiting[team.index()].subtract(step, *rank, 1);
             }
         }
     }
@@ -158,3 +211,33 @@
         steps.into_iter().flatten().copied()
     }
 }
+
+impl Scheduler {
+    /// Adds a ready step to those of its team.
+    pub(crate) fn add_to_team(&mut self, key: StepKey, rank: Rank) {
+        let job = &self.jobs[&key.job];
+        let Some(team) = self.teams.key(&job.team) else {
+            if self.teams.is_active {
+                self.ready.insert_without_team(key, rank);
+            }
+            return;
+        };
+        let step = &job.spec().steps[usize::from(key.step)];
+        let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
+        let idle = tasks.filter(|&index| {
+            job.task(index)
+                .is_some_and(|task| task.phase == TaskPhase::Idle)
+        });
+        let waiting = WaitingStep {
+            lane: Lane {
+                team: Some(team),
+                is_excess: self.teams.is_in_excess(key.job),
+            },
+            needs: step.needs,
+            footprint_cpu_milli: step.footprint().cpu_milli,
+            idle: u32::try_from(idle.count()).unwrap_or(u32::MAX),
+            together: if step.is_gang { step.tasks } else { 1 },
+        };
+        self.ready.by_team.insert(key, rank, waiting);
+    }
+}
