--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -94,6 +94,7 @@
     let now_ms = node.clock.now().store_ms;
     let earlier_commands_until_ms =
         earlier_commands_until_ms(&node, previous, takeover.previous_version, now_ms);
+    let earlier_leaders_ms = previous.map(|_| earlier_commands_until_ms.saturating_sub(now_ms));
     let gap_ms = node.settings.bounds.leader_gap_ms + LEADER_GAP_MARGIN_MS;
     let maintenance_from_ms = previous.map_or(now_ms, |_| earlier_commands_until_ms + gap_ms);
     let mut leader = Leader {
@@ -105,7 +106,7 @@
         waves: Waves::default(),
         maintenance_from_ms,
         command_record: CommandRecord::read(&node, term, takeover.previous_owner.as_ref()).await,
-        quotas: Quotas::new(term, previous.is_some()),
+        quotas: Quotas::new(term, earlier_leaders_ms),
         draining: BTreeMap::new(),
         ended_incarnations: EndedIncarnations::default(),
         unresponsive: BTreeMap::new(),
--- a/crates/fleetd/src/leader/quotas.rs
+++ b/crates/fleetd/src/leader/quotas.rs
@@ -12,7 +12,6 @@
 use crate::clock::local_ms;
 use crate::config::{FLEET_SHARD, team_quotas};
 use crate::leader::Leader;
-use crate::leader::commands::COMMAND_WINDOW_MS;
 use crate::leader::pool_calls::{REPLY_WAIT, call_pool};
 use crate::node::{Node, tables};
 use crate::pool::read_all_rows;
@@ -42,17 +41,15 @@
 }
 
 impl Quotas {
-    /// Creates the quotas of a leader whose takeover has just been committed. `has_previous` is whether there was a leader
-    /// before.
-    pub(super) fn new(term: u64, has_previous: bool) -> Self {
-        let wait_ms = COMMAND_WINDOW_MS + LimitReceiver::MAX_ECHO_AGE_MS + CLOCK_MARGIN_MS;
+    /// Creates the quotas of a leader whose takeover has just been committed. Leaders before it may send messages for another
+    /// `earlier_leaders_ms`; `None` if there were none.
+    pub(super) fn new(term: u64, earlier_leaders_ms: Option<u64>) -> Self {
+        let lower_from_ms = earlier_leaders_ms.map_or(0, |earlier_leaders_ms| {
+            local_ms() + earlier_leaders_ms + LimitReceiver::MAX_ECHO_AGE_MS + CLOCK_MARGIN_MS
+        });
         Self {
             term,
-            lower_from_ms: if has_previous {
-                local_ms() + wait_ms
-            } else {
-                0
-            },
+            lower_from_ms,
             allocation: None,
             had_none: false,
         }
--- a/crates/fleetd/src/pool/quotas.rs
+++ b/crates/fleetd/src/pool/quotas.rs
@@ -12,9 +12,9 @@
 use crate::pool::PoolOwner;
 
 /// How old the last committed transaction may be for the use of the pool to be told to the leader, in ms. With an older one, a
-/// successor may have been told higher limits, which a new leader does not know of. Owners renew their lease at least once a
-/// second.
-const MAX_RECORDED_AGE_MS: u64 = 2000;
+/// successor may have been told higher limits by an earlier leader. Longer than the renewal period of owners without work,
+/// and shorter than a new leader waits after the last message of an earlier one.
+const MAX_RECORDED_AGE_MS: u64 = LimitReceiver::MAX_ECHO_AGE_MS + 200;
 
 /// How often it is logged at most that teams wait because of their limits, in ms.
 const WAITING_LOG_PERIOD_MS: u64 = 5000;
--- a/crates/quota/src/allocation.rs
+++ b/crates/quota/src/allocation.rs
@@ -341,12 +341,13 @@
         let new_held = raise(&holds, &targets, quota);
         let mut raised = holds.iter().zip(&new_held);
         let is_written = is_rebase || raised.any(|(hold, new)| gains(hold, *new));
-        // Until the row is written, no pool gets more than it holds; nothing if the pools hold more than the quota.
+        // Until the row is written, no pool gets more than it holds; nothing if the pools hold more than the quota. What is
+        // lowered too early is of no use to another pool.
         let limits = holds.iter().zip(&targets).map(|(hold, target)| {
-            let limit = if keeps_holds {
-                zip(hold.held, *target, u64::min)
-            } else {
-                [0; 3]
+            let limit = match keeps_holds {
+                true if now_ms < self.lower_from_ms => hold.held,
+                true => zip(hold.held, *target, u64::min),
+                false => [0; 3],
             };
             (hold.pool.clone(), limit)
         });
--- a/crates/quota/src/receiver.rs
+++ b/crates/quota/src/receiver.rs
@@ -22,8 +22,9 @@
 
 impl LimitReceiver {
     /// How long after a reply of the owner a message may arrive that was sent in answer to it, in ms. Longer than a round
-    /// of the leader while the store is slow, and short, as a new leader waits for it before it takes anything back.
-    pub const MAX_ECHO_AGE_MS: u64 = 2000;
+    /// of the leader, and short, as a new leader waits for it before it takes anything back. While the store is slow,
+    /// only the later messages of a round arrive in time.
+    pub const MAX_ECHO_AGE_MS: u64 = 1000;
 
     /// Creates the limits of an owner in its term.
     #[must_use]
