--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -6,6 +6,7 @@
 mod inputs;
 mod lease_renewal;
 mod pool_calls;
+mod quotas;
 mod waves;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -30,6 +31,7 @@
 };
 use crate::leader::lease_renewal::{StoreRefusals, renew_lease};
 use crate::leader::pool_calls::{PoolCalls, REPLY_WAIT, call_pool};
+use crate::leader::quotas::Quotas;
 use crate::leader::waves::Waves;
 use crate::node::{Node, SINGLETON_KEY, STORE_TIMEOUT, tables};
 use crate::peer_calls::call_peer;
@@ -60,6 +62,7 @@
     /// leader may be in transit, and the list of VMs doesn't show which VMs these commands take down.
     maintenance_from_ms: u64,
     command_record: CommandRecord,
+    quotas: Quotas,
     /// The workers that pools are draining, by pool.
     draining: BTreeMap<SmolStr, BTreeSet<SmolStr>>,
     /// The worker incarnations that have ended. The next round tells their pools.
@@ -91,6 +94,7 @@
     let now_ms = node.clock.now().store_ms;
     let earlier_commands_until_ms =
         earlier_commands_until_ms(&node, previous, takeover.previous_version, now_ms);
+    let earlier_leaders_ms = previous.map(|_| earlier_commands_until_ms.saturating_sub(now_ms));
     let gap_ms = node.settings.bounds.leader_gap_ms + LEADER_GAP_MARGIN_MS;
     let maintenance_from_ms = previous.map_or(now_ms, |_| earlier_commands_until_ms + gap_ms);
     let mut leader = Leader {
@@ -102,6 +106,7 @@
         waves: Waves::default(),
         maintenance_from_ms,
         command_record: CommandRecord::read(&node, term, takeover.previous_owner.as_ref()).await,
+        quotas: Quotas::new(term, earlier_leaders_ms),
         draining: BTreeMap::new(),
         ended_incarnations: EndedIncarnations::default(),
         unresponsive: BTreeMap::new(),
@@ -193,12 +198,15 @@
             Ok(listed) => listed,
             Err(err) => {
                 tracing::warn!(error = %err, "failed to read the list of VMs");
+                self.run_quota_round().await;
                 return;
             }
         };
         let standby = self.standby_pools();
         self.detect_ended_incarnations(&listed);
+        self.quotas.configure(&self.node).await;
         let replies = self.call_pools(&listed, &standby).await;
+        self.exchange_quotas(&replies).await;
         let unresponsive = replies
             .iter()
             .map(|(pool, reply)| (pool.clone(), reply.unresponsive.clone()));
@@ -302,8 +310,14 @@
                 ..RoundRequest::default()
             };
             self.ended_incarnations.move_to(&pool, &mut request);
+            request.quotas = self.quotas.next_message(&pool);
             requests.push((pool, request));
         }
+        if !self.sender.may_send_commands() {
+            for (_, request) in &mut requests {
+                request.quotas = None;
+            }
+        }
         let ended = self.calls.run_round(&self.node, requests).await;
         for (pool, request) in ended.failed {
             self.ended_incarnations.take_back(pool.clone(), &request);
