fleetd: a peer takes a thousand calls at a time, and a call that it refuses counts as not sent

Cause: the server for calls between daemons had its library's default of 100 calls under way. While the store is slow, the owner of a pool has more submissions waiting, and further calls got 429: submissions counted as of unknown outcome (504), the owner was marked as unreachable, and its probes failed, so that its pool was taken over.

Change: 1000 calls; a refused call had no effect and its peer is responsive.

--- a/crates/fleetd/src/peer_calls.rs
+++ b/crates/fleetd/src/peer_calls.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
 use jsonrpsee::core::ClientError;
-use jsonrpsee::http_client::{HttpClient as PeerClient, HttpClientBuilder};
+use jsonrpsee::http_client::{HttpClient as PeerClient, HttpClientBuilder, transport};
 use ownership::ShardOwner;
 use smol_str::{SmolStr, ToSmolStr};
 use snafu::Snafu;
@@ -44,6 +45,9 @@
     /// The call took longer than [`CALL_TIMEOUT`], but the peer responds to probes.
     #[snafu(display("the call timed out"))]
     TimedOut,
+    /// The peer refused the call because it has too many under way; the call had no effect.
+    #[snafu(display("the peer has too many calls under way"))]
+    TooManyCalls,
     /// The connection failed, or the response can't be used.
     #[snafu(display("the call failed: {message}"))]
     Failed {
@@ -55,12 +59,12 @@
 impl Error {
     /// Whether it is certain that the call had no effect.
     pub(crate) fn is_without_effect(&self) -> bool {
-        matches!(self, Self::Unreachable { .. })
+        matches!(self, Self::Unreachable { .. } | Self::TooManyCalls)
     }
 
     /// Whether the peer, as far as the call tells, is there.
     fn is_peer_responsive(&self) -> bool {
-        matches!(self, Self::TimedOut)
+        matches!(self, Self::TimedOut | Self::TooManyCalls)
     }
 }
 
@@ -69,6 +73,9 @@
         if matches!(err, ClientError::RequestTimeout) {
             return Self::TimedOut;
         }
+        if is_refused(&err) {
+            return Self::TooManyCalls;
+        }
         // jsonrpsee distinguishes a failed connection from a lost response only in the text of the error.
         let message = err.to_smolstr();
         if matches!(err, ClientError::Transport(_)) && message.contains("(Connect)") {
@@ -79,6 +86,15 @@
     }
 }
 
+/// Whether the peer refused a call because it has too many under way. It has not read the call then.
+fn is_refused(err: &ClientError) -> bool {
+    let ClientError::Transport(err) = err else {
+        return false;
+    };
+    let too_many = StatusCode::TOO_MANY_REQUESTS.as_u16();
+    matches!(err.downcast_ref(), Some(transport::Error::Rejected { status_code }) if *status_code == too_many)
+}
+
 /// Calls a peer, and marks the peer as unreachable when it did not respond.
 ///
 /// # Errors
@@ -153,8 +169,12 @@
             return probe.is_answered;
         }
         let response = tokio::time::timeout(PROBE_TIMEOUT, self.client.ping()).await;
-        // A peer of an earlier build responds with an error, as it does not know the method.
-        let is_answered = matches!(response, Ok(Ok(()) | Err(ClientError::Call(_))));
+        let is_answered = match &response {
+            // A peer of an earlier build responds with an error, as it does not know the method.
+            Ok(Ok(()) | Err(ClientError::Call(_))) => true,
+            Ok(Err(err)) => is_refused(err),
+            Err(_) => false,
+        };
         *last_probe = Some(Probe {
             ended_at_ms: local_ms(),
             is_answered,
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -44,6 +44,10 @@
 /// The maximum size of a message between daemons. A job with the largest payload and all steps takes less.
 const MAX_MESSAGE_BYTES: u32 = 512 * 1024;
 
+/// The maximum number of calls of peers under way. While the store is slow, each daemon may have dozens of calls to the owner of
+/// a pool under way, each on a connection that takes some 10 KB.
+const MAX_PEER_CALLS: u32 = 1000;
+
 /// The result of running the daemon.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -125,12 +129,8 @@
     let metrics = serve_endpoint(addr, node.clone(), handle_metrics).await;
     metrics.context(ListenSnafu { addr })?;
     let addr = settings.peer_addr();
-    let config = ServerConfig::builder()
-        .http_only()
-        .max_request_body_size(MAX_MESSAGE_BYTES)
-        .max_response_body_size(MAX_MESSAGE_BYTES)
-        .build();
-    let server = Server::builder().set_config(config).build(addr).await;
+    let server = Server::builder().set_config(peer_server_config());
+    let server = server.build(addr).await;
     let server = server.context(ListenSnafu { addr })?;
     let handle = server.start(PeerService { node: node.clone() }.into_rpc());
     tokio::spawn(handle.stopped());
@@ -140,6 +140,16 @@
         .context(ListenSnafu { addr })
 }
 
+/// The limits of the server for calls of peers.
+pub(crate) fn peer_server_config() -> ServerConfig {
+    ServerConfig::builder()
+        .http_only()
+        .max_connections(MAX_PEER_CALLS)
+        .max_request_body_size(MAX_MESSAGE_BYTES)
+        .max_response_body_size(MAX_MESSAGE_BYTES)
+        .build()
+}
+
 /// Logs that a reload signal has no effect. The settings are read only at startup: what can change while the process
 /// runs is in the operators' rows.
 async fn log_reload_signals(mut reload: Signal) {
