quota: a quota that is taken away ends its limits at all owners

A leader that had removed the rows stopped to send, so that an owner that it had not reached kept the limit; and an owner whose configuration lost the quota kept it until then. Tests for both, and for a quota that is back before the leader saw that it was gone.

--- a/crates/fleetd/src/pool/quotas.rs
+++ b/crates/fleetd/src/pool/quotas.rs
@@ -107,7 +107,12 @@
         let mut team_limits = self.team_limits.lock();
         if team_limits.epoch != Some(document.epoch) {
             team_limits.epoch = Some(document.epoch);
-            team_limits.quotas = team_quotas(&document);
+            let previous = std::mem::replace(&mut team_limits.quotas, team_quotas(&document));
+            for team in previous.into_keys() {
+                if !team_limits.quotas.contains_key(&team) {
+                    team_limits.receiver.drop_limit(&team);
+                }
+            }
             scheduler.set_team_weights(team_weights(&document));
             team_limits.apply(scheduler);
         }
--- a/crates/quota/src/allocation.rs
+++ b/crates/quota/src/allocation.rs
@@ -127,10 +127,11 @@
         }
     }
 
-    /// Whether there is nothing to split, write or remove.
+    /// Whether there is nothing to split, write, remove or send.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.quotas.is_empty() && self.rows.is_empty()
+        let is_empty = self.quotas.is_empty() && self.rows.is_empty();
+        is_empty && !self.pools.keys().any(|pool| self.is_outdated(pool))
     }
 
     /// What the pools hold of a team's quota, by pool; `None` while that is unknown.
--- a/crates/quota/src/receiver.rs
+++ b/crates/quota/src/receiver.rs
@@ -18,6 +18,8 @@
     /// The leader's term and the number of the last accepted message.
     accepted: Option<(u64, u64)>,
     limits: BTreeMap<SmolStr, TeamLimit>,
+    /// Whether a limit of the last message was dropped, so that the leader has to send all limits again.
+    is_incomplete: bool,
 }
 
 impl LimitReceiver {
@@ -33,13 +35,14 @@
             owner_term,
             accepted: None,
             limits: BTreeMap::new(),
+            is_incomplete: false,
         }
     }
 
-    /// The leader's term and the number of the last accepted message.
+    /// The leader's term and the number of the last accepted message; `None` also once a limit of it was dropped.
     #[must_use]
     pub fn accepted(&self) -> Option<(u64, u64)> {
-        self.accepted
+        self.accepted.filter(|_| !self.is_incomplete)
     }
 
     /// Accepts a message unless it is for another term of the owner, repeated, overtaken, too late, or contains changes to
@@ -57,13 +60,17 @@
     pub fn accept(&mut self, message: &LimitMessage, now_ms: u64) -> bool {
         let id = (message.leader_term, message.number);
         let is_late = now_ms.saturating_sub(message.echo_ms) > Self::MAX_ECHO_AGE_MS;
-        let is_newer = self.accepted.is_none_or(|accepted| id > accepted);
+        let is_newer = match self.accepted {
+            Some(accepted) if self.is_incomplete => id >= accepted,
+            Some(accepted) => id > accepted,
+            None => true,
+        };
         if message.owner_term != self.owner_term || is_late || !is_newer {
             return false;
         }
         match message.base {
             None => self.limits.clone_from(&message.limits),
-            Some(base) if self.accepted == Some((message.leader_term, base)) => {
+            Some(base) if self.accepted() == Some((message.leader_term, base)) => {
                 let changes = message.limits.iter();
                 self.limits
                     .extend(changes.map(|(team, limit)| (team.clone(), *limit)));
@@ -71,9 +78,15 @@
             Some(_) => return false,
         }
         self.accepted = Some(id);
+        self.is_incomplete = false;
         true
     }
 
+    /// Drops the limit of a team that has no quota in the owner's configuration any more.
+    pub fn drop_limit(&mut self, team: &str) {
+        self.is_incomplete |= self.limits.remove(team).is_some();
+    }
+
     /// Returns the limits in force, by team: those accepted, and nothing for teams with a quota of which no limit was
     /// accepted. `quotas` are those of the owner's configuration, by team. Where a quota is lower than the one
     /// that a limit is a part of, nothing starts until the leader has applied the lower quota.
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -165,6 +165,32 @@
     assert!(owners[0].in_use <= 250);
 }
 
+#[test]
+fn a_quota_that_is_taken_away_ends_all_limits() {
+    let (mut leader, mut owners) = fleet();
+    settle(&mut leader, &mut owners, 1000, 0);
+    leader.configure(BTreeMap::new(), ["a".into(), "b".into()]);
+    let changes = leader.plan(0);
+    assert_eq!(changes.removals, [TEAM]);
+    leader.apply(changes);
+    assert!(!leader.is_idle(), "no owner knows yet");
+    let [told, informed] = &mut owners;
+    call(&mut leader, told, 0);
+    assert!(!leader.is_idle(), "one owner does not know yet");
+    call(&mut leader, informed, 0);
+    assert!(leader.is_idle());
+    assert!(told.receiver.limits(&BTreeMap::new()).is_empty());
+    // An owner whose configuration lost the quota does not wait for the leader.
+    let (mut leader, mut owners) = fleet();
+    settle(&mut leader, &mut owners, 1000, 0);
+    owners[0].receiver.drop_limit(&TEAM);
+    assert!(owners[0].receiver.limits(&BTreeMap::new()).is_empty());
+    // When the quota is back before the leader saw that it was gone, the leader sends the limit again.
+    assert_eq!(owners[0].limit(1000), 0);
+    settle(&mut leader, &mut owners, 1000, 0);
+    assert_eq!(owners[0].limit(1000), 500);
+}
+
 #[test]
 fn a_quota_that_was_raised_and_lowered_again_does_not_revive_an_old_limit() {
     let (mut leader, mut owners) = fleet();
