--- a/crates/trefoilpassd/tests/fleet_keys.rs
+++ b/crates/trefoilpassd/tests/fleet_keys.rs
@@ -10,6 +10,8 @@
 use reqwest::{Client, Method};
 use serde_json::{Value, json};
 use test_support::{FaultProxy, FleetDaemonSpec, ProxyFault};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const TEAMS: &[(&str, &[&str])] = &[("a", &["key-a"]), ("b", &["key-b"])];
 
@@ -191,6 +193,26 @@
     }
 }
 
+/// A connection that is closed while its caller still sends loses the response.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_reaches_a_caller_that_is_still_sending() {
+    let (_platform, [daemon, _other], _proxy) = start().await;
+    let mut stream = TcpStream::connect(daemon.callers).await.unwrap();
+    let body = vec![b' '; 15_000];
+    for _ in 0..2 {
+        let head = "POST /q/0000000000000001 HTTP/1.1\r\nhost: jobs.example\r\ncontent-length: 15000\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut response = vec![0; 4096];
+        let read = tokio::time::timeout(CALLER_WAIT, stream.read(&mut response));
+        let length = read.await.expect("no response before the body").unwrap();
+        assert!(response[..length].starts_with(b"HTTP/1.1 401 "));
+        for part in body.chunks(5000) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            stream.write_all(part).await.unwrap();
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn revoked_keys_are_refused_and_added_ones_accepted() {
     let (platform, daemons, _proxy) = start().await;
@@ -235,6 +257,36 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_are_accepted_as_soon_as_the_store_is_back() {
+    let (_platform, [_owner, cut_off], proxy) = start().await;
+    proxy.set(ProxyFault::Cut);
+    becomes(&cut_off, "/q/", "key-a", (200, 503)).await;
+    proxy.set(ProxyFault::None);
+    let delay = becomes(&cut_off, "/q/", "key-a", (503, 200)).await;
+    // The store holds a read of unchanged rows open for 0.9 s.
+    assert!(delay < Duration::from_millis(850), "{delay:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unreadable_configuration_stops_keys_and_does_not_load_the_store() {
+    let (platform, [_owner, daemon], proxy) = start().await;
+    platform
+        .store
+        .put("op", "config", &json!({"version": "nine"}));
+    becomes(&daemon, "/q/", "key-a", (200, 503)).await;
+    let bytes = proxy.bytes();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    // The heartbeat rows and a read of the operators' rows take some 3 kB a second.
+    assert!(
+        proxy.bytes() - bytes < 20_000,
+        "{} bytes",
+        proxy.bytes() - bytes
+    );
+    platform.configure_teams(10, TEAMS);
+    becomes(&daemon, "/q/", "key-a", (503, 200)).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_daemon_that_was_paused_does_not_serve_a_key_that_was_revoked_meanwhile() {
     let (platform, [_owner, paused], _proxy) = start().await;
