scheduler, fleetd: under overload, jobs with little work go first where the settings say so

Cause: in the order of latest starts, an overloaded pool starts each job at its last moment, and with wrong estimates those that take longer than estimated miss their objectives. Change: the overload is measured from the load (the processor demand criterion). While it lasts, the jobs on time are ordered by their apparent tardiness cost, each counted with at most a quarter of the mean work so that no size starves. Switched on by `overload: {shed_least_cost: true}`; without it, the order is as before.

--- a/crates/fleetd/src/metrics.rs
+++ b/crates/fleetd/src/metrics.rs
@@ -23,6 +23,7 @@
     pub(crate) attempt_outcomes: IntCounterVec,
     pub(crate) worker_crashes: IntCounter,
     pub(crate) tasks_given_up: IntCounter,
+    pub(crate) overloads: IntCounter,
     pub(crate) takeovers: IntCounter,
     pub(crate) store_failures: IntCounter,
     pub(crate) dropped_log_lines: IntCounter,
@@ -141,6 +142,10 @@
                 "tasks_given_up_total",
                 "Tasks given up because workers crash under them.",
             )?,
+            overloads: counter(
+                "overloads_total",
+                "Times that a pool began to order jobs by the cost of their delay.",
+            )?,
             takeovers: counter("takeovers_total", "Shards taken over.")?,
             store_failures: counter("store_failures_total", "Calls to the store that failed.")?,
             dropped_log_lines: counter(
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -61,6 +61,7 @@
             match &event {
                 SchedulerEvent::Crashed { .. } => self.node.metrics.worker_crashes.inc(),
                 SchedulerEvent::GivenUp { .. } => self.node.metrics.tasks_given_up.inc(),
+                SchedulerEvent::OverloadBegan { .. } => self.node.metrics.overloads.inc(),
                 _ => {}
             }
             tracing::warn!(pool = self.pool.as_str(), note = ?event, "{}", event.message());
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ownership::{Lease, OwnerEvidence, OwnerRow};
-use scheduler::{Limits, Scheduler};
+use scheduler::{Limits, OverloadRules, Scheduler};
 use smol_str::SmolStr;
 use submission::{Job, JobId, JobRecord};
 use transfer::PageSize;
@@ -185,6 +185,9 @@
         owner_grace_ms: OWNER_GRACE_MS,
         slow_clock_percent: SLOW_CLOCK_PERCENT,
         ended_job_retention_ms: bounds.ended_job_retention_s * 1000,
+    })
+    .with_overload_rules(OverloadRules {
+        shed_least_cost: node.settings.overload.shed_least_cost,
     });
     if let Some(document) = node.active_config.get() {
         scheduler.set_queue_rules(queue_rules(&document));
--- a/crates/fleetd/src/settings.rs
+++ b/crates/fleetd/src/settings.rs
@@ -44,6 +44,18 @@
     pub machine: Machine,
     /// The durations that the deployment prescribes.
     pub bounds: Bounds,
+    /// What pools may do under overload.
+    #[serde(default)]
+    pub overload: Overload,
+}
+
+/// What pools may do while they can't do all of their work in time. By default nothing.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+pub struct Overload {
+    /// Whether jobs are ordered by what their delay costs callers while not all of them can meet their latency objective;
+    /// see `OverloadRules` of the scheduler.
+    #[serde(default)]
+    pub shed_least_cost: bool,
 }
 
 /// The hardware of a daemon's VM. The defaults are one whole core of usual speed, and a link that does not limit the
--- a/crates/fleetd/src/settings/tests/mod.rs
+++ b/crates/fleetd/src/settings/tests/mod.rs
@@ -29,4 +29,11 @@
     assert_eq!(settings.bounds.ended_job_retention_s, 3600);
     assert_eq!(settings.bounds.leader_gap_ms, 4000);
     assert!((settings.bounds.maintenance_s - 90.5).abs() < f64::EPSILON);
+    assert!(!settings.overload.shed_least_cost);
+    let text = text.replace("bounds:", "overload: {shed_least_cost: true}, bounds:");
+    let settings: FleetSettings = serde_norway::from_str(&text).unwrap();
+    assert!(settings.overload.shed_least_cost);
+    let text = text.replace("true", "yes please");
+    let error = serde_norway::from_str::<FleetSettings>(&text).unwrap_err();
+    assert!(error.to_string().contains("shed_least_cost"), "{error}");
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 mod draining;
 mod health;
 mod incarnation;
+mod overload;
 mod plan;
 mod policy;
 mod ready;
@@ -25,6 +26,7 @@
 
 pub use batch::{Batch, RecordedEnds, RowChange, WorkerCommand};
 pub use demand::{Demand, IdleWorker};
+pub use overload::OverloadRules;
 pub use policy::PolicyRequest;
 pub use reports::{EndedAttempt, RunningTask, WorkerReport};
 pub use scheduler::Scheduler;
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -28,6 +28,7 @@
     /// A round that ends because of steps that no worker may run leaves these out of the next rounds, until a round has
     /// visited all steps behind them.
     pub fn plan(&mut self, now: Now) {
+        self.measure_overload(now);
         let mut starts = 0;
         let mut unplaced = 0;
         let mut restricted = Vec::new();
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -37,8 +37,9 @@
     pub(crate) priority: u32,
     /// Started jobs come before jobs that have not started, as a partly done job has no value yet.
     pub(crate) is_not_started: bool,
-    /// For jobs on time and jobs too late, the latest start of the step, in ms on the store's clock. For late jobs, the
-    /// remaining work, so that as many of them as possible are done while their results are of use.
+    /// For jobs on time and jobs too late, the latest start of the step, in ms on the store's clock; under overload, the
+    /// latest start of jobs on time is shifted by their work where the rules say so. For late jobs, the remaining work, so
+    /// that as many of them as possible are done while their results are of use.
     pub(crate) order: u64,
 }
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -11,6 +11,7 @@
 use crate::batch::WorkerCommand;
 use crate::demand::Trend;
 use crate::dirty::DirtyJobs;
+use crate::overload::Overload;
 use crate::policy::PolicyDecision;
 use crate::ready::{Prospect, Rank, Ready, StepKey};
 use crate::types::{JobStatus, Limits, Now, QueueRules, SchedulerEvent};
@@ -56,6 +57,7 @@
     pub(crate) events: Vec<SchedulerEvent>,
     pub(crate) trend: Trend,
     pub(crate) arrivals: Arrivals,
+    pub(crate) overload: Overload,
     /// Requests to the policy service and its decisions, by step.
     pub(crate) policy_decisions: HashMap<StepKey, PolicyDecision>,
     /// The remaining jobs with service tasks.
@@ -84,6 +86,7 @@
             events: Vec::new(),
             trend: Trend::default(),
             arrivals: Arrivals::default(),
+            overload: Overload::default(),
             policy_decisions: HashMap::new(),
             service_jobs: BTreeSet::new(),
         }
@@ -123,6 +126,7 @@
             let work = job.remaining_batch_work(0);
             self.arrivals
                 .record(work, job.critical_path_ms(), now.local_ms);
+            self.overload.record(work);
         }
         self.insert_job(job, now);
         self.dirty_jobs.insert(id);
@@ -403,17 +407,25 @@
             .saturating_add(base_ms)
     }
 
-    /// The rank of a step, and the time at which the rank changes, in ms on the store's clock.
-    fn rank(&self, job: &Job, key: StepKey, now: Now) -> (Rank, u64) {
-        let is_not_started = job.state() == JobState::Queued;
-        let percent = if is_not_started {
+    /// The time by which an occurrence of a job has to go on so that the job meets its latency objective, by the estimates,
+    /// in ms on the store's clock.
+    pub(crate) fn latest_start_ms(&self, job: &Job, occurrence: u32) -> u64 {
+        let percent = if job.state() == JobState::Queued {
             NOT_STARTED_PATH_PERCENT
         } else {
             STARTED_PATH_PERCENT
         };
+        let path_ms = job.remaining_critical_path_ms(occurrence);
+        let expected_ms = path_ms.saturating_mul(percent) / 100;
+        self.deadline_ms(job).saturating_sub(expected_ms)
+    }
+
+    /// The rank of a step, and the time at which the rank changes, in ms on the store's clock.
+    fn rank(&self, job: &Job, key: StepKey, now: Now) -> (Rank, u64) {
+        let is_not_started = job.state() == JobState::Queued;
         let path_ms = job.remaining_critical_path_ms(key.occurrence);
         let deadline_ms = self.deadline_ms(job);
-        let latest_start_ms = deadline_ms.saturating_sub(path_ms.saturating_mul(percent) / 100);
+        let latest_start_ms = self.latest_start_ms(job, key.occurrence);
         let objective_ms = deadline_ms.saturating_sub(job.accepted_at_ms);
         let useful_until_ms = job
             .accepted_at_ms
@@ -423,9 +435,11 @@
         let (prospect, order, changes_at_ms) = if is_service {
             (Prospect::OnTime, latest_start_ms, u64::MAX)
         } else if now.store_ms <= latest_start_ms {
-            (Prospect::OnTime, latest_start_ms, latest_start_ms)
+            let overload = &self.overload;
+            let order = overload.on_time_order(job, key.occurrence, latest_start_ms);
+            (Prospect::OnTime, order, latest_start_ms)
         } else if now.store_ms <= latest_useful_start_ms {
-            let order = job.remaining_batch_work(key.occurrence);
+            let order = self.overload.counted_work(job, key.occurrence);
             (Prospect::Late, order, latest_useful_start_ms)
         } else {
             (Prospect::TooLate, latest_start_ms, u64::MAX)
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -96,6 +96,18 @@
         /// The number of workers that crashed under the task.
         crashes: u32,
     },
+    /// Not all waiting jobs can meet their latency objective any more, and they are ordered by what their delay costs.
+    OverloadBegan {
+        /// The time that the pool needs for the jobs that can still meet their objective, in ms.
+        queue_ms: u64,
+        /// The number of these jobs.
+        jobs: usize,
+    },
+    /// For a while, all waiting jobs could meet their latency objective.
+    OverloadEnded {
+        /// The time from the first to the last measurement of the overload, in ms.
+        duration_ms: u64,
+    },
 }
 
 impl SchedulerEvent {
@@ -116,6 +128,9 @@
             Self::NotListed { .. } => "an attempt counts as lost: its worker does not list it",
             Self::Crashed { .. } => "a worker crashed under its tasks",
             Self::GivenUp { .. } => "a task is given up: workers crash under it",
+            Self::OverloadBegan { .. } | Self::OverloadEnded { .. } => {
+                "the overload of a pool began or ended"
+            }
         }
     }
 }
@@ -164,6 +179,15 @@
                 .field("task", task)
                 .field("crashes", crashes)
                 .finish(),
+            Self::OverloadBegan { queue_ms, jobs } => f
+                .debug_struct("OverloadBegan")
+                .field("queue_ms", queue_ms)
+                .field("jobs", jobs)
+                .finish(),
+            Self::OverloadEnded { duration_ms } => f
+                .debug_struct("OverloadEnded")
+                .field("duration_ms", duration_ms)
+                .finish(),
         }
     }
 }
--- a/crates/scheduler/tests/events.rs
+++ b/crates/scheduler/tests/events.rs
@@ -54,4 +54,14 @@
         format!("{given_up:?}"),
         r#"GivenUp { task: "t", crashes: 2 }"#
     );
+    let began = SchedulerEvent::OverloadBegan {
+        queue_ms: 900,
+        jobs: 12,
+    };
+    assert_eq!(
+        format!("{began:?}"),
+        "OverloadBegan { queue_ms: 900, jobs: 12 }"
+    );
+    let ended = SchedulerEvent::OverloadEnded { duration_ms: 2500 };
+    assert_eq!(format!("{ended:?}"), "OverloadEnded { duration_ms: 2500 }");
 }
--- a/crates/scheduler/tests/load.rs
+++ b/crates/scheduler/tests/load.rs
@@ -12,6 +12,7 @@
     tasks: 6,
     cpu_milli: 1800,
     duration_ms: 800,
+    estimate_percent: 100,
 };
 
 /// A job ten times as large as [`SMALL`].
--- a/crates/scheduler/tests/support/load.rs
+++ b/crates/scheduler/tests/support/load.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use scheduler::{Scheduler, WorkerInfo};
+use scheduler::{OverloadRules, Scheduler, WorkerInfo};
 use smol_str::{SmolStr, format_smolstr};
 use submission::{AttemptOutcome, JobId, JobSpec, JobState, Resources, StepSpec, TaskKey};
 
@@ -18,13 +18,15 @@
     pub tasks: u32,
     pub cpu_milli: u32,
     pub duration_ms: u64,
+    /// The duration that callers estimate, in percent of the actual one.
+    pub estimate_percent: u64,
 }
 
 impl JobKind {
     fn spec(self) -> JobSpec {
         job(vec![StepSpec {
             tasks: self.tasks,
-            estimated_duration_ms: self.duration_ms,
+            estimated_duration_ms: self.duration_ms * self.estimate_percent / 100,
             ..sized_step(self.cpu_milli)
         }])
     }
@@ -70,8 +72,14 @@
 impl LoadedPool {
     /// A pool of `workers` workers with 32 cores each.
     pub fn new(workers: usize) -> Self {
+        Self::with_overload_rules(workers, OverloadRules::default())
+    }
+
+    /// A pool like that of [`LoadedPool::new`], with rules on overload.
+    pub fn with_overload_rules(workers: usize, rules: OverloadRules) -> Self {
         let names: Vec<SmolStr> = (0..workers).map(|n| format_smolstr!("w-{n:03}")).collect();
         let mut pool = Pool::new(&[]);
+        pool.scheduler = pool.scheduler.with_overload_rules(rules);
         let infos = names.iter().map(|name| WorkerInfo {
             start_unix_ms: None,
             capacity: Resources {
