--- a/crates/scheduler/tests/fair_shares.rs
+++ b/crates/scheduler/tests/fair_shares.rs
@@ -19,6 +19,7 @@
         .map(|(number, &millijobs_per_s)| TeamLoad {
             team: format_smolstr!("team-{number:02}"),
             kind: JobKind {
+                estimate_percent: 100,
                 tasks: 8,
                 cpu_milli: 1500 + 90 * u32::try_from(number).unwrap(),
                 duration_ms: 800,
@@ -149,6 +150,7 @@
         (8, 40_000, 500),
     ];
     let kinds = kinds.map(|(tasks, cpu_milli, duration_ms)| JobKind {
+        estimate_percent: 100,
         tasks,
         cpu_milli,
         duration_ms,
--- a/crates/scheduler/tests/teams.rs
+++ b/crates/scheduler/tests/teams.rs
@@ -231,6 +231,7 @@
 #[test]
 fn a_burst_of_a_team_at_its_limit_asks_for_no_more_workers_than_the_limit() {
     let kind = JobKind {
+        estimate_percent: 100,
         tasks: 8,
         cpu_milli: 2400,
         duration_ms: 800,
