fleetd: after an outage all rows of the operators are read instead of each change since

Cause: since keys are checked, an overdue confirmation of the configuration was renewed by a read of the changes with a timeout of 0.5 s. After an outage in which the configuration changed dozens of times, these are more than a link of 10 Mbit/s transfers in that time: each read timed out, until the store had forgotten the changes.

Change: the operators' rows themselves are read, in pages that fit the link; not twice in a row.

--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -251,22 +251,23 @@
     let mut version = None;
     // Whether the newest configuration row could be decoded. Revocations in a row that could not are unknown here.
     let mut is_config_decoded = true;
+    // Whether the last successful read was of all rows.
+    let mut was_complete = false;
     loop {
-        let is_complete = version.is_none();
         let sent_at_ms = local_ms();
+        let confirmed_at_ms = node.config_confirmed_at_ms().unwrap_or(sent_at_ms);
+        let age_ms = sent_at_ms.saturating_sub(confirmed_at_ms);
+        // While the newest configuration can't be decoded, nothing confirms it.
+        if is_config_decoded && must_read_all(age_ms, was_complete) {
+            version = None;
+        }
+        let is_complete = version.is_none();
         let read = match version {
             None => read_rows_to_follow(&node, OPERATOR_TABLE, "").await,
             Some(after) => {
-                let confirmed_at_ms = node.config_confirmed_at_ms().unwrap_or(sent_at_ms);
-                let age_ms = sent_at_ms.saturating_sub(confirmed_at_ms);
-                // A read without a wait confirms at once that nothing has changed, unless the configuration is unreadable.
-                let is_overdue = is_config_decoded && age_ms > CONFIRMATION_OVERDUE_MS;
-                let wait = if is_overdue {
-                    Duration::ZERO
-                } else {
-                    FEED_WAIT
-                };
-                let feed = node.store.feed(OPERATOR_TABLE, after, wait, FEED_TIMEOUT);
+                let feed = node
+                    .store
+                    .feed(OPERATOR_TABLE, after, FEED_WAIT, FEED_TIMEOUT);
                 feed.await.map(|feed| {
                     node.clock.record_store_time(feed.store_ms, sent_at_ms);
                     (feed.rows, feed.version)
@@ -276,6 +277,7 @@
         match read {
             Ok((rows, read_version)) => {
                 version = Some(read_version);
+                was_complete = is_complete;
                 node.store_responded_at_ms
                     .store(local_ms(), Ordering::Relaxed);
                 if let Some(is_decoded) = apply_operator_rows(&node, &rows, is_complete) {
@@ -295,6 +297,14 @@
     }
 }
 
+/// Whether all rows of the operators are read instead of the changes, when the last read that confirmed the configuration was
+/// sent `age_ms` ago. Such a read does not wait. After an outage it is also the smaller one: the changes contain each version
+/// of the configuration, which may exceed what a narrow link transfers within the timeout of a read. Not twice in a row, as a
+/// read that takes long itself would be repeated without end.
+fn must_read_all(age_ms: u64, was_complete: bool) -> bool {
+    age_ms > CONFIRMATION_OVERDUE_MS && !was_complete
+}
+
 /// Applies changed rows of the operators, or all of them (`is_complete`): waves without a row are then no longer requested.
 /// Returns whether the configuration could be decoded; none if it is not among the rows.
 fn apply_operator_rows(node: &Node, rows: &[Row], is_complete: bool) -> Option<bool> {
--- a/crates/fleetd/src/membership/tests/mod.rs
+++ b/crates/fleetd/src/membership/tests/mod.rs
@@ -76,3 +76,16 @@
     let rows = [config_row("{"), config(3)];
     assert_eq!(apply_operator_rows(&node, &rows, false), Some(true));
 }
+
+/// The changes of an outage in which the configuration changed often are too large for a narrow link.
+#[test]
+fn after_an_outage_all_rows_are_read_instead_of_each_change_since() {
+    for (age_ms, was_complete, expected) in [
+        (900, false, false),
+        (9000, false, true),
+        // A read of all rows over a narrow link.
+        (1500, true, false),
+    ] {
+        assert_eq!(must_read_all(age_ms, was_complete), expected, "{age_ms}");
+    }
+}
