scheduler: what a crash shows about a task decides after how many the task is given up

Cause: each crash of a worker counted alike for each task there. Innocent tasks were given up at the third crash although they had run for seconds at each, though idle workers crashed at the same time, and though no worker was known to have started them. The reverse too: a service task whose crash was noticed 5 s after its start did not count.

Change: a crash gives conclusive, doubtful, late or unconfirmed evidence. A task is given up at the third, fourth or fifth crash, accordingly, which is at most two starts after the third, and only with two crashes on workers that are known to have started it. How long an attempt ran is taken from reports, not from when the crash is noticed. 500 ms are over fifty times the 7 to 9 ms after which deadly tasks have crashed their workers.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -6,12 +6,16 @@
 //!
 //! The worker may be the cause too. Suspects are placed on workers that have not crashed lately where there is room, and
 //! isolated tasks wait for such a worker.
+//!
+//! A loss of power or of a rack ends workers whatever runs there. A task that had run for a while is the least likely cause,
+//! and a crash of a worker where no other task can be the cause shows that crashes close to it may have another one. Such
+//! crashes count for less.
 
-use submission::{StepSpec, TaskKey};
+use submission::{CrashEvidence, StepSpec, TaskKey};
 
 use crate::scheduler::Scheduler;
 use crate::types::{Now, SchedulerEvent};
-use crate::worker::{AssignedAttempt, Crash, Worker, WorkerKey};
+use crate::worker::{AssignedAttempt, Worker, WorkerKey};
 
 /// The number of crashes from which a task is isolated: its worker is given no other task meanwhile.
 pub(crate) const ISOLATED_FROM_CRASHES: u32 = 2;
@@ -20,8 +24,16 @@
 /// isolated tasks are innocent and must not wait for long.
 const MAX_ISOLATING_PERCENT: usize = 50;
 
-/// The duration after which a service task that still runs is not the cause of a crash.
-const SURVIVED_MS: u64 = 5000;
+/// The duration in ms after which a service task that still runs is not the cause of a crash.
+const SERVICE_SURVIVED_MS: u64 = 5000;
+
+/// The duration in ms after which a batch task that still runs is a less likely cause of a crash. Deadly tasks crash their
+/// workers within milliseconds of their start, and a worker with batch tasks is polled a few times in a second.
+const SURVIVED_MS: u64 = 500;
+
+/// How long in ms after a crash that no task can have caused the next crashes may have the same cause. Crashes at the same
+/// time are noticed up to two seconds apart.
+const COMMON_CAUSE_MS: u64 = 2000;
 
 /// How long a worker that crashed counts as unstable, in ms.
 const UNSTABLE_MS: u64 = 10_000;
@@ -31,13 +43,26 @@
 const PLANNED_END_MS: u64 = 5000;
 
 impl AssignedAttempt {
-    /// Whether the attempt is of a service task that has run for so long that the task does not crash workers.
-    pub(crate) fn has_survived(&self, now_ms: u64) -> bool {
-        self.is_service && now_ms.saturating_sub(self.assigned_at_ms) >= SURVIVED_MS
+    /// Records that the attempt still ran at `at_ms` or later, as shown by a response that arrived at `now_ms`, both on the
+    /// daemon's clock. The time until the first response is not counted, as the attempt may have begun any time before.
+    pub(crate) fn record_running(&mut self, at_ms: u64, now_ms: u64) {
+        let since_ms = *self.running_since_ms.get_or_insert(now_ms);
+        self.ran_for_ms = self.ran_for_ms.max(at_ms.saturating_sub(since_ms));
+    }
+
+    /// Whether the attempt has run for so long that the task is unlikely to crash workers.
+    pub(crate) fn has_survived(&self) -> bool {
+        let survived_ms = if self.is_service {
+            SERVICE_SURVIVED_MS
+        } else {
+            SURVIVED_MS
+        };
+        self.ran_for_ms >= survived_ms
     }
 
-    fn may_have_crashed_worker(&self, now_ms: u64) -> bool {
-        self.may_have_begun && !self.has_survived(now_ms)
+    /// Whether the attempt may have crashed the worker. Batch tasks always may, so that their number of crashes is bounded.
+    fn may_have_crashed_worker(&self) -> bool {
+        self.may_have_begun && !(self.is_service && self.has_survived())
     }
 }
 
@@ -48,19 +73,39 @@
         self.info.is_shutting_down || is_drained
     }
 
-    /// The tasks that may have caused a crash of the worker. Empty when the end of the worker is planned.
-    fn suspects(&self, now_ms: u64) -> Vec<(TaskKey, Crash)> {
+    /// The tasks that may have caused a crash of the worker, with the evidence that each was the cause. Empty when the end of
+    /// the worker is planned. `has_common_cause` tells that others crash at the time whatever runs there.
+    fn suspects(&self, has_common_cause: bool, now_ms: u64) -> Vec<(TaskKey, CrashEvidence)> {
         if self.has_planned_end(now_ms) {
             return Vec::new();
         }
+        let is_doubtful = has_common_cause || self.is_unstable(now_ms) || self.likely_causes() > 1;
+        let evidence = |attempt: &AssignedAttempt| {
+            if attempt.running_since_ms.is_none() {
+                CrashEvidence::Unconfirmed
+            } else if attempt.has_survived() {
+                CrashEvidence::Late
+            } else if is_doubtful {
+                CrashEvidence::Doubtful
+            } else {
+                CrashEvidence::Conclusive
+            }
+        };
         let attempts = self.attempts.iter();
-        let suspects = attempts.filter(|(_, attempt)| attempt.may_have_crashed_worker(now_ms));
-        let is_unstable = self.is_unstable(now_ms);
+        let suspects = attempts.filter(|(_, attempt)| attempt.may_have_crashed_worker());
         suspects
-            .map(|(task, _)| (*task, Crash { is_unstable }))
+            .map(|(task, attempt)| (*task, evidence(attempt)))
             .collect()
     }
 
+    /// The number of attempts on the worker that have not run for long enough to be unlikely causes of a crash.
+    fn likely_causes(&self) -> usize {
+        let attempts = self.attempts.values();
+        attempts
+            .filter(|attempt| attempt.may_have_begun && !attempt.has_survived())
+            .count()
+    }
+
     /// Whether the worker has crashed lately.
     pub(crate) fn is_unstable(&self, now_ms: u64) -> bool {
         self.crashed_at_ms > 0 && now_ms.saturating_sub(self.crashed_at_ms) < UNSTABLE_MS
@@ -73,6 +118,23 @@
 }
 
 impl Scheduler {
+    /// Remembers the crash of a worker when no task there is a likely cause.
+    fn note_unexplained_crash(&mut self, key: WorkerKey, now: Now) {
+        let worker = &self.workers[key];
+        let is_explained = worker.likely_causes() > 0 || !worker.expired.is_empty();
+        if !is_explained && !worker.has_planned_end(now.local_ms) {
+            self.unexplained_crash_at_ms = now.local_ms.max(1);
+        }
+    }
+
+    /// The tasks that may have caused a crash of a worker now.
+    fn suspects(&self, key: WorkerKey, now: Now) -> Vec<(TaskKey, CrashEvidence)> {
+        let worker = &self.workers[key];
+        let at_ms = self.unexplained_crash_at_ms;
+        let has_common_cause = at_ms > 0 && now.local_ms.saturating_sub(at_ms) < COMMON_CAUSE_MS;
+        worker.suspects(has_common_cause, now.local_ms)
+    }
+
     /// Counts the crash of a worker for the selected attempts that may have run there, and for the tasks whose leases
     /// expired there.
     pub(crate) fn record_crash(
@@ -81,9 +143,10 @@
         now: Now,
         is_selected: impl Fn(&AssignedAttempt) -> bool,
     ) {
+        self.note_unexplained_crash(key, now);
+        let mut suspects = self.suspects(key, now);
         self.record_expired_crashes(key, now);
         let worker = &self.workers[key];
-        let mut suspects = worker.suspects(now.local_ms);
         suspects.retain(|(task, _)| worker.attempts.get(task).is_some_and(&is_selected));
         self.count_crashes(key, suspects, now);
     }
@@ -99,16 +162,17 @@
 
     /// Remembers the tasks whose leases expire, for the case that the silent worker has crashed.
     pub(crate) fn expect_crash(&mut self, key: WorkerKey, now: Now) {
-        let worker = &mut self.workers[key];
-        let suspects = worker.suspects(now.local_ms);
-        worker.expired.extend(suspects);
+        let suspects = self.suspects(key, now);
+        self.workers[key].expired.extend(suspects);
     }
 
     /// Marks the attempts that may have run on the previous incarnation of a worker. Those that the next one does not list
     /// were there when it crashed.
     pub(crate) fn mark_crashed(&mut self, key: WorkerKey, now: Now) {
+        self.note_unexplained_crash(key, now);
+        let suspects = self.suspects(key, now);
         let worker = &mut self.workers[key];
-        for (task, crash) in worker.suspects(now.local_ms) {
+        for (task, crash) in suspects {
             if let Some(attempt) = worker.attempts.get_mut(&task) {
                 attempt.crash = Some(crash);
             }
@@ -122,7 +186,7 @@
     pub(crate) fn count_crashes(
         &mut self,
         key: WorkerKey,
-        crashed: Vec<(TaskKey, Crash)>,
+        crashed: Vec<(TaskKey, CrashEvidence)>,
         now: Now,
     ) {
         if !crashed.is_empty() {
@@ -130,11 +194,11 @@
         }
         let mut counts = Vec::new();
         let mut given_up = Vec::new();
-        for (task, crash) in crashed {
+        for (task, evidence) in crashed {
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
-            let has_failed = job.record_crash(task.index, crash.is_unstable, now.store_ms);
+            let has_failed = job.record_crash(task.index, evidence, now.store_ms);
             let count = job.task(task.index).map_or(0, |task| task.crashes);
             let name = job.task_name(task.index);
             counts.push((name.clone(), count));
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -60,6 +60,8 @@
     pub(crate) policy_decisions: HashMap<StepKey, PolicyDecision>,
     /// The remaining jobs with service tasks.
     pub(crate) service_jobs: BTreeSet<JobId>,
+    /// When a worker last crashed that no task there can have crashed, in ms on the daemon's clock; 0 for never.
+    pub(crate) unexplained_crash_at_ms: u64,
 }
 
 impl Scheduler {
@@ -86,6 +88,7 @@
             arrivals: Arrivals::default(),
             policy_decisions: HashMap::new(),
             service_jobs: BTreeSet::new(),
+            unexplained_crash_at_ms: 0,
         }
     }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
-use submission::{Resources, StepSpec, TaskKey};
+use submission::{CrashEvidence, Resources, StepSpec, TaskKey};
 
 use crate::crashes::ISOLATED_FROM_CRASHES;
 use crate::incarnation::{ClockSample, Incarnation};
@@ -51,13 +51,6 @@
     Blocklisted,
 }
 
-/// The unexpected end of an incarnation on which an attempt may have run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Crash {
-    /// Whether the worker had crashed shortly before too.
-    pub(crate) is_unstable: bool,
-}
-
 /// An attempt that is assigned to a worker.
 #[derive(Debug, Clone)]
 #[expect(clippy::struct_excessive_bools, reason = "independent facts")]
@@ -74,7 +67,11 @@
     /// Whether a start command may have reached the worker.
     pub(crate) may_have_begun: bool,
     /// The crash of the incarnation on which the attempt may have run. The attempt may run on the next one nevertheless.
-    pub(crate) crash: Option<Crash>,
+    pub(crate) crash: Option<CrashEvidence>,
+    /// Since when the attempt is known to run on the incarnation, in ms on the daemon's clock; `None` when it is not known to.
+    pub(crate) running_since_ms: Option<u64>,
+    /// How long the attempt is known to have run on the incarnation, in ms.
+    pub(crate) ran_for_ms: u64,
     /// The number of workers that had crashed under the task when the attempt was assigned.
     pub(crate) crashes: u32,
     /// Whether the attempt is known to have started on the worker.
@@ -98,6 +95,8 @@
             number,
             may_have_begun: false,
             crash: None,
+            running_since_ms: None,
+            ran_for_ms: 0,
             crashes,
             settled_at_ms: None,
             is_start_in_flight: false,
@@ -148,7 +147,7 @@
     pub(crate) isolated_attempts: usize,
     /// Tasks whose leases expired on the worker while it was silent. They count as crashed under when the incarnation turns
     /// out to have ended.
-    pub(crate) expired: Vec<(TaskKey, Crash)>,
+    pub(crate) expired: Vec<(TaskKey, CrashEvidence)>,
     /// When the worker last crashed, in ms on the daemon's clock; 0 when it has not. Kept when the worker restarts under its id.
     pub(crate) crashed_at_ms: u64,
     /// When an attempt was last removed from the worker, or else when the registry first listed the worker, in ms on
@@ -334,6 +333,8 @@
             // The new incarnation knows of no stop command and of no speed limit.
             attempt.is_stopping = false;
             attempt.is_speed_limit_known = false;
+            attempt.running_since_ms = None;
+            attempt.ran_for_ms = 0;
         }
     }
 
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use scheduler::{JobStatus, Scheduler, WorkerInfo, WorkerKey};
+use scheduler::{JobStatus, Scheduler, StartOutcome, WorkerInfo, WorkerKey};
 use smol_str::{SmolStr, format_smolstr};
 use submission::{AttemptOutcome, Job, JobId, JobRecord, JobState, TaskKey, TaskRecord};
 use support::{GRACE_MS, LEASE_MS, Pool, job, limits, service_step, starts, step, worker};
@@ -424,3 +424,91 @@
     let other = workers.pool.key(&other.unwrap().id);
     assert_eq!(starts(&commands)[0].0, other);
 }
+
+/// How long the task of a job runs in each of its attempts before the worker crashes, and what the scheduler knows of that.
+#[derive(Debug, Clone, Copy)]
+enum Run {
+    Reported(u64),
+    StartGotNoResponse,
+}
+
+/// Lets workers crash under the task of job 7, as long as it is started. Returns the number of starts, at most 9.
+fn starts_until_given_up(workers: &mut Workers, runs: &[Run]) -> usize {
+    for count in 0..9 {
+        let commands = workers.pool.round();
+        let Some(&(key, task, attempt)) = starts(&commands).first() else {
+            return count;
+        };
+        match runs[count % runs.len()] {
+            Run::Reported(run_ms) => {
+                workers.pool.confirm_starts(&commands);
+                workers.pool.advance(run_ms);
+                let info = workers.pool.scheduler.worker(key).unwrap().clone();
+                let running = [(workers.pool.task_name(task), attempt, 50)];
+                let start = info.start_unix_ms;
+                workers.pool.report_since(start, &info.id, &running, &[]);
+            }
+            Run::StartGotNoResponse => {
+                let outcome = StartOutcome::OutcomeUnknown;
+                workers.pool.apply_start(key, task, attempt, outcome);
+            }
+        }
+        workers.crash(key, Evidence::AnotherIdResponds);
+        workers.pool.advance(3000);
+    }
+    9
+}
+
+#[test]
+fn a_task_that_had_run_for_long_at_each_crash_is_started_twice_more_after_the_third() {
+    for (run_ms, starts) in [(10, 3), (3000, 5)] {
+        let mut workers = Workers::new(8);
+        workers.pool.submit(7, job(vec![step(1)]));
+        let started = starts_until_given_up(&mut workers, &[Run::Reported(run_ms)]);
+        assert_eq!(started, starts, "{run_ms}");
+        let state = workers.state(JobId(7));
+        assert_eq!(state, JobStatus::Recorded(JobState::Failed), "{run_ms}");
+    }
+}
+
+#[test]
+fn a_task_is_not_given_up_for_crashes_of_workers_that_may_never_have_started_it() {
+    let mut workers = Workers::new(8);
+    workers.pool.submit(7, job(vec![step(1)]));
+    let started = starts_until_given_up(&mut workers, &[Run::StartGotNoResponse]);
+    assert_eq!(started, 9);
+    // Such starts count with others: the task may have run in each of them.
+    let mut workers = Workers::new(8);
+    workers.pool.submit(7, job(vec![step(1)]));
+    let runs = [Run::Reported(10), Run::StartGotNoResponse];
+    assert_eq!(starts_until_given_up(&mut workers, &runs), 3);
+}
+
+#[test]
+fn a_task_is_not_given_up_at_its_third_crash_when_an_idle_worker_crashes_at_the_same_time() {
+    let mut workers = Workers::new(8);
+    adopt_suspect(&mut workers, 7, 2);
+    let commands = workers.pool.round();
+    let (key, ..) = starts(&commands)[0];
+    workers.pool.confirm_starts(&commands);
+    let is_idle = |info: &&WorkerInfo| workers.pool.key(&info.id) != key;
+    let idle = workers.infos.iter().find(is_idle).unwrap().clone();
+    workers.infos.retain(|info| info.id != idle.id);
+    let idle_key = workers.pool.key(&idle.id);
+    let now = workers.pool.now();
+    let scheduler = &mut workers.pool.scheduler;
+    assert!(scheduler.worker_replaced(idle_key, idle.start_unix_ms, now));
+    workers.crash(key, Evidence::AnotherIdResponds);
+    let state = workers.state(JobId(7));
+    assert_eq!(state, JobStatus::Recorded(JobState::Running));
+    let runs = [Run::Reported(10)];
+    assert_eq!(starts_until_given_up(&mut workers, &runs), 1);
+}
+
+#[test]
+fn a_service_task_whose_crash_is_noticed_late_is_given_up() {
+    let mut workers = Workers::new(4);
+    workers.pool.submit(DEADLY.0, job(vec![service_step(1, 0)]));
+    let started = workers.play(Evidence::AnotherIdRespondsAfterTheLease, |id| id == DEADLY);
+    assert!(started.len() <= 3, "{}", started.len());
+}
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -31,11 +31,33 @@
     Cancelled,
 }
 
-/// The number of workers that crashed under a task after which the task is given up.
-const MAX_CRASHES: u32 = 3;
+/// How far the crash of a worker shows that a task on it was the cause.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashEvidence {
+    /// The worker was stable and crashed soon after the task had started, and nothing else there could be the cause.
+    Conclusive,
+    /// The cause may be another task, the worker, or whatever made other workers crash at the time.
+    Doubtful,
+    /// The task had run for long when the worker crashed.
+    Late,
+    /// It is not known that the task had started on the worker.
+    Unconfirmed,
+}
 
-/// Like [`MAX_CRASHES`], when the last worker had crashed shortly before too and may be the cause.
-const MAX_CRASHES_WITH_UNSTABLE_WORKER: u32 = 4;
+impl CrashEvidence {
+    /// The number of workers that crashed under a task after which the task is given up, if the last crash gives this
+    /// evidence. A task may be started twice more after three crashes.
+    const fn max_crashes(self) -> u32 {
+        match self {
+            Self::Conclusive => 3,
+            Self::Doubtful => 4,
+            Self::Late | Self::Unconfirmed => 5,
+        }
+    }
+}
+
+/// The number of crashes without which no task is given up, of workers on which the task is known to have started.
+const MIN_CONFIRMED_CRASHES: u32 = 2;
 
 /// The phase of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -61,6 +83,8 @@
     /// The number of workers that crashed while an attempt may have run there. Service tasks start anew when an attempt
     /// has run for a while.
     pub crashes: u32,
+    /// How many of `crashes` are [`CrashEvidence::Unconfirmed`].
+    pub unconfirmed_crashes: u32,
     /// The current phase.
     pub phase: TaskPhase,
     /// The newest known checkpoint; empty for none.
@@ -106,6 +130,7 @@
             attempt: 0,
             failures: 0,
             crashes: 0,
+            unconfirmed_crashes: 0,
             phase: TaskPhase::Idle,
             checkpoint: SmolStr::default(),
         };
@@ -158,6 +183,7 @@
                 attempt,
                 failures,
                 crashes: 0,
+                unconfirmed_crashes: 0,
                 phase,
                 checkpoint,
             };
@@ -167,6 +193,11 @@
                 task.crashes = crashes;
             }
         }
+        for (index, crashes) in record.unconfirmed_crashes {
+            if let Some(task) = self.tasks.get_mut(index as usize) {
+                task.unconfirmed_crashes = crashes;
+            }
+        }
         self
     }
 
@@ -191,12 +222,20 @@
         let listed = last_attempted.map_or(0, |index| index + 1);
         let crashed = self.tasks().filter(|(_, task)| task.crashes > 0);
         let crashed = crashed.filter(|(_, task)| task.phase != TaskPhase::Done);
+        let crashed: Vec<_> = crashed.collect();
+        let unconfirmed = crashed
+            .iter()
+            .map(|(index, task)| (*index, task.unconfirmed_crashes));
         JobRecord {
             is_cancelled: self.is_cancelled,
             has_failed: self.has_failed,
             ended_at_ms: self.ended_at_ms,
             tasks: self.tasks[..listed].iter().map(record).collect(),
-            crashes: crashed.map(|(index, task)| (index, task.crashes)).collect(),
+            crashes: crashed
+                .iter()
+                .map(|(index, task)| (*index, task.crashes))
+                .collect(),
+            unconfirmed_crashes: unconfirmed.filter(|(_, crashes)| *crashes > 0).collect(),
         }
     }
 
@@ -477,21 +516,21 @@
     }
 
     /// Records that a worker crashed while an attempt of a task may have run there, at `store_ms` on the store's clock.
-    /// `is_unstable` tells that the worker had crashed shortly before too. Returns whether the task is given up now, so that
-    /// the job has failed. Ignored when the job has ended or the task is done.
+    /// Returns whether the task is given up now, so that the job has failed. Ignored when the job has ended or the task is
+    /// done.
     ///
     /// ```
     /// use std::sync::Arc;
-    /// use submission::{Job, JobId, JobSpec, JobState, StepSpec};
+    /// use submission::{CrashEvidence, Job, JobId, JobSpec, JobState, StepSpec};
     /// let steps = vec![StepSpec { tasks: 1, ..StepSpec::default() }];
     /// let spec = Arc::new(JobSpec { steps, ..JobSpec::default() });
     /// let mut job = Job::new(JobId(7), "queue".into(), spec, 0);
-    /// assert!(!job.record_crash(0, false, 10));
-    /// assert!(!job.record_crash(0, false, 20));
-    /// assert!(job.record_crash(0, false, 30));
+    /// assert!(!job.record_crash(0, CrashEvidence::Conclusive, 10));
+    /// assert!(!job.record_crash(0, CrashEvidence::Conclusive, 20));
+    /// assert!(job.record_crash(0, CrashEvidence::Conclusive, 30));
     /// assert_eq!(job.state(), JobState::Failed);
     /// ```
-    pub fn record_crash(&mut self, index: u32, is_unstable: bool, store_ms: u64) -> bool {
+    pub fn record_crash(&mut self, index: u32, evidence: CrashEvidence, store_ms: u64) -> bool {
         if self.has_ended() || self.task(index).is_none() {
             return false;
         }
@@ -500,12 +539,9 @@
             return false;
         }
         task.crashes += 1;
-        let max_crashes = if is_unstable {
-            MAX_CRASHES_WITH_UNSTABLE_WORKER
-        } else {
-            MAX_CRASHES
-        };
-        if task.crashes < max_crashes {
+        task.unconfirmed_crashes += u32::from(evidence == CrashEvidence::Unconfirmed);
+        let confirmed_crashes = task.crashes.saturating_sub(task.unconfirmed_crashes);
+        if task.crashes < evidence.max_crashes() || confirmed_crashes < MIN_CONFIRMED_CRASHES {
             return false;
         }
         self.has_failed = true;
@@ -519,7 +555,9 @@
     /// # Panics
     /// If `index` is not the index of a task of the job.
     pub fn forget_crashes(&mut self, index: u32) -> bool {
-        std::mem::take(&mut self.tasks[index as usize].crashes) > 0
+        let task = &mut self.tasks[index as usize];
+        task.unconfirmed_crashes = 0;
+        std::mem::take(&mut task.crashes) > 0
     }
 
     /// Cancels the job at `store_ms` on the store's clock. Returns false and changes nothing when the job has ended.
