scheduler: a service task that ran for a while is no likely cause of a crash either

Change: 500 ms hold for services as for batch tasks; 5 s clear the count, as before. A task that had run for so long is not counted at all while other workers crash where no task is a likely cause.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -27,7 +27,7 @@
 /// The duration in ms after which a service task that still runs is not the cause of a crash.
 const SERVICE_SURVIVED_MS: u64 = 5000;
 
-/// The duration in ms after which a batch task that still runs is a less likely cause of a crash. Deadly tasks crash their
+/// The duration in ms after which a task that still runs is a less likely cause of a crash. Deadly tasks crash their
 /// workers within milliseconds of their start, and a worker with batch tasks is polled a few times in a second.
 const SURVIVED_MS: u64 = 500;
 
@@ -51,18 +51,19 @@
     }
 
     /// Whether the attempt has run for so long that the task is unlikely to crash workers.
-    pub(crate) fn has_survived(&self) -> bool {
-        let survived_ms = if self.is_service {
-            SERVICE_SURVIVED_MS
-        } else {
-            SURVIVED_MS
-        };
-        self.ran_for_ms >= survived_ms
+    fn has_survived(&self) -> bool {
+        self.ran_for_ms >= SURVIVED_MS
+    }
+
+    /// Whether the attempt is of a service task that has run for so long that the task does not crash workers. Batch tasks
+    /// always may, so that the number of their crashes is bounded.
+    pub(crate) fn is_cleared(&self) -> bool {
+        self.is_service && self.ran_for_ms >= SERVICE_SURVIVED_MS
     }
 
-    /// Whether the attempt may have crashed the worker. Batch tasks always may, so that their number of crashes is bounded.
-    fn may_have_crashed_worker(&self) -> bool {
-        self.may_have_begun && !(self.is_service && self.has_survived())
+    fn may_have_crashed_worker(&self, has_common_cause: bool) -> bool {
+        let is_unlikely = self.is_cleared() || (has_common_cause && self.has_survived());
+        self.may_have_begun && !is_unlikely
     }
 }
 
@@ -92,7 +93,8 @@
             }
         };
         let attempts = self.attempts.iter();
-        let suspects = attempts.filter(|(_, attempt)| attempt.may_have_crashed_worker());
+        let suspects =
+            attempts.filter(|(_, attempt)| attempt.may_have_crashed_worker(has_common_cause));
         suspects
             .map(|(task, attempt)| (*task, evidence(attempt)))
             .collect()
@@ -118,20 +120,23 @@
 }
 
 impl Scheduler {
-    /// Remembers the crash of a worker when no task there is a likely cause.
+    /// Remembers the crash of a worker if no task there is a likely cause.
     fn note_unexplained_crash(&mut self, key: WorkerKey, now: Now) {
         let worker = &self.workers[key];
         let is_explained = worker.likely_causes() > 0 || !worker.expired.is_empty();
         if !is_explained && !worker.has_planned_end(now.local_ms) {
-            self.unexplained_crash_at_ms = now.local_ms.max(1);
+            let crashes = &mut self.unexplained_crashes;
+            crashes.retain(|(_, at_ms)| now.local_ms.saturating_sub(*at_ms) < COMMON_CAUSE_MS);
+            crashes.push((key, now.local_ms));
         }
     }
 
     /// The tasks that may have caused a crash of a worker now.
     fn suspects(&self, key: WorkerKey, now: Now) -> Vec<(TaskKey, CrashEvidence)> {
         let worker = &self.workers[key];
-        let at_ms = self.unexplained_crash_at_ms;
-        let has_common_cause = at_ms > 0 && now.local_ms.saturating_sub(at_ms) < COMMON_CAUSE_MS;
+        let has_common_cause = self.unexplained_crashes.iter().any(|(other, at_ms)| {
+            *other != key && now.local_ms.saturating_sub(*at_ms) < COMMON_CAUSE_MS
+        });
         worker.suspects(has_common_cause, now.local_ms)
     }
 
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -286,7 +286,7 @@
         let stalled_ms = now.local_ms.saturating_sub(attempt.progress_since_ms);
         let was_stopping = attempt.is_stopping;
         let number = attempt.number;
-        let has_survived = attempt.is_service && attempt.has_survived();
+        let is_cleared = attempt.is_cleared();
         if !had_started {
             self.remove_not_started(task.job);
         }
@@ -294,7 +294,7 @@
             return Some(task);
         };
         job.update_checkpoint(task.index, running.checkpoint.clone());
-        if has_survived && job.forget_crashes(task.index) {
+        if is_cleared && job.forget_crashes(task.index) {
             self.workers[key].clear_suspect(task);
             self.dirty_jobs.insert(task.job);
         }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -60,8 +60,8 @@
     pub(crate) policy_decisions: HashMap<StepKey, PolicyDecision>,
     /// The remaining jobs with service tasks.
     pub(crate) service_jobs: BTreeSet<JobId>,
-    /// When a worker last crashed that no task there can have crashed, in ms on the daemon's clock; 0 for never.
-    pub(crate) unexplained_crash_at_ms: u64,
+    /// The last crashes of workers where no task was a likely cause, with their times in ms on the daemon's clock.
+    pub(crate) unexplained_crashes: Vec<(WorkerKey, u64)>,
 }
 
 impl Scheduler {
@@ -88,7 +88,7 @@
             arrivals: Arrivals::default(),
             policy_decisions: HashMap::new(),
             service_jobs: BTreeSet::new(),
-            unexplained_crash_at_ms: 0,
+            unexplained_crashes: Vec::new(),
         }
     }
 
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use scheduler::{JobStatus, Scheduler, StartOutcome, WorkerInfo, WorkerKey};
+use scheduler::{JobStatus, Scheduler, StartOutcome, WorkerCommand, WorkerInfo, WorkerKey};
 use smol_str::{SmolStr, format_smolstr};
 use submission::{AttemptOutcome, Job, JobId, JobRecord, JobState, TaskKey, TaskRecord};
 use support::{GRACE_MS, LEASE_MS, Pool, job, limits, service_step, starts, step, worker};
@@ -119,6 +119,26 @@
         self.register();
     }
 
+    /// Lets the task that `commands` start run for `run_ms`, and then its worker and another, which is idle, crash.
+    fn crash_beside_an_idle_worker(&mut self, commands: &[WorkerCommand], run_ms: u64) {
+        let (key, task, attempt) = starts(commands)[0];
+        self.pool.confirm_starts(commands);
+        self.pool.advance(run_ms);
+        let info = self.pool.scheduler.worker(key).unwrap().clone();
+        let running = [(self.pool.task_name(task), attempt, 50)];
+        let start = info.start_unix_ms;
+        self.pool.report_since(start, &info.id, &running, &[]);
+        let is_idle = |other: &&WorkerInfo| other.id != info.id;
+        let idle = self.infos.iter().find(is_idle).unwrap().clone();
+        self.infos.retain(|other| other.id != idle.id);
+        let idle_key = self.pool.key(&idle.id);
+        let now = self.pool.now();
+        let scheduler = &mut self.pool.scheduler;
+        assert!(scheduler.worker_replaced(idle_key, idle.start_unix_ms, now));
+        self.crash(key, Evidence::AnotherIdResponds);
+        self.pool.advance(3000);
+    }
+
     /// Plays rounds in which a task of a deadly job crashes its worker and all other tasks end, until nothing starts any
     /// more. Returns all starts.
     fn play(&mut self, evidence: Evidence, is_deadly: impl Fn(JobId) -> bool) -> Vec<TaskKey> {
@@ -461,13 +481,30 @@
 
 #[test]
 fn a_task_that_had_run_for_long_at_each_crash_is_started_twice_more_after_the_third() {
-    for (run_ms, starts) in [(10, 3), (3000, 5)] {
-        let mut workers = Workers::new(8);
-        workers.pool.submit(7, job(vec![step(1)]));
-        let started = starts_until_given_up(&mut workers, &[Run::Reported(run_ms)]);
-        assert_eq!(started, starts, "{run_ms}");
-        let state = workers.state(JobId(7));
-        assert_eq!(state, JobStatus::Recorded(JobState::Failed), "{run_ms}");
+    for step in [step(1), service_step(1, 0)] {
+        for (run_ms, starts) in [(10, 3), (3000, 5)] {
+            let mut workers = Workers::new(8);
+            workers.pool.submit(7, job(vec![step.clone()]));
+            let started = starts_until_given_up(&mut workers, &[Run::Reported(run_ms)]);
+            assert_eq!(started, starts, "{step:?} {run_ms}");
+            let state = workers.state(JobId(7));
+            assert_eq!(state, JobStatus::Recorded(JobState::Failed), "{run_ms}");
+        }
+    }
+}
+
+#[test]
+fn a_task_that_had_run_for_long_is_not_given_up_while_other_workers_crash_at_the_same_times() {
+    for step in [step(1), service_step(1, 0)] {
+        let mut workers = Workers::new(40);
+        workers.pool.submit(7, job(vec![step]));
+        let mut started = 0;
+        for _ in 0..9 {
+            let commands = workers.pool.round();
+            started += starts(&commands).len();
+            workers.crash_beside_an_idle_worker(&commands, 3000);
+        }
+        assert_eq!(started, 9);
     }
 }
 
@@ -489,16 +526,7 @@
     let mut workers = Workers::new(8);
     adopt_suspect(&mut workers, 7, 2);
     let commands = workers.pool.round();
-    let (key, ..) = starts(&commands)[0];
-    workers.pool.confirm_starts(&commands);
-    let is_idle = |info: &&WorkerInfo| workers.pool.key(&info.id) != key;
-    let idle = workers.infos.iter().find(is_idle).unwrap().clone();
-    workers.infos.retain(|info| info.id != idle.id);
-    let idle_key = workers.pool.key(&idle.id);
-    let now = workers.pool.now();
-    let scheduler = &mut workers.pool.scheduler;
-    assert!(scheduler.worker_replaced(idle_key, idle.start_unix_ms, now));
-    workers.crash(key, Evidence::AnotherIdResponds);
+    workers.crash_beside_an_idle_worker(&commands, 10);
     let state = workers.state(JobId(7));
     assert_eq!(state, JobStatus::Recorded(JobState::Running));
     let runs = [Run::Reported(10)];
