scheduler: a drain that begins after a worker crashed, or ended before a task started, does not hide the crash

Cause: the end of a worker counted as planned whenever a drain lease was active or had ended less than 5 s before. The leader drains VMs that are down too, so that crashes of deadly tasks were not counted.

Change: the end is planned only if the worker was responsive when the drain began, and not for tasks that were assigned after it.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -38,8 +38,8 @@
 /// How long a worker that crashed counts as unstable, in ms.
 const UNSTABLE_MS: u64 = 10_000;
 
-/// How long after the end of its drain lease the end of a worker counts as planned, in ms. A command to a VM may take effect
-/// seconds later.
+/// How long after the end of its drain lease the end of a worker counts as planned, in ms, except for tasks that were assigned
+/// after the lease. A command to a VM may take effect seconds later.
 const PLANNED_END_MS: u64 = 5000;
 
 impl AssignedAttempt {
@@ -70,17 +70,24 @@
 impl Worker {
     /// Whether the worker is about to end by itself or through a command to its VM.
     fn has_planned_end(&self, now_ms: u64) -> bool {
-        let is_drained = self.drain_until_ms > 0 && now_ms < self.drain_until_ms + PLANNED_END_MS;
-        self.info.is_shutting_down || is_drained
+        self.info.is_shutting_down || self.was_drained(now_ms)
+    }
+
+    fn was_drained(&self, now_ms: u64) -> bool {
+        self.drain_until_ms > 0
+            && now_ms < self.drain_until_ms + PLANNED_END_MS
+            && !self.was_silent_before_drain
     }
 
     /// The tasks that may have caused a crash of the worker, with the evidence that each was the cause. Empty when the end of
     /// the worker is planned. `has_common_cause` tells that others crash at the time whatever runs there.
     fn suspects(&self, has_common_cause: bool, now_ms: u64) -> Vec<(TaskKey, CrashEvidence)> {
-        if self.has_planned_end(now_ms) {
+        let was_drained = self.was_drained(now_ms);
+        if self.info.is_shutting_down || (was_drained && now_ms < self.drain_until_ms) {
             return Vec::new();
         }
-        let is_doubtful = has_common_cause || self.is_unstable(now_ms) || self.likely_causes() > 1;
+        let is_doubtful =
+            has_common_cause || was_drained || self.is_unstable(now_ms) || self.likely_causes() > 1;
         let evidence = |attempt: &AssignedAttempt| {
             if attempt.running_since_ms.is_none() {
                 CrashEvidence::Unconfirmed
@@ -93,6 +100,8 @@
             }
         };
         let attempts = self.attempts.iter();
+        let attempts = attempts
+            .filter(|(_, attempt)| !was_drained || attempt.assigned_at_ms >= self.drain_until_ms);
         let suspects =
             attempts.filter(|(_, attempt)| attempt.may_have_crashed_worker(has_common_cause));
         suspects
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -29,6 +29,9 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return 0;
         };
+        if now.local_ms >= worker.drain_until_ms {
+            worker.was_silent_before_drain = worker.is_unresponsive;
+        }
         worker.drain_until_ms = now.local_ms + DRAIN_LEASE_MS;
         let attempts: Vec<_> = worker
             .attempts
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -132,6 +132,8 @@
     pub(crate) is_unresponsive: bool,
     /// When the drain lease ends, in ms on the daemon's clock. The worker is given no task before.
     pub(crate) drain_until_ms: u64,
+    /// Whether the worker was unresponsive when the drain began, so that its end may have come before.
+    pub(crate) was_silent_before_drain: bool,
     /// Whether a service task stayed on the worker at the last renewal of the drain lease because no other worker had room.
     pub(crate) is_drain_blocked: bool,
     /// Whether the worker will be drained for maintenance.
@@ -184,6 +186,7 @@
             is_listed: true,
             is_unresponsive: false,
             drain_until_ms: 0,
+            was_silent_before_drain: false,
             is_drain_blocked: false,
             is_maintenance_due: false,
             attempts: BTreeMap::new(),
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -533,6 +533,55 @@
     assert_eq!(starts_until_given_up(&mut workers, &runs), 1);
 }
 
+#[test]
+fn a_task_that_crashes_workers_that_were_drained_before_its_start_is_given_up() {
+    let mut workers = Workers::new(8);
+    workers.pool.submit(DEADLY.0, job(vec![step(1)]));
+    let mut started = 0;
+    while started < 9 {
+        for info in workers.infos.clone() {
+            let key = workers.pool.key(&info.id);
+            let now = workers.pool.now();
+            workers.pool.scheduler.drain(key, now);
+        }
+        // The leader does not renew the drain leases.
+        workers.pool.advance(1501);
+        let commands = workers.pool.round();
+        let Some(&(key, ..)) = starts(&commands).first() else {
+            break;
+        };
+        started += 1;
+        workers.pool.confirm_starts(&commands);
+        workers.crash(key, Evidence::VmIsDown);
+    }
+    assert!(started <= 4, "{started}");
+    assert_eq!(workers.state(DEADLY), JobStatus::Recorded(JobState::Failed));
+}
+
+#[test]
+fn a_task_that_crashes_workers_which_are_drained_once_they_are_silent_is_given_up() {
+    let mut workers = Workers::new(8);
+    workers.pool.submit(DEADLY.0, job(vec![step(1)]));
+    let mut started = 0;
+    while started < 9 {
+        let commands = workers.pool.round();
+        let Some(&(key, ..)) = starts(&commands).first() else {
+            break;
+        };
+        started += 1;
+        workers.pool.confirm_starts(&commands);
+        workers.pool.scheduler.mark_unresponsive(key);
+        for _ in 0..2 {
+            workers.pool.advance(300);
+            let now = workers.pool.now();
+            workers.pool.scheduler.drain(key, now);
+        }
+        workers.crash(key, Evidence::VmIsDown);
+    }
+    assert_eq!(started, 3);
+    assert_eq!(workers.state(DEADLY), JobStatus::Recorded(JobState::Failed));
+}
+
 #[test]
 fn a_service_task_whose_crash_is_noticed_late_is_given_up() {
     let mut workers = Workers::new(4);
