--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -86,14 +86,13 @@
         if self.info.is_shutting_down || (was_drained && now_ms < self.drain_until_ms) {
             return Vec::new();
         }
-        let is_doubtful =
-            has_common_cause || was_drained || self.is_unstable(now_ms) || self.likely_causes() > 1;
+        let is_doubtful = has_common_cause || was_drained || self.is_unstable(now_ms);
         let evidence = |attempt: &AssignedAttempt| {
             if attempt.running_since_ms.is_none() {
                 CrashEvidence::Unconfirmed
             } else if attempt.has_survived() {
                 CrashEvidence::Late
-            } else if is_doubtful {
+            } else if is_doubtful || self.likely_causes(attempt.crashes) > 1 {
                 CrashEvidence::Doubtful
             } else {
                 CrashEvidence::Conclusive
@@ -109,11 +108,13 @@
             .collect()
     }
 
-    /// The number of attempts on the worker that have not run for long enough to be unlikely causes of a crash.
-    fn likely_causes(&self) -> usize {
+    /// The number of attempts on the worker that have not run for long enough to be unlikely causes of a crash, of tasks under
+    /// which at least `min_crashes` workers had crashed before.
+    fn likely_causes(&self, min_crashes: u32) -> usize {
         let attempts = self.attempts.values();
-        attempts
-            .filter(|attempt| attempt.may_have_begun && !attempt.has_survived())
+        let likely = attempts.filter(|attempt| attempt.may_have_begun && !attempt.has_survived());
+        likely
+            .filter(|attempt| attempt.crashes >= min_crashes)
             .count()
     }
 
@@ -132,7 +133,7 @@
     /// Remembers the crash of a worker if no task there is a likely cause.
     fn note_unexplained_crash(&mut self, key: WorkerKey, now: Now) {
         let worker = &self.workers[key];
-        let is_explained = worker.likely_causes() > 0 || !worker.expired.is_empty();
+        let is_explained = worker.likely_causes(0) > 0 || !worker.expired.is_empty();
         if !is_explained && !worker.has_planned_end(now.local_ms) {
             let crashes = &mut self.unexplained_crashes;
             crashes.retain(|(_, at_ms)| now.local_ms.saturating_sub(*at_ms) < COMMON_CAUSE_MS);
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -589,3 +589,22 @@
     let started = workers.play(Evidence::AnotherIdRespondsAfterTheLease, |id| id == DEADLY);
     assert!(started.len() <= 3, "{}", started.len());
 }
+
+#[test]
+fn a_task_is_given_up_at_its_third_crash_beside_tasks_that_are_new() {
+    let mut workers = Workers::new(1);
+    for id in 2..=3 {
+        workers.pool.submit(id, job(vec![step(1)]));
+    }
+    let commands = workers.pool.round();
+    let (key, ..) = starts(&commands)[0];
+    workers.pool.confirm_starts(&commands);
+    adopt_suspect(&mut workers, DEADLY.0, 2);
+    let commands = workers.pool.round();
+    workers.pool.confirm_starts(&commands);
+    workers.crash(key, Evidence::AnotherIdResponds);
+    workers.pool.round();
+    assert_eq!(workers.state(DEADLY), JobStatus::Recorded(JobState::Failed));
+    let neighbour = workers.state(JobId(2));
+    assert_eq!(neighbour, JobStatus::Recorded(JobState::Running));
+}
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -34,7 +34,7 @@
 /// How far the crash of a worker shows that a task on it was the cause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashEvidence {
-    /// The worker was stable and crashed soon after the task had started, and nothing else there could be the cause.
+    /// The worker was stable and crashed soon after the task had started, and nothing else there is as likely the cause.
     Conclusive,
     /// The cause may be another task, the worker, or whatever made other workers crash at the time.
     Doubtful,
