scheduler: 200 ms after its start a task is no likely cause of a crash; postmortem

Cause: a worker with service tasks answers a poll after up to 2 s.

Change: 200 ms instead of 500 ms, which is twenty times what deadly tasks need, counted to the arrival of a report instead of the sending of its poll.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -29,7 +29,7 @@
 
 /// The duration in ms after which a task that still runs is a less likely cause of a crash. Deadly tasks crash their
 /// workers within milliseconds of their start, and a worker with batch tasks is polled a few times in a second.
-const SURVIVED_MS: u64 = 500;
+const SURVIVED_MS: u64 = 200;
 
 /// How long in ms after a crash that no task can have caused the next crashes may have the same cause. Crashes at the same
 /// time are noticed up to two seconds apart.
@@ -43,11 +43,12 @@
 const PLANNED_END_MS: u64 = 5000;
 
 impl AssignedAttempt {
-    /// Records that the attempt still ran at `at_ms` or later, as shown by a response that arrived at `now_ms`, both on the
-    /// daemon's clock. The time until the first response is not counted, as the attempt may have begun any time before.
-    pub(crate) fn record_running(&mut self, at_ms: u64, now_ms: u64) {
+    /// Records that a response that arrived at `now_ms` on the daemon's clock shows the attempt running. The time until the first
+    /// such response is not counted, as the attempt may have begun any time before. A response may be late, but the next poll
+    /// of a worker with service tasks is answered seconds later, which is too late for the evidence.
+    pub(crate) fn record_running(&mut self, now_ms: u64) {
         let since_ms = *self.running_since_ms.get_or_insert(now_ms);
-        self.ran_for_ms = self.ran_for_ms.max(at_ms.saturating_sub(since_ms));
+        self.ran_for_ms = now_ms.saturating_sub(since_ms);
     }
 
     /// Whether the attempt has run for so long that the task is unlikely to crash workers.
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -120,11 +120,10 @@
                 .incarnation
                 .record_received_ends(last_end, position);
         }
-        let request_sent_at_ms = report.request_sent_at_ms;
         let mut listed = Vec::with_capacity(report.running.len());
         let mut used_by_unassigned = Resources::default();
         for running in report.running {
-            if let Some(task) = self.apply_running(key, &running, request_sent_at_ms, now) {
+            if let Some(task) = self.apply_running(key, &running, now) {
                 listed.push(task);
             } else {
                 let footprint = self.footprint_by_name(&running.name);
@@ -133,7 +132,7 @@
         }
         self.workers[key].incarnation.used_by_unassigned = used_by_unassigned;
         if !report.has_more_ends {
-            self.end_unlisted(key, &listed, request_sent_at_ms, now);
+            self.end_unlisted(key, &listed, report.request_sent_at_ms, now);
         }
         self.update_speed_limits(key);
     }
@@ -249,13 +248,12 @@
         }
     }
 
-    /// Applies the progress of a running task, from the response to a poll sent at `request_sent_at_ms`. An attempt that is
-    /// not assigned to the worker is stopped; returns `None` then.
+    /// Applies the progress of a running task. An attempt that is not assigned to the worker is stopped; returns `None`
+    /// then.
     fn apply_running(
         &mut self,
         key: WorkerKey,
         running: &RunningTask,
-        request_sent_at_ms: u64,
         now: Now,
     ) -> Option<TaskKey> {
         let task = self.task_by_name(&running.name);
@@ -276,7 +274,7 @@
             attempt.settled_at_ms = Some(now.local_ms);
         }
         attempt.crash = None;
-        attempt.record_running(request_sent_at_ms, now.local_ms);
+        attempt.record_running(now.local_ms);
         let had_started = std::mem::replace(&mut attempt.has_started, true);
         if attempt.progress_percent != running.progress_percent {
             attempt.progress_percent = running.progress_percent;
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -270,7 +270,7 @@
             StartOutcome::Started => {
                 attempt.settled_at_ms = Some(now.local_ms);
                 attempt.has_started = true;
-                attempt.record_running(now.local_ms, now.local_ms);
+                attempt.record_running(now.local_ms);
                 self.remove_not_started(task.job);
             }
             StartOutcome::OutcomeUnknown => worker.is_unresponsive = true,
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod crashes;
 pub mod load;
 
 use std::collections::HashMap;
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -1,9 +1,13 @@
 //! The tasks of a job and their progress.
 
+mod crashes;
+
 use std::sync::Arc;
 
 use smol_str::{SmolStr, format_smolstr};
 
+pub use crashes::CrashEvidence;
+
 use crate::record::{JobRecord, TaskRecord};
 use crate::spec::{JobId, JobSpec, StepSpec};
 
@@ -31,34 +35,6 @@
     Cancelled,
 }
 
-/// How far the crash of a worker shows that a task on it was the cause.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CrashEvidence {
-    /// The worker was stable and crashed soon after the task had started, and nothing else there is as likely the cause.
-    Conclusive,
-    /// The cause may be another task, the worker, or whatever made other workers crash at the time.
-    Doubtful,
-    /// The task had run for long when the worker crashed.
-    Late,
-    /// It is not known that the task had started on the worker.
-    Unconfirmed,
-}
-
-impl CrashEvidence {
-    /// The number of workers that crashed under a task after which the task is given up, if the last crash gives this
-    /// evidence. A task may be started twice more after three crashes.
-    const fn max_crashes(self) -> u32 {
-        match self {
-            Self::Conclusive => 3,
-            Self::Doubtful => 4,
-            Self::Late | Self::Unconfirmed => 5,
-        }
-    }
-}
-
-/// The number of crashes without which no task is given up, of workers on which the task is known to have started.
-const MIN_CONFIRMED_CRASHES: u32 = 2;
-
 /// The phase of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TaskPhase {
@@ -515,51 +491,6 @@
         true
     }
 
-    /// Records that a worker crashed while an attempt of a task may have run there, at `store_ms` on the store's clock.
-    /// Returns whether the task is given up now, so that the job has failed. Ignored when the job has ended or the task is
-    /// done.
-    ///
-    /// ```
-    /// use std::sync::Arc;
-    /// use submission::{CrashEvidence, Job, JobId, JobSpec, JobState, StepSpec};
-    /// let steps = vec![StepSpec { tasks: 1, ..StepSpec::default() }];
-    /// let spec = Arc::new(JobSpec { steps, ..JobSpec::default() });
-    /// let mut job = Job::new(JobId(7), "queue".into(), spec, 0);
-    /// assert!(!job.record_crash(0, CrashEvidence::Conclusive, 10));
-    /// assert!(!job.record_crash(0, CrashEvidence::Conclusive, 20));
-    /// assert!(job.record_crash(0, CrashEvidence::Conclusive, 30));
-    /// assert_eq!(job.state(), JobState::Failed);
-    /// ```
-    pub fn record_crash(&mut self, index: u32, evidence: CrashEvidence, store_ms: u64) -> bool {
-        if self.has_ended() || self.task(index).is_none() {
-            return false;
-        }
-        let task = &mut self.tasks[index as usize];
-        if task.phase == TaskPhase::Done {
-            return false;
-        }
-        task.crashes += 1;
-        task.unconfirmed_crashes += u32::from(evidence == CrashEvidence::Unconfirmed);
-        let confirmed_crashes = task.crashes.saturating_sub(task.unconfirmed_crashes);
-        if task.crashes < evidence.max_crashes() || confirmed_crashes < MIN_CONFIRMED_CRASHES {
-            return false;
-        }
-        self.has_failed = true;
-        self.ended_at_ms = store_ms.max(1);
-        true
-    }
-
-    /// Forgets the crashes under a task whose attempt has run long enough not to be their cause. Returns whether there
-    /// were any.
-    ///
-    /// # Panics
-    /// If `index` is not the index of a task of the job.
-    pub fn forget_crashes(&mut self, index: u32) -> bool {
-        let task = &mut self.tasks[index as usize];
-        task.unconfirmed_crashes = 0;
-        std::mem::take(&mut task.crashes) > 0
-    }
-
     /// Cancels the job at `store_ms` on the store's clock. Returns false and changes nothing when the job has ended.
     pub fn cancel(&mut self, store_ms: u64) -> bool {
         if self.has_ended() {
