--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -6,12 +6,16 @@
 //!
 //! The worker may be the cause too. Suspects are placed on workers that have not crashed lately where there is room, and
 //! isolated tasks wait for such a worker.
+//!
+//! A loss of power or of a rack ends workers whatever runs there. A task that had run for a while is the least likely cause,
+//! and a crash of a worker where no other task can be the cause shows that crashes close to it may have another one. Such
+//! crashes count for less.
 
-use submission::{StepSpec, TaskKey};
+use submission::{CrashEvidence, StepSpec, TaskKey};
 
 use crate::scheduler::Scheduler;
 use crate::types::{Now, SchedulerEvent};
-use crate::worker::{AssignedAttempt, Crash, Worker, WorkerKey};
+use crate::worker::{AssignedAttempt, Worker, WorkerKey};
 
 /// The number of crashes from which a task is isolated: its worker is given no other task meanwhile.
 pub(crate) const ISOLATED_FROM_CRASHES: u32 = 2;
@@ -20,47 +24,101 @@
 /// isolated tasks are innocent and must not wait for long.
 const MAX_ISOLATING_PERCENT: usize = 50;
 
-/// The duration after which a service task that still runs is not the cause of a crash.
-const SURVIVED_MS: u64 = 5000;
+/// The duration in ms after which a service task that still runs is not the cause of a crash.
+const SERVICE_SURVIVED_MS: u64 = 5000;
+
+/// The duration in ms after which a task that still runs is a less likely cause of a crash. Deadly tasks crash their
+/// workers within milliseconds of their start, and a worker with batch tasks is polled a few times in a second.
+const SURVIVED_MS: u64 = 200;
+
+/// How long in ms after a crash that no task can have caused the next crashes may have the same cause. Crashes at the same
+/// time are noticed up to two seconds apart.
+const COMMON_CAUSE_MS: u64 = 2000;
 
 /// How long a worker that crashed counts as unstable, in ms.
 const UNSTABLE_MS: u64 = 10_000;
 
-/// How long after the end of its drain lease the end of a worker counts as planned, in ms. A command to a VM may take effect
-/// seconds later.
+/// How long after the end of its drain lease the end of a worker counts as planned, in ms, except for tasks that were assigned
+/// after the lease. A command to a VM may take effect seconds later.
 const PLANNED_END_MS: u64 = 5000;
 
 impl AssignedAttempt {
-    /// Whether the attempt is of a service task that has run for so long that the task does not crash workers.
-    pub(crate) fn has_survived(&self, now_ms: u64) -> bool {
-        self.is_service && now_ms.saturating_sub(self.assigned_at_ms) >= SURVIVED_MS
+    /// Records that a response that arrived at `now_ms` on the daemon's clock shows the attempt running. The time until the first
+    /// such response is not counted, as the attempt may have begun any time before. A response may be late, but the next poll
+    /// of a worker with service tasks is answered seconds later, which is too late for the evidence.
+    pub(crate) fn record_running(&mut self, now_ms: u64) {
+        let since_ms = *self.running_since_ms.get_or_insert(now_ms);
+        self.ran_for_ms = now_ms.saturating_sub(since_ms);
+    }
+
+    /// Whether the attempt has run for so long that the task is unlikely to crash workers.
+    fn has_survived(&self) -> bool {
+        self.ran_for_ms >= SURVIVED_MS
     }
 
-    fn may_have_crashed_worker(&self, now_ms: u64) -> bool {
-        self.may_have_begun && !self.has_survived(now_ms)
+    /// Whether the attempt is of a service task that has run for so long that the task does not crash workers. Batch tasks
+    /// always may, so that the number of their crashes is bounded.
+    pub(crate) fn is_cleared(&self) -> bool {
+        self.is_service && self.ran_for_ms >= SERVICE_SURVIVED_MS
+    }
+
+    fn may_have_crashed_worker(&self, has_common_cause: bool) -> bool {
+        let is_unlikely = self.is_cleared() || (has_common_cause && self.has_survived());
+        self.may_have_begun && !is_unlikely
     }
 }
 
 impl Worker {
     /// Whether the worker is about to end by itself or through a command to its VM.
     fn has_planned_end(&self, now_ms: u64) -> bool {
-        let is_drained = self.drain_until_ms > 0 && now_ms < self.drain_until_ms + PLANNED_END_MS;
-        self.info.is_shutting_down || is_drained
+        self.info.is_shutting_down || self.was_drained(now_ms)
     }
 
-    /// The tasks that may have caused a crash of the worker. Empty when the end of the worker is planned.
-    fn suspects(&self, now_ms: u64) -> Vec<(TaskKey, Crash)> {
-        if self.has_planned_end(now_ms) {
+    fn was_drained(&self, now_ms: u64) -> bool {
+        self.drain_until_ms > 0
+            && now_ms < self.drain_until_ms + PLANNED_END_MS
+            && !self.was_silent_before_drain
+    }
+
+    /// The tasks that may have caused a crash of the worker, with the evidence that each was the cause. Empty when the end of
+    /// the worker is planned. `has_common_cause` tells that others crash at the time whatever runs there.
+    fn suspects(&self, has_common_cause: bool, now_ms: u64) -> Vec<(TaskKey, CrashEvidence)> {
+        let was_drained = self.was_drained(now_ms);
+        if self.info.is_shutting_down || (was_drained && now_ms < self.drain_until_ms) {
             return Vec::new();
         }
+        let is_doubtful = has_common_cause || was_drained || self.is_unstable(now_ms);
+        let evidence = |attempt: &AssignedAttempt| {
+            if attempt.running_since_ms.is_none() {
+                CrashEvidence::Unconfirmed
+            } else if attempt.has_survived() {
+                CrashEvidence::Late
+            } else if is_doubtful || self.likely_causes(attempt.crashes) > 1 {
+                CrashEvidence::Doubtful
+            } else {
+                CrashEvidence::Conclusive
+            }
+        };
         let attempts = self.attempts.iter();
-        let suspects = attempts.filter(|(_, attempt)| attempt.may_have_crashed_worker(now_ms));
-        let is_unstable = self.is_unstable(now_ms);
+        let attempts = attempts
+            .filter(|(_, attempt)| !was_drained || attempt.assigned_at_ms >= self.drain_until_ms);
+        let suspects =
+            attempts.filter(|(_, attempt)| attempt.may_have_crashed_worker(has_common_cause));
         suspects
-            .map(|(task, _)| (*task, Crash { is_unstable }))
+            .map(|(task, attempt)| (*task, evidence(attempt)))
             .collect()
     }
 
+    /// The number of attempts on the worker that have not run for long enough to be unlikely causes of a crash, of tasks under
+    /// which at least `min_crashes` workers had crashed before.
+    fn likely_causes(&self, min_crashes: u32) -> usize {
+        let attempts = self.attempts.values();
+        let likely = attempts.filter(|attempt| attempt.may_have_begun && !attempt.has_survived());
+        likely
+            .filter(|attempt| attempt.crashes >= min_crashes)
+            .count()
+    }
+
     /// Whether the worker has crashed lately.
     pub(crate) fn is_unstable(&self, now_ms: u64) -> bool {
         self.crashed_at_ms > 0 && now_ms.saturating_sub(self.crashed_at_ms) < UNSTABLE_MS
@@ -73,6 +131,26 @@
 }
 
 impl Scheduler {
+    /// Remembers the crash of a worker if no task there is a likely cause.
+    fn note_unexplained_crash(&mut self, key: WorkerKey, now: Now) {
+        let worker = &self.workers[key];
+        let is_explained = worker.likely_causes(0) > 0 || !worker.expired.is_empty();
+        if !is_explained && !worker.has_planned_end(now.local_ms) {
+            let crashes = &mut self.unexplained_crashes;
+            crashes.retain(|(_, at_ms)| now.local_ms.saturating_sub(*at_ms) < COMMON_CAUSE_MS);
+            crashes.push((key, now.local_ms));
+        }
+    }
+
+    /// The tasks that may have caused a crash of a worker now.
+    fn suspects(&self, key: WorkerKey, now: Now) -> Vec<(TaskKey, CrashEvidence)> {
+        let worker = &self.workers[key];
+        let has_common_cause = self.unexplained_crashes.iter().any(|(other, at_ms)| {
+            *other != key && now.local_ms.saturating_sub(*at_ms) < COMMON_CAUSE_MS
+        });
+        worker.suspects(has_common_cause, now.local_ms)
+    }
+
     /// Counts the crash of a worker for the selected attempts that may have run there, and for the tasks whose leases
     /// expired there.
     pub(crate) fn record_crash(
@@ -81,9 +159,10 @@
         now: Now,
         is_selected: impl Fn(&AssignedAttempt) -> bool,
     ) {
+        self.note_unexplained_crash(key, now);
+        let mut suspects = self.suspects(key, now);
         self.record_expired_crashes(key, now);
         let worker = &self.workers[key];
-        let mut suspects = worker.suspects(now.local_ms);
         suspects.retain(|(task, _)| worker.attempts.get(task).is_some_and(&is_selected));
         self.count_crashes(key, suspects, now);
     }
@@ -99,16 +178,17 @@
 
     /// Remembers the tasks whose leases expire, for the case that the silent worker has crashed.
     pub(crate) fn expect_crash(&mut self, key: WorkerKey, now: Now) {
-        let worker = &mut self.workers[key];
-        let suspects = worker.suspects(now.local_ms);
-        worker.expired.extend(suspects);
+        let suspects = self.suspects(key, now);
+        self.workers[key].expired.extend(suspects);
     }
 
     /// Marks the attempts that may have run on the previous incarnation of a worker. Those that the next one does not list
     /// were there when it crashed.
     pub(crate) fn mark_crashed(&mut self, key: WorkerKey, now: Now) {
+        self.note_unexplained_crash(key, now);
+        let suspects = self.suspects(key, now);
         let worker = &mut self.workers[key];
-        for (task, crash) in worker.suspects(now.local_ms) {
+        for (task, crash) in suspects {
             if let Some(attempt) = worker.attempts.get_mut(&task) {
                 attempt.crash = Some(crash);
             }
@@ -122,7 +202,7 @@
     pub(crate) fn count_crashes(
         &mut self,
         key: WorkerKey,
-        crashed: Vec<(TaskKey, Crash)>,
+        crashed: Vec<(TaskKey, CrashEvidence)>,
         now: Now,
     ) {
         if !crashed.is_empty() {
@@ -130,11 +210,11 @@
         }
         let mut counts = Vec::new();
         let mut given_up = Vec::new();
-        for (task, crash) in crashed {
+        for (task, evidence) in crashed {
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
-            let has_failed = job.record_crash(task.index, crash.is_unstable, now.store_ms);
+            let has_failed = job.record_crash(task.index, evidence, now.store_ms);
             let count = job.task(task.index).map_or(0, |task| task.crashes);
             let name = job.task_name(task.index);
             counts.push((name.clone(), count));
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -143,8 +143,8 @@
 
     /// Replaces what is known of a worker's process, after a report from another incarnation with the same id.
     fn begin_incarnation(&mut self, key: WorkerKey, start_unix_ms: Option<u64>, now: Now) {
-        self.record_expired_crashes(key, now);
         self.mark_crashed(key, now);
+        self.record_expired_crashes(key, now);
         self.set_unassigned(key, Vec::new());
         let limits = self.limits;
         let worker = &mut self.workers[key];
@@ -286,6 +286,7 @@
             attempt.settled_at_ms = Some(now.local_ms);
         }
         attempt.crash = None;
+        attempt.record_running(now.local_ms);
         let had_started = std::mem::replace(&mut attempt.has_started, true);
         if attempt.progress_percent != running.progress_percent {
             attempt.progress_percent = running.progress_percent;
@@ -295,7 +296,7 @@
         let stalled_ms = now.local_ms.saturating_sub(attempt.progress_since_ms);
         let was_stopping = attempt.is_stopping;
         let number = attempt.number;
-        let has_survived = attempt.has_survived(now.local_ms);
+        let is_cleared = attempt.is_cleared();
         if !had_started {
             self.remove_not_started(task.job);
         }
@@ -303,7 +304,7 @@
             return Some(task);
         };
         job.update_checkpoint(task.index, running.checkpoint.clone());
-        if has_survived && job.forget_crashes(task.index) {
+        if is_cleared && job.forget_crashes(task.index) {
             self.workers[key].clear_suspect(task);
             self.dirty_jobs.insert(task.job);
         }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -64,6 +64,8 @@
     /// The remaining jobs with service tasks.
     pub(crate) service_jobs: BTreeSet<JobId>,
     pub(crate) teams: Teams,
+    /// The last crashes of workers where no task was a likely cause, with their times in ms on the daemon's clock.
+    pub(crate) unexplained_crashes: Vec<(WorkerKey, u64)>,
 }
 
 impl Scheduler {
@@ -92,6 +94,7 @@
             policy_decisions: HashMap::new(),
             service_jobs: BTreeSet::new(),
             teams: Teams::default(),
+            unexplained_crashes: Vec::new(),
         }
     }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
-use submission::{Resources, StepSpec, TaskKey};
+use submission::{CrashEvidence, Resources, StepSpec, TaskKey};
 
 use crate::crashes::ISOLATED_FROM_CRASHES;
 use crate::incarnation::{ClockSample, Incarnation};
@@ -52,13 +52,6 @@
     Blocklisted,
 }
 
-/// The unexpected end of an incarnation on which an attempt may have run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Crash {
-    /// Whether the worker had crashed shortly before too.
-    pub(crate) is_unstable: bool,
-}
-
 /// An attempt that is assigned to a worker.
 #[derive(Debug, Clone)]
 #[expect(clippy::struct_excessive_bools, reason = "independent facts")]
@@ -75,7 +68,11 @@
     /// Whether a start command may have reached the worker.
     pub(crate) may_have_begun: bool,
     /// The crash of the incarnation on which the attempt may have run. The attempt may run on the next one nevertheless.
-    pub(crate) crash: Option<Crash>,
+    pub(crate) crash: Option<CrashEvidence>,
+    /// Since when the attempt is known to run on the incarnation, in ms on the daemon's clock; `None` when it is not known to.
+    pub(crate) running_since_ms: Option<u64>,
+    /// How long the attempt is known to have run on the incarnation, in ms.
+    pub(crate) ran_for_ms: u64,
     /// The number of workers that had crashed under the task when the attempt was assigned.
     pub(crate) crashes: u32,
     /// Whether the attempt is known to have started on the worker.
@@ -103,6 +100,8 @@
             number,
             may_have_begun: false,
             crash: None,
+            running_since_ms: None,
+            ran_for_ms: 0,
             crashes,
             settled_at_ms: None,
             is_start_in_flight: false,
@@ -144,6 +143,8 @@
     pub(crate) is_unresponsive: bool,
     /// When the drain lease ends, in ms on the daemon's clock. The worker is given no task before.
     pub(crate) drain_until_ms: u64,
+    /// Whether the worker was unresponsive when the drain began, so that its end may have come before.
+    pub(crate) was_silent_before_drain: bool,
     /// Whether a service task stayed on the worker at the last renewal of the drain lease because no other worker had room.
     pub(crate) is_drain_blocked: bool,
     /// Whether the worker will be drained for maintenance.
@@ -159,7 +160,7 @@
     pub(crate) isolated_attempts: usize,
     /// Tasks whose leases expired on the worker while it was silent. They count as crashed under when the incarnation turns
     /// out to have ended.
-    pub(crate) expired: Vec<(TaskKey, Crash)>,
+    pub(crate) expired: Vec<(TaskKey, CrashEvidence)>,
     /// When the worker last crashed, in ms on the daemon's clock; 0 when it has not. Kept when the worker restarts under its id.
     pub(crate) crashed_at_ms: u64,
     /// When an attempt was last removed from the worker, or else when the registry first listed the worker, in ms on
@@ -196,6 +197,7 @@
             is_listed: true,
             is_unresponsive: false,
             drain_until_ms: 0,
+            was_silent_before_drain: false,
             is_drain_blocked: false,
             is_maintenance_due: false,
             attempts: BTreeMap::new(),
@@ -350,6 +352,8 @@
             // The new incarnation knows of no stop command and of no speed limit.
             attempt.is_stopping = false;
             attempt.is_speed_limit_known = false;
+            attempt.running_since_ms = None;
+            attempt.ran_for_ms = 0;
         }
     }
 
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -4,188 +4,13 @@
 
 use std::sync::Arc;
 
-use scheduler::{JobStatus, Scheduler, WorkerInfo, WorkerKey};
-use smol_str::{SmolStr, format_smolstr};
-use submission::{AttemptOutcome, Job, JobId, JobRecord, JobState, TaskKey, TaskRecord};
-use support::{GRACE_MS, LEASE_MS, Pool, job, limits, service_step, starts, step, worker};
+use scheduler::{JobStatus, Scheduler, StartOutcome, WorkerInfo};
+use submission::{Job, JobId, JobRecord, JobState, TaskKey, TaskRecord};
+use support::crashes::{ALL_EVIDENCE, Evidence, Workers};
+use support::{GRACE_MS, LEASE_MS, job, limits, service_step, starts, step};
 
 const DEADLY: JobId = JobId(1);
 
-/// How the scheduler learns that the incarnation of a worker has ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Evidence {
-    AnotherIdResponds,
-    VmIsDown,
-    AnotherStartReports,
-    AnotherIdRespondsAfterTheLease,
-    SilentAndNotListed,
-}
-
-const ALL_EVIDENCE: [Evidence; 5] = [
-    Evidence::AnotherIdResponds,
-    Evidence::VmIsDown,
-    Evidence::AnotherStartReports,
-    Evidence::AnotherIdRespondsAfterTheLease,
-    Evidence::SilentAndNotListed,
-];
-
-/// A pool whose workers crash and come back under a new id or a new start.
-struct Workers {
-    pool: Pool,
-    infos: Vec<WorkerInfo>,
-    incarnations: u64,
-}
-
-impl Workers {
-    fn new(count: u64) -> Self {
-        let mut workers = Self {
-            pool: Pool::new(&[]),
-            infos: Vec::new(),
-            incarnations: 0,
-        };
-        for _ in 0..count {
-            workers.add();
-        }
-        workers.register();
-        workers
-    }
-
-    fn add(&mut self) {
-        self.incarnations += 1;
-        let name = format_smolstr!("worker-{}", self.incarnations);
-        self.infos.push(WorkerInfo {
-            start_unix_ms: Some(self.incarnations),
-            ..worker(&name)
-        });
-    }
-
-    /// Lists the workers in the registry, and lets each worker without attempts report.
-    fn register(&mut self) {
-        self.pool
-            .scheduler
-            .set_workers(self.infos.clone(), self.pool.now());
-        for info in self.infos.clone() {
-            self.pool
-                .report_since(info.start_unix_ms, &info.id, &[], &[]);
-        }
-    }
-
-    fn crash(&mut self, key: WorkerKey, evidence: Evidence) {
-        let now = self.pool.now();
-        let info = self.pool.scheduler.worker(key).unwrap().clone();
-        self.infos.retain(|other| other.id != info.id);
-        match evidence {
-            Evidence::AnotherIdResponds => {
-                assert!(
-                    self.pool
-                        .scheduler
-                        .worker_replaced(key, info.start_unix_ms, now)
-                );
-                self.add();
-            }
-            Evidence::VmIsDown => {
-                self.pool.scheduler.mark_unresponsive(key);
-                self.pool
-                    .scheduler
-                    .incarnation_ended(key, info.start_unix_ms, now);
-                self.add();
-            }
-            Evidence::AnotherStartReports => {
-                self.incarnations += 1;
-                self.infos.push(WorkerInfo {
-                    start_unix_ms: Some(self.incarnations),
-                    ..info
-                });
-            }
-            Evidence::AnotherIdRespondsAfterTheLease => {
-                self.pool.scheduler.mark_unresponsive(key);
-                self.pool.advance(GRACE_MS + 2 * LEASE_MS);
-                let now = self.pool.now();
-                self.pool
-                    .scheduler
-                    .worker_replaced(key, info.start_unix_ms, now);
-                self.add();
-            }
-            Evidence::SilentAndNotListed => {
-                self.pool.scheduler.mark_unresponsive(key);
-                self.pool
-                    .scheduler
-                    .set_workers(self.infos.clone(), self.pool.now());
-                self.pool.advance(GRACE_MS + 2 * LEASE_MS);
-                self.add();
-            }
-        }
-        self.pool.advance(10);
-        self.register();
-    }
-
-    /// Plays rounds in which a task of a deadly job crashes its worker and all other tasks end, until nothing starts any
-    /// more. Returns all starts.
-    fn play(&mut self, evidence: Evidence, is_deadly: impl Fn(JobId) -> bool) -> Vec<TaskKey> {
-        let mut started = Vec::new();
-        let mut ends = 0;
-        for _ in 0..40 {
-            let commands = self.pool.round();
-            let running = starts(&commands);
-            if running.is_empty() {
-                break;
-            }
-            self.pool.confirm_starts(&commands);
-            started.extend(running.iter().map(|(_, task, _)| *task));
-            self.pool.advance(50);
-            let deadly = running.iter().filter(|(_, task, _)| is_deadly(task.job));
-            let mut crashing: Vec<_> = deadly.map(|(worker, ..)| *worker).collect();
-            crashing.dedup();
-            let mut reports: Vec<(SmolStr, u64, Vec<_>)> = Vec::new();
-            for (key, task, attempt) in &running {
-                if crashing.contains(key) {
-                    continue;
-                }
-                ends += 1;
-                let info = self.pool.scheduler.worker(*key).unwrap();
-                let end = (
-                    ends,
-                    self.pool.task_name(*task),
-                    *attempt,
-                    AttemptOutcome::Done,
-                );
-                let start = info.start_unix_ms.unwrap();
-                reports.push((info.id.clone(), start, vec![end]));
-            }
-            for (id, start, ended) in reports {
-                let running = self.still_running(&id, &running, &ended);
-                self.pool.report_since(Some(start), &id, &running, &ended);
-            }
-            for key in crashing {
-                if self.pool.scheduler.worker(key).is_some() {
-                    self.crash(key, evidence);
-                }
-            }
-        }
-        started
-    }
-
-    /// The tasks of a round that still run on a worker.
-    fn still_running(
-        &self,
-        id: &str,
-        started: &[(WorkerKey, TaskKey, u32)],
-        ended: &[(u64, SmolStr, u32, AttemptOutcome)],
-    ) -> Vec<(SmolStr, u32, u32)> {
-        let key = self.pool.key(id);
-        let here = started.iter().filter(|(worker, task, attempt)| {
-            *worker == key && self.pool.scheduler.is_assigned(key, *task, *attempt)
-        });
-        let names = here.map(|(_, task, attempt)| (self.pool.task_name(*task), *attempt, 50));
-        let running = names.filter(|(name, ..)| ended.iter().all(|(_, other, ..)| other != name));
-        running.collect()
-    }
-
-    fn state(&self, id: JobId) -> JobStatus {
-        self.pool.scheduler.job_status(id)
-    }
-}
-
 #[test]
 fn a_task_that_crashes_each_worker_is_not_started_again_after_three_crashes() {
     for evidence in ALL_EVIDENCE {
@@ -424,3 +249,167 @@
     let other = workers.pool.key(&other.unwrap().id);
     assert_eq!(starts(&commands)[0].0, other);
 }
+
+/// How long the task of a job runs in each of its attempts before the worker crashes, and what the scheduler knows of that.
+#[derive(Debug, Clone, Copy)]
+enum Run {
+    Reported(u64),
+    StartGotNoResponse,
+}
+
+/// Lets workers crash under the task of job 7, as long as it is started. Returns the number of starts, at most 9.
+fn starts_until_given_up(workers: &mut Workers, runs: &[Run]) -> usize {
+    for count in 0..9 {
+        let commands = workers.pool.round();
+        let Some(&(key, task, attempt)) = starts(&commands).first() else {
+            return count;
+        };
+        match runs[count % runs.len()] {
+            Run::Reported(run_ms) => {
+                workers.pool.confirm_starts(&commands);
+                workers.pool.advance(run_ms);
+                let info = workers.pool.scheduler.worker(key).unwrap().clone();
+                let running = [(workers.pool.task_name(task), attempt, 50)];
+                let start = info.start_unix_ms;
+                workers.pool.report_since(start, &info.id, &running, &[]);
+            }
+            Run::StartGotNoResponse => {
+                let outcome = StartOutcome::OutcomeUnknown;
+                workers.pool.apply_start(key, task, attempt, outcome);
+            }
+        }
+        workers.crash(key, Evidence::AnotherIdResponds);
+        workers.pool.advance(3000);
+    }
+    9
+}
+
+#[test]
+fn a_task_that_had_run_for_long_at_each_crash_is_started_twice_more_after_the_third() {
+    for step in [step(1), service_step(1, 0)] {
+        for (run_ms, starts) in [(10, 3), (383, 5), (3000, 5)] {
+            let mut workers = Workers::new(8);
+            workers.pool.submit(7, job(vec![step.clone()]));
+            let started = starts_until_given_up(&mut workers, &[Run::Reported(run_ms)]);
+            assert_eq!(started, starts, "{step:?} {run_ms}");
+            let state = workers.state(JobId(7));
+            assert_eq!(state, JobStatus::Recorded(JobState::Failed), "{run_ms}");
+        }
+    }
+}
+
+#[test]
+fn a_task_that_had_run_for_long_is_not_given_up_while_other_workers_crash_at_the_same_times() {
+    for step in [step(1), service_step(1, 0)] {
+        let mut workers = Workers::new(40);
+        workers.pool.submit(7, job(vec![step]));
+        let mut started = 0;
+        for _ in 0..9 {
+            let commands = workers.pool.round();
+            started += starts(&commands).len();
+            workers.crash_beside_an_idle_worker(&commands, 3000);
+        }
+        assert_eq!(started, 9);
+    }
+}
+
+#[test]
+fn a_task_is_not_given_up_for_crashes_of_workers_that_may_never_have_started_it() {
+    let mut workers = Workers::new(8);
+    workers.pool.submit(7, job(vec![step(1)]));
+    let started = starts_until_given_up(&mut workers, &[Run::StartGotNoResponse]);
+    assert_eq!(started, 9);
+    // Such starts count with others: the task may have run in each of them.
+    let mut workers = Workers::new(8);
+    workers.pool.submit(7, job(vec![step(1)]));
+    let runs = [Run::Reported(10), Run::StartGotNoResponse];
+    assert_eq!(starts_until_given_up(&mut workers, &runs), 3);
+}
+
+#[test]
+fn a_task_is_not_given_up_at_its_third_crash_when_an_idle_worker_crashes_at_the_same_time() {
+    let mut workers = Workers::new(8);
+    adopt_suspect(&mut workers, 7, 2);
+    let commands = workers.pool.round();
+    workers.crash_beside_an_idle_worker(&commands, 10);
+    let state = workers.state(JobId(7));
+    assert_eq!(state, JobStatus::Recorded(JobState::Running));
+    let runs = [Run::Reported(10)];
+    assert_eq!(starts_until_given_up(&mut workers, &runs), 1);
+}
+
+#[test]
+fn a_task_that_crashes_workers_that_were_drained_before_its_start_is_given_up() {
+    let mut workers = Workers::new(8);
+    workers.pool.submit(DEADLY.0, job(vec![step(1)]));
+    let mut started = 0;
+    while started < 9 {
+        for info in workers.infos.clone() {
+            let key = workers.pool.key(&info.id);
+            let now = workers.pool.now();
+            workers.pool.scheduler.drain(key, now);
+        }
+        // The leader does not renew the drain leases.
+        workers.pool.advance(1501);
+        let commands = workers.pool.round();
+        let Some(&(key, ..)) = starts(&commands).first() else {
+            break;
+        };
+        started += 1;
+        workers.pool.confirm_starts(&commands);
+        workers.crash(key, Evidence::VmIsDown);
+    }
+    assert!(started <= 4, "{started}");
+    assert_eq!(workers.state(DEADLY), JobStatus::Recorded(JobState::Failed));
+}
+
+#[test]
+fn a_task_that_crashes_workers_which_are_drained_once_they_are_silent_is_given_up() {
+    let mut workers = Workers::new(8);
+    workers.pool.submit(DEADLY.0, job(vec![step(1)]));
+    let mut started = 0;
+    while started < 9 {
+        let commands = workers.pool.round();
+        let Some(&(key, ..)) = starts(&commands).first() else {
+            break;
+        };
+        started += 1;
+        workers.pool.confirm_starts(&commands);
+        workers.pool.scheduler.mark_unresponsive(key);
+        for _ in 0..2 {
+            workers.pool.advance(300);
+            let now = workers.pool.now();
+            workers.pool.scheduler.drain(key, now);
+        }
+        workers.crash(key, Evidence::VmIsDown);
+    }
+    assert_eq!(started, 3);
+    assert_eq!(workers.state(DEADLY), JobStatus::Recorded(JobState::Failed));
+}
+
+#[test]
+fn a_service_task_whose_crash_is_noticed_late_is_given_up() {
+    let mut workers = Workers::new(4);
+    workers.pool.submit(DEADLY.0, job(vec![service_step(1, 0)]));
+    let started = workers.play(Evidence::AnotherIdRespondsAfterTheLease, |id| id == DEADLY);
+    assert!(started.len() <= 3, "{}", started.len());
+}
+
+#[test]
+fn a_task_is_given_up_at_its_third_crash_beside_tasks_that_are_new() {
+    let mut workers = Workers::new(1);
+    for id in 2..=3 {
+        workers.pool.submit(id, job(vec![step(1)]));
+    }
+    let commands = workers.pool.round();
+    let (key, ..) = starts(&commands)[0];
+    workers.pool.confirm_starts(&commands);
+    adopt_suspect(&mut workers, DEADLY.0, 2);
+    let commands = workers.pool.round();
+    workers.pool.confirm_starts(&commands);
+    workers.crash(key, Evidence::AnotherIdResponds);
+    workers.pool.round();
+    assert_eq!(workers.state(DEADLY), JobStatus::Recorded(JobState::Failed));
+    let neighbour = workers.state(JobId(2));
+    assert_eq!(neighbour, JobStatus::Recorded(JobState::Running));
+}
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -1,9 +1,13 @@
 //! The tasks of a job and their progress.
 
+mod crashes;
+
 use std::sync::Arc;
 
 use smol_str::{SmolStr, format_smolstr};
 
+pub use crashes::CrashEvidence;
+
 use crate::record::{JobRecord, TaskRecord};
 use crate::spec::{JobId, JobSpec, StepSpec};
 
@@ -31,12 +35,6 @@
     Cancelled,
 }
 
-/// The number of workers that crashed under a task after which the task is given up.
-const MAX_CRASHES: u32 = 3;
-
-/// Like [`MAX_CRASHES`], when the last worker had crashed shortly before too and may be the cause.
-const MAX_CRASHES_WITH_UNSTABLE_WORKER: u32 = 4;
-
 /// The phase of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TaskPhase {
@@ -61,6 +59,8 @@
     /// The number of workers that crashed while an attempt may have run there. Service tasks start anew when an attempt
     /// has run for a while.
     pub crashes: u32,
+    /// How many of `crashes` are [`CrashEvidence::Unconfirmed`].
+    pub unconfirmed_crashes: u32,
     /// The current phase.
     pub phase: TaskPhase,
     /// The newest known checkpoint; empty for none.
@@ -106,6 +106,7 @@
             attempt: 0,
             failures: 0,
             crashes: 0,
+            unconfirmed_crashes: 0,
             phase: TaskPhase::Idle,
             checkpoint: SmolStr::default(),
         };
@@ -158,6 +159,7 @@
                 attempt,
                 failures,
                 crashes: 0,
+                unconfirmed_crashes: 0,
                 phase,
                 checkpoint,
             };
@@ -167,6 +169,11 @@
                 task.crashes = crashes;
             }
         }
+        for (index, crashes) in record.unconfirmed_crashes {
+            if let Some(task) = self.tasks.get_mut(index as usize) {
+                task.unconfirmed_crashes = crashes;
+            }
+        }
         self
     }
 
@@ -191,12 +198,20 @@
         let listed = last_attempted.map_or(0, |index| index + 1);
         let crashed = self.tasks().filter(|(_, task)| task.crashes > 0);
         let crashed = crashed.filter(|(_, task)| task.phase != TaskPhase::Done);
+        let crashed: Vec<_> = crashed.collect();
+        let unconfirmed = crashed
+            .iter()
+            .map(|(index, task)| (*index, task.unconfirmed_crashes));
         JobRecord {
             is_cancelled: self.is_cancelled,
             has_failed: self.has_failed,
             ended_at_ms: self.ended_at_ms,
             tasks: self.tasks[..listed].iter().map(record).collect(),
-            crashes: crashed.map(|(index, task)| (index, task.crashes)).collect(),
+            crashes: crashed
+                .iter()
+                .map(|(index, task)| (*index, task.crashes))
+                .collect(),
+            unconfirmed_crashes: unconfirmed.filter(|(_, crashes)| *crashes > 0).collect(),
         }
     }
 
@@ -476,52 +491,6 @@
         true
     }
 
-    /// Records that a worker crashed while an attempt of a task may have run there, at `store_ms` on the store's clock.
-    /// `is_unstable` tells that the worker had crashed shortly before too. Returns whether the task is given up now, so that
-    /// the job has failed. Ignored when the job has ended or the task is done.
-    ///
-    /// ```
-    /// use std::sync::Arc;
-    /// use submission::{Job, JobId, JobSpec, JobState, StepSpec};
-    /// let steps = vec![StepSpec { tasks: 1, ..StepSpec::default() }];
-    /// let spec = Arc::new(JobSpec { steps, ..JobSpec::default() });
-    /// let mut job = Job::new(JobId(7), "queue".into(), spec, 0);
-    /// assert!(!job.record_crash(0, false, 10));
-    /// assert!(!job.record_crash(0, false, 20));
-    /// assert!(job.record_crash(0, false, 30));
-    /// assert_eq!(job.state(), JobState::Failed);
-    /// ```
-    pub fn record_crash(&mut self, index: u32, is_unstable: bool, store_ms: u64) -> bool {
-        if self.has_ended() || self.task(index).is_none() {
-            return false;
-        }
-        let task = &mut self.tasks[index as usize];
-        if task.phase == TaskPhase::Done {
-            return false;
-        }
-        task.crashes += 1;
-        let max_crashes = if is_unstable {
-            MAX_CRASHES_WITH_UNSTABLE_WORKER
-        } else {
-            MAX_CRASHES
-        };
-        if task.crashes < max_crashes {
-            return false;
-        }
-        self.has_failed = true;
-        self.ended_at_ms = store_ms.max(1);
-        true
-    }
-
-    /// Forgets the crashes under a task whose attempt has run long enough not to be their cause. Returns whether there
-    /// were any.
-    ///
-    /// # Panics
-    /// If `index` is not the index of a task of the job.
-    pub fn forget_crashes(&mut self, index: u32) -> bool {
-        std::mem::take(&mut self.tasks[index as usize].crashes) > 0
-    }
-
     /// Cancels the job at `store_ms` on the store's clock. Returns false and changes nothing when the job has ended.
     pub fn cancel(&mut self, store_ms: u64) -> bool {
         if self.has_ended() {
