quota, fleetd: the rows of quotas are written in parts that a transaction holds

Cause: all changed rows went into one transaction, and the store accepts 100 entries in a call. With more than 98 teams no quota could be split, and teams with a quota would wait for ever. Found by reading; the test names the size of 110 teams.

--- a/crates/fleetd/src/leader/quotas.rs
+++ b/crates/fleetd/src/leader/quotas.rs
@@ -25,6 +25,10 @@
 /// is new.
 const MAX_EXCHANGES: usize = 4;
 
+/// How many rows a transaction writes at most. The store accepts 100 entries and 1 MB in a call, and the row of a team takes
+/// up to 15 KB with 285 pools.
+const MAX_ROWS_PER_TRANSACTION: usize = 30;
+
 /// How many teams a log line names at most.
 const MAX_LOGGED_TEAMS: usize = 5;
 
@@ -142,7 +146,10 @@
                 return;
             };
             let changes = allocation.plan(local_ms());
-            if !changes.is_empty() && self.write_quotas(&changes).await {
+            for changes in changes.into_parts(MAX_ROWS_PER_TRANSACTION) {
+                if !self.write_quotas(&changes).await {
+                    break;
+                }
                 log_changes(&changes);
                 if let Some(allocation) = &mut self.quotas.allocation {
                     allocation.apply(changes);
--- a/crates/quota/src/allocation.rs
+++ b/crates/quota/src/allocation.rs
@@ -42,6 +42,31 @@
     pub fn is_empty(&self) -> bool {
         self.writes.is_empty() && self.removals.is_empty()
     }
+
+    /// Splits the changes into parts of at most `max_rows` rows. Each can be written and applied by itself, as the rows of
+    /// teams don't depend on each other.
+    #[must_use]
+    pub fn into_parts(self, max_rows: usize) -> Vec<Self> {
+        let writes = self.writes.into_iter().map(|(team, row)| Self {
+            writes: BTreeMap::from([(team, row)]),
+            removals: Vec::new(),
+        });
+        let removals = self.removals.into_iter().map(|team| Self {
+            writes: BTreeMap::new(),
+            removals: vec![team],
+        });
+        let mut parts: Vec<Self> = Vec::new();
+        for row in writes.chain(removals) {
+            match parts.last_mut() {
+                Some(part) if part.writes.len() + part.removals.len() < max_rows => {
+                    part.writes.extend(row.writes);
+                    part.removals.extend(row.removals);
+                }
+                _ => parts.push(row),
+            }
+        }
+        parts
+    }
 }
 
 /// The leader's split of the quotas among the pools.
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use quota::{Allocation, LimitMessage, LimitReceiver, TeamRow, TeamUsage, UsageReply};
+use quota::{Allocation, LimitMessage, LimitReceiver, RowChanges, TeamRow, TeamUsage, UsageReply};
 use smol_str::SmolStr;
 use submission::Resources;
 
@@ -296,6 +296,34 @@
     }
 }
 
+#[test]
+fn the_rows_of_more_teams_than_a_transaction_holds_are_written_in_parts() {
+    let teams: Vec<_> = (0..110)
+        .map(|team| SmolStr::from(format!("t{team}")))
+        .collect();
+    let row = TeamRow {
+        quota: cpu(10),
+        held: BTreeMap::new(),
+    };
+    let writes = teams.iter().map(|team| (team.clone(), row.clone()));
+    let changes = RowChanges {
+        writes: writes.collect(),
+        removals: vec!["gone".into(), "also-gone".into()],
+    };
+    let parts = changes.clone().into_parts(30);
+    let sizes = parts
+        .iter()
+        .map(|part| part.writes.len() + part.removals.len());
+    assert_eq!(sizes.collect::<Vec<_>>(), [30, 30, 30, 22]);
+    let mut joined = RowChanges::default();
+    for part in parts {
+        joined.writes.extend(part.writes);
+        joined.removals.extend(part.removals);
+    }
+    assert_eq!(joined, changes);
+    assert!(RowChanges::default().into_parts(30).is_empty());
+}
+
 #[test]
 fn rows_and_messages_keep_their_form() {
     let row = TeamRow {
