--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -59,8 +59,6 @@
     /// The number of workers that crashed while an attempt may have run there. Service tasks start anew when an attempt
     /// has run for a while.
     pub crashes: u32,
-    /// How many of `crashes` are [`CrashEvidence::Unconfirmed`].
-    pub unconfirmed_crashes: u32,
     /// The current phase.
     pub phase: TaskPhase,
     /// The newest known checkpoint; empty for none.
@@ -106,7 +104,6 @@
             attempt: 0,
             failures: 0,
             crashes: 0,
-            unconfirmed_crashes: 0,
             phase: TaskPhase::Idle,
             checkpoint: SmolStr::default(),
         };
@@ -159,7 +156,6 @@
                 attempt,
                 failures,
                 crashes: 0,
-                unconfirmed_crashes: 0,
                 phase,
                 checkpoint,
             };
@@ -169,11 +165,6 @@
                 task.crashes = crashes;
             }
         }
-        for (index, crashes) in record.unconfirmed_crashes {
-            if let Some(task) = self.tasks.get_mut(index as usize) {
-                task.unconfirmed_crashes = crashes;
-            }
-        }
         self
     }
 
@@ -198,20 +189,12 @@
         let listed = last_attempted.map_or(0, |index| index + 1);
         let crashed = self.tasks().filter(|(_, task)| task.crashes > 0);
         let crashed = crashed.filter(|(_, task)| task.phase != TaskPhase::Done);
-        let crashed: Vec<_> = crashed.collect();
-        let unconfirmed = crashed
-            .iter()
-            .map(|(index, task)| (*index, task.unconfirmed_crashes));
         JobRecord {
             is_cancelled: self.is_cancelled,
             has_failed: self.has_failed,
             ended_at_ms: self.ended_at_ms,
             tasks: self.tasks[..listed].iter().map(record).collect(),
-            crashes: crashed
-                .iter()
-                .map(|(index, task)| (*index, task.crashes))
-                .collect(),
-            unconfirmed_crashes: unconfirmed.filter(|(_, crashes)| *crashes > 0).collect(),
+            crashes: crashed.map(|(index, task)| (index, task.crashes)).collect(),
         }
     }
 
--- a/crates/submission/src/job/crashes.rs
+++ b/crates/submission/src/job/crashes.rs
@@ -11,8 +11,6 @@
     Doubtful,
     /// The task had run for long when the worker crashed.
     Late,
-    /// It is not known that the task had started on the worker.
-    Unconfirmed,
 }
 
 impl CrashEvidence {
@@ -22,14 +20,11 @@
         match self {
             Self::Conclusive => 3,
             Self::Doubtful => 4,
-            Self::Late | Self::Unconfirmed => 5,
+            Self::Late => 5,
         }
     }
 }
 
-/// The number of crashes without which no task is given up, of workers on which the task is known to have started.
-const MIN_CONFIRMED_CRASHES: u32 = 2;
-
 impl Job {
     /// Records that a worker crashed while an attempt of a task may have run there, at `store_ms` on the store's clock.
     /// Returns whether the task is given up now, so that the job has failed. Ignored when the job has ended or the task is
@@ -55,9 +50,7 @@
             return false;
         }
         task.crashes += 1;
-        task.unconfirmed_crashes += u32::from(evidence == CrashEvidence::Unconfirmed);
-        let confirmed_crashes = task.crashes.saturating_sub(task.unconfirmed_crashes);
-        if task.crashes < evidence.max_crashes() || confirmed_crashes < MIN_CONFIRMED_CRASHES {
+        if task.crashes < evidence.max_crashes() {
             return false;
         }
         self.has_failed = true;
@@ -71,8 +64,6 @@
     /// # Panics
     /// If `index` is not the index of a task of the job.
     pub fn forget_crashes(&mut self, index: u32) -> bool {
-        let task = &mut self.tasks[index as usize];
-        task.unconfirmed_crashes = 0;
-        std::mem::take(&mut task.crashes) > 0
+        std::mem::take(&mut self.tasks[index as usize].crashes) > 0
     }
 }
--- a/crates/submission/src/record.rs
+++ b/crates/submission/src/record.rs
@@ -22,10 +22,6 @@
     /// ignore this field, whereas they can't read a task with more fields.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<(u32, u32)>,
-    /// The index in the job of each task with crashes of workers on which it is not known to have started, and the number of
-    /// these crashes. Earlier builds ignore this field too.
-    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
-    pub unconfirmed_crashes: Vec<(u32, u32)>,
 }
 
 /// The progress of a task as stored. The fields are, in this order: the number of the last attempt (0 before the first
