fleetd: signal handlers are installed before anything else is started

The time until the handler was that of the HTTP client, the metrics and four listeners; now it is that of the runtime.

--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -95,6 +95,10 @@
 }
 
 async fn run_daemon(settings: FleetSettings) -> Result<()> {
+    // First, as a signal without a handler ends the process as if it had failed.
+    let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
+    let reload = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
+    tokio::spawn(log_reload_signals(reload));
     let http = HttpClient::new(CONNECT_TIMEOUT, TCP_USER_TIMEOUT).context(ClientSnafu)?;
     let http = http.with_clock(local_us);
     let metrics = Metrics::new(http.costs()).context(MetricsSnafu)?;
@@ -112,9 +116,6 @@
     start_servers(&node).await?;
     tokio::spawn(follow_operator_rows(node.clone()));
     tokio::spawn(run_membership(node.clone()));
-    let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
-    let reload = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
-    tokio::spawn(log_reload_signals(reload));
     terminate.recv().await;
     shut_down(&node).await;
     Ok(())
