--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -17,7 +17,7 @@
 use crate::config::FLEET_SHARD;
 use crate::leader;
 use crate::node::{Node, STORE_TIMEOUT, STORE_TIMEOUT_MS, tables};
-use crate::pool::{read_all_rows, read_rows_to_follow, take_over_pool, take_over_shard};
+use crate::pool::{RowReader, read_all_rows, take_over_pool, take_over_shard};
 
 /// How often the daemon reads the heartbeat rows and takes over unowned shards.
 const READ_PERIOD: Duration = Duration::from_millis(400);
@@ -251,7 +251,7 @@
     let mut version = None;
     // Whether the newest configuration row could be decoded. Revocations in a row that could not are unknown here.
     let mut is_config_decoded = true;
-    // Whether the last successful read was of all rows.
+    // Whether the last read was of all rows and did not fail.
     let mut was_complete = false;
     loop {
         let sent_at_ms = local_ms();
@@ -263,7 +263,11 @@
         }
         let is_complete = version.is_none();
         let read = match version {
-            None => read_rows_to_follow(&node, OPERATOR_TABLE, "").await,
+            None => {
+                let mut reader = RowReader::new(&node, OPERATOR_TABLE, "");
+                let read = reader.read_rest().await;
+                read.map(|()| reader.into_rows_to_follow())
+            }
             Some(after) => {
                 let feed = node
                     .store
@@ -290,6 +294,7 @@
             Err(Error::HistoryCompacted) => version = None,
             Err(err) => {
                 node.metrics.store_failures.inc();
+                was_complete = false;
                 tracing::debug!(error = %err, "failed to read the operators' rows");
                 tokio::time::sleep(RETRY_DELAY).await;
             }
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -39,7 +39,7 @@
 pub(crate) use recorder::fits_row;
 pub(crate) use sequence::{Sequence, SequenceError};
 pub(crate) use takeover::{
-    Takeover, decode_jobs, read_all_rows, read_rows_to_follow, take_over_pool, take_over_shard,
+    RowReader, Takeover, decode_jobs, read_all_rows, take_over_pool, take_over_shard,
 };
 
 /// How long an owner continues to renew the leases of workers after its last committed transaction. Together with the
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -251,20 +251,9 @@
 
 /// Reads all rows of a table in a part of the store, page by page. Fails when a read of a page fails.
 pub(crate) async fn read_all_rows(node: &Node, table: &str, part: &str) -> Result<Vec<Row>, Error> {
-    let (rows, _) = read_rows_to_follow(node, table, part).await?;
-    Ok(rows)
-}
-
-/// Like [`read_all_rows`]. Also returns the version after which the changes of the table have to be read: that of the first
-/// page, as later pages don't show what has changed in the range of the earlier ones since.
-pub(crate) async fn read_rows_to_follow(
-    node: &Node,
-    table: &str,
-    part: &str,
-) -> Result<(Vec<Row>, u64), Error> {
     let mut reader = RowReader::new(node, table, part);
     reader.read_rest().await?;
-    Ok(reader.into_rows_to_follow())
+    Ok(reader.rows)
 }
 
 /// A read of all rows of a table in a part of the store. After a failed page, the read goes on where it stopped.
@@ -300,7 +289,8 @@
         Ok(())
     }
 
-    /// Returns the rows, and the version after which the changes of the table have to be read.
+    /// Returns the rows, and the version after which the changes of the table have to be read: that of the first page, as later
+    /// pages don't show what has changed in the range of the earlier ones since.
     pub(crate) fn into_rows_to_follow(self) -> (Vec<Row>, u64) {
         (self.rows, self.first_version.unwrap_or(0))
     }
