--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -14,7 +14,7 @@
 use submission::{CrashEvidence, StepSpec, TaskKey};
 
 use crate::scheduler::Scheduler;
-use crate::types::{Now, SchedulerEvent};
+use crate::types::{CrashSource, CrashedTask, Now, SchedulerEvent};
 use crate::worker::{AssignedAttempt, Worker, WorkerKey};
 
 /// The number of crashes from which a task is isolated: its worker is given no other task meanwhile.
@@ -42,6 +42,17 @@
 /// after the lease. A command to a VM may take effect seconds later.
 const PLANNED_END_MS: u64 = 5000;
 
+/// A task that may have caused a crash, and what is known of its attempt on the worker.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Suspect {
+    pub(crate) task: TaskKey,
+    pub(crate) evidence: CrashEvidence,
+    /// Whether a response showed that the attempt had started on the worker.
+    pub(crate) is_start_confirmed: bool,
+    /// How long the attempt is known to have run, in ms.
+    pub(crate) ran_for_ms: u64,
+}
+
 impl AssignedAttempt {
     /// Records that a response that arrived at `now_ms` on the daemon's clock shows the attempt running. The time until the first
     /// such response is not counted, as the attempt may have begun any time before. A response may be late, but the next poll
@@ -82,7 +93,7 @@
 
     /// The tasks that may have caused a crash of the worker, with the evidence that each was the cause. Empty when the end of
     /// the worker is planned. `has_common_cause` tells that others crash at the time whatever runs there.
-    fn suspects(&self, has_common_cause: bool, now_ms: u64) -> Vec<(TaskKey, CrashEvidence)> {
+    fn suspects(&self, has_common_cause: bool, now_ms: u64) -> Vec<Suspect> {
         let was_drained = self.was_drained(now_ms);
         if self.info.is_shutting_down || (was_drained && now_ms < self.drain_until_ms) {
             return Vec::new();
@@ -102,9 +113,13 @@
             .filter(|(_, attempt)| !was_drained || attempt.assigned_at_ms >= self.drain_until_ms);
         let suspects =
             attempts.filter(|(_, attempt)| attempt.may_have_crashed_worker(has_common_cause));
-        suspects
-            .map(|(task, attempt)| (*task, evidence(attempt)))
-            .collect()
+        let suspect = |(task, attempt): (&TaskKey, &AssignedAttempt)| Suspect {
+            task: *task,
+            evidence: evidence(attempt),
+            is_start_confirmed: attempt.has_started,
+            ran_for_ms: attempt.ran_for_ms,
+        };
+        suspects.map(suspect).collect()
     }
 
     /// The number of attempts on the worker that have not run for long enough to be unlikely causes of a crash, of tasks under
@@ -141,7 +156,7 @@
     }
 
     /// The tasks that may have caused a crash of a worker now.
-    fn suspects(&self, key: WorkerKey, now: Now) -> Vec<(TaskKey, CrashEvidence)> {
+    fn suspects(&self, key: WorkerKey, now: Now) -> Vec<Suspect> {
         let worker = &self.workers[key];
         let has_common_cause = self.unexplained_crashes.iter().any(|(other, at_ms)| {
             *other != key && now.local_ms.saturating_sub(*at_ms) < COMMON_CAUSE_MS
@@ -154,23 +169,24 @@
     pub(crate) fn record_crash(
         &mut self,
         key: WorkerKey,
+        source: CrashSource,
         now: Now,
         is_selected: impl Fn(&AssignedAttempt) -> bool,
     ) {
         self.note_unexplained_crash(key, now);
         let mut suspects = self.suspects(key, now);
-        self.record_expired_crashes(key, now);
-        let worker = &self.workers[key];
-        suspects.retain(|(task, _)| worker.attempts.get(task).is_some_and(&is_selected));
-        self.count_crashes(key, suspects, now);
+        self.record_expired_crashes(key, source, now);
+        let attempts = &self.workers[key].attempts;
+        suspects.retain(|suspect| attempts.get(&suspect.task).is_some_and(&is_selected));
+        self.count_crashes(key, source, suspects, now);
     }
 
     /// Counts a crash for the tasks whose leases expired while the worker was silent.
-    pub(crate) fn record_expired_crashes(&mut self, key: WorkerKey, now: Now) {
+    pub(crate) fn record_expired_crashes(&mut self, key: WorkerKey, source: CrashSource, now: Now) {
         let worker = &mut self.workers[key];
         let expired = std::mem::take(&mut worker.expired);
         if !worker.has_planned_end(now.local_ms) {
-            self.count_crashes(key, expired, now);
+            self.count_crashes(key, source, expired, now);
         }
     }
 
@@ -186,9 +202,9 @@
         self.note_unexplained_crash(key, now);
         let suspects = self.suspects(key, now);
         let worker = &mut self.workers[key];
-        for (task, crash) in suspects {
-            if let Some(attempt) = worker.attempts.get_mut(&task) {
-                attempt.crash = Some(crash);
+        for suspect in suspects {
+            if let Some(attempt) = worker.attempts.get_mut(&suspect.task) {
+                attempt.crash = Some(suspect);
             }
         }
         if !worker.has_planned_end(now.local_ms) {
@@ -200,7 +216,8 @@
     pub(crate) fn count_crashes(
         &mut self,
         key: WorkerKey,
-        crashed: Vec<(TaskKey, CrashEvidence)>,
+        source: CrashSource,
+        crashed: Vec<Suspect>,
         now: Now,
     ) {
         if !crashed.is_empty() {
@@ -208,14 +225,21 @@
         }
         let mut counts = Vec::new();
         let mut given_up = Vec::new();
-        for (task, evidence) in crashed {
+        for suspect in crashed {
+            let task = suspect.task;
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
-            let has_failed = job.record_crash(task.index, evidence, now.store_ms);
+            let has_failed = job.record_crash(task.index, suspect.evidence, now.store_ms);
             let count = job.task(task.index).map_or(0, |task| task.crashes);
             let name = job.task_name(task.index);
-            counts.push((name.clone(), count));
+            counts.push(CrashedTask {
+                task: name.clone(),
+                crashes: count,
+                evidence: suspect.evidence,
+                is_start_confirmed: suspect.is_start_confirmed,
+                ran_for_ms: suspect.ran_for_ms,
+            });
             self.dirty_jobs.insert(task.job);
             if has_failed {
                 given_up.push(SchedulerEvent::GivenUp {
@@ -229,6 +253,7 @@
             let worker = self.workers[key].info.id.clone();
             let crashed = SchedulerEvent::Crashed {
                 worker,
+                source,
                 tasks: counts,
             };
             self.events.push(crashed);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -33,5 +33,7 @@
 pub use reports::{EndedAttempt, RunningTask, WorkerReport};
 pub use scheduler::Scheduler;
 pub use teams::TeamDemand;
-pub use types::{JobStatus, Limits, Now, QueueRules, SchedulerEvent, StartOutcome};
+pub use types::{
+    CrashSource, CrashedTask, JobStatus, Limits, Now, QueueRules, SchedulerEvent, StartOutcome,
+};
 pub use worker::{LeaseRenewalPlan, UnavailableReason, WorkerInfo, WorkerKey};
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -6,7 +6,7 @@
 use crate::batch::WorkerCommand;
 use crate::scheduler::Scheduler;
 use crate::teams::TeamKey;
-use crate::types::{Now, SchedulerEvent};
+use crate::types::{CrashSource, Now, SchedulerEvent};
 use crate::worker::WorkerKey;
 
 /// A batch task without progress for longer counts as stalled. The longest tasks, of 3.3 s, progress by one percent
@@ -144,7 +144,7 @@
     /// Replaces what is known of a worker's process, after a report from another incarnation with the same id.
     fn begin_incarnation(&mut self, key: WorkerKey, start_unix_ms: Option<u64>, now: Now) {
         self.mark_crashed(key, now);
-        self.record_expired_crashes(key, now);
+        self.record_expired_crashes(key, CrashSource::AnotherStartReports, now);
         self.set_unassigned(key, Vec::new());
         let limits = self.limits;
         let worker = &mut self.workers[key];
@@ -376,10 +376,9 @@
         let unlisted: Vec<_> = unlisted
             .map(|(task, attempt)| (*task, attempt.number, attempt.crash))
             .collect();
-        let crashed = unlisted
-            .iter()
-            .filter_map(|(task, _, crash)| Some((*task, (*crash)?)));
-        self.count_crashes(key, crashed.collect(), now);
+        let crashed = unlisted.iter().filter_map(|(_, _, crash)| *crash);
+        let source = CrashSource::AnotherStartReports;
+        self.count_crashes(key, source, crashed.collect(), now);
         for (task, attempt, _) in unlisted {
             if let Some(job) = self.jobs.get(&task.job) {
                 self.events.push(SchedulerEvent::NotListed {
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use smol_str::SmolStr;
-use submission::JobState;
+use submission::{CrashEvidence, JobState};
 
 /// The current time on each of the three clocks, in ms.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -86,8 +86,10 @@
     Crashed {
         /// The id of the worker.
         worker: SmolStr,
-        /// The names of the tasks, each with the number of workers that have crashed under it.
-        tasks: Vec<(SmolStr, u32)>,
+        /// How the scheduler learned of the crash.
+        source: CrashSource,
+        /// The tasks for which the crash counts.
+        tasks: Vec<CrashedTask>,
     },
     /// A task is given up, because too many workers crashed under it.
     GivenUp {
@@ -110,6 +112,56 @@
     },
 }
 
+/// How the scheduler learned that a worker has crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashSource {
+    /// A worker with another id responded at the address.
+    AnotherIdResponds,
+    /// A report came from another start of the worker.
+    AnotherStartReports,
+    /// The leader reported that the incarnation has ended.
+    ReportedByLeader,
+    /// The worker was silent until all its leases had expired, and the registry does not list it.
+    SilentAndNotListed,
+}
+
+/// A task for which the crash of a worker counts.
+#[derive(Clone, PartialEq, Eq)]
+pub struct CrashedTask {
+    /// The name of the task.
+    pub task: SmolStr,
+    /// The number of workers that have crashed under the task.
+    pub crashes: u32,
+    /// How far the crash shows that the task was the cause.
+    pub evidence: CrashEvidence,
+    /// Whether a response showed that the attempt had started on the worker.
+    pub is_start_confirmed: bool,
+    /// How long the attempt is known to have run, in ms.
+    pub ran_for_ms: u64,
+}
+
+/// Writes one line, as a record lists all tasks of a worker.
+impl fmt::Debug for CrashedTask {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let start = if self.is_start_confirmed {
+            "started"
+        } else {
+            "unanswered"
+        };
+        let Self {
+            task,
+            crashes,
+            evidence,
+            ran_for_ms,
+            ..
+        } = self;
+        write!(
+            f,
+            "({task:?}, {crashes}, {evidence:?}, {start}, {ran_for_ms} ms)"
+        )
+    }
+}
+
 impl SchedulerEvent {
     /// Returns what happened, as a message for the log.
     ///
@@ -169,9 +221,14 @@
                 .field("task", task)
                 .field("run", attempt)
                 .finish(),
-            Self::Crashed { worker, tasks } => f
+            Self::Crashed {
+                worker,
+                source,
+                tasks,
+            } => f
                 .debug_struct("Crashed")
                 .field("worker", worker)
+                .field("source", source)
                 .field("tasks", tasks)
                 .finish(),
             Self::GivenUp { task, crashes } => f
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
-use submission::{CrashEvidence, Resources, StepSpec, TaskKey};
+use submission::{Resources, StepSpec, TaskKey};
 
-use crate::crashes::ISOLATED_FROM_CRASHES;
+use crate::crashes::{ISOLATED_FROM_CRASHES, Suspect};
 use crate::incarnation::{ClockSample, Incarnation};
 use crate::teams::TeamKey;
 
@@ -68,7 +68,7 @@
     /// Whether a start command may have reached the worker.
     pub(crate) may_have_begun: bool,
     /// The crash of the incarnation on which the attempt may have run. The attempt may run on the next one nevertheless.
-    pub(crate) crash: Option<CrashEvidence>,
+    pub(crate) crash: Option<Suspect>,
     /// Since when the attempt is known to run on the incarnation, in ms on the daemon's clock; `None` when it is not known to.
     pub(crate) running_since_ms: Option<u64>,
     /// How long the attempt is known to have run on the incarnation, in ms.
@@ -160,7 +160,7 @@
     pub(crate) isolated_attempts: usize,
     /// Tasks whose leases expired on the worker while it was silent. They count as crashed under when the incarnation turns
     /// out to have ended.
-    pub(crate) expired: Vec<(TaskKey, CrashEvidence)>,
+    pub(crate) expired: Vec<Suspect>,
     /// When the worker last crashed, in ms on the daemon's clock; 0 when it has not. Kept when the worker restarts under its id.
     pub(crate) crashed_at_ms: u64,
     /// When an attempt was last removed from the worker, or else when the registry first listed the worker, in ms on
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -5,7 +5,7 @@
 use submission::{AttemptOutcome, TaskKey};
 
 use crate::scheduler::Scheduler;
-use crate::types::{Now, SchedulerEvent, StartOutcome};
+use crate::types::{CrashSource, Now, SchedulerEvent, StartOutcome};
 use crate::worker::{AssignedAttempt, LeaseRenewalPlan, Worker, WorkerInfo, WorkerKey};
 
 /// How long no task of a refused size is sent to the worker again, unless an attempt ends there.
@@ -55,7 +55,7 @@
                 && now.local_ms > worker.leases_expired_by_ms
         });
         for key in removable.map(|(key, _)| key).collect::<Vec<_>>() {
-            self.record_expired_crashes(key, now);
+            self.record_expired_crashes(key, CrashSource::SilentAndNotListed, now);
             self.remove_worker(key);
         }
         may_have_restarted
@@ -93,7 +93,7 @@
         if !worker.is_some_and(|worker| worker.may_have_start(start_unix_ms)) {
             return false;
         }
-        self.record_crash(key, now, |_| true);
+        self.record_crash(key, CrashSource::AnotherIdResponds, now, |_| true);
         self.lose_attempts(key, now, |_| true);
         self.end_incarnation(key);
         true
@@ -113,7 +113,9 @@
         {
             return;
         }
-        self.record_crash(key, now, |attempt| !attempt.is_start_in_flight);
+        self.record_crash(key, CrashSource::ReportedByLeader, now, |attempt| {
+            !attempt.is_start_in_flight
+        });
         self.lose_attempts(key, now, |attempt| !attempt.is_start_in_flight);
         if self.workers[key].attempts.is_empty() {
             self.end_incarnation(key);
@@ -336,7 +338,7 @@
         if self.workers[key].is_listed {
             self.expect_crash(key, now);
         } else {
-            self.record_crash(key, now, |_| true);
+            self.record_crash(key, CrashSource::SilentAndNotListed, now, |_| true);
         }
         self.lose_attempts(key, now, |_| true);
         self.set_unassigned(key, Vec::new());
--- a/crates/scheduler/tests/events.rs
+++ b/crates/scheduler/tests/events.rs
@@ -1,6 +1,7 @@
 //! The names in log records of scheduler events stay the same.
 
-use scheduler::SchedulerEvent;
+use scheduler::{CrashSource, CrashedTask, SchedulerEvent};
+use submission::CrashEvidence;
 
 #[test]
 fn events_are_logged_under_stable_names() {
@@ -40,11 +41,18 @@
     );
     let crashed = SchedulerEvent::Crashed {
         worker: "w-1".into(),
-        tasks: vec![("t".into(), 2)],
+        source: CrashSource::ReportedByLeader,
+        tasks: vec![CrashedTask {
+            task: "t".into(),
+            crashes: 2,
+            evidence: CrashEvidence::Doubtful,
+            is_start_confirmed: true,
+            ran_for_ms: 40,
+        }],
     };
     assert_eq!(
         format!("{crashed:?}"),
-        r#"Crashed { worker: "w-1", tasks: [("t", 2)] }"#
+        r#"Crashed { worker: "w-1", source: ReportedByLeader, tasks: [("t", 2, Doubtful, started, 40 ms)] }"#
     );
     let given_up = SchedulerEvent::GivenUp {
         task: "t".into(),
