scheduler: a drain lease lasts until a command that follows the drain has arrived

What callers could see: tasks that were started on a drained worker are killed by the move or maintenance of its VM, and the kill counted as a crash under these tasks.

Cause: a permission that ended before what it permits. A leader sends a command to a VM up to 1.5 s after it began to record it, and up to 0.3 s earlier it had asked the owner for the drain; the command takes up to 0.8 s. The drain lease lasted 1.5 s, so that with a slow store the owner used the worker again before the command arrived.

Ruled out: a shorter window for commands, with which nothing is moved or maintained while the store is slow.

--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -10,9 +10,10 @@
 /// The progress at which a service task counts as available.
 const AVAILABLE_PROGRESS_PERCENT: u32 = 100;
 
-/// The duration of a drain lease, during which the worker is given no task. Leaders renew drain leases every 0.3 s, and
-/// a command to a VM takes up to 0.8 s. When the leader fails, the worker is used again after this time.
-const DRAIN_LEASE_MS: u64 = 1500;
+/// The duration of a drain lease in ms, during which the worker is given no task. A leader whose store is slow sends the command
+/// to the drained VM up to 1.8 s after its request, and the command takes up to 0.8 s. When the leader fails, the worker is
+/// used again after this time.
+pub const DRAIN_LEASE_MS: u64 = 2700;
 
 /// The number of unavailable tasks that every service step tolerates, whatever the step allows. With 0, a worker of a
 /// step that allows none could not be drained.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -28,6 +28,7 @@
 
 pub use batch::{Batch, RecordedEnds, RowChange, WorkerCommand};
 pub use demand::{Demand, IdleWorker};
+pub use draining::DRAIN_LEASE_MS;
 pub use overload::OverloadRules;
 pub use policy::PolicyRequest;
 pub use reports::{EndedAttempt, RunningTask, WorkerReport};
