scheduler: how long a service task has run is known across takeovers

Callers saw services shown as failed after their workers had crashed for other causes.

Cause: how long an attempt has run was known to one owner only. The next owner found an attempt on a worker that was gone, took it for one that had just begun, and counted a conclusive crash. Nor did any owner forget the earlier crashes, as none had seen the task run for 5 s.

- An attempt of a service task that was adopted, and that no report to this owner has listed, counts no crash and is not a likely cause of one.
It may have ended long ago.
- The progress in a report shows for how long an attempt has run at least: a service task at 100 % has been started up, which takes some hundred ms, whereas deadly tasks crash their workers within 10 ms.
A batch task without checkpoints has run for its progress times a tenth of its estimate.
- For a service task under which workers crashed, the job's row tells since when its attempt is known to run, so that 5 s count also when two owners have seen them.
A task is still cleared only by 5 s of running.
Earlier builds skip the field.
It is one more write for each such attempt.
A restart of the worker, the end of the attempt and the clearing end it.

BUDGET: a deadly service task whose worker crashes just before a takeover gets one start more for each such takeover, as that crash is not counted. All other crashes count as before.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -13,6 +13,7 @@
 
 use submission::{CrashEvidence, StepSpec, TaskKey};
 
+use crate::draining::AVAILABLE_PROGRESS_PERCENT;
 use crate::scheduler::Scheduler;
 use crate::types::{CrashSource, CrashedTask, Now, SchedulerEvent};
 use crate::worker::{AssignedAttempt, Worker, WorkerKey};
@@ -31,6 +32,9 @@
 /// workers within milliseconds of their start, and a worker with batch tasks is polled a few times in a second.
 const SURVIVED_MS: u64 = 200;
 
+/// The smallest duration of a batch task, in percent of its estimate. Estimates are off by nine tenths at most.
+const LEAST_DURATION_PERCENT: u64 = 10;
+
 /// How long in ms after a crash that no task can have caused the next crashes may have the same cause. Crashes at the same
 /// time are noticed up to two seconds apart.
 const COMMON_CAUSE_MS: u64 = 2000;
@@ -53,15 +57,55 @@
     pub(crate) ran_for_ms: u64,
 }
 
+/// How long a batch task of a step has run at least for each percent of its progress, in microseconds; 0 when that is unknown,
+/// as attempts with checkpoints may begin with progress.
+pub(crate) fn least_us_per_percent(step: &StepSpec) -> u64 {
+    if step.is_service || step.has_checkpoints {
+        return 0;
+    }
+    let estimated_ms = step.estimated_duration_ms;
+    estimated_ms.saturating_mul(1000 * LEAST_DURATION_PERCENT / 100) / 100
+}
+
 impl AssignedAttempt {
     /// Records that a response that arrived at `now_ms` on the daemon's clock shows the attempt running. The time until the first
     /// such response is not counted, as the attempt may have begun any time before. A response may be late, but the next poll
     /// of a worker with service tasks is answered seconds later, which is too late for the evidence.
     pub(crate) fn record_running(&mut self, now_ms: u64) {
-        let since_ms = *self.running_since_ms.get_or_insert(now_ms);
+        self.record_ran_for(0, now_ms);
+    }
+
+    /// Like [`Self::record_running`], when the attempt is known to have run for at least `least_ms`.
+    fn record_ran_for(&mut self, least_ms: u64, now_ms: u64) {
+        let known_since_ms = self.running_since_ms.unwrap_or(now_ms);
+        let since_ms = known_since_ms.min(now_ms.saturating_sub(least_ms));
+        self.running_since_ms = Some(since_ms);
         self.ran_for_ms = now_ms.saturating_sub(since_ms);
     }
 
+    /// How long the attempt has run at least, as its progress shows, in ms. A service task is at work some hundred ms after its
+    /// start.
+    fn least_run_ms(&self) -> u64 {
+        let percent = u64::from(self.progress_percent);
+        if self.is_service && self.progress_percent >= AVAILABLE_PROGRESS_PERCENT {
+            SURVIVED_MS
+        } else {
+            percent.min(100).saturating_mul(self.least_us_per_percent) / 1000
+        }
+    }
+
+    /// Whether the attempt is one of a previous owner that no report to this owner has listed. It may have ended long ago, or
+    /// never have begun.
+    fn is_only_recorded(&self) -> bool {
+        self.settled_at_ms == Some(0) && !self.has_started
+    }
+
+    /// Whether a crash of the worker may be counted for the attempt. It may not for a service task of which it is unknown how
+    /// long it has run: these are the tasks that live through many crashes and takeovers.
+    fn may_be_suspect(&self) -> bool {
+        self.may_have_begun && !(self.is_service && self.is_only_recorded())
+    }
+
     /// Whether the attempt has run for so long that the task is unlikely to crash workers.
     fn has_survived(&self) -> bool {
         self.ran_for_ms >= SURVIVED_MS
@@ -75,7 +119,7 @@
 
     fn may_have_crashed_worker(&self, has_common_cause: bool) -> bool {
         let is_unlikely = self.is_cleared() || (has_common_cause && self.has_survived());
-        self.may_have_begun && !is_unlikely
+        self.may_be_suspect() && !is_unlikely
     }
 }
 
@@ -126,7 +170,7 @@
     /// which at least `min_crashes` workers had crashed before.
     fn likely_causes(&self, min_crashes: u32) -> usize {
         let attempts = self.attempts.values();
-        let likely = attempts.filter(|attempt| attempt.may_have_begun && !attempt.has_survived());
+        let likely = attempts.filter(|attempt| attempt.may_be_suspect() && !attempt.has_survived());
         likely
             .filter(|attempt| attempt.crashes >= min_crashes)
             .count()
@@ -196,6 +240,30 @@
         self.workers[key].expired.extend(suspects);
     }
 
+    /// Notes how long a running attempt has run at least, which its progress and the row of its job show, and forgets the crashes
+    /// under a service task that has run for long.
+    pub(crate) fn note_survival(&mut self, key: WorkerKey, task: TaskKey, now: Now) {
+        let worker = &mut self.workers[key];
+        let attempt = worker.attempts.get_mut(&task);
+        let Some((attempt, job)) = attempt.zip(self.jobs.get_mut(&task.job)) else {
+            return;
+        };
+        let is_newly_recorded = job.record_running(task.index, now.store_ms);
+        let recorded = job.task(task.index).map(|task| task.running_since_ms);
+        let recorded_ms = recorded
+            .filter(|since_ms| *since_ms > 0)
+            .map_or(0, |since_ms| now.store_ms.saturating_sub(since_ms));
+        let least_ms = attempt.least_run_ms().max(recorded_ms);
+        attempt.record_ran_for(least_ms, now.local_ms);
+        let is_forgotten = attempt.is_cleared() && job.forget_crashes(task.index);
+        if is_forgotten {
+            worker.clear_suspect(task);
+        }
+        if is_forgotten || is_newly_recorded {
+            self.dirty_jobs.insert(task.job);
+        }
+    }
+
     /// Marks the attempts that may have run on the previous incarnation of a worker. Those that the next one does not list
     /// were there when it crashed.
     pub(crate) fn mark_crashed(&mut self, key: WorkerKey, now: Now) {
@@ -207,6 +275,11 @@
                 attempt.crash = Some(suspect);
             }
         }
+        for task in worker.attempts.keys() {
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                job.forget_running(task.index);
+            }
+        }
         if !worker.has_planned_end(now.local_ms) {
             worker.crashed_at_ms = now.local_ms.max(1);
         }
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -8,7 +8,7 @@
 use crate::worker::WorkerKey;
 
 /// The progress at which a service task counts as available.
-const AVAILABLE_PROGRESS_PERCENT: u32 = 100;
+pub(crate) const AVAILABLE_PROGRESS_PERCENT: u32 = 100;
 
 /// The duration of a drain lease, during which the worker is given no task. Leaders renew drain leases every 0.3 s, and
 /// a command to a VM takes up to 0.8 s. When the leader fails, the worker is used again after this time.
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -296,18 +296,14 @@
         let stalled_ms = now.local_ms.saturating_sub(attempt.progress_since_ms);
         let was_stopping = attempt.is_stopping;
         let number = attempt.number;
-        let is_cleared = attempt.is_cleared();
         if !had_started {
             self.remove_not_started(task.job);
         }
+        self.note_survival(key, task, now);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return Some(task);
         };
         job.update_checkpoint(task.index, running.checkpoint.clone());
-        if is_cleared && job.forget_crashes(task.index) {
-            self.workers[key].clear_suspect(task);
-            self.dirty_jobs.insert(task.job);
-        }
         let may_stall = !job.step(task.index).is_service && !job.step(task.index).is_gang;
         if job.has_ended() && !was_stopping {
             self.issue_stop(key, task, number);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 use submission::{Resources, StepSpec, TaskKey};
 
-use crate::crashes::{ISOLATED_FROM_CRASHES, Suspect};
+use crate::crashes::{ISOLATED_FROM_CRASHES, Suspect, least_us_per_percent};
 use crate::incarnation::{ClockSample, Incarnation};
 use crate::teams::TeamKey;
 
@@ -88,6 +88,8 @@
     pub(crate) is_stopping: bool,
     pub(crate) footprint: Resources,
     pub(crate) is_service: bool,
+    /// How long the attempt has run at least for each percent of its progress, in microseconds; 0 when that is unknown.
+    pub(crate) least_us_per_percent: u64,
     /// The team of the job; `None` for no team.
     pub(crate) team: Option<TeamKey>,
     /// What the task is declared to need, which counts towards the use of the team.
@@ -116,6 +118,7 @@
             is_stopping: false,
             footprint: step.footprint(),
             is_service: step.is_service,
+            least_us_per_percent: least_us_per_percent(step),
             team: None,
             needs: step.needs,
         }
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -59,6 +59,9 @@
     /// The number of workers that crashed while an attempt may have run there. Service tasks start anew when an attempt
     /// has run for a while.
     pub crashes: u32,
+    /// Since when the last attempt is known to run, in ms on the store's clock; 0 when that is unknown. Known for service tasks
+    /// under which workers crashed.
+    pub running_since_ms: u64,
     /// The current phase.
     pub phase: TaskPhase,
     /// The newest known checkpoint; empty for none.
@@ -104,6 +107,7 @@
             attempt: 0,
             failures: 0,
             crashes: 0,
+            running_since_ms: 0,
             phase: TaskPhase::Idle,
             checkpoint: SmolStr::default(),
         };
@@ -156,6 +160,7 @@
                 attempt,
                 failures,
                 crashes: 0,
+                running_since_ms: 0,
                 phase,
                 checkpoint,
             };
@@ -165,6 +170,11 @@
                 task.crashes = crashes;
             }
         }
+        for (index, since_ms) in record.running_since_ms {
+            if let Some(task) = self.tasks.get_mut(index as usize) {
+                task.running_since_ms = since_ms;
+            }
+        }
         self
     }
 
@@ -189,12 +199,16 @@
         let listed = last_attempted.map_or(0, |index| index + 1);
         let crashed = self.tasks().filter(|(_, task)| task.crashes > 0);
         let crashed = crashed.filter(|(_, task)| task.phase != TaskPhase::Done);
+        let running = self.tasks().filter(|(_, task)| task.running_since_ms > 0);
         JobRecord {
             is_cancelled: self.is_cancelled,
             has_failed: self.has_failed,
             ended_at_ms: self.ended_at_ms,
             tasks: self.tasks[..listed].iter().map(record).collect(),
             crashes: crashed.map(|(index, task)| (index, task.crashes)).collect(),
+            running_since_ms: running
+                .map(|(index, task)| (index, task.running_since_ms))
+                .collect(),
         }
     }
 
@@ -451,6 +465,7 @@
             return false;
         }
         task.phase = TaskPhase::Idle;
+        task.running_since_ms = 0;
         let is_service = self.spec.steps[self.position(index).1].is_service;
         let task = &mut self.tasks[index as usize];
         match outcome {
--- a/crates/submission/src/job/crashes.rs
+++ b/crates/submission/src/job/crashes.rs
@@ -58,12 +58,36 @@
         true
     }
 
+    /// Records that the last attempt of a task runs at `store_ms` on the store's clock, if it is a service task under which workers
+    /// crashed, so that each owner of the job knows since when it has run. Returns whether the row of the job has changed.
+    ///
+    /// # Panics
+    /// If `index` is not the index of a task of the job.
+    pub fn record_running(&mut self, index: u32, store_ms: u64) -> bool {
+        let is_service = self.step(index).is_service;
+        let task = &mut self.tasks[index as usize];
+        if !is_service || task.crashes == 0 || task.running_since_ms > 0 {
+            return false;
+        }
+        task.running_since_ms = store_ms.max(1);
+        true
+    }
+
+    /// Forgets since when the last attempt of a task has run, because its worker has restarted. An unknown task is ignored.
+    pub fn forget_running(&mut self, index: u32) {
+        if let Some(task) = self.tasks.get_mut(index as usize) {
+            task.running_since_ms = 0;
+        }
+    }
+
     /// Forgets the crashes under a task whose attempt has run long enough not to be their cause. Returns whether there
     /// were any.
     ///
     /// # Panics
     /// If `index` is not the index of a task of the job.
     pub fn forget_crashes(&mut self, index: u32) -> bool {
-        std::mem::take(&mut self.tasks[index as usize].crashes) > 0
+        let task = &mut self.tasks[index as usize];
+        task.running_since_ms = 0;
+        std::mem::take(&mut task.crashes) > 0
     }
 }
--- a/crates/submission/src/record.rs
+++ b/crates/submission/src/record.rs
@@ -22,6 +22,10 @@
     /// ignore this field, whereas they can't read a task with more fields.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<(u32, u32)>,
+    /// The index in the job of each service task under which workers crashed and whose last attempt is known to run, with the
+    /// time since when, in ms on the store's clock. Earlier builds ignore this field.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub running_since_ms: Vec<(u32, u64)>,
 }
 
 /// The progress of a task as stored. The fields are, in this order: the number of the last attempt (0 before the first
--- a/crates/submission/tests/jobs.rs
+++ b/crates/submission/tests/jobs.rs
@@ -179,6 +179,43 @@
     }
 }
 
+#[test]
+fn a_row_tells_since_when_a_service_task_runs_that_workers_crashed_under() {
+    let service = StepSpec {
+        is_service: true,
+        ..step(2, &[])
+    };
+    let mut job = job(vec![service, step(1, &[])]);
+    for index in [0, 2] {
+        let attempt = job.assign(index, "one".into(), 0);
+        job.record_crash(index, CrashEvidence::Late, 5);
+        job.end_attempt(index, attempt, AttemptOutcome::Lost, 2, 5);
+    }
+    let attempts: Vec<_> = (0..3)
+        .map(|index| job.assign(index, "two".into(), 0))
+        .collect();
+    let changes: Vec<_> = (0..3).map(|index| job.record_running(index, 30)).collect();
+    // No worker has crashed under the second task, and the third is a batch task.
+    assert_eq!(changes, [true, false, false]);
+    assert!(!job.record_running(0, 40));
+    let row = serde_json::to_string(&job.record()).unwrap();
+    assert!(
+        row.ends_with(r#","c":[[0,1],[2,1]],"r":[[0,30]]}"#),
+        "{row}"
+    );
+    let restored = Job::new(JobId(7), "queue".into(), job.spec().clone(), 1);
+    let restored = restored.with_record(serde_json::from_str(&row).unwrap());
+    assert_eq!(restored.record(), job.record());
+    let mut ended = restored.clone();
+    ended.end_attempt(0, attempts[0], AttemptOutcome::Lost, 2, 50);
+    ended.assign(0, "three".into(), 0);
+    let mut forgotten = restored;
+    assert!(forgotten.forget_crashes(0));
+    for job in [ended, forgotten] {
+        assert_eq!(job.record().running_since_ms, []);
+    }
+}
+
 #[test]
 fn a_task_name_gives_back_the_index_of_its_task() {
     let spec = JobSpec {
