scheduler: a silent worker that leaves the registry is not taken for crashed

Cause: once the leases of a silent worker had expired and the registry did not list it, the owner counted a crash for each task there, and so did the removal of such a worker. A worker that is cut off from its owner and from the store leaves the registry too, after three heartbeats, and ends its attempts itself. The same holds for a next owner that adopts attempts on a worker that it does not know yet. Three to five cuts gave an innocent task up.

Now only proof that the process has ended counts: another id at its address, another start that reports, or the leader's report. What was expected when the leases expired is kept for that, as it was for listed workers: a worker without an entry stays known, unpolled and without attempts, for 15 s after its leases have expired, and is named to the leader among the unresponsive workers, as are listed ones whose leases have expired. The leader tells when such a worker is on no listed VM, or its VM is down. A report of the same start clears it. 15 s are more than a worker needs to come back (3 s) and a leader to be replaced and to make two rounds.

As the worker stays known, its entry may come back for it: it is polled at once then, as a new worker is. It does not count towards the number of workers that may be blocklisted.

The tests in crashes.rs demanded with the evidence SilentAndNotListed that silence alone counts. That contradicts the users' terms, by which only an end of the executor is a crash. It is replaced by two, with the same limits on starts: silent and not listed past its leases, and then the leader's report, for which the owner must have named the worker; and the same, but then listed again and reporting another start. The tests with the first failed before, as the owner did not name it; both fail when the worker is not kept.

--- a/crates/fleetd/src/pool/registry.rs
+++ b/crates/fleetd/src/pool/registry.rs
@@ -116,15 +116,15 @@
     /// Gives the scheduler the workers and the queue rules, and starts the lease renewal of new workers.
     fn set_workers(self: &Arc<Self>, entries: &[(SmolStr, WorkerInfo)]) {
         let infos = entries.iter().map(|(_, info)| info.clone()).collect();
-        let (keys, may_have_restarted) = {
+        let (keys, to_poll) = {
             let mut scheduler = self.scheduler.lock();
-            let may_have_restarted = scheduler.set_workers(infos, self.node.clock.now());
+            let to_poll = scheduler.set_workers(infos, self.node.clock.now());
             if let Some(document) = self.node.active_config.get() {
                 scheduler.set_queue_rules(queue_rules(&document));
             }
-            (scheduler.worker_keys(), may_have_restarted)
+            (scheduler.worker_keys(), to_poll)
         };
         self.start_lease_renewals(&keys);
-        self.wake_lease_renewals(may_have_restarted.into_iter());
+        self.wake_lease_renewals(to_poll.into_iter());
     }
 }
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -122,7 +122,7 @@
     /// The workers that run service tasks.
     #[serde(rename = "steady")]
     pub(crate) service_workers: Vec<SmolStr>,
-    /// The workers that do not respond, and on which a task runs or may run.
+    /// The workers that do not respond, and on which a task runs, may run or has run until its lease expired.
     #[serde(rename = "silent")]
     pub(crate) unresponsive: Vec<SmolStr>,
     /// The starts of the unresponsive workers and of those to drain, as far as they are known, by id, in ms since 1970.
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -42,6 +42,11 @@
 /// after the lease. A command to a VM may take effect seconds later.
 const PLANNED_END_MS: u64 = 5000;
 
+/// For how long after its leases have expired a worker without a registry entry is remembered, in ms, in case that it turns
+/// out to have crashed. Crashed workers are back within seconds; a leader finds workers that have ended in each round,
+/// every 0.3 s, and a next leader a few seconds after the last.
+const AWAIT_PROOF_MS: u64 = 15_000;
+
 /// A task that may have caused a crash, and what is known of its attempt on the worker.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Suspect {
@@ -137,6 +142,12 @@
         self.crashed_at_ms > 0 && now_ms.saturating_sub(self.crashed_at_ms) < UNSTABLE_MS
     }
 
+    /// Whether proof may still come that the worker crashed under the tasks whose leases expired there. Silence is none: a
+    /// worker that is cut off from its owner and from the store leaves the registry too, and ends its attempts itself.
+    pub(crate) fn awaits_proof_of_crash(&self, now_ms: u64) -> bool {
+        !self.expired.is_empty() && now_ms <= self.leases_expired_by_ms + AWAIT_PROOF_MS
+    }
+
     /// Whether a task may be placed on the worker beside the tasks there.
     pub(crate) fn may_join(&self) -> bool {
         self.isolated_attempts == 0
@@ -190,7 +201,7 @@
         }
     }
 
-    /// Remembers the tasks whose leases expire, for the case that the silent worker has crashed.
+    /// Remembers the tasks whose leases expire, for the case that the silent worker turns out to have crashed.
     pub(crate) fn expect_crash(&mut self, key: WorkerKey, now: Now) {
         let suspects = self.suspects(key, now);
         self.workers[key].expired.extend(suspects);
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -57,7 +57,8 @@
     /// The ids of the workers to which no new task is assigned now, with the reason. Only workers that the registry
     /// lists and that have accepted a request with this owner's term.
     pub unavailable: Vec<(SmolStr, UnavailableReason)>,
-    /// The ids of the workers that are unresponsive or have no known address, and to which attempts are assigned.
+    /// The ids of the workers that are unresponsive or have no known address, and to which attempts are assigned or
+    /// which may turn out to have crashed.
     pub unresponsive: Vec<SmolStr>,
     /// The workers that could be given tasks, have none, and whose reported ends are all recorded.
     pub idle: Vec<IdleWorker>,
@@ -120,7 +121,8 @@
             Some((worker.info.id.clone(), reason))
         });
         let unresponsive = self.workers.values().filter(|worker| {
-            !worker.attempts.is_empty() && (worker.is_unresponsive || worker.info.addr.is_empty())
+            (!worker.attempts.is_empty() || !worker.expired.is_empty())
+                && (worker.is_unresponsive || worker.info.addr.is_empty())
         });
         Demand {
             unresponsive: unresponsive.map(|worker| worker.info.id.clone()).collect(),
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -393,10 +393,11 @@
 
     /// Whether one more worker may be blocklisted without exceeding the limit for the pool.
     fn may_blocklist_another(&self, now: Now) -> bool {
-        let blocklisted = self
-            .workers
-            .values()
+        let workers = self.workers.values();
+        let workers = workers.filter(|worker| worker.is_listed || worker.expired.is_empty());
+        let blocklisted = workers
+            .clone()
             .filter(|worker| worker.incarnation.health.is_blocklisted(now.local_ms));
-        (blocklisted.count() + 1) * 100 <= self.workers.len() * MAX_BLOCKLISTED_PERCENT
+        (blocklisted.count() + 1) * 100 <= workers.count() * MAX_BLOCKLISTED_PERCENT
     }
 }
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -121,8 +121,6 @@
     AnotherStartReports,
     /// The leader reported that the incarnation has ended.
     ReportedByLeader,
-    /// The worker was silent until all its leases had expired, and the registry does not list it.
-    SilentAndNotListed,
 }
 
 /// A task for which the crash of a worker counts.
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -13,15 +13,20 @@
 
 impl Scheduler {
     /// Replaces the registry entries of the pool's workers. A worker without an entry is given no new tasks, and is
-    /// removed once no attempt or lease may be left there. Entries of incarnations that have ended are ignored.
+    /// removed once no attempt or lease may be left there and no proof that it crashed is awaited. Entries of incarnations
+    /// that have ended are ignored.
     ///
-    /// Returns the workers that may have restarted, as their entry shows another start. The registry may lag behind, so that
-    /// only their next report tells; until then they are given no new tasks.
+    /// Returns the workers to poll at once: those whose entry has come back, and those that may have restarted, as their
+    /// entry shows another start. The registry may lag behind, so that only their next report tells; until then they are
+    /// given no new tasks.
     pub fn set_workers(&mut self, infos: Vec<WorkerInfo>, now: Now) -> Vec<WorkerKey> {
-        let mut may_have_restarted = Vec::new();
+        let mut to_poll = Vec::new();
         let leases_expired_by_ms = self.previous_leases_expired_by_ms(now.local_ms);
-        for worker in self.workers.values_mut() {
-            worker.is_listed = false;
+        let mut unlisted = BTreeSet::new();
+        for (key, worker) in &mut self.workers {
+            if !std::mem::replace(&mut worker.is_listed, false) {
+                unlisted.insert(key);
+            }
         }
         let incarnation = |info: &WorkerInfo| (info.id.clone(), info.start_unix_ms);
         let listed: BTreeSet<_> = infos.iter().map(incarnation).collect();
@@ -33,11 +38,11 @@
             }
             if let Some(&key) = self.workers_by_id.get(&info.id) {
                 let worker = &mut self.workers[key];
-                if info.start_unix_ms != worker.info.start_unix_ms
-                    && info.start_unix_ms != worker.incarnation.start_unix_ms
-                {
-                    worker.may_have_restarted = true;
-                    may_have_restarted.push(key);
+                let shows_another_start = info.start_unix_ms != worker.info.start_unix_ms
+                    && info.start_unix_ms != worker.incarnation.start_unix_ms;
+                worker.may_have_restarted |= shows_another_start;
+                if shows_another_start || unlisted.contains(&key) {
+                    to_poll.push(key);
                 }
                 worker.info = info;
                 worker.is_listed = true;
@@ -53,12 +58,12 @@
             !worker.is_listed
                 && worker.attempts.is_empty()
                 && now.local_ms > worker.leases_expired_by_ms
+                && !worker.awaits_proof_of_crash(now.local_ms)
         });
         for key in removable.map(|(key, _)| key).collect::<Vec<_>>() {
-            self.record_expired_crashes(key, CrashSource::SilentAndNotListed, now);
             self.remove_worker(key);
         }
-        may_have_restarted
+        to_poll
     }
 
     /// When all leases that a previous owner may have granted until the end of its grace period have expired, in ms on
@@ -148,7 +153,7 @@
     }
 
     /// Returns the keys of all workers, including workers that the registry does not list and to which attempts are
-    /// still assigned or may still have leases.
+    /// still assigned or may still have leases, or that may turn out to have crashed.
     #[must_use]
     pub fn worker_keys(&self) -> Vec<WorkerKey> {
         self.workers.keys().collect()
@@ -335,14 +340,11 @@
                 attempts: worker.attempts.len(),
             });
         }
-        if self.workers[key].is_listed {
-            self.expect_crash(key, now);
-        } else {
-            self.record_crash(key, CrashSource::SilentAndNotListed, now, |_| true);
-        }
+        self.expect_crash(key, now);
         self.lose_attempts(key, now, |_| true);
         self.set_unassigned(key, Vec::new());
-        if !self.workers[key].is_listed {
+        let worker = &self.workers[key];
+        if !worker.is_listed && !worker.awaits_proof_of_crash(now.local_ms) {
             self.remove_worker(key);
         }
     }
--- a/crates/scheduler/tests/support/crashes.rs
+++ b/crates/scheduler/tests/support/crashes.rs
@@ -13,15 +13,19 @@
     VmIsDown,
     AnotherStartReports,
     AnotherIdRespondsAfterTheLease,
-    SilentAndNotListed,
+    /// The worker is silent, and its entry is gone. Once its leases have expired, the leader tells that its VM is down.
+    VmIsDownAfterTheLeaseAndTheEntry,
+    /// The same, but then the worker is listed again and reports another start.
+    AnotherStartReportsAfterTheLeaseAndTheEntry,
 }
 
-pub const ALL_EVIDENCE: [Evidence; 5] = [
+pub const ALL_EVIDENCE: [Evidence; 6] = [
     Evidence::AnotherIdResponds,
     Evidence::VmIsDown,
     Evidence::AnotherStartReports,
     Evidence::AnotherIdRespondsAfterTheLease,
-    Evidence::SilentAndNotListed,
+    Evidence::VmIsDownAfterTheLeaseAndTheEntry,
+    Evidence::AnotherStartReportsAfterTheLeaseAndTheEntry,
 ];
 
 /// A pool whose workers crash and come back under a new id or a new start.
@@ -101,19 +105,40 @@
                     .worker_replaced(key, info.start_unix_ms, now);
                 self.add();
             }
-            Evidence::SilentAndNotListed => {
-                self.pool.scheduler.mark_unresponsive(key);
+            Evidence::VmIsDownAfterTheLeaseAndTheEntry => {
+                self.fall_silent_and_leave_registry(key);
+                let now = self.pool.now();
+                let demand = self.pool.scheduler.demand(now);
+                assert!(demand.unresponsive.contains(&info.id));
                 self.pool
                     .scheduler
-                    .set_workers(self.infos.clone(), self.pool.now());
-                self.pool.advance(GRACE_MS + 2 * LEASE_MS);
+                    .incarnation_ended(key, info.start_unix_ms, now);
                 self.add();
             }
+            Evidence::AnotherStartReportsAfterTheLeaseAndTheEntry => {
+                self.fall_silent_and_leave_registry(key);
+                self.incarnations += 1;
+                self.infos.push(WorkerInfo {
+                    start_unix_ms: Some(self.incarnations),
+                    ..info
+                });
+            }
         }
         self.pool.advance(10);
         self.register();
     }
 
+    /// Lets a worker without an entry be silent until its leases have expired.
+    fn fall_silent_and_leave_registry(&mut self, key: WorkerKey) {
+        self.pool.scheduler.mark_unresponsive(key);
+        for _ in 0..4 {
+            self.pool
+                .scheduler
+                .set_workers(self.infos.clone(), self.pool.now());
+            self.pool.advance((GRACE_MS + 2 * LEASE_MS) / 4);
+        }
+    }
+
     /// Lets the task that `commands` start run for `run_ms`, and then its worker and another, which is idle, crash.
     pub fn crash_beside_an_idle_worker(&mut self, commands: &[WorkerCommand], run_ms: u64) {
         let (key, task, attempt) = starts(commands)[0];
