scheduler: a start command that reached no worker counts no crash

What callers saw: a job was shown as failed although none of its tasks had run. After the loss of several VMs that the registry still listed (or after an owner woke up for which VMs had been moved meanwhile), its starts were refused at the addresses of workers that were gone. Once the leader said that these workers had ended, each start counted as a crash under the task.

Cause: an attempt counted as possibly begun from the moment its lease was granted, before the command was sent. A connection that was refused (`Unreachable`) and a response of another incarnation (421) ended as `OutcomeUnknown`, like a command whose response got lost.

Now `StartOutcome::NotDelivered` tells that no send reached the worker. The attempt ends at once, so that the task starts elsewhere without waiting for the lease, and no stop command follows. The worker counts as unresponsive until it responds, and is blocklisted for as long as after a refusal: polls may be answered on an older connection, and starts would be repeated in a tight loop. An attempt may have begun once a response or a report shows it, or a send may have been delivered: the connection was reset after the request was written, or a status tells nothing. One such send among refused ones is enough.

While a start is in flight, a crash of its worker does not count for it yet: `worker_replaced` waits for the outcome, as `incarnation_ended` did already, and a mark of a crash by another start counts only if the start may have been delivered. Such attempts still count as likely causes beside others, so that the evidence against these does not change. The end of a worker that was explained once is not taken for an unexplained crash when the remaining starts turn out not to have been delivered.

Known limits: a lease that was granted for a command that was not delivered still postpones the expiry of other leases on the worker.

--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 use submission::TaskKey;
 use tokio::sync::Semaphore;
-use users_platform::{StartCommand, StartRefusal, StartResponse};
+use users_platform::{Error, StartCommand, StartRefusal, StartResponse};
 
 use crate::pool::PoolOwner;
 use crate::pool::recorder::task_name;
@@ -78,8 +78,8 @@
         self.scheduler.lock().worker(worker).cloned()
     }
 
-    /// Sends a start command and applies its outcome to the scheduler. When no response arrives, the outcome is
-    /// unknown, and a stop command follows.
+    /// Sends a start command and applies its outcome to the scheduler. When no response arrives to a command that may have
+    /// been delivered, the outcome is unknown, and a stop command follows.
     async fn start(
         self: Arc<Self>,
         worker: WorkerKey,
@@ -95,6 +95,8 @@
         let Ok(_slot) = slots.acquire().await else {
             return;
         };
+        let mut may_be_delivered = false;
+        let mut is_replaced = false;
         for sent_count in 0..MAX_START_SENDS {
             self.wait_for_link(task, &checkpoint).await;
             let prepared = self.prepare_start(worker, task, attempt);
@@ -124,13 +126,20 @@
                 .start(&info.addr, &info.id, &command, timeout);
             let response = start.await;
             self.record_response(worker, sent_at);
-            if let Ok(response) = &response {
-                let is_known =
-                    self.apply_start_response(worker, task, attempt, &info, response, sent_count);
-                if is_known {
+            match &response {
+                Ok(response) => {
+                    is_replaced = *response == StartResponse::OtherIncarnation;
+                    let start = (worker, task, attempt);
+                    if !self.apply_start_response(start, &info, response, may_be_delivered) {
+                        break;
+                    }
+                    if is_replaced {
+                        self.remove_replaced_worker(worker, &info);
+                    }
                     return;
                 }
-                break;
+                Err(Error::Unreachable) => {}
+                Err(_) => may_be_delivered = true,
             }
             self.count_command("start", "unanswered");
         }
@@ -139,10 +148,21 @@
             task = name.as_str(),
             run = attempt,
             worker = info.id.as_str(),
+            may_be_delivered,
             "start command got no response"
         );
-        self.apply_start_outcome(worker, task, attempt, StartOutcome::OutcomeUnknown, None);
-        self.stop(worker, name, Some(task), attempt).await;
+        let outcome = if may_be_delivered {
+            StartOutcome::OutcomeUnknown
+        } else {
+            StartOutcome::NotDelivered
+        };
+        self.apply_start_outcome(worker, task, attempt, outcome, None);
+        if is_replaced {
+            self.remove_replaced_worker(worker, &info);
+        }
+        if may_be_delivered {
+            self.stop(worker, name, Some(task), attempt).await;
+        }
     }
 
     /// Waits until the link has room for the start command of a task.
@@ -197,16 +217,14 @@
         ))
     }
 
-    /// Applies the response to a start command that got no response `lost_responses` times before. Returns false, and
-    /// applies nothing, when the outcome is unknown nevertheless.
+    /// Applies the response to a start command. `may_be_delivered` tells whether an earlier send, without a response, may
+    /// have been delivered. Returns false, and applies nothing, when the outcome is unknown nevertheless.
     fn apply_start_response(
         &self,
-        worker: WorkerKey,
-        task: TaskKey,
-        attempt: u32,
+        (worker, task, attempt): (WorkerKey, TaskKey, u32),
         info: &WorkerInfo,
         response: &StartResponse,
-        lost_responses: u32,
+        may_be_delivered: bool,
     ) -> bool {
         let (outcome, clock_ms, label) = match *response {
             StartResponse::Started { clock_ms } => {
@@ -235,9 +253,7 @@
                 (StartOutcome::Refused, Some(clock_ms), "refused")
             }
             StartResponse::Unhealthy { .. } => (StartOutcome::Unhealthy, None, "unhealthy"),
-            StartResponse::OtherIncarnation => {
-                return self.remove_replaced_worker(worker, info);
-            }
+            StartResponse::OtherIncarnation => (StartOutcome::NotDelivered, None, "other life"),
         };
         self.count_command("start", label);
         let name = task_name(&self.scheduler.lock(), task);
@@ -249,7 +265,7 @@
             term = self.term,
             "sent a start command"
         );
-        if lost_responses > 0 && outcome.after_lost_response() == StartOutcome::OutcomeUnknown {
+        if may_be_delivered && outcome.after_lost_response() == StartOutcome::OutcomeUnknown {
             return false;
         }
         self.apply_start_outcome(worker, task, attempt, outcome, clock_ms);
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -73,9 +73,15 @@
         self.is_service && self.ran_for_ms >= SERVICE_SURVIVED_MS
     }
 
+    /// Whether the attempt may have crashed the worker, if it turns out to have begun there.
     fn may_have_crashed_worker(&self, has_common_cause: bool) -> bool {
         let is_unlikely = self.is_cleared() || (has_common_cause && self.has_survived());
-        self.may_have_begun && !is_unlikely
+        (self.may_have_begun || self.is_start_in_flight) && !is_unlikely
+    }
+
+    /// Whether it is not ruled out that the attempt has begun on the worker.
+    fn is_begin_possible(&self) -> bool {
+        self.may_have_begun || self.is_start_in_flight
     }
 }
 
@@ -91,8 +97,8 @@
             && !self.was_silent_before_drain
     }
 
-    /// The tasks that may have caused a crash of the worker, with the evidence that each was the cause. Empty when the end of
-    /// the worker is planned. `has_common_cause` tells that others crash at the time whatever runs there.
+    /// The tasks that may have caused a crash of the worker, if they have begun, with the evidence that each was the cause. Empty
+    /// when the end of the worker is planned. `has_common_cause` tells that others crash at the time whatever runs there.
     fn suspects(&self, has_common_cause: bool, now_ms: u64) -> Vec<Suspect> {
         let was_drained = self.was_drained(now_ms);
         if self.info.is_shutting_down || (was_drained && now_ms < self.drain_until_ms) {
@@ -126,7 +132,8 @@
     /// which at least `min_crashes` workers had crashed before.
     fn likely_causes(&self, min_crashes: u32) -> usize {
         let attempts = self.attempts.values();
-        let likely = attempts.filter(|attempt| attempt.may_have_begun && !attempt.has_survived());
+        let likely =
+            attempts.filter(|attempt| attempt.is_begin_possible() && !attempt.has_survived());
         likely
             .filter(|attempt| attempt.crashes >= min_crashes)
             .count()
@@ -146,16 +153,16 @@
 impl Scheduler {
     /// Remembers the crash of a worker if no task there is a likely cause.
     fn note_unexplained_crash(&mut self, key: WorkerKey, now: Now) {
-        let worker = &self.workers[key];
-        let is_explained = worker.likely_causes(0) > 0 || !worker.expired.is_empty();
-        if !is_explained && !worker.has_planned_end(now.local_ms) {
+        let worker = &mut self.workers[key];
+        worker.is_end_explained |= worker.likely_causes(0) > 0 || !worker.expired.is_empty();
+        if !worker.is_end_explained && !worker.has_planned_end(now.local_ms) {
             let crashes = &mut self.unexplained_crashes;
             crashes.retain(|(_, at_ms)| now.local_ms.saturating_sub(*at_ms) < COMMON_CAUSE_MS);
             crashes.push((key, now.local_ms));
         }
     }
 
-    /// The tasks that may have caused a crash of a worker now.
+    /// The tasks that may have caused a crash of a worker now, if they have begun.
     fn suspects(&self, key: WorkerKey, now: Now) -> Vec<Suspect> {
         let worker = &self.workers[key];
         let has_common_cause = self.unexplained_crashes.iter().any(|(other, at_ms)| {
@@ -164,7 +171,7 @@
         worker.suspects(has_common_cause, now.local_ms)
     }
 
-    /// Counts the crash of a worker for the selected attempts that may have run there, and for the tasks whose leases
+    /// Counts the crash of a worker for the selected attempts that may have begun there, and for the tasks whose leases
     /// expired there.
     pub(crate) fn record_crash(
         &mut self,
@@ -177,7 +184,10 @@
         let mut suspects = self.suspects(key, now);
         self.record_expired_crashes(key, source, now);
         let attempts = &self.workers[key].attempts;
-        suspects.retain(|suspect| attempts.get(&suspect.task).is_some_and(&is_selected));
+        suspects.retain(|suspect| {
+            let attempt = attempts.get(&suspect.task);
+            attempt.is_some_and(|attempt| attempt.may_have_begun && is_selected(attempt))
+        });
         self.count_crashes(key, source, suspects, now);
     }
 
@@ -193,11 +203,16 @@
     /// Remembers the tasks whose leases expire, for the case that the silent worker has crashed.
     pub(crate) fn expect_crash(&mut self, key: WorkerKey, now: Now) {
         let suspects = self.suspects(key, now);
-        self.workers[key].expired.extend(suspects);
+        let worker = &mut self.workers[key];
+        let attempts = &worker.attempts;
+        let begun = suspects
+            .into_iter()
+            .filter(|suspect| attempts[&suspect.task].may_have_begun);
+        worker.expired.extend(begun);
     }
 
     /// Marks the attempts that may have run on the previous incarnation of a worker. Those that the next one does not list
-    /// were there when it crashed.
+    /// were there when it crashed, unless their start commands turn out not to have been delivered.
     pub(crate) fn mark_crashed(&mut self, key: WorkerKey, now: Now) {
         self.note_unexplained_crash(key, now);
         let suspects = self.suspects(key, now);
--- a/crates/scheduler/src/health.rs
+++ b/crates/scheduler/src/health.rs
@@ -17,7 +17,8 @@
 /// The longest duration on the blocklist. The duration doubles each time until the worker succeeds.
 const MAX_BLOCKLIST_MS: u64 = 12_000;
 
-/// How long a worker is blocklisted after it refused a start command for another reason than its free capacity.
+/// How long a worker is blocklisted after it refused a start command for another reason than its free capacity, or after no
+/// command reached it.
 const REFUSAL_BLOCKLIST_MS: u64 = 700;
 
 /// The health of a worker. A new owner starts without this record and builds up its own.
@@ -57,7 +58,7 @@
             && self.blocklist(now_ms)
     }
 
-    /// Records that the worker refused a start command for another reason than its free capacity.
+    /// Records that the worker refused a start command for another reason than its free capacity, or that none reached it.
     pub(crate) fn record_refusal(&mut self, now_ms: u64) {
         self.blocklisted_until_ms = self.blocklisted_until_ms.max(now_ms + REFUSAL_BLOCKLIST_MS);
     }
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -286,6 +286,7 @@
             attempt.settled_at_ms = Some(now.local_ms);
         }
         attempt.crash = None;
+        attempt.may_have_begun = true;
         attempt.record_running(now.local_ms);
         let had_started = std::mem::replace(&mut attempt.has_started, true);
         if attempt.progress_percent != running.progress_percent {
@@ -374,7 +375,10 @@
                 && !listed.contains(task)
         });
         let unlisted: Vec<_> = unlisted
-            .map(|(task, attempt)| (*task, attempt.number, attempt.crash))
+            .map(|(task, attempt)| {
+                let crash = attempt.crash.filter(|_| attempt.may_have_begun);
+                (*task, attempt.number, crash)
+            })
             .collect();
         let crashed = unlisted.iter().filter_map(|(_, _, crash)| *crash);
         let source = CrashSource::AnotherStartReports;
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -274,18 +274,22 @@
     NotAuthorized,
     /// The worker rejected the command, or the command could not be sent any more.
     Refused,
-    /// The worker did not respond: the attempt may be running or may still start.
+    /// A command may have reached the worker, which did not respond: the attempt may be running or may still start.
     OutcomeUnknown,
+    /// No command reached the worker, so that the attempt has not started and will not: no connection was established, or
+    /// another incarnation responded.
+    NotDelivered,
 }
 
 impl StartOutcome {
-    /// Returns the outcome of a start command that was sent before without a response. A refusal is about the last send
-    /// only: an earlier one may still take effect.
+    /// Returns the outcome of a start command if an earlier send may have reached the worker and got no response. Only a
+    /// response that shows the start tells about all sends: after any other outcome, the earlier one may still take effect.
     ///
     /// ```
     /// use scheduler::StartOutcome;
-    /// let refused = StartOutcome::Unhealthy;
-    /// assert_eq!(refused.after_lost_response(), StartOutcome::OutcomeUnknown);
+    /// for last in [StartOutcome::Unhealthy, StartOutcome::NotDelivered] {
+    ///     assert_eq!(last.after_lost_response(), StartOutcome::OutcomeUnknown);
+    /// }
     /// assert_eq!(StartOutcome::Started.after_lost_response(), StartOutcome::Started);
     /// ```
     #[must_use]
@@ -296,7 +300,8 @@
             | Self::Unhealthy
             | Self::NotAuthorized
             | Self::Refused
-            | Self::OutcomeUnknown => Self::OutcomeUnknown,
+            | Self::OutcomeUnknown
+            | Self::NotDelivered => Self::OutcomeUnknown,
         }
     }
 }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -65,7 +65,8 @@
     /// The earliest time on the worker's clock at which the incarnation for which the start command's lease was computed can
     /// respond to the command, in ms.
     pub(crate) earliest_response_ms: u64,
-    /// Whether a start command may have reached the worker.
+    /// Whether a response or a report showed the attempt on the worker, or a start command may have been delivered there. Not
+    /// known while the command is in flight.
     pub(crate) may_have_begun: bool,
     /// The crash of the incarnation on which the attempt may have run. The attempt may run on the next one nevertheless.
     pub(crate) crash: Option<Suspect>,
@@ -156,6 +157,8 @@
     pub(crate) service_attempts: usize,
     /// The number of `attempts` of tasks under which workers have crashed.
     pub(crate) suspect_attempts: usize,
+    /// Whether an attempt on the incarnation, which has ended, is a likely cause of that.
+    pub(crate) is_end_explained: bool,
     /// The number of `attempts` that have to be isolated.
     pub(crate) isolated_attempts: usize,
     /// Tasks whose leases expired on the worker while it was silent. They count as crashed under when the incarnation turns
@@ -205,6 +208,7 @@
             service_attempts: 0,
             suspect_attempts: 0,
             isolated_attempts: 0,
+            is_end_explained: false,
             expired: Vec::new(),
             crashed_at_ms: 0,
             idle_since_ms: 0,
@@ -348,6 +352,7 @@
     /// their way may reach the new incarnation, and its reports show which attempts run there.
     pub(crate) fn restart(&mut self, start_unix_ms: Option<u64>) {
         self.incarnation = self.incarnation.next(start_unix_ms);
+        self.is_end_explained = false;
         for attempt in self.attempts.values_mut() {
             // The new incarnation knows of no stop command and of no speed limit.
             attempt.is_stopping = false;
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -82,7 +82,8 @@
     /// commands to it have no effect any more. `start_unix_ms` is the start in the registry entry from which the address was
     /// taken.
     ///
-    /// Returns false and changes nothing when the worker has been removed or is known with another start by now.
+    /// Returns false and keeps the worker when it has been removed or is known with another start by now, or while start commands
+    /// are on their way: their outcomes show which attempts have begun on the worker. A later call removes it then.
     pub fn worker_replaced(
         &mut self,
         key: WorkerKey,
@@ -93,6 +94,12 @@
         if !worker.is_some_and(|worker| worker.may_have_start(start_unix_ms)) {
             return false;
         }
+        let worker = &mut self.workers[key];
+        let mut attempts = worker.attempts.values();
+        if attempts.any(|attempt| attempt.is_start_in_flight) {
+            worker.is_unresponsive = true;
+            return false;
+        }
         self.record_crash(key, CrashSource::AnotherIdResponds, now, |_| true);
         self.lose_attempts(key, now, |_| true);
         self.end_incarnation(key);
@@ -223,7 +230,6 @@
         if let Some(attempt) = worker.attempts.get_mut(&task) {
             attempt.is_start_in_flight = true;
             attempt.earliest_response_ms = earliest_ms;
-            attempt.may_have_begun = true;
         }
         worker.grant_lease(limits.lease_ms, limits.slow_clock_percent, now.local_ms)
     }
@@ -248,9 +254,10 @@
         if let Some(attempt) = attempt.filter(|attempt| attempt.number == number) {
             let is_of_next_incarnation =
                 clock_ms.is_some_and(|clock_ms| clock_ms < attempt.earliest_response_ms);
-            if is_of_next_incarnation
-                || attempt.assigned_at_ms < worker.incarnation.reports_since_ms
-            {
+            let is_delivered = outcome != StartOutcome::NotDelivered;
+            let is_of_another =
+                is_delivered && attempt.assigned_at_ms < worker.incarnation.reports_since_ms;
+            if is_of_next_incarnation || is_of_another {
                 // The lease may have been computed with the clock of an earlier incarnation, which may have responded.
                 worker.assume_longest_lease(
                     limits.max_lease_ms,
@@ -273,10 +280,20 @@
             StartOutcome::Started => {
                 attempt.settled_at_ms = Some(now.local_ms);
                 attempt.has_started = true;
+                attempt.may_have_begun = true;
                 attempt.record_running(now.local_ms);
                 self.remove_not_started(task.job);
             }
-            StartOutcome::OutcomeUnknown => worker.is_unresponsive = true,
+            StartOutcome::OutcomeUnknown => {
+                attempt.may_have_begun = true;
+                worker.is_unresponsive = true;
+            }
+            StartOutcome::NotDelivered => {
+                worker.is_unresponsive = true;
+                // Polls may get responses nevertheless, on a connection that the worker has accepted before.
+                worker.incarnation.health.record_refusal(now.local_ms);
+                self.end_attempt(key, task, number, AttemptOutcome::Lost, now);
+            }
             StartOutcome::NoFreeCapacity => {
                 let refused = Some((attempt.footprint, now.local_ms + SIZE_REFUSAL_MS));
                 self.end_attempt(key, task, number, AttemptOutcome::Lost, now);
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -228,7 +228,11 @@
         outcome: StartOutcome,
     ) {
         self.scheduler.grant_start_lease(worker, task, self.now());
-        let clock = (outcome != StartOutcome::OutcomeUnknown).then_some(self.now_ms);
+        let is_response = !matches!(
+            outcome,
+            StartOutcome::OutcomeUnknown | StartOutcome::NotDelivered
+        );
+        let clock = is_response.then_some(self.now_ms);
         self.scheduler
             .apply_start_outcome(worker, task, attempt, outcome, clock, self.now());
     }
--- /dev/null
+++ b/crates/scheduler/tests/undelivered_starts.rs
@@ -0,0 +1,160 @@
+//! Starts that reached no worker, and starts of which that is not known yet, do not count towards the crashes under a task.
+
+mod support;
+
+use scheduler::{JobStatus, StartOutcome, WorkerKey};
+use submission::{JobId, JobState, TaskKey};
+use support::crashes::{ALL_EVIDENCE, Evidence, Workers};
+use support::{LEASE_MS, Pool, job, service_step, starts, step};
+
+/// More workers than may crash under a task.
+const ROUNDS: usize = 9;
+
+const JOB: JobId = JobId(7);
+
+const FAILED: JobStatus = JobStatus::Recorded(JobState::Failed);
+
+/// Starts the task of [`JOB`]; `None` when it is not started any more.
+fn start_task(workers: &mut Workers) -> Option<(WorkerKey, TaskKey, u32)> {
+    starts(&workers.pool.round()).first().copied()
+}
+
+fn send_start(workers: &mut Workers, (key, task, _): (WorkerKey, TaskKey, u32)) {
+    let now = workers.pool.now();
+    workers.pool.scheduler.grant_start_lease(key, task, now);
+}
+
+fn end_start(workers: &mut Workers, start: (WorkerKey, TaskKey, u32), outcome: StartOutcome) {
+    let now = workers.pool.now();
+    let scheduler = &mut workers.pool.scheduler;
+    scheduler.apply_start_outcome(start.0, start.1, start.2, outcome, None, now);
+}
+
+#[test]
+fn a_task_whose_starts_reach_no_worker_is_never_given_up() {
+    for evidence in ALL_EVIDENCE {
+        for step in [step(1), service_step(1, 0)] {
+            let mut workers = Workers::new(4);
+            workers.pool.submit(JOB.0, job(vec![step]));
+            for round in 0..ROUNDS {
+                let start = start_task(&mut workers);
+                let start = start.unwrap_or_else(|| panic!("{evidence:?}: no start {round}"));
+                send_start(&mut workers, start);
+                end_start(&mut workers, start, StartOutcome::NotDelivered);
+                workers.crash(start.0, evidence);
+            }
+            assert_ne!(workers.state(JOB), FAILED, "{evidence:?}");
+        }
+    }
+}
+
+/// Lets workers crash while the start of the task of [`JOB`] is on its way, as long as it is started. Returns the number of
+/// starts, at most [`ROUNDS`].
+fn crash_during_starts(workers: &mut Workers, evidence: Evidence, outcome: StartOutcome) -> usize {
+    for count in 0..ROUNDS {
+        let Some(start) = start_task(workers) else {
+            return count;
+        };
+        let (key, task, attempt) = start;
+        send_start(workers, start);
+        let info = workers.pool.scheduler.worker(key).unwrap().clone();
+        let now = workers.pool.now();
+        match evidence {
+            Evidence::AnotherStartReports => workers.crash(key, evidence),
+            Evidence::VmIsDown => {
+                workers.pool.scheduler.mark_unresponsive(key);
+                let start_unix_ms = info.start_unix_ms;
+                let scheduler = &mut workers.pool.scheduler;
+                scheduler.incarnation_ended(key, start_unix_ms, now);
+            }
+            _ => {
+                let scheduler = &mut workers.pool.scheduler;
+                scheduler.worker_replaced(key, info.start_unix_ms, now);
+            }
+        }
+        workers.pool.advance(10);
+        end_start(workers, start, outcome);
+        let now = workers.pool.now();
+        if evidence == Evidence::AnotherStartReports {
+            workers
+                .pool
+                .scheduler
+                .stop_accepted(key, task, attempt, now);
+        } else if workers.pool.scheduler.worker(key).is_some() {
+            workers.crash(key, evidence);
+        } else {
+            workers.infos.retain(|other| other.id != info.id);
+            workers.add();
+        }
+        workers.pool.advance(10);
+        workers.register();
+        workers.pool.advance(3000);
+    }
+    ROUNDS
+}
+
+const EVIDENCE_DURING_STARTS: [Evidence; 3] = [
+    Evidence::AnotherIdResponds,
+    Evidence::VmIsDown,
+    Evidence::AnotherStartReports,
+];
+
+#[test]
+fn a_crash_during_a_start_does_not_count_if_the_start_reached_no_worker() {
+    for evidence in EVIDENCE_DURING_STARTS {
+        let mut workers = Workers::new(8);
+        workers.pool.submit(JOB.0, job(vec![step(1)]));
+        let outcome = StartOutcome::NotDelivered;
+        let started = crash_during_starts(&mut workers, evidence, outcome);
+        assert_eq!(started, ROUNDS, "{evidence:?}");
+    }
+}
+
+#[test]
+fn a_crash_during_a_start_counts_if_the_start_may_have_reached_the_worker() {
+    for evidence in EVIDENCE_DURING_STARTS {
+        let mut workers = Workers::new(8);
+        workers.pool.submit(JOB.0, job(vec![step(1)]));
+        let outcome = StartOutcome::OutcomeUnknown;
+        let started = crash_during_starts(&mut workers, evidence, outcome);
+        assert_eq!(started, 3, "{evidence:?}");
+        assert_eq!(workers.state(JOB), FAILED, "{evidence:?}");
+    }
+}
+
+#[test]
+fn a_task_whose_start_reached_no_worker_starts_elsewhere_at_once() {
+    let mut pool = Pool::new(&["one", "two"]);
+    pool.submit(1, job(vec![step(1)]));
+    let (worker, task, attempt) = starts(&pool.round())[0];
+    pool.apply_start(worker, task, attempt, StartOutcome::NotDelivered);
+    let again = starts(&pool.round());
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].0, worker);
+    assert_eq!(again[0].2, attempt + 1);
+}
+
+#[test]
+fn a_worker_that_no_start_reached_gets_no_start_until_it_responds_and_then_not_at_once() {
+    let mut pool = Pool::new(&["one"]);
+    pool.submit(1, job(vec![step(1)]));
+    let (worker, task, attempt) = starts(&pool.round())[0];
+    pool.apply_start(worker, task, attempt, StartOutcome::NotDelivered);
+    pool.advance(2 * LEASE_MS);
+    assert_eq!(starts(&pool.round()), [], "the worker has not responded");
+    let plan = pool.scheduler.lease_renewal_plan(worker, pool.now());
+    assert!(plan.is_some(), "the worker is polled until it responds");
+    pool.report("one", &[], &[]);
+    let (worker, task, attempt) = starts(&pool.round())[0];
+    pool.apply_start(worker, task, attempt, StartOutcome::NotDelivered);
+    // Polls may use a connection that the worker accepted before.
+    pool.advance(10);
+    pool.report("one", &[], &[]);
+    assert_eq!(
+        starts(&pool.round()),
+        [],
+        "starts are repeated in a tight loop"
+    );
+    pool.advance(1000);
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
--- a/crates/trefoilpassd/tests/fleet_crashes.rs
+++ b/crates/trefoilpassd/tests/fleet_crashes.rs
@@ -5,12 +5,15 @@
 use std::time::{Duration, Instant};
 
 use fleet_support::{Daemon, PATIENCE, call, done, start, submit_surely};
-use platform_stand_in::{CRASHING_PAYLOAD, job_body};
+use platform_stand_in::{CRASHING_PAYLOAD, DOWNING_PAYLOAD, PlatformStandIn, job_body};
 use reqwest::Method;
 
 /// The number of crashes after which a task is not started again.
 const MAX_CRASHES: usize = 3;
 
+/// The id of a job whose task crashes workers.
+const DEADLY: u64 = 1;
+
 /// Waits until a job is shown as failed.
 async fn failed(daemon: &Daemon, path: &str) {
     let start = Instant::now();
@@ -29,7 +32,6 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_task_that_crashes_each_worker_is_given_up_and_other_jobs_are_done() {
-    const DEADLY: u64 = 1;
     const OTHERS: std::ops::RangeInclusive<u64> = 2..=8;
     let (platform, daemons) = start(4, 2).await;
     let path = format!("/q/{DEADLY:016x}");
@@ -51,3 +53,49 @@
     let starts = deadly.count();
     assert!(starts <= MAX_CRASHES, "started {starts} times");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_task_under_which_vms_go_down_before_the_start_is_answered_is_given_up() {
+    let (platform, daemons) = start(4, 1).await;
+    let path = format!("/q/{DEADLY:016x}");
+    let deadly = job_body(DOWNING_PAYLOAD, 1, false);
+    let submitted = call(Method::POST, &daemons[0], &path, Some(deadly)).await;
+    assert_eq!(submitted.0, 200);
+    failed(&daemons[0], &path).await;
+    let starts = platform.attempts().len();
+    assert!(starts <= MAX_CRASHES, "started {starts} times");
+}
+
+/// Waits until the owner of the pool has polled all workers.
+async fn all_polled(platform: &PlatformStandIn) {
+    let start = Instant::now();
+    while !platform.workers.iter().all(|worker| worker.has_owner()) {
+        assert!(start.elapsed() < PATIENCE, "a worker is never polled");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // The last response is on its way.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_whose_starts_are_refused_at_the_addresses_of_lost_vms_is_not_shown_as_failed() {
+    const LOST_VMS: usize = 7;
+    const DOWNTIME: Duration = Duration::from_secs(6);
+    let (platform, daemons) = start(LOST_VMS, 1).await;
+    all_polled(&platform).await;
+    for worker in &platform.workers {
+        worker.go_down();
+    }
+    submit_surely(&daemons, 1, 1).await;
+    tokio::time::sleep(DOWNTIME).await;
+    for worker in &platform.workers {
+        worker.come_up().await;
+    }
+    done(&daemons, 1).await;
+    let attempts = platform.attempts();
+    let first = attempts.iter().map(|attempt| attempt.attempt).min();
+    assert!(
+        first > Some(MAX_CRASHES as u64),
+        "the job was not started at the lost VMs: {first:?}"
+    );
+}
