scheduler: an adopted attempt that no report lists counts no crash

What callers saw: a job was shown as failed although no task failed, shortly after the owner of its pool had changed. The next owner reads from the rows that attempts are assigned to workers, and knows neither whether their start commands were sent nor whether the workers' ends were planned. Each worker that was gone by then counted as crashed under the tasks.

Cause: adopted attempts counted as possibly begun from the start.

Now an adopted attempt has begun once a report to this owner lists it. Until then it still counts as a likely cause beside others, so that the evidence against these does not change. A deadly task may be started once more for each change of the owner between a crash and the first report.

Evidence: `an_adopted_attempt_that_no_report_lists_counts_no_crash` failed before (the task was given up) and passes now, for three ways to learn of the end. An attempt that a report lists counts before and after.

--- a/crates/scheduler/src/adopt.rs
+++ b/crates/scheduler/src/adopt.rs
@@ -27,7 +27,7 @@
             // The first poll carries this owner's term, after which the commands of previous owners have no effect.
             attempt.settled_at_ms = Some(0);
             attempt.is_speed_limit_known = false;
-            attempt.may_have_begun = true;
+            attempt.is_adopted = true;
             self.insert_attempt(key, task, attempt);
         }
         self.recorded_states.insert(id, job.state());
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -81,7 +81,7 @@
 
     /// Whether it is not ruled out that the attempt has begun on the worker.
     fn is_begin_possible(&self) -> bool {
-        self.may_have_begun || self.is_start_in_flight
+        self.may_have_begun || self.is_start_in_flight || self.is_adopted
     }
 }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -68,6 +68,8 @@
     /// Whether a response or a report showed the attempt on the worker, or a start command may have been delivered there. Not
     /// known while the command is in flight.
     pub(crate) may_have_begun: bool,
+    /// Whether a previous owner assigned the attempt.
+    pub(crate) is_adopted: bool,
     /// The crash of the incarnation on which the attempt may have run. The attempt may run on the next one nevertheless.
     pub(crate) crash: Option<Suspect>,
     /// Since when the attempt is known to run on the incarnation, in ms on the daemon's clock; `None` when it is not known to.
@@ -100,6 +102,7 @@
         Self {
             number,
             may_have_begun: false,
+            is_adopted: false,
             crash: None,
             running_since_ms: None,
             ran_for_ms: 0,
--- a/crates/scheduler/tests/undelivered_starts.rs
+++ b/crates/scheduler/tests/undelivered_starts.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use scheduler::{JobStatus, StartOutcome, WorkerKey};
-use submission::{JobId, JobState, TaskKey};
+use scheduler::{JobStatus, Scheduler, StartOutcome, WorkerKey};
+use submission::{Job, JobId, JobState, TaskKey};
 use support::crashes::{ALL_EVIDENCE, Evidence, Workers};
-use support::{LEASE_MS, Pool, job, service_step, starts, step};
+use support::{LEASE_MS, Pool, job, limits, service_step, starts, step};
 
 /// More workers than may crash under a task.
 const ROUNDS: usize = 9;
@@ -122,6 +122,67 @@
     }
 }
 
+/// Replaces the owner by one that has read the rows of [`JOB`] and the registry, and has polled no worker.
+fn take_over(workers: &mut Workers) {
+    let job = workers.pool.scheduler.job(JOB).unwrap();
+    let (row, spec) = (job.record(), job.spec().clone());
+    let restored = Job::new(JOB, "queue".into(), spec, 0).with_record(row);
+    workers.pool.scheduler = Scheduler::new(limits());
+    let (infos, now) = (workers.infos.clone(), workers.pool.now());
+    let scheduler = &mut workers.pool.scheduler;
+    scheduler.set_workers(infos, now);
+    scheduler.adopt_job(restored, now);
+}
+
+/// Lets workers crash under the task of [`JOB`] right after a takeover, as long as it is started. `is_listed` tells whether the
+/// worker reports the attempt to the new owner first. Returns the number of starts, at most [`ROUNDS`].
+fn crash_after_takeovers(evidence: Evidence, is_listed: bool) -> usize {
+    let mut workers = Workers::new(8);
+    workers.pool.submit(JOB.0, job(vec![step(1)]));
+    for count in 0..ROUNDS {
+        let commands = workers.pool.round();
+        let Some(&(key, task, attempt)) = starts(&commands).first() else {
+            return count;
+        };
+        workers.pool.confirm_starts(&commands);
+        let id = workers.pool.scheduler.worker(key).unwrap().id.clone();
+        let infos = workers.infos.clone();
+        let info = infos.iter().find(|info| info.id == id).unwrap();
+        take_over(&mut workers);
+        if is_listed {
+            let running = [(workers.pool.task_name(task), attempt, 50)];
+            let start_unix_ms = info.start_unix_ms;
+            workers.pool.report_since(start_unix_ms, &id, &running, &[]);
+        }
+        let key = workers.pool.key(&id);
+        workers.crash(key, evidence);
+        workers.pool.advance(3000);
+    }
+    ROUNDS
+}
+
+const EVIDENCE_AFTER_TAKEOVERS: [Evidence; 3] = [
+    Evidence::AnotherIdResponds,
+    Evidence::VmIsDown,
+    Evidence::AnotherIdRespondsAfterTheLease,
+];
+
+#[test]
+fn an_adopted_attempt_that_no_report_lists_counts_no_crash() {
+    for evidence in EVIDENCE_AFTER_TAKEOVERS {
+        let started = crash_after_takeovers(evidence, false);
+        assert_eq!(started, ROUNDS, "{evidence:?}");
+    }
+}
+
+#[test]
+fn an_adopted_attempt_that_a_report_lists_counts_its_crash() {
+    for evidence in EVIDENCE_AFTER_TAKEOVERS {
+        let started = crash_after_takeovers(evidence, true);
+        assert!(started < ROUNDS, "{evidence:?}: {started}");
+    }
+}
+
 #[test]
 fn a_task_whose_start_reached_no_worker_starts_elsewhere_at_once() {
     let mut pool = Pool::new(&["one", "two"]);
