scheduler: a service task under which workers crash is held, and its job goes on

Cause: a task that is given up fails its job, also the job of a service, whose failed ends never do.

A service task is now held where a batch task is given up, at the third, fourth or fifth crash by the last crash's evidence, so that it is started twice after the third crash at most. It is not started again, the others of its job go on, and the job stays running until it is cancelled.

- The row tells it without a new field: holding raises the count of crashes to five.
Logs show the number of real crashes.
- A held task is no reason for its step to be ready, asks for no VMs, and is not among the waiting work of logs and teams.
A gang with a held task does not start.
- A start command that is still on its way out when a late crash leads to the hold is not sent.
- A held task is unavailable until the job is cancelled.
Where a step allows some unavailable tasks, it counts towards them, so that a drain breaks no limit, but may have to wait.
Where a step allows none, drains stop one task at a time beside held ones.
- A batch task of a job that also has service tasks fails it as before.

--- a/crates/fleetd/src/metrics.rs
+++ b/crates/fleetd/src/metrics.rs
@@ -26,6 +26,7 @@
     pub(crate) attempt_outcomes: IntCounterVec,
     pub(crate) worker_crashes: IntCounter,
     pub(crate) tasks_given_up: IntCounter,
+    pub(crate) tasks_held: IntCounter,
     pub(crate) overloads: IntCounter,
     pub(crate) takeovers: IntCounter,
     pub(crate) store_failures: IntCounter,
@@ -219,6 +220,10 @@
                 "tasks_given_up_total",
                 "Tasks given up because workers crash under them.",
             )?,
+            tasks_held: counter(
+                "tasks_held_total",
+                "Service tasks that are not started again because workers crash under them.",
+            )?,
             overloads: counter(
                 "overloads_total",
                 "Times that a pool began to order jobs by the cost of their delay.",
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -63,6 +63,7 @@
             match &event {
                 SchedulerEvent::Crashed { .. } => self.node.metrics.worker_crashes.inc(),
                 SchedulerEvent::GivenUp { .. } => self.node.metrics.tasks_given_up.inc(),
+                SchedulerEvent::Held { .. } => self.node.metrics.tasks_held.inc(),
                 SchedulerEvent::OverloadBegan { .. } => self.node.metrics.overloads.inc(),
                 _ => {}
             }
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -11,10 +11,10 @@
 //! and a crash of a worker where no other task can be the cause shows that crashes close to it may have another one. Such
 //! crashes count for less.
 
-use submission::{CrashEvidence, StepSpec, TaskKey};
+use submission::{CrashEvidence, CrashVerdict, Job, StepSpec, TaskKey};
 
 use crate::draining::AVAILABLE_PROGRESS_PERCENT;
-use crate::scheduler::Scheduler;
+use crate::scheduler::{Scheduler, step_key};
 use crate::types::{CrashSource, CrashedTask, Now, SchedulerEvent};
 use crate::worker::{AssignedAttempt, Worker, WorkerKey};
 
@@ -285,7 +285,7 @@
         }
     }
 
-    /// Counts a crash of a worker for tasks, and gives up those under which too many workers crashed.
+    /// Counts a crash of a worker for tasks, and gives up or holds those under which too many workers crashed.
     pub(crate) fn count_crashes(
         &mut self,
         key: WorkerKey,
@@ -303,8 +303,11 @@
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
-            let has_failed = job.record_crash(task.index, suspect.evidence, now.store_ms);
-            let count = job.task(task.index).map_or(0, |task| task.crashes);
+            let count_of = |job: &Job| job.task(task.index).map_or(0, |task| task.crashes);
+            let previous = count_of(job);
+            let verdict = job.record_crash(task.index, suspect.evidence, now.store_ms);
+            // The crashes of a held task are raised.
+            let count = count_of(job).min(previous + 1);
             let name = job.task_name(task.index);
             counts.push(CrashedTask {
                 task: name.clone(),
@@ -314,12 +317,24 @@
                 ran_for_ms: suspect.ran_for_ms,
             });
             self.dirty_jobs.insert(task.job);
-            if has_failed {
-                given_up.push(SchedulerEvent::GivenUp {
-                    task: name,
-                    crashes: count,
-                });
-                self.finish_job(task.job);
+            match verdict {
+                CrashVerdict::GoesOn => {}
+                CrashVerdict::GivenUp => {
+                    given_up.push(SchedulerEvent::GivenUp {
+                        task: name,
+                        crashes: count,
+                    });
+                    self.finish_job(task.job);
+                }
+                CrashVerdict::Held => {
+                    let (occurrence, step, _) = job.position(task.index);
+                    given_up.push(SchedulerEvent::Held {
+                        task: name,
+                        crashes: count,
+                    });
+                    self.remove_not_started(task.job);
+                    self.update_ready(step_key(task.job, occurrence, step), now);
+                }
             }
         }
         if !counts.is_empty() {
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -5,7 +5,6 @@
 use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
-use submission::TaskPhase;
 
 use crate::ready::{Prospect, Rank, StepKey};
 use crate::scheduler::Scheduler;
@@ -136,10 +135,14 @@
     /// The number of workers that service steps need because of their limits on tasks per worker.
     fn min_service_workers(&self) -> usize {
         let jobs = self.service_jobs.iter().filter_map(|id| self.jobs.get(id));
-        let steps = jobs.flat_map(|job| job.spec().steps.iter().map(move |step| (job, step)));
-        let limited = steps.filter(|(_, step)| step.is_service && step.max_per_worker > 0);
-        let workers = limited.map(|(job, step)| {
-            let tasks = step.tasks.min(self.teams.max_tasks(&job.team, step.needs));
+        let steps = jobs.flat_map(|job| {
+            let steps = job.spec().steps.iter().enumerate();
+            steps.map(move |(index, step)| (job, index, step))
+        });
+        let limited = steps.filter(|(_, _, step)| step.is_service && step.max_per_worker > 0);
+        let workers = limited.map(|(job, index, step)| {
+            let max_tasks = self.teams.max_tasks(&job.team, step.needs);
+            let tasks = job.tasks_not_held(index).min(max_tasks);
             tasks.div_ceil(step.max_per_worker)
         });
         workers.max().map_or(0, |workers| workers as usize)
@@ -160,13 +163,16 @@
         with_services.count() + blocked
     }
 
-    /// The CPU, in thousandths of a core, of all service tasks of the pool, as far as the limits of teams allow them.
+    /// The CPU, in thousandths of a core, of all service tasks of the pool that are not held, as far as the limits of teams allow
+    /// them.
     fn service_cpu(&self) -> u64 {
         let mut by_team: BTreeMap<&SmolStr, u64> = BTreeMap::new();
         for job in self.service_jobs.iter().filter_map(|id| self.jobs.get(id)) {
-            let service = job.spec().steps.iter().filter(|step| step.is_service);
-            let cpu =
-                service.map(|step| u64::from(step.tasks) * u64::from(step.footprint().cpu_milli));
+            let steps = job.spec().steps.iter().enumerate();
+            let service = steps.filter(|(_, step)| step.is_service);
+            let cpu = service.map(|(index, step)| {
+                u64::from(job.tasks_not_held(index)) * u64::from(step.footprint().cpu_milli)
+            });
             *by_team.entry(&job.team).or_default() += cpu.sum::<u64>();
         }
         let allowed = by_team
@@ -256,10 +262,7 @@
                 continue;
             };
             let step = usize::from(key.step);
-            let idle = job.step_tasks(key.occurrence, step).filter(|&index| {
-                job.task(index)
-                    .is_some_and(|task| task.phase == TaskPhase::Idle)
-            });
+            let idle = job.idle_tasks(key.occurrence, step);
             let cpu_per_task = u64::from(job.spec().steps[step].footprint().cpu_milli);
             let cpu = cpu_per_task * u64::try_from(idle.count()).unwrap_or(u64::MAX);
             if rank.prospect == Prospect::OnTime {
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -14,8 +14,8 @@
 /// a command to a VM takes up to 0.8 s. When the leader fails, the worker is used again after this time.
 const DRAIN_LEASE_MS: u64 = 1500;
 
-/// The number of unavailable tasks that every service step tolerates, whatever the step allows. With 0, a worker of a
-/// step that allows none could not be drained.
+/// The number of unavailable tasks that every service step tolerates beside held ones, if the step allows none. Otherwise,
+/// no worker of the step could be drained.
 const MIN_TOLERATED_UNAVAILABLE: u32 = 1;
 
 /// The time since its assignment after which a batch task with checkpoints is stopped while its worker is drained.
@@ -92,7 +92,7 @@
             return step.has_checkpoints && age_ms > MIN_BATCH_AGE_TO_STOP_MS;
         }
         // The last report may be old: this task counts as available even if the report showed the contrary.
-        self.unavailable_others(job, task) < step.max_unavailable.max(MIN_TOLERATED_UNAVAILABLE)
+        self.unavailable_others(job, task) < max_unavailable(job, task)
     }
 
     /// The number of other tasks of a service step that are not available, as the last reports show.
@@ -117,3 +117,17 @@
         u32::try_from(unavailable.count()).unwrap_or(u32::MAX)
     }
 }
+
+/// The number of unavailable tasks that the step of a service task tolerates. A held task is unavailable until its job is
+/// cancelled, and counts towards the number that the step allows: workers of a step that allows no more can't be drained.
+fn max_unavailable(job: &Job, task: TaskKey) -> u32 {
+    let (occurrence, step, _) = job.position(task.index);
+    let allowed = job.spec().steps[step].max_unavailable;
+    if allowed > 0 {
+        return allowed;
+    }
+    let tasks = job.step_tasks(occurrence, step);
+    let held = tasks.filter(|&index| job.is_held(index)).count();
+    let held = u32::try_from(held).unwrap_or(u32::MAX);
+    held.saturating_add(MIN_TOLERATED_UNAVAILABLE)
+}
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -85,11 +85,7 @@
         let is_unconstrained = step.required_label.is_empty()
             && step.max_per_worker == 0
             && !self.has_policy(&job.queue);
-        let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
-        let idle = tasks.filter(|&index| {
-            job.task(index)
-                .is_some_and(|task| task.phase == TaskPhase::Idle)
-        });
+        let idle = job.idle_tasks(key.occurrence, usize::from(key.step));
         let crashes = |job: &Job, index| job.task(index).map_or(0, |task| task.crashes);
         let mut idle: Vec<_> = idle.collect();
         // Suspects may have to wait and don't hold up the others.
@@ -131,10 +127,8 @@
         let job = &self.jobs[&key.job];
         let step = &job.spec().steps[usize::from(key.step)];
         let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
-        let all_idle = tasks.clone().all(|index| {
-            job.task(index)
-                .is_some_and(|task| task.phase == TaskPhase::Idle)
-        });
+        let idle = job.idle_tasks(key.occurrence, usize::from(key.step));
+        let all_idle = idle.count() == tasks.len();
         let not_placed = Placement {
             started: 0,
             unplaced: Some(Unplaced::Restricted),
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -247,13 +247,13 @@
     #[must_use]
     pub fn first_ready_task(&self) -> Option<TaskKey> {
         let (_, key) = self.ready.ranked().next()?;
-        let tasks = self
+        let mut tasks = self
             .jobs
             .get(&key.job)?
-            .step_tasks(key.occurrence, usize::from(key.step));
+            .idle_tasks(key.occurrence, usize::from(key.step));
         Some(TaskKey {
             job: key.job,
-            index: tasks.start,
+            index: tasks.next()?,
         })
     }
 
@@ -374,11 +374,7 @@
             return;
         };
         let step = usize::from(key.step);
-        let mut tasks = job.step_tasks(key.occurrence, step);
-        let has_idle_task = tasks.any(|index| {
-            job.task(index)
-                .is_some_and(|task| task.phase == TaskPhase::Idle)
-        });
+        let has_idle_task = job.idle_tasks(key.occurrence, step).next().is_some();
         if job.has_ended() || !has_idle_task || !job.is_unblocked(key.occurrence, step) {
             self.ready.remove(key);
             return;
--- a/crates/scheduler/src/team_steps.rs
+++ b/crates/scheduler/src/team_steps.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Bound;
 
-use submission::{Resources, TaskPhase};
+use submission::Resources;
 
 use crate::ready::{Prospect, Rank, StepKey};
 use crate::scheduler::Scheduler;
@@ -223,11 +223,7 @@
             return;
         };
         let step = &job.spec().steps[usize::from(key.step)];
-        let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
-        let idle = tasks.filter(|&index| {
-            job.task(index)
-                .is_some_and(|task| task.phase == TaskPhase::Idle)
-        });
+        let idle = job.idle_tasks(key.occurrence, usize::from(key.step));
         let waiting = WaitingStep {
             lane: Lane {
                 team: Some(team),
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -98,6 +98,13 @@
         /// The number of workers that crashed under the task.
         crashes: u32,
     },
+    /// A service task is not started again, because too many workers crashed under it. The other tasks of its job go on.
+    Held {
+        /// The name of the task.
+        task: SmolStr,
+        /// The number of workers that crashed under the task.
+        crashes: u32,
+    },
     /// Not all waiting jobs can meet their latency objective any more, and they are ordered by what their delay costs.
     OverloadBegan {
         /// The time that the pool needs for the jobs that can still meet their objective, in ms.
@@ -180,6 +187,7 @@
             Self::NotListed { .. } => "an attempt counts as lost: its worker does not list it",
             Self::Crashed { .. } => "a worker crashed under its tasks",
             Self::GivenUp { .. } => "a task is given up: workers crash under it",
+            Self::Held { .. } => "a service task is held: workers crash under it",
             Self::OverloadBegan { .. } | Self::OverloadEnded { .. } => {
                 "the overload of a pool began or ended"
             }
@@ -236,6 +244,11 @@
                 .field("task", task)
                 .field("crashes", crashes)
                 .finish(),
+            Self::Held { task, crashes } => f
+                .debug_struct("Held")
+                .field("task", task)
+                .field("crashes", crashes)
+                .finish(),
             Self::OverloadBegan { queue_ms, jobs } => f
                 .debug_struct("OverloadBegan")
                 .field("queue_ms", queue_ms)
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -357,13 +357,13 @@
         attempt.is_some_and(|attempt| attempt.number == number)
     }
 
-    /// Returns whether this attempt is assigned to the worker and may still be started: the job has not ended, and the
-    /// registry lists the worker as the process that reported last, not as shutting down, and with the label that the step
+    /// Returns whether this attempt is assigned to the worker and may still be started: the job has not ended, the task is not
+    /// held, and the registry lists the worker as the process that reported last, not as shutting down, and with the label that the step
     /// requires.
     #[must_use]
     pub fn may_start(&self, key: WorkerKey, task: TaskKey, number: u32) -> bool {
         let job = self.jobs.get(&task.job);
-        let Some(job) = job.filter(|job| !job.has_ended()) else {
+        let Some(job) = job.filter(|job| !job.has_ended() && !job.is_held(task.index)) else {
             return false;
         };
         let has_place = self.workers.get(key).is_some_and(|worker| {
--- a/crates/scheduler/tests/events.rs
+++ b/crates/scheduler/tests/events.rs
@@ -62,6 +62,15 @@
         format!("{given_up:?}"),
         r#"GivenUp { task: "t", crashes: 2 }"#
     );
+    let held = SchedulerEvent::Held {
+        task: "t".into(),
+        crashes: 3,
+    };
+    assert_eq!(format!("{held:?}"), r#"Held { task: "t", crashes: 3 }"#);
+    assert_eq!(
+        held.message(),
+        "a service task is held: workers crash under it"
+    );
     let began = SchedulerEvent::OverloadBegan {
         queue_ms: 900,
         jobs: 12,
--- a/crates/scheduler/tests/service_crashes.rs
+++ b/crates/scheduler/tests/service_crashes.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
-use scheduler::{Scheduler, SchedulerEvent, WorkerKey};
-use submission::{CrashEvidence, Job, JobId, JobState, StepSpec, TaskKey};
+use scheduler::{JobStatus, Scheduler, SchedulerEvent, WorkerKey};
+use submission::{
+    AttemptOutcome, CrashEvidence, Job, JobId, JobState, StepSpec, TaskKey, TaskPhase,
+};
 use support::crashes::{ALL_EVIDENCE, Evidence, Workers};
-use support::{job, limits, service_step, starts, step};
+use support::{GRACE_MS, LEASE_MS, job, limits, service_step, starts, step, stops};
 
 const SERVICE: JobId = JobId(7);
 
@@ -166,3 +168,235 @@
     }
     assert_eq!(started, 5);
 }
+
+/// Lets a worker crash while the other workers go on. Another worker comes.
+fn crash_alone(workers: &mut Workers, key: WorkerKey) {
+    let now = workers.pool.now();
+    let info = workers.pool.scheduler.worker(key).unwrap().clone();
+    workers.infos.retain(|other| other.id != info.id);
+    let scheduler = &mut workers.pool.scheduler;
+    assert!(scheduler.worker_replaced(key, info.start_unix_ms, now));
+    workers.add();
+    let next = workers.infos.last().unwrap().clone();
+    let infos = workers.infos.clone();
+    workers.pool.scheduler.set_workers(infos, now);
+    let start = next.start_unix_ms;
+    workers.pool.report_since(start, &next.id, &[], &[]);
+}
+
+/// Plays a service of three tasks of which the first crashes each worker, until nothing starts. Returns the starts of
+/// the first task, and all stops.
+fn play_service(workers: &mut Workers, max_unavailable: u32) -> (usize, usize) {
+    let service = job(vec![service_step(3, max_unavailable)]);
+    workers.pool.submit(SERVICE.0, service);
+    let (mut deadly_starts, mut all_stops) = (0, 0);
+    let mut running = Vec::new();
+    for _ in 0..20 {
+        let commands = workers.pool.round();
+        all_stops += stops(&commands).len();
+        workers.pool.confirm_starts(&commands);
+        workers.pool.advance(10);
+        for (key, task, attempt) in starts(&commands) {
+            if task.index == 0 {
+                deadly_starts += 1;
+                crash_alone(workers, key);
+            } else {
+                let id = workers.pool.scheduler.worker(key).unwrap().id.clone();
+                running.push((id, task, attempt));
+            }
+        }
+        for (id, task, attempt) in &running {
+            report(workers, *task, *attempt, id, 100);
+        }
+        workers.pool.advance(500);
+    }
+    assert_eq!(running.len(), 2, "the other tasks start once");
+    (deadly_starts, all_stops)
+}
+
+/// The number of workers that run a task of the service at 100 %.
+fn service_workers(workers: &mut Workers) -> usize {
+    let now = workers.pool.now();
+    workers.pool.scheduler.demand(now).service_workers.len()
+}
+
+#[test]
+fn a_service_whose_task_crashes_workers_keeps_its_other_tasks() {
+    let mut workers = Workers::new(8);
+    let (started, stopped) = play_service(&mut workers, 1);
+    assert_eq!((started, stopped), (3, 0));
+    let state = workers.state(SERVICE);
+    assert_eq!(state, JobStatus::Recorded(JobState::Running));
+    assert_eq!(service_workers(&mut workers), 2);
+    let events = workers.pool.scheduler.drain_events();
+    let held = events.into_iter().filter_map(|event| match event {
+        SchedulerEvent::Held { task, crashes } => Some((task, crashes)),
+        SchedulerEvent::GivenUp { task, .. } => panic!("{task} is given up"),
+        _ => None,
+    });
+    let name = workers.pool.task_name(TaskKey {
+        job: SERVICE,
+        index: 0,
+    });
+    assert_eq!(held.collect::<Vec<_>>(), [(name, 3)]);
+    // A failed end of another task starts it again, as before.
+    let ended = workers
+        .pool
+        .scheduler
+        .job(SERVICE)
+        .unwrap()
+        .task(1)
+        .unwrap()
+        .clone();
+    let TaskPhase::Assigned { worker: id } = ended.phase else {
+        panic!("{ended:?}");
+    };
+    let key = workers.pool.key(&id);
+    let start = workers.pool.scheduler.worker(key).unwrap().start_unix_ms;
+    let name = workers.pool.task_name(TaskKey {
+        job: SERVICE,
+        index: 1,
+    });
+    let end = [(1, name, ended.attempt, AttemptOutcome::Failed)];
+    workers.pool.report_since(start, &id, &[], &end);
+    let started = starts(&workers.pool.round());
+    assert_eq!(
+        started
+            .iter()
+            .map(|(_, task, _)| task.index)
+            .collect::<Vec<_>>(),
+        [1]
+    );
+}
+
+#[test]
+fn a_held_task_of_a_service_is_held_by_the_next_owner_and_until_the_job_is_cancelled() {
+    let mut workers = Workers::new(8);
+    play_service(&mut workers, 1);
+    take_over(&mut workers);
+    let now = workers.pool.now();
+    for info in workers.infos.clone() {
+        let assigned = workers.pool.scheduler.job(SERVICE).unwrap().clone();
+        let here = assigned.tasks().find_map(|(index, task)| {
+            let is_here =
+                matches!(&task.phase, TaskPhase::Assigned { worker } if *worker == info.id);
+            is_here.then(|| (assigned.task_name(index), task.attempt, 100))
+        });
+        let running: Vec<_> = here.into_iter().collect();
+        workers
+            .pool
+            .report_since(info.start_unix_ms, &info.id, &running, &[]);
+    }
+    assert_eq!(service_workers(&mut workers), 2);
+    for _ in 0..20 {
+        assert_eq!(starts(&workers.pool.round()), []);
+        workers.pool.advance(100);
+    }
+    assert_eq!(
+        workers.pool.scheduler.job(SERVICE).unwrap().state(),
+        JobState::Running
+    );
+    workers.pool.scheduler.cancel(SERVICE, now);
+    let commands = workers.pool.round();
+    assert_eq!((starts(&commands).len(), stops(&commands).len()), (0, 2));
+    assert_eq!(
+        workers.state(SERVICE),
+        JobStatus::Recorded(JobState::Cancelled)
+    );
+}
+
+#[test]
+fn a_held_task_of_a_service_asks_for_no_worker_and_does_not_count_as_waiting() {
+    let mut workers = Workers::new(8);
+    workers.pool.limit_cpu(&[("team", 100_000)]);
+    play_service(&mut workers, 1);
+    let now = workers.pool.now();
+    let scheduler = &mut workers.pool.scheduler;
+    assert_eq!(scheduler.ready_steps(), 0);
+    assert_eq!(scheduler.first_ready_task(), None);
+    // Each of the three would need a worker of its own.
+    assert_eq!(scheduler.demand(now).service_demand_workers, 2);
+    assert_eq!(scheduler.demand(now).urgent_demand_workers, 2);
+}
+
+/// Drains the workers of a service with a held task. Returns the number of tasks that are stopped.
+fn stops_of_drain(max_unavailable: u32) -> usize {
+    let mut workers = Workers::new(8);
+    play_service(&mut workers, max_unavailable);
+    let now = workers.pool.now();
+    let ids = workers.pool.scheduler.demand(now).service_workers;
+    for id in ids {
+        let key = workers.pool.key(&id);
+        workers.pool.scheduler.drain(key, now);
+    }
+    stops(&workers.pool.round()).len()
+}
+
+#[test]
+fn a_held_task_counts_as_unavailable_but_does_not_block_drains_of_services_without_a_limit() {
+    assert_eq!(stops_of_drain(1), 0);
+    assert_eq!(stops_of_drain(2), 1);
+    assert_eq!(stops_of_drain(0), 1);
+}
+
+#[test]
+fn a_start_that_waits_for_the_store_is_not_sent_once_its_service_task_is_held() {
+    let mut workers = Workers::new(8);
+    workers
+        .pool
+        .submit(SERVICE.0, job(vec![service_step(1, 0)]));
+    for _ in 0..2 {
+        let (key, ..) = start_next(&mut workers).unwrap();
+        workers.crash(key, Evidence::AnotherIdResponds);
+        workers.pool.advance(11_000);
+    }
+    // The leases on a silent worker expire, and only then it turns out to have crashed.
+    let (key, ..) = start_next(&mut workers).unwrap();
+    let start = workers.pool.scheduler.worker(key).unwrap().start_unix_ms;
+    workers.pool.scheduler.mark_unresponsive(key);
+    workers.pool.advance(GRACE_MS + 2 * LEASE_MS);
+    let (next, task, attempt) = starts(&workers.pool.round())[0];
+    assert!(workers.pool.scheduler.may_start(next, task, attempt));
+    let now = workers.pool.now();
+    assert!(workers.pool.scheduler.worker_replaced(key, start, now));
+    assert!(!workers.pool.scheduler.may_start(next, task, attempt));
+}
+
+#[test]
+fn a_service_task_that_is_held_while_it_waits_does_not_wait_any_more() {
+    let mut workers = Workers::new(8);
+    workers
+        .pool
+        .submit(SERVICE.0, job(vec![service_step(1, 0)]));
+    for _ in 0..2 {
+        let (key, ..) = start_next(&mut workers).unwrap();
+        workers.crash(key, Evidence::AnotherIdResponds);
+        workers.pool.advance(11_000);
+    }
+    let (key, ..) = start_next(&mut workers).unwrap();
+    let start = workers.pool.scheduler.worker(key).unwrap().start_unix_ms;
+    workers.pool.scheduler.mark_unresponsive(key);
+    workers.pool.advance(GRACE_MS + 2 * LEASE_MS);
+    assert_eq!(workers.pool.scheduler.ready_steps(), 1);
+    let now = workers.pool.now();
+    assert!(workers.pool.scheduler.worker_replaced(key, start, now));
+    assert_eq!(workers.pool.scheduler.ready_steps(), 0);
+    assert_eq!(starts(&workers.pool.round()), []);
+}
+
+#[test]
+fn a_gang_of_a_service_is_not_started_without_its_held_task() {
+    let mut workers = Workers::new(4);
+    let gang = StepSpec {
+        is_gang: true,
+        ..service_step(2, 0)
+    };
+    workers.pool.submit(SERVICE.0, job(vec![gang]));
+    let started = workers.play(Evidence::AnotherIdResponds, |id| id == SERVICE);
+    assert!((6..=10).contains(&started.len()), "{}", started.len());
+    assert_eq!(
+        workers.state(SERVICE),
+        JobStatus::Recorded(JobState::Running)
+    );
+    assert_eq!(workers.pool.scheduler.ready_steps(), 0);
+}
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -6,7 +6,7 @@
 
 use smol_str::{SmolStr, format_smolstr};
 
-pub use crashes::CrashEvidence;
+pub use crashes::{CrashEvidence, CrashVerdict};
 
 use crate::record::{JobRecord, TaskRecord};
 use crate::spec::{JobId, JobSpec, StepSpec};
@@ -29,7 +29,7 @@
     Running,
     /// All tasks are done.
     Done,
-    /// A task reached its maximum number of failed attempts, or too many workers crashed under it.
+    /// A batch task reached its maximum number of failed attempts, or too many workers crashed under it.
     Failed,
     /// A caller cancelled the job.
     Cancelled,
@@ -57,7 +57,7 @@
     /// The number of failed attempts.
     pub failures: u32,
     /// The number of workers that crashed while an attempt may have run there. Service tasks start anew when an attempt
-    /// has run for a while.
+    /// has run for a while. At least five for a held service task.
     pub crashes: u32,
     /// Since when the last attempt is known to run, in ms on the store's clock; 0 when that is unknown. Known for service tasks
     /// under which workers crashed.
--- a/crates/submission/src/lib.rs
+++ b/crates/submission/src/lib.rs
@@ -6,7 +6,9 @@
 mod record;
 mod spec;
 
-pub use job::{AttemptOutcome, CrashEvidence, Job, JobState, Task, TaskKey, TaskPhase};
+pub use job::{
+    AttemptOutcome, CrashEvidence, CrashVerdict, Job, JobState, Task, TaskKey, TaskPhase,
+};
 pub use record::{JobRecord, TaskRecord};
 pub use spec::{
     Error, JobId, JobSpec, MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS, Resources, Result, StepSpec,
