--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -129,5 +129,6 @@
     }
     let tasks = job.step_tasks(occurrence, step);
     let held = tasks.filter(|&index| job.is_held(index)).count();
-    u32::try_from(held).unwrap_or(u32::MAX) + MIN_TOLERATED_UNAVAILABLE
+    let held = u32::try_from(held).unwrap_or(u32::MAX);
+    held.saturating_add(MIN_TOLERATED_UNAVAILABLE)
 }
