leader: says which ended workers crashed, so that a move is not taken for a crash

Cause: the leader told the owner of a pool only that incarnations had ended, and the owner counted a crash unless it knew of a drain itself. An owner that was suspended, or that took the pool over since, does not know.

The leader now names those that are known to have crashed: an earlier list showed the worker, its VM is still in the pool but is down or does not run the worker, and no command of a leader to the VM can be the reason. The first list that shows a change decides, so that a crash is still one when the VM is moved or restarted afterwards. All other ends lose the attempts as before, and no crash counts. The owner remembers such an end: what it sees of it later (another id answers) counts no crash either, until a poll that was sent later gets a report.

- A VM that is up, in the same pool and without a worker counts as well: a list between a crash and the return may show it so, and the owner gets only one word of an end.
- Waves that only drain a VM are no reason; their commands are, for 5 s as for the end of a drain on the owner's side.
- A leader of an earlier build names no crashes: the owner then judges as owners of that build do, as tasks that crash workers would otherwise start again for as long as builds differ.

Evidence: a_worker_that_was_moved_while_its_owner_was_suspended_is_not_taken_for_crashed and a_worker_of_which_the_leader_told_a_planned_end_is_not_taken_for_crashed_when_another_answers failed before the change (the task was given up). The test of a worker that reports afterwards passed before, and failed with the owner's memory kept for good. Real daemons: the existing tests only; none plays a suspended owner and a move.

--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -8,6 +8,7 @@
 mod pool_calls;
 mod quotas;
 mod waves;
+mod worker_sightings;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::ControlFlow;
@@ -203,7 +204,13 @@
             }
         };
         let standby = self.standby_pools();
-        self.detect_ended_incarnations(&listed);
+        let unresponsive = std::mem::take(&mut self.unresponsive);
+        // While this leader may send no commands, another may.
+        let may_be_commanded = |vm: &str| {
+            !self.sender.may_send_commands() || self.command_record.is_soft_locked(&self.node, vm)
+        };
+        self.ended_incarnations
+            .record_list(&listed, unresponsive, may_be_commanded);
         self.quotas.configure(&self.node).await;
         let replies = self.call_pools(&listed, &standby).await;
         self.exchange_quotas(&replies).await;
@@ -244,26 +251,6 @@
             .await;
     }
 
-    /// Finds the incarnations that have ended: workers that were unresponsive in the last round and that the list of
-    /// VMs, which was read after that round, has on no VM or on a VM that is down.
-    fn detect_ended_incarnations(&mut self, listed: &[ListedVm]) {
-        for (pool, workers) in std::mem::take(&mut self.unresponsive) {
-            let ended = workers.into_iter().filter(|worker| {
-                let vm = listed
-                    .iter()
-                    .find(|vm| vm.worker_id.as_ref() == Some(worker));
-                vm.is_none_or(|vm| vm.phase == VmPhase::Down)
-            });
-            let ended: Vec<_> = ended.collect();
-            if !ended.is_empty() {
-                tracing::info!(pool = pool.as_str(), workers = ?ended, "unresponsive workers ended: they are on no listed VM, or their VM is down");
-                for worker in ended {
-                    self.ended_incarnations.insert(pool.clone(), worker);
-                }
-            }
-        }
-    }
-
     /// Returns the maximum number of moves in a round.
     #[expect(
         clippy::cast_possible_truncation,
@@ -495,6 +482,7 @@
                 vm
             }
         };
+        self.ended_incarnations.record_command(vm, outcome);
         let Some((pool, worker)) = incarnations.get(vm) else {
             return;
         };
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -222,7 +222,12 @@
         let mut scheduler = self.scheduler.lock();
         for id in &request.ended_incarnations {
             let start_unix_ms = request.ended_starts_unix_ms.get(id).copied();
-            if let Some(key) = scheduler.worker_key(id) {
+            let Some(key) = scheduler.worker_key(id) else {
+                continue;
+            };
+            if request.may_have_crashed(id) {
+                scheduler.incarnation_crashed(key, start_unix_ms, now);
+            } else {
                 scheduler.incarnation_ended(key, start_unix_ms, now);
             }
         }
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -84,7 +84,7 @@
     /// The workers whose drain is cancelled, so that they get new work again.
     #[serde(rename = "keep")]
     pub(crate) cancel_drain: Vec<SmolStr>,
-    /// The workers whose incarnation was ended by a command to their VM.
+    /// The workers whose incarnation has ended.
     #[serde(rename = "over")]
     pub(crate) ended_incarnations: Vec<SmolStr>,
     /// The starts of the ended incarnations that are known, by id, in ms since 1970. A worker that has restarted under its
@@ -95,6 +95,10 @@
         skip_serializing_if = "BTreeMap::is_empty"
     )]
     pub(crate) ended_starts_unix_ms: BTreeMap<SmolStr, u64>,
+    /// Those of the ended incarnations that are known to have crashed; `None` when none has ended, and from a leader of an
+    /// earlier build.
+    #[serde(rename = "crashed", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) crashed_incarnations: Option<Vec<SmolStr>>,
     /// The workers that will be drained for maintenance; `None` when the request says nothing of them.
     #[serde(rename = "due", default, skip_serializing_if = "Option::is_none")]
     pub(crate) maintenance_due: Option<Vec<SmolStr>>,
@@ -103,6 +107,16 @@
     pub(crate) quotas: Option<LimitMessage>,
 }
 
+impl RoundRequest {
+    /// Whether the ended incarnation of a worker counts as crashed unless the owner knows of a planned end. All do for a leader
+    /// of an earlier build, which names no crashes: while builds differ, ends are judged as by owners of that build. Otherwise
+    /// tasks that crash their workers would start again for as long as that lasts.
+    pub(crate) fn may_have_crashed(&self, worker: &SmolStr) -> bool {
+        let crashed = self.crashed_incarnations.as_ref();
+        crashed.is_none_or(|crashed| crashed.contains(worker))
+    }
+}
+
 /// The response of the owner of a pool to the leader.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct RoundReply {
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -78,6 +78,7 @@
         cancel_drain: vec!["b".into()],
         ended_incarnations: vec!["c".into()],
         ended_starts_unix_ms: BTreeMap::new(),
+        crashed_incarnations: None,
         maintenance_due: None,
         quotas: None,
     };
@@ -94,6 +95,16 @@
         &request,
         &json!({"empty": ["a"], "keep": ["b"], "over": ["c"], "over_starts": {"c": 5}, "due": ["h"]}),
     );
+    let request = RoundRequest {
+        crashed_incarnations: Some(Vec::new()),
+        ..request
+    };
+    check_json(
+        &request,
+        &json!({
+            "empty": ["a"], "keep": ["b"], "over": ["c"], "over_starts": {"c": 5}, "crashed": [], "due": ["h"],
+        }),
+    );
     let reply = RoundReply {
         remaining_tasks: vec![1],
         service_demand_workers: 1,
@@ -121,6 +132,21 @@
     );
 }
 
+#[test]
+fn the_ended_workers_that_a_leader_of_an_earlier_build_tells_may_have_crashed() {
+    let mut request: RoundRequest =
+        serde_json::from_value(json!({"empty": [], "keep": [], "over": ["a", "b"]})).unwrap();
+    assert!(
+        ["a", "b"]
+            .map(SmolStr::from)
+            .iter()
+            .all(|worker| request.may_have_crashed(worker))
+    );
+    request.crashed_incarnations = Some(vec!["a".into()]);
+    assert!(request.may_have_crashed(&"a".into()));
+    assert!(!request.may_have_crashed(&"b".into()));
+}
+
 #[test]
 fn a_round_of_an_earlier_build_has_no_service_demand() {
     let reply: RoundReply = serde_json::from_value(json!({
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -80,9 +80,13 @@
 }
 
 impl Worker {
-    /// Whether the worker is about to end by itself or through a command to its VM.
+    /// Whether the worker is about to end by itself or through a command to its VM, or has ended so.
     fn has_planned_end(&self, now_ms: u64) -> bool {
-        self.info.is_shutting_down || self.was_drained(now_ms)
+        self.is_ending() || self.was_drained(now_ms)
+    }
+
+    fn is_ending(&self) -> bool {
+        self.info.is_shutting_down || self.incarnation.ended_without_crash_at_ms.is_some()
     }
 
     fn was_drained(&self, now_ms: u64) -> bool {
@@ -95,7 +99,7 @@
     /// the worker is planned. `has_common_cause` tells that others crash at the time whatever runs there.
     fn suspects(&self, has_common_cause: bool, now_ms: u64) -> Vec<Suspect> {
         let was_drained = self.was_drained(now_ms);
-        if self.info.is_shutting_down || (was_drained && now_ms < self.drain_until_ms) {
+        if self.is_ending() || (was_drained && now_ms < self.drain_until_ms) {
             return Vec::new();
         }
         let is_doubtful = has_common_cause || was_drained || self.is_unstable(now_ms);
--- a/crates/scheduler/src/incarnation.rs
+++ b/crates/scheduler/src/incarnation.rs
@@ -55,6 +55,9 @@
     /// The number of the last ended attempt that was acknowledged to the worker, which then discards the end.
     acknowledged_end: u64,
     pub(crate) clock: Option<ClockSample>,
+    /// When the leader said that the process has ended, but not that it crashed, in ms on the daemon's clock; `None` when it
+    /// did not, and after a report to a later poll.
+    pub(crate) ended_without_crash_at_ms: Option<u64>,
 }
 
 impl Incarnation {
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -93,6 +93,8 @@
         }
         let worker = &mut self.workers[key];
         worker.expired.clear();
+        let ended_at_ms = &mut worker.incarnation.ended_without_crash_at_ms;
+        *ended_at_ms = ended_at_ms.filter(|at_ms| report.request_sent_at_ms <= *at_ms);
         worker.incarnation.start_unix_ms = start_unix_ms.or(previous_start_unix_ms);
         worker.may_have_restarted = false;
         worker.is_unresponsive = false;
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -103,8 +103,19 @@
     /// are lost, except those whose start commands are on their way: these may reach the next incarnation of the worker.
     /// They stay until the commands have timed out; a later call ends them.
     ///
-    /// Changes nothing when the worker is known with another start by now, or when it responds although it has attempts.
+    /// Ends nothing when the worker is known with another start by now, or when it responds although it has attempts.
+    ///
+    /// The incarnation does not count as crashed, whatever shows its end, unless a later poll of it gets a report.
     pub fn incarnation_ended(&mut self, key: WorkerKey, start_unix_ms: Option<u64>, now: Now) {
+        let worker = self.workers.get_mut(key);
+        if let Some(worker) = worker.filter(|worker| worker.may_have_start(start_unix_ms)) {
+            worker.incarnation.ended_without_crash_at_ms = Some(now.local_ms);
+            self.incarnation_crashed(key, start_unix_ms, now);
+        }
+    }
+
+    /// Like [`Self::incarnation_ended`], for an incarnation that is known to have crashed.
+    pub fn incarnation_crashed(&mut self, key: WorkerKey, start_unix_ms: Option<u64>, now: Now) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use scheduler::{JobStatus, Scheduler, StartOutcome, WorkerInfo};
+use scheduler::{JobStatus, Scheduler, StartOutcome, WorkerInfo, WorkerKey};
 use submission::{Job, JobId, JobRecord, JobState, TaskKey, TaskRecord};
 use support::crashes::{ALL_EVIDENCE, Evidence, Workers};
 use support::{GRACE_MS, LEASE_MS, job, limits, service_step, starts, step};
@@ -408,3 +408,72 @@
     let neighbour = workers.state(JobId(2));
     assert_eq!(neighbour, JobStatus::Recorded(JobState::Running));
 }
+
+/// Starts the task of job 1 five times, each time on a worker that is gone and of which `end` tells the scheduler.
+fn start_on_workers_that_are_gone(
+    workers: &mut Workers,
+    mut end: impl FnMut(&mut Workers, WorkerKey),
+) {
+    for _ in 0..5 {
+        let commands = workers.pool.round();
+        let started = starts(&commands);
+        assert_eq!(started.len(), 1, "the task is given up");
+        let (key, task, attempt) = started[0];
+        let outcome = StartOutcome::OutcomeUnknown;
+        let now = workers.pool.now();
+        workers.pool.scheduler.grant_start_lease(key, task, now);
+        end(workers, key);
+        workers.pool.apply_start(key, task, attempt, outcome);
+        end(workers, key);
+        workers.pool.advance(3000);
+        workers.add();
+        workers.register();
+    }
+    let state = workers.state(JobId(1));
+    assert_eq!(state, JobStatus::Recorded(JobState::Running));
+}
+
+#[test]
+fn a_worker_that_was_moved_while_its_owner_was_suspended_is_not_taken_for_crashed() {
+    let mut workers = Workers::new(1);
+    workers.pool.submit(1, job(vec![step(1)]));
+    start_on_workers_that_are_gone(&mut workers, |workers, key| {
+        let now = workers.pool.now();
+        workers.infos.clear();
+        workers.pool.scheduler.incarnation_ended(key, None, now);
+    });
+}
+
+#[test]
+fn a_worker_of_which_the_leader_told_a_planned_end_is_not_taken_for_crashed_when_another_answers() {
+    let mut workers = Workers::new(1);
+    workers.pool.submit(1, job(vec![step(1)]));
+    start_on_workers_that_are_gone(&mut workers, |workers, key| {
+        let now = workers.pool.now();
+        workers.infos.clear();
+        // The worker seems to respond, so that its attempts stay.
+        workers.pool.scheduler.incarnation_ended(key, None, now);
+        workers.pool.scheduler.worker_replaced(key, None, now);
+    });
+}
+
+#[test]
+fn a_worker_that_reports_after_the_leader_told_a_planned_end_may_crash() {
+    let mut workers = Workers::new(4);
+    workers.pool.submit(DEADLY.0, job(vec![step(1)]));
+    for _ in 0..3 {
+        let commands = workers.pool.round();
+        let (key, task, attempt) = starts(&commands)[0];
+        workers.pool.confirm_starts(&commands);
+        let now = workers.pool.now();
+        workers.pool.scheduler.incarnation_ended(key, None, now);
+        workers.pool.advance(50);
+        let info = workers.pool.scheduler.worker(key).unwrap().clone();
+        let running = [(workers.pool.task_name(task), attempt, 50)];
+        let start = info.start_unix_ms;
+        workers.pool.report_since(start, &info.id, &running, &[]);
+        workers.crash(key, Evidence::AnotherIdResponds);
+    }
+    assert!(starts(&workers.pool.round()).is_empty());
+    assert_eq!(workers.state(DEADLY), JobStatus::Recorded(JobState::Failed));
+}
--- a/crates/scheduler/tests/support/crashes.rs
+++ b/crates/scheduler/tests/support/crashes.rs
@@ -82,7 +82,7 @@
                 self.pool.scheduler.mark_unresponsive(key);
                 self.pool
                     .scheduler
-                    .incarnation_ended(key, info.start_unix_ms, now);
+                    .incarnation_crashed(key, info.start_unix_ms, now);
                 self.add();
             }
             Evidence::AnotherStartReports => {
