soak: outages of several workers at once, under jobs that last and with faults of the pool's owner (--workers)

The soak has shown none of it: four workers, seldom struck, and jobs that last were cancelled within a second or so.

The new size has 14 workers and seven jobs that last, which nobody cancels. From a random stream of its own, so that other faults of a seed stay the same, come series of: workers that crash and are down for a while, together with the owner's kill or pause; workers that are cut off for longer than a lease and a grace and live on; outages of the store in which entries lapse; owners that are paused while VMs are maintained once more.

`Failed` is allowed only for batch jobs with a task under which two workers had crashed, as the platform's terms say; the number of these is printed. A job that lasts may never be shown as failed, with any number of crashes. A report has the lines of the job in the daemons' logs and the runs of its tasks.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -26,6 +26,9 @@
 /// back.
 const BURST: Duration = Duration::from_secs(2);
 
+/// The number of the random stream for jobs that last. Callers have those from 1 on.
+const SERVICE_STREAM: u64 = u64::MAX;
+
 pub(crate) type SharedLedger = Arc<Mutex<Ledger>>;
 
 /// Calls until `until`. Connections stay open over the whole run.
@@ -56,6 +59,38 @@
     }
 }
 
+/// The job number of the first job that [`serve_until`] hands in.
+const FIRST_SERVICE: u64 = 0xff << 32;
+
+/// Keeps `count` jobs that last running until `until`, and asks for them. Nobody cancels them; jobs that have failed get a
+/// successor.
+pub(crate) async fn serve_until(
+    until: Instant,
+    (seed, count): (u64, usize),
+    daemons: Vec<Caller>,
+    ledger: SharedLedger,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(SERVICE_STREAM);
+    let mut next = FIRST_SERVICE;
+    let mut live: Vec<u64> = Vec::new();
+    while Instant::now() < until {
+        if live.len() < count {
+            next += 1;
+            let tasks = rng.random_range(2..6);
+            let kind = JobKind::Lasting { tasks };
+            ledger.lock().jobs.insert(next, JobRecord::new(kind));
+            hand_in(next, kind, &mut rng, &daemons, &ledger).await;
+            live.push(next);
+        }
+        if let Some(job) = live.choose(&mut rng).copied() {
+            let shown = ask(job, pick(&daemons, &mut rng), &ledger).await;
+            live.retain(|other| *other != job || shown != ReportedState::Failed);
+        }
+        pause(&mut rng).await;
+    }
+}
+
 async fn await_burst(start: Instant) {
     let elapsed_ms = start.elapsed().as_millis();
     let burst_ms = BURST.as_millis();
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use platform_stand_in::{AttemptRecord, ReportedState};
+use platform_stand_in::{AttemptRecord, CRASHED, ReportedState};
 
 use crate::ledger::{JobKind, JobRecord, Ledger};
 
@@ -13,6 +13,9 @@
 /// Tasks of a cancelled job may start for so long: the platform's bound on cancelling.
 const CANCEL: Duration = Duration::from_secs(3);
 
+/// A task may be given up after so many workers have crashed under it: the platform's bound.
+const GIVEN_UP_FROM: usize = 2;
+
 /// Every promise that was broken, in words.
 #[must_use]
 pub fn findings(ledger: &Ledger, runs: &[AttemptRecord]) -> Vec<String> {
@@ -36,6 +39,37 @@
     findings
 }
 
+/// How many jobs are shown as failed within the terms: a batch task was given up after workers had crashed under it.
+#[must_use]
+pub fn allowed_failures(ledger: &Ledger, runs: &[AttemptRecord]) -> usize {
+    let jobs = ledger.jobs.iter();
+    let allowed = jobs.filter(|(job, record)| {
+        let runs = runs.iter().filter(|run| job_of(&run.task) == Some(**job));
+        let runs: Vec<_> = runs.collect();
+        let mut failed = record.seen.iter();
+        failed.any(|seen| {
+            seen.shown == ReportedState::Failed && may_have_failed(record, &runs, seen.answered)
+        })
+    });
+    allowed.count()
+}
+
+/// Whether a job may be shown as failed at `at`. Jobs that last never may.
+fn may_have_failed(record: &JobRecord, runs: &[&AttemptRecord], at: Instant) -> bool {
+    !matches!(record.kind, JobKind::Lasting { .. }) && most_crashes(runs, at) >= GIVEN_UP_FROM
+}
+
+/// The largest number of workers that had crashed under one task by `at`.
+fn most_crashes(runs: &[&AttemptRecord], at: Instant) -> usize {
+    let mut crashes: BTreeMap<&str, usize> = BTreeMap::new();
+    for run in runs {
+        if matches!(run.ended, Some((ended, CRASHED)) if ended <= at) {
+            *crashes.entry(&run.task).or_default() += 1;
+        }
+    }
+    crashes.into_values().max().unwrap_or(0)
+}
+
 /// The job in a task's name.
 pub(crate) fn job_of(task: &str) -> Option<u64> {
     u64::from_str_radix(task.split('.').next()?, 16).ok()
@@ -118,8 +152,11 @@
             ReportedState::Done if done_at.is_none_or(|at| at > seen.answered) => {
                 findings.push("it is shown as done, and is not".to_owned());
             }
-            ReportedState::Failed => {
-                findings.push("it is shown as failed, and nothing failed".to_owned());
+            ReportedState::Failed if !may_have_failed(record, runs, seen.answered) => {
+                let crashes = most_crashes(runs, seen.answered);
+                findings.push(format!(
+                    "it is shown as failed, and nothing failed; {crashes} workers crashed under one of its tasks"
+                ));
             }
             ReportedState::Cancelled if !is_cancelled => {
                 findings.push("it is shown as cancelled, and nobody cancelled it".to_owned());
@@ -127,6 +164,7 @@
             _ => {}
         }
     }
+    findings.dedup();
     findings
 }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,12 +9,14 @@
 mod checks;
 mod leaders;
 mod ledger;
+mod outages;
 mod plan;
 mod play;
 mod stage;
 mod standstill;
+mod trace;
 
-pub use checks::findings;
+pub use checks::{allowed_failures, findings};
 pub use leaders::leader_findings;
 pub use ledger::{JobKind, JobRecord, Ledger, StateSeen};
 pub use plan::{Fault, Planned, Scale, Subject, plan};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -25,6 +25,9 @@
     /// Plays runs for the commands of leaders: 5 daemons and 12 workers.
     #[arg(long, conflicts_with = "large")]
     leaders: bool,
+    /// Plays runs with outages of workers under jobs that last: 3 daemons and 14 workers.
+    #[arg(long, conflicts_with_all = ["large", "leaders"])]
+    workers: bool,
     /// The daemon's program.
     #[arg(long, default_value = "target/release/trefoilpassd")]
     program: PathBuf,
@@ -40,6 +43,8 @@
         Scale::large()
     } else if args.leaders {
         Scale::leaders()
+    } else if args.workers {
+        Scale::workers()
     } else {
         Scale::usual()
     };
@@ -88,10 +93,14 @@
         accepted,
         runs,
         vm_commands,
+        allowed_failures,
         findings,
+        began_unix_s,
+        traces,
     } = report;
     println!(
-        "seed {seed}: {} faults, {jobs} jobs, {accepted} accepted, {runs} runs, {vm_commands} commands to VMs",
+        "seed {seed}: {} faults, {jobs} jobs, {accepted} accepted, {runs} runs, {vm_commands} commands to VMs, \
+         {allowed_failures} failed as workers crashed under them",
         faults.len()
     );
     if findings.is_empty() {
@@ -100,6 +109,10 @@
     for finding in findings {
         println!("  broken: {finding}");
     }
+    println!("  began at {began_unix_s:.3}");
+    for line in traces {
+        println!("  {line}");
+    }
     for planned in faults {
         println!(
             "  fault at {:?} for {:?}: {:?}",
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,6 +8,8 @@
 use rand_chacha::ChaCha8Rng;
 use test_support::ProxyFault;
 
+use crate::outages::outages;
+
 /// The shortest time for which a fault lasts. Below the 0.9 s after which a suspect daemon is dead.
 const SHORTEST: Duration = Duration::from_millis(300);
 
@@ -36,6 +38,10 @@
     pub faults: Duration,
     /// The mean pause between two faults.
     pub pause: Duration,
+    /// The mean pause between two series of outages of workers; `None` for none.
+    pub outages: Option<Duration>,
+    /// How many jobs that last are kept running, without being cancelled.
+    pub services: usize,
 }
 
 impl Scale {
@@ -48,6 +54,8 @@
             callers: 6,
             faults: Duration::from_secs(15),
             pause: Duration::from_millis(900),
+            outages: None,
+            services: 0,
         }
     }
 
@@ -69,6 +77,20 @@
             callers: 16,
             faults: Duration::from_secs(30),
             pause: Duration::from_millis(1500),
+            ..Self::usual()
+        }
+    }
+
+    /// A run with outages of several workers at once, often together with the pool's owner, under jobs that last.
+    #[must_use]
+    pub fn workers() -> Self {
+        Self {
+            workers: 14,
+            faults: Duration::from_secs(40),
+            pause: Duration::from_secs(4),
+            outages: Some(Duration::from_secs(8)),
+            services: 7,
+            ..Self::usual()
         }
     }
 
@@ -122,6 +144,18 @@
     WorkerEnds(usize),
     /// A worker ends with all that runs there, and comes back under the id that it had.
     WorkerRestarts(usize),
+    /// A worker ends with all that runs there, is down while connections to it misbehave, and comes back under another id.
+    WorkerDown(usize, ProxyFault),
+    /// A worker lives on, and neither daemons reach it nor it the store.
+    WorkerCutOff(usize),
+    /// The heartbeats of all workers are lost, and their entries lapse.
+    RegistryLapses,
+    /// The pool's owner is killed, and started again at the end.
+    KillOwner,
+    /// The pool's owner is paused, and goes on at the end.
+    PauseOwner,
+    /// VMs are due for maintenance once more, unless a wave is under way.
+    WaveAgain,
 }
 
 /// A fault and when it comes.
@@ -163,6 +197,7 @@
     }
     faults.extend(restarts(seed, scale));
     faults.extend(leader_faults(seed, scale));
+    faults.extend(outages(seed, scale));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -15,6 +15,14 @@
 /// How long a daemon may take to end in order: the platform's grace.
 const GRACE: Duration = Duration::from_secs(6);
 
+/// The deadline of a wave.
+pub(crate) const WAVE_DEADLINE_S: u64 = 25;
+
+/// How many VMs a wave may have down at a time.
+pub(crate) fn most_down(workers: usize) -> usize {
+    workers.div_ceil(4)
+}
+
 struct Member {
     spec: FleetDaemonSpec,
     process: Option<Daemon>,
@@ -36,6 +44,8 @@
     members: Vec<Member>,
     workers: Vec<FaultProxy>,
     program: PathBuf,
+    /// The number of the last wave that was requested.
+    last_wave: u64,
     /// What daemons did that nothing asked them to.
     pub(crate) findings: Vec<String>,
 }
@@ -79,6 +89,7 @@
             members,
             workers,
             program: program.to_path_buf(),
+            last_wave: 1,
             findings: Vec::new(),
         };
         for member in 0..stage.members.len() {
@@ -122,12 +133,14 @@
         }
     }
 
-    /// The fault of the daemon that is struck: the leader, for the faults of a leader.
+    /// The fault of the daemon that is struck: the leader, for the faults of a leader, or the pool's owner.
     pub(crate) fn resolve(&self, fault: Fault) -> Fault {
         match fault {
             Fault::KillLeader => Fault::Kill(self.leader()),
             Fault::TerminateLeader => Fault::Terminate(self.leader()),
             Fault::PauseLeader => Fault::Pause(self.leader()),
+            Fault::KillOwner => Fault::Kill(self.owner()),
+            Fault::PauseOwner => Fault::Pause(self.owner()),
             other => other,
         }
     }
@@ -140,8 +153,15 @@
         self.members.iter().position(is_leader).unwrap_or(0)
     }
 
-    /// `fault` is none of a leader; see [`Stage::resolve`].
-    pub(crate) fn begin(&mut self, fault: Fault) {
+    /// The daemon that owns the pool; the first one before any does.
+    fn owner(&self) -> usize {
+        let owner = self.platform.pool_owner();
+        let is_owner = |member: &Member| Some(&member.spec.name) == owner.as_ref();
+        self.members.iter().position(is_owner).unwrap_or(0)
+    }
+
+    /// `fault` is none of a leader or owner; see [`Stage::resolve`].
+    pub(crate) fn begin(&mut self, fault: Fault, lasts: Duration) {
         match fault {
             Fault::Link(subject, fault) => self.link(subject).set(fault),
             Fault::Kill(daemon) => {
@@ -160,7 +180,34 @@
             Fault::StoreLosing(lost_one_in) => self.set_store(false, lost_one_in),
             Fault::WorkerEnds(worker) => self.platform.workers[worker].restart(),
             Fault::WorkerRestarts(worker) => self.platform.workers[worker].restart_under_same_id(),
-            Fault::KillLeader | Fault::TerminateLeader | Fault::PauseLeader => {}
+            Fault::WorkerDown(worker, link) => {
+                self.platform.workers[worker].crash_for(lasts);
+                self.workers[worker].set(link);
+            }
+            Fault::WorkerCutOff(worker) => {
+                self.platform.workers[worker].lose_registry_for(lasts);
+                self.workers[worker].set(ProxyFault::Freeze);
+            }
+            Fault::RegistryLapses => {
+                for worker in &self.platform.workers {
+                    worker.lose_registry_for(lasts);
+                }
+            }
+            Fault::WaveAgain => self.request_wave_again(),
+            Fault::KillLeader
+            | Fault::TerminateLeader
+            | Fault::PauseLeader
+            | Fault::KillOwner
+            | Fault::PauseOwner => {}
+        }
+    }
+
+    fn request_wave_again(&mut self) {
+        if self.platform.is_wave_reported_done(self.last_wave) {
+            self.last_wave += 1;
+            let most_down = most_down(self.workers.len());
+            self.platform
+                .request_wave_again(self.last_wave, most_down, WAVE_DEADLINE_S);
         }
     }
 
@@ -182,11 +229,18 @@
                 }
             }
             Fault::StoreDown | Fault::StoreLosing(_) => self.set_store(false, 0),
+            Fault::WorkerDown(worker, _) | Fault::WorkerCutOff(worker) => {
+                self.workers[worker].set(ProxyFault::None);
+            }
             Fault::WorkerEnds(_)
             | Fault::WorkerRestarts(_)
             | Fault::KillLeader
             | Fault::TerminateLeader
-            | Fault::PauseLeader => {}
+            | Fault::PauseLeader
+            | Fault::KillOwner
+            | Fault::PauseOwner
+            | Fault::RegistryLapses
+            | Fault::WaveAgain => {}
         }
     }
 
--- a/crates/soak/src/standstill.rs
+++ b/crates/soak/src/standstill.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use platform_stand_in::AttemptRecord;
+use platform_stand_in::{AttemptRecord, ReportedState};
 
 use crate::checks::{all_done_at, job_of};
 use crate::ledger::{JobKind, JobRecord, Ledger};
@@ -32,7 +32,14 @@
     let is_due = record
         .accepted
         .is_some_and(|accepted| now.duration_since(accepted) > STANDSTILL);
-    if !is_due || record.cancel_asked.is_some() {
+    // Whether a job may have failed is checked elsewhere.
+    let has_failed = || {
+        record
+            .seen
+            .iter()
+            .any(|seen| seen.shown == ReportedState::Failed)
+    };
+    if !is_due || record.cancel_asked.is_some() || has_failed() {
         return false;
     }
     let is_active = |run: &&AttemptRecord| {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,8 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use platform_stand_in::{AttemptRecord, ReportedState, VmCommandRecord};
-use soak::{JobKind, JobRecord, Ledger, StateSeen, findings, leader_findings, standing_jobs};
+use platform_stand_in::{AttemptRecord, CRASHED, ReportedState, VmCommandRecord};
+use soak::{
+    JobKind, JobRecord, Ledger, StateSeen, allowed_failures, findings, leader_findings,
+    standing_jobs,
+};
 
 const JOB: u64 = 0xa1;
 
@@ -168,6 +171,37 @@
     );
 }
 
+#[test]
+fn failures_without_two_crashes_under_one_task_are_found() {
+    fn check_allowed(name: &str, case: &Case, expected: Option<&str>, allowed: usize) {
+        check(name, case, expected);
+        let mut ledger = Ledger::default();
+        ledger.jobs.insert(JOB, case.record.clone());
+        assert_eq!(allowed_failures(&ledger, &case.runs), allowed, "{name}");
+    }
+    let failed_at = |at_ms| {
+        let case = Case::new()
+            .with_run("a1.0.0.0", 1, 10, Some((20, CRASHED)))
+            .with_run("a1.0.0.0", 2, 30, Some((40, CRASHED)));
+        case.with_state(at_ms, ReportedState::Failed)
+    };
+    check_allowed("two crashes", &failed_at(50), None, 1);
+    let early = Some("nothing failed; 1 workers crashed");
+    check_allowed("before the second crash", &failed_at(39), early, 0);
+    let apart = Case::new()
+        .with_run("a1.0.0.0", 1, 10, Some((20, CRASHED)))
+        .with_run("a1.0.0.1", 1, 30, Some((40, CRASHED)))
+        .with_state(50, ReportedState::Failed);
+    check_allowed("two tasks with a crash", &apart, early, 0);
+    let planned = Case::new()
+        .with_run("a1.0.0.0", 1, 10, Some((20, "gone")))
+        .with_run("a1.0.0.0", 2, 30, Some((40, "lapsed")))
+        .with_state(50, ReportedState::Failed);
+    check_allowed("no crash", &planned, Some("; 0 workers crashed"), 0);
+    let lasting = failed_at(50).with_record(|record| record.kind = JobKind::Lasting { tasks: 1 });
+    check_allowed("a task that lasts", &lasting, Some("; 2 workers"), 0);
+}
+
 #[test]
 fn accepted_jobs_that_stand_still_are_found() {
     fn check(name: &str, case: &Case, at_ms: u64, expected: bool) {
@@ -193,6 +227,13 @@
     check("one of two tasks that last", &lasting, 9000, true);
     let lasting = lasting.with_run("a1.0.0.1", 1, 20, None);
     check("tasks that last", &lasting, 9000, false);
+    let failed = Case::new().with_state(100, ReportedState::Failed);
+    check(
+        "shown as failed, a finding of its own",
+        &failed,
+        9000,
+        false,
+    );
 }
 
 #[test]
