scheduler: a start that times out on a worker that had crashed before counts no crash

Cause: a start without a response counted as a start, whoever was there to take it. Workers that have lost power look empty, as idle workers are not polled, and attract starts; each of them timed out, and the end of that worker counted as one more crash.

Now a broken connection still shows that somebody was there (a task that crashes its worker before the response breaks it). A start that only times out may have begun only if a response shows that the process was alive when the command was sent, or up to 0.5 s before. The lease is kept either way, as the attempt may run. The new test failed with the new outcome treated as the old one (given up after three starts instead of never); the test of the other side, a worker that had just responded, passed before and after.

--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -96,6 +96,7 @@
             return;
         };
         let mut may_be_delivered = false;
+        let mut has_only_timed_out = true;
         let mut is_replaced = false;
         for sent_count in 0..MAX_START_SENDS {
             self.wait_for_link(task, &checkpoint).await;
@@ -131,6 +132,7 @@
                     is_replaced = *response == StartResponse::OtherIncarnation;
                     let start = (worker, task, attempt);
                     if !self.apply_start_response(start, &info, response, may_be_delivered) {
+                        has_only_timed_out &= is_replaced;
                         break;
                     }
                     if is_replaced {
@@ -139,7 +141,10 @@
                     return;
                 }
                 Err(Error::Unreachable) => {}
-                Err(_) => may_be_delivered = true,
+                Err(err) => {
+                    may_be_delivered = true;
+                    has_only_timed_out &= err.is_timeout();
+                }
             }
             self.count_command("start", "unanswered");
         }
@@ -149,12 +154,13 @@
             run = attempt,
             worker = info.id.as_str(),
             may_be_delivered,
+            has_only_timed_out,
             "start command got no response"
         );
-        let outcome = if may_be_delivered {
-            StartOutcome::OutcomeUnknown
-        } else {
-            StartOutcome::NotDelivered
+        let outcome = match (may_be_delivered, has_only_timed_out) {
+            (false, _) => StartOutcome::NotDelivered,
+            (true, true) => StartOutcome::NoResponse,
+            (true, false) => StartOutcome::OutcomeUnknown,
         };
         self.apply_start_outcome(worker, task, attempt, outcome, None);
         if is_replaced {
--- a/crates/scheduler/src/incarnation.rs
+++ b/crates/scheduler/src/incarnation.rs
@@ -15,6 +15,9 @@
 /// makes it discard ends that it has not reported. The time is too short for a worker to restart and to end a task.
 const ACKNOWLEDGEMENT_WINDOW_MS: u64 = 400;
 
+/// How long after a response a process counts as alive, in ms. A worker with batch tasks is polled every 0.3 s.
+const ALIVE_MS: u64 = 500;
+
 /// A reading of a worker's clock, paired with the time on the daemon's clock.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ClockSample {
@@ -36,6 +39,8 @@
     /// When the first report of the process arrived, in ms on the daemon's clock; 0 before.
     pub(crate) reports_since_ms: u64,
     last_report_at_ms: u64,
+    /// When the last response of the process arrived, in ms on the daemon's clock; 0 before the first.
+    last_response_at_ms: u64,
     /// The size of a task that the process refused, and until when tasks of that size are not sent (in ms on the daemon's
     /// clock). Cleared when an attempt ends on the worker.
     pub(crate) refused_size: Option<(Resources, u64)>,
@@ -77,9 +82,20 @@
         }
         self.has_accepted_term = true;
         self.last_report_at_ms = now_ms;
+        self.record_response(now_ms);
         self.acknowledged_end = self.acknowledged_end.max(acknowledged_end);
     }
 
+    /// Records that a response of the process has arrived.
+    pub(crate) fn record_response(&mut self, now_ms: u64) {
+        self.last_response_at_ms = now_ms;
+    }
+
+    /// Whether a response shows that the process was alive at a time, or shortly before.
+    pub(crate) fn was_alive_at(&self, at_ms: u64) -> bool {
+        self.last_response_at_ms > 0 && at_ms <= self.last_response_at_ms + ALIVE_MS
+    }
+
     /// Whether attempts that are not assigned to the worker were running at the last report.
     pub(crate) fn has_unassigned_attempts(&self) -> bool {
         self.used_by_unassigned != Resources::default()
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -285,8 +285,10 @@
     NotAuthorized,
     /// The worker rejected the command, or the command could not be sent any more.
     Refused,
-    /// A command may have reached the worker, which did not respond: the attempt may be running or may still start.
+    /// The connection to the worker broke before the response: the attempt may be running or may still start.
     OutcomeUnknown,
+    /// No response arrived in time, as when the worker had crashed before: the attempt may be running or may still start.
+    NoResponse,
     /// No command reached the worker, so that the attempt has not started and will not: no connection was established, or
     /// another incarnation responded.
     NotDelivered,
@@ -312,6 +314,7 @@
             | Self::NotAuthorized
             | Self::Refused
             | Self::OutcomeUnknown
+            | Self::NoResponse
             | Self::NotDelivered => Self::OutcomeUnknown,
         }
     }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -62,6 +62,8 @@
     pub(crate) settled_at_ms: Option<u64>,
     /// Whether a start command was sent that has neither got a response nor timed out.
     pub(crate) is_start_in_flight: bool,
+    /// When the start command was first sent, in ms on the daemon's clock; `None` before.
+    pub(crate) start_sent_at_ms: Option<u64>,
     /// The earliest time on the worker's clock at which the incarnation for which the start command's lease was computed can
     /// respond to the command, in ms.
     pub(crate) earliest_response_ms: u64,
@@ -111,6 +113,7 @@
             crashes,
             settled_at_ms: None,
             is_start_in_flight: false,
+            start_sent_at_ms: None,
             earliest_response_ms: 0,
             has_started: false,
             assigned_at_ms: now_ms,
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -245,6 +245,7 @@
         let earliest_ms = worker.earliest_clock_ms(limits.slow_clock_percent, now.local_ms);
         if let Some(attempt) = worker.attempts.get_mut(&task) {
             attempt.is_start_in_flight = true;
+            attempt.start_sent_at_ms.get_or_insert(now.local_ms);
             attempt.earliest_response_ms = earliest_ms;
         }
         worker.grant_lease(limits.lease_ms, limits.slow_clock_percent, now.local_ms)
@@ -265,6 +266,9 @@
             return;
         };
         worker.is_unresponsive &= clock_ms.is_none();
+        if clock_ms.is_some() {
+            worker.incarnation.record_response(now.local_ms);
+        }
         let limits = self.limits;
         let attempt = worker.attempts.get(&task);
         if let Some(attempt) = attempt.filter(|attempt| attempt.number == number) {
@@ -304,6 +308,11 @@
                 attempt.may_have_begun = true;
                 worker.is_unresponsive = true;
             }
+            StartOutcome::NoResponse => {
+                let sent_at_ms = attempt.start_sent_at_ms.unwrap_or(now.local_ms);
+                attempt.may_have_begun |= worker.incarnation.was_alive_at(sent_at_ms);
+                worker.is_unresponsive = true;
+            }
             StartOutcome::NotDelivered => {
                 worker.is_unresponsive = true;
                 // Polls may get responses nevertheless, on a connection that the worker has accepted before.
--- a/crates/scheduler/tests/undelivered_starts.rs
+++ b/crates/scheduler/tests/undelivered_starts.rs
@@ -219,3 +219,45 @@
     pool.advance(1000);
     assert_eq!(starts(&pool.round()).len(), 1);
 }
+
+/// Lets the starts of the task of [`JOB`] time out and their workers crash, as long as it is started. Before each start, the
+/// worker was last heard of `silent_ms` ago. Returns the number of starts, at most [`ROUNDS`].
+fn crash_after_starts_without_response(evidence: Evidence, silent_ms: u64) -> usize {
+    let mut workers = Workers::new(8);
+    workers.pool.submit(JOB.0, job(vec![step(1)]));
+    for count in 0..ROUNDS {
+        workers.register();
+        workers.pool.advance(silent_ms);
+        let Some(start) = start_task(&mut workers) else {
+            return count;
+        };
+        send_start(&mut workers, start);
+        workers.pool.advance(750);
+        end_start(&mut workers, start, StartOutcome::NoResponse);
+        workers.crash(start.0, evidence);
+        workers.pool.advance(3000);
+    }
+    ROUNDS
+}
+
+const EVIDENCE_AFTER_TIMEOUTS: [Evidence; 3] = [
+    Evidence::AnotherIdResponds,
+    Evidence::VmIsDown,
+    Evidence::VmIsDownAfterTheLeaseAndTheEntry,
+];
+
+#[test]
+fn starts_that_time_out_on_workers_that_had_crashed_before_count_no_crash() {
+    for evidence in EVIDENCE_AFTER_TIMEOUTS {
+        let started = crash_after_starts_without_response(evidence, 1500);
+        assert_eq!(started, ROUNDS, "{evidence:?}");
+    }
+}
+
+#[test]
+fn a_start_that_times_out_on_a_worker_that_had_just_responded_counts_its_crash() {
+    for evidence in EVIDENCE_AFTER_TIMEOUTS {
+        let started = crash_after_starts_without_response(evidence, 100);
+        assert!((3..=5).contains(&started), "{evidence:?}: {started}");
+    }
+}
