--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -27,7 +27,7 @@
 ];
 
 /// The same, of the size with outages of workers.
-const WORKER_REGRESSIONS: [(u64, &str); 3] = [
+const WORKER_REGRESSIONS: [(u64, &str); 4] = [
     (
         9007,
         "a task was given up under which no worker had crashed: its worker was cut off, a start got no response, and an \
@@ -42,6 +42,11 @@
         "tasks were given up, as owners did not know whether and for how long they had run on workers that crashed, and \
          starts without a response counted",
     ),
+    (
+        9101,
+        "a task that lasts was given up under which no worker had crashed: two starts got no response, and the last attempt \
+         lapsed, long before its worker ended",
+    ),
 ];
 
 /// As many runs play at the same time, of all tests.
