--- a/crates/scheduler/tests/service_crashes.rs
+++ b/crates/scheduler/tests/service_crashes.rs
@@ -400,3 +400,29 @@
     );
     assert_eq!(workers.pool.scheduler.ready_steps(), 0);
 }
+
+#[test]
+fn a_service_task_does_not_wait_for_a_stable_worker_that_other_service_tasks_fill() {
+    let mut workers = Workers::new(2);
+    let mut filling = service_step(1, 0);
+    filling.needs.cpu_milli = workers.infos[0].capacity.cpu_milli;
+    workers.pool.submit(8, job(vec![filling]));
+    let (full, ..) = start_next(&mut workers).unwrap();
+    workers
+        .pool
+        .submit(SERVICE.0, job(vec![service_step(1, 0)]));
+    for start in 100..102 {
+        let (key, ..) = start_next(&mut workers).unwrap();
+        assert_ne!(key, full);
+        // Only this worker restarts and reports.
+        let id = workers.pool.scheduler.worker(key).unwrap().id.clone();
+        let mut infos = workers.infos.iter_mut();
+        infos.find(|info| info.id == id).unwrap().start_unix_ms = Some(start);
+        let (infos, now) = (workers.infos.clone(), workers.pool.now());
+        workers.pool.scheduler.set_workers(infos, now);
+        workers.pool.advance(10);
+        workers.pool.report_since(Some(start), &id, &[], &[]);
+    }
+    assert_eq!(crashes(&workers), 2);
+    assert!(start_next(&mut workers).is_some());
+}
