scheduler: a worker that crashes long after an attempt lapsed there did not crash under it

What callers could see: a job shown as failed, or a service task held, after workers that had been cut off crashed later.

Cause: what was expected when the leases on a silent worker had expired was kept without a time, as long as the registry listed the worker, and any crash of its process minutes later counted. A worker that crashed did so before its leases expired, so that proof comes soon: it counts for 8 s now, listed or not (before, 15 s for workers without an entry). The new test failed before, with a worker that crashed 20 s after the lapse.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -46,10 +46,10 @@
 /// after the lease. A command to a VM may take effect seconds later.
 const PLANNED_END_MS: u64 = 5000;
 
-/// For how long after its leases have expired a worker without a registry entry is remembered, in ms, in case that it turns
-/// out to have crashed. Crashed workers are back within seconds; a leader finds workers that have ended in each round,
-/// every 0.3 s, and a next leader a few seconds after the last.
-const AWAIT_PROOF_MS: u64 = 15_000;
+/// For how long after the leases on a silent worker have expired proof of its crash counts for the tasks there, in ms. A worker
+/// that crashed had done so before: it is back within seconds of its crash, and a leader finds it in each round, every 0.3 s,
+/// a next leader a few seconds after the last. Later, the worker has rather been cut off, and has crashed since.
+const AWAIT_PROOF_MS: u64 = 8000;
 
 /// A task that may have caused a crash, and what is known of its attempt on the worker.
 #[derive(Debug, Clone, Copy)]
@@ -72,6 +72,20 @@
     estimated_ms.saturating_mul(1000 * LEAST_DURATION_PERCENT / 100) / 100
 }
 
+/// A task whose lease expired on a silent worker.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ExpiredSuspect {
+    suspect: Suspect,
+    /// When the lease had expired, in ms on the daemon's clock.
+    at_ms: u64,
+}
+
+impl ExpiredSuspect {
+    fn awaits_proof(&self, now_ms: u64) -> bool {
+        now_ms <= self.at_ms + AWAIT_PROOF_MS
+    }
+}
+
 impl AssignedAttempt {
     /// Records that a response that arrived at `now_ms` on the daemon's clock shows the attempt running. The time until the first
     /// such response is not counted, as the attempt may have begun any time before. A response may be late, but the next poll
@@ -189,7 +203,8 @@
     /// Whether proof may still come that the worker crashed under the tasks whose leases expired there. Silence is none: a
     /// worker that is cut off from its owner and from the store leaves the registry too, and ends its attempts itself.
     pub(crate) fn awaits_proof_of_crash(&self, now_ms: u64) -> bool {
-        !self.expired.is_empty() && now_ms <= self.leases_expired_by_ms + AWAIT_PROOF_MS
+        let mut expired = self.expired.iter();
+        expired.any(|expired| expired.awaits_proof(now_ms))
     }
 
     /// Whether a task may be placed on the worker beside the tasks there.
@@ -202,7 +217,8 @@
     /// Remembers the crash of a worker if no task there is a likely cause.
     fn note_unexplained_crash(&mut self, key: WorkerKey, now: Now) {
         let worker = &mut self.workers[key];
-        worker.is_end_explained |= worker.likely_causes(0) > 0 || !worker.expired.is_empty();
+        worker.is_end_explained |=
+            worker.likely_causes(0) > 0 || worker.awaits_proof_of_crash(now.local_ms);
         if !worker.is_end_explained && !worker.has_planned_end(now.local_ms) {
             let crashes = &mut self.unexplained_crashes;
             crashes.retain(|(_, at_ms)| now.local_ms.saturating_sub(*at_ms) < COMMON_CAUSE_MS);
@@ -244,7 +260,10 @@
         let worker = &mut self.workers[key];
         let expired = std::mem::take(&mut worker.expired);
         if !worker.has_planned_end(now.local_ms) {
-            self.count_crashes(key, source, expired, now);
+            let expired = expired.into_iter();
+            let expired = expired.filter(|expired| expired.awaits_proof(now.local_ms));
+            let suspects = expired.map(|expired| expired.suspect).collect();
+            self.count_crashes(key, source, suspects, now);
         }
     }
 
@@ -256,7 +275,9 @@
         let begun = suspects
             .into_iter()
             .filter(|suspect| attempts[&suspect.task].may_have_begun);
-        worker.expired.extend(begun);
+        let at_ms = now.local_ms;
+        let expired = begun.map(|suspect| ExpiredSuspect { suspect, at_ms });
+        worker.expired.extend(expired);
     }
 
     /// Notes how long a running attempt has run at least, which its progress and the row of its job show, and forgets the crashes
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -120,7 +120,7 @@
             Some((worker.info.id.clone(), reason))
         });
         let unresponsive = self.workers.values().filter(|worker| {
-            (!worker.attempts.is_empty() || !worker.expired.is_empty())
+            (!worker.attempts.is_empty() || worker.awaits_proof_of_crash(now.local_ms))
                 && (worker.is_unresponsive || worker.info.addr.is_empty())
         });
         Demand {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 use submission::{Resources, StepSpec, TaskKey};
 
-use crate::crashes::{ISOLATED_FROM_CRASHES, Suspect, least_us_per_percent};
+use crate::crashes::{ExpiredSuspect, ISOLATED_FROM_CRASHES, Suspect, least_us_per_percent};
 use crate::incarnation::{ClockSample, Incarnation};
 use crate::teams::TeamKey;
 
@@ -172,7 +172,7 @@
     pub(crate) isolated_attempts: usize,
     /// Tasks whose leases expired on the worker while it was silent. They count as crashed under when the incarnation turns
     /// out to have ended.
-    pub(crate) expired: Vec<Suspect>,
+    pub(crate) expired: Vec<ExpiredSuspect>,
     /// When the worker last crashed, in ms on the daemon's clock; 0 when it has not. Kept when the worker restarts under its id.
     pub(crate) crashed_at_ms: u64,
     /// When an attempt was last removed from the worker, or else when the registry first listed the worker, in ms on
--- a/crates/scheduler/tests/cut_off.rs
+++ b/crates/scheduler/tests/cut_off.rs
@@ -288,3 +288,27 @@
     let reasons: Vec<_> = unavailable.iter().map(|(_, reason)| *reason).collect();
     assert_eq!(reasons, [UnavailableReason::Blocklisted]);
 }
+
+/// Starts the task, and lets its worker be silent until the lease has expired, while the worker stays listed.
+fn lapse(workers: &mut Workers) -> (WorkerKey, WorkerInfo) {
+    let (key, ..) = start(workers);
+    let entry = workers.pool.scheduler.worker(key).unwrap().clone();
+    workers.pool.scheduler.mark_unresponsive(key);
+    advance(workers, LEASE_MS + 1000);
+    (key, entry)
+}
+
+#[test]
+fn a_worker_that_crashes_long_after_an_attempt_lapsed_there_did_not_crash_under_it() {
+    for evidence in [Evidence::VmIsDown, Evidence::AnotherStartReports] {
+        let mut workers = Workers::new(4);
+        workers.pool.submit(JOB.0, job(vec![step(1)]));
+        for round in 1..=5 {
+            let (key, _) = lapse(&mut workers);
+            advance(&mut workers, 20_000);
+            workers.crash(key, evidence);
+            assert_eq!(crashes(&workers), 0, "{evidence:?}: {round}");
+        }
+        assert_eq!(workers.state(JOB), RUNNING, "{evidence:?}");
+    }
+}
