scheduler: a late proof of a crash does not count for a task that runs elsewhere by then

What callers could see: a job shown as failed while its task runs well on another worker.

Cause: a worker that was silent until its leases had expired may turn out to have crashed after the task has started elsewhere. The crash counted, although the next attempt, which had run for longer than tasks that crash their workers do, tells against it. The new test failed before.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -11,7 +11,7 @@
 //! and a crash of a worker where no other task can be the cause shows that crashes close to it may have another one. Such
 //! crashes count for less.
 
-use submission::{CrashEvidence, CrashVerdict, Job, StepSpec, TaskKey};
+use submission::{CrashEvidence, CrashVerdict, Job, StepSpec, TaskKey, TaskPhase};
 
 use crate::draining::AVAILABLE_PROGRESS_PERCENT;
 use crate::scheduler::{Scheduler, step_key};
@@ -262,11 +262,27 @@
         if !worker.has_planned_end(now.local_ms) {
             let expired = expired.into_iter();
             let expired = expired.filter(|expired| expired.awaits_proof(now.local_ms));
-            let suspects = expired.map(|expired| expired.suspect).collect();
+            let suspects = expired.map(|expired| expired.suspect);
+            let suspects = suspects.filter(|suspect| !self.runs_elsewhere(suspect.task));
+            let suspects = suspects.collect();
             self.count_crashes(key, source, suspects, now);
         }
     }
 
+    /// Whether the last attempt of a task has run for so long that the task is unlikely to crash workers.
+    fn runs_elsewhere(&self, task: TaskKey) -> bool {
+        let job = self.jobs.get(&task.job);
+        let Some(TaskPhase::Assigned { worker }) = job
+            .and_then(|job| job.task(task.index))
+            .map(|task| &task.phase)
+        else {
+            return false;
+        };
+        let worker = self.workers_by_id.get(worker);
+        let attempt = worker.and_then(|key| self.workers[*key].attempts.get(&task));
+        attempt.is_some_and(AssignedAttempt::has_survived)
+    }
+
     /// Remembers the tasks whose leases expire, for the case that the silent worker turns out to have crashed.
     pub(crate) fn expect_crash(&mut self, key: WorkerKey, now: Now) {
         let suspects = self.suspects(key, now);
--- a/crates/scheduler/tests/cut_off.rs
+++ b/crates/scheduler/tests/cut_off.rs
@@ -312,3 +312,22 @@
         assert_eq!(workers.state(JOB), RUNNING, "{evidence:?}");
     }
 }
+
+#[test]
+fn a_late_proof_of_a_crash_does_not_count_for_a_task_that_runs_elsewhere_by_then() {
+    for (run_ms, expected) in [(1000, 0), (100, 1)] {
+        let mut workers = Workers::new(4);
+        workers.pool.submit(JOB.0, job(vec![step(1)]));
+        let (lapsed, _) = lapse(&mut workers);
+        let (key, name, attempt) = start(&mut workers);
+        let info = workers.pool.scheduler.worker(key).unwrap().clone();
+        workers.pool.advance(run_ms);
+        let running = [(name, attempt, 50)];
+        let since = info.start_unix_ms;
+        workers.pool.report_since(since, &info.id, &running, &[]);
+        let now = workers.pool.now();
+        let scheduler = &mut workers.pool.scheduler;
+        scheduler.incarnation_crashed(lapsed, None, now);
+        assert_eq!(crashes(&workers), expected, "{run_ms}");
+    }
+}
