scheduler: a service task does not wait while many others are isolated

What callers could see: service tasks that stand still although there is room (LOST), after outages that struck several tasks twice.

Cause: tasks are isolated from the second crash on, on at most half of the workers, and the others waited. Batch tasks on isolating workers end soon; service tasks are isolated until they have run for 5 s, or for ever when they crash again. A service task is now placed without isolation instead, apart from other suspects where there is room. Crashes count as before. The new test failed before.

--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -183,7 +183,8 @@
         gang_workers: &[WorkerKey],
         now: Now,
     ) -> Option<WorkerKey> {
-        if !self.may_isolate_another(crashes) {
+        // Isolated batch tasks end soon, so that others can wait for them.
+        if !step.is_service && !self.may_isolate_another(crashes) {
             return None;
         }
         let needs_stable_worker = self.needs_stable_worker(crashes, step, now);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -464,7 +464,8 @@
         let attempt = job.assign(task.index, worker, min_attempt);
         let crashes = job.task(task.index).map_or(0, |task| task.crashes);
         let team = self.teams.key(&job.team);
-        let assigned = AssignedAttempt::new(attempt, job.step(task.index), crashes, now.local_ms);
+        let mut assigned =
+            AssignedAttempt::new(attempt, job.step(task.index), crashes, now.local_ms);
         if team.is_some() {
             let (occurrence, step, _) = job.position(task.index);
             let step = step_key(task.job, occurrence, step);
@@ -481,6 +482,7 @@
             .entry(task.job)
             .or_default()
             .push(command);
+        assigned.is_isolated &= self.may_isolate_another(crashes);
         self.insert_attempt(key, task, assigned.with_team(team));
         self.dirty_jobs.insert(task.job);
     }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -80,6 +80,8 @@
     pub(crate) ran_for_ms: u64,
     /// The number of workers that had crashed under the task when the attempt was assigned.
     pub(crate) crashes: u32,
+    /// Whether the worker is given no other task meanwhile.
+    pub(crate) is_isolated: bool,
     /// Whether the attempt is known to have started on the worker.
     pub(crate) has_started: bool,
     pub(crate) assigned_at_ms: u64,
@@ -111,6 +113,7 @@
             running_since_ms: None,
             ran_for_ms: 0,
             crashes,
+            is_isolated: crashes >= ISOLATED_FROM_CRASHES,
             settled_at_ms: None,
             is_start_in_flight: false,
             start_sent_at_ms: None,
@@ -136,12 +139,6 @@
     }
 }
 
-impl AssignedAttempt {
-    pub(crate) fn is_isolated(&self) -> bool {
-        self.crashes >= ISOLATED_FROM_CRASHES
-    }
-}
-
 /// A worker, with the attempts and leases that the scheduler has given to the worker.
 #[derive(Debug, Clone)]
 #[expect(clippy::struct_excessive_bools, reason = "independent facts")]
@@ -329,6 +326,7 @@
         if let Some(mut attempt) = self.attempts.remove(&task) {
             self.uncount(&attempt);
             attempt.crashes = 0;
+            attempt.is_isolated = false;
             self.count(&attempt);
             self.attempts.insert(task, attempt);
         }
@@ -337,13 +335,13 @@
     fn count(&mut self, attempt: &AssignedAttempt) {
         self.service_attempts += usize::from(attempt.is_service);
         self.suspect_attempts += usize::from(attempt.crashes > 0);
-        self.isolated_attempts += usize::from(attempt.is_isolated());
+        self.isolated_attempts += usize::from(attempt.is_isolated);
     }
 
     fn uncount(&mut self, attempt: &AssignedAttempt) {
         self.service_attempts -= usize::from(attempt.is_service);
         self.suspect_attempts -= usize::from(attempt.crashes > 0);
-        self.isolated_attempts -= usize::from(attempt.is_isolated());
+        self.isolated_attempts -= usize::from(attempt.is_isolated);
     }
 
     pub(crate) fn remove(&mut self, task: TaskKey, now_ms: u64) -> Option<AssignedAttempt> {
--- a/crates/scheduler/tests/service_crashes.rs
+++ b/crates/scheduler/tests/service_crashes.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use scheduler::{JobStatus, Scheduler, SchedulerEvent, WorkerKey};
 use submission::{
-    AttemptOutcome, CrashEvidence, Job, JobId, JobState, StepSpec, TaskKey, TaskPhase,
+    AttemptOutcome, CrashEvidence, Job, JobId, JobRecord, JobState, StepSpec, TaskKey, TaskPhase,
+    TaskRecord,
 };
 use support::crashes::{ALL_EVIDENCE, Evidence, Workers};
 use support::{GRACE_MS, LEASE_MS, job, limits, service_step, starts, step, stops};
@@ -426,3 +429,25 @@
     assert_eq!(crashes(&workers), 2);
     assert!(start_next(&mut workers).is_some());
 }
+
+#[test]
+fn service_tasks_do_not_wait_while_many_others_are_isolated() {
+    let mut workers = Workers::new(12);
+    for id in 1..=12 {
+        let record = JobRecord {
+            tasks: vec![TaskRecord(2, 0, false, "".into(), "".into())],
+            crashes: vec![(0, 2)],
+            ..JobRecord::default()
+        };
+        let spec = Arc::new(job(vec![service_step(1, 0)]));
+        let suspect = Job::new(JobId(id), "queue".into(), spec, 0).with_record(record);
+        let now = workers.pool.now();
+        workers.pool.scheduler.adopt_job(suspect, now);
+    }
+    let started = starts(&workers.pool.round());
+    assert_eq!(started.len(), 12);
+    let mut on: Vec<_> = started.iter().map(|(worker, ..)| *worker).collect();
+    on.sort();
+    on.dedup();
+    assert_eq!(on.len(), 12, "suspects are neighbours");
+}
