scheduler: batch suspects wait for a stable worker again that isolates another

Cause: (a suspect waits for a stable worker only if one has room beside its service tasks) let suspects go to a worker that had just crashed while the stable one isolated another task. That other task ends soon if it is a batch task.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -406,16 +406,23 @@
     }
 
     /// Whether a task under which `crashes` workers crashed has to wait for a worker that has not crashed lately: it has to be
-    /// isolated, and there is such a worker with room for it beside its service tasks, which don't end.
+    /// isolated, and there is such a worker that can run tasks of the step. A service task waits only for a worker that has room
+    /// for it beside its service tasks, which don't end.
     pub(crate) fn needs_stable_worker(&self, crashes: u32, step: &StepSpec, now: Now) -> bool {
         let mut workers = self.workers.values();
+        let has_room = |worker: &Worker| {
+            if step.is_service {
+                worker.may_join() && step.footprint().fits(worker.capacity_beside_services())
+            } else {
+                step.footprint().fits(worker.info.capacity)
+            }
+        };
         crashes >= ISOLATED_FROM_CRASHES
             && workers.any(|worker| {
                 worker.is_usable(now.local_ms)
                     && !worker.is_unstable(now.local_ms)
-                    && worker.may_join()
                     && worker.has_label(&step.required_label)
-                    && step.footprint().fits(worker.capacity_beside_services())
+                    && has_room(worker)
             })
     }
 
