--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -122,12 +122,17 @@
         let worker = self.workers.get_mut(key);
         if let Some(worker) = worker.filter(|worker| worker.may_have_start(start_unix_ms)) {
             worker.incarnation.ended_without_crash_at_ms = Some(now.local_ms);
-            self.incarnation_crashed(key, start_unix_ms, now);
+            self.end_unreachable(key, start_unix_ms, now);
         }
     }
 
     /// Like [`Self::incarnation_ended`], for an incarnation that is known to have crashed.
     pub fn incarnation_crashed(&mut self, key: WorkerKey, start_unix_ms: Option<u64>, now: Now) {
+        self.end_unreachable(key, start_unix_ms, now);
+    }
+
+    /// Ends the incarnation of a worker that a leader reported as ended, and counts the crash unless the end was planned.
+    fn end_unreachable(&mut self, key: WorkerKey, start_unix_ms: Option<u64>, now: Now) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
