--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -226,6 +226,7 @@
         commands.extend(self.move_commands(&listed, &standby, &replies).await);
         to_drain.extend(self.reclaiming.iter().cloned());
         to_drain.extend(self.unconfirmed_moves.keys().cloned());
+        self.log_unconfirmed_drains(&listed, &replies, &commands);
         self.set_draining(&listed, &to_drain);
         let has_commands = !commands.is_empty();
         let recorded =
@@ -251,6 +252,38 @@
             .await;
     }
 
+    /// Logs the commands to VMs on which a worker runs whose pool did not confirm in this round that it has no tasks. The pool
+    /// has confirmed that for each new move, right before.
+    fn log_unconfirmed_drains(
+        &self,
+        listed: &[ListedVm],
+        replies: &BTreeMap<SmolStr, RoundReply>,
+        commands: &[VmCommand],
+    ) {
+        for command in commands {
+            let vm = listed.iter().find(|vm| vm.vm == *command.vm());
+            let Some(vm) = vm.filter(|vm| vm.phase == VmPhase::Up && vm.worker_id.is_some()) else {
+                continue;
+            };
+            let is_new_move = matches!(command, VmCommand::Move { vm, .. } if !self.unconfirmed_moves.contains_key(vm));
+            let tasks = remaining_tasks(vm, &self.draining, replies);
+            if is_new_move || tasks == Some(0) {
+                continue;
+            }
+            let progress = replies
+                .get(&vm.pool)
+                .and_then(|reply| reply.progress.as_ref());
+            tracing::info!(
+                order = ?command,
+                pool = vm.pool.as_str(),
+                worker = vm.worker_id.as_deref(),
+                tasks,
+                owner_term = progress.map(|progress| progress.term),
+                "a command goes to a VM whose drain was not confirmed in this round"
+            );
+        }
+    }
+
     /// Returns the maximum number of moves in a round.
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -305,6 +305,7 @@
         task: Option<TaskKey>,
         attempt: u32,
     ) {
+        let decided_at = Instant::now();
         loop {
             let Some(info) = self.worker_info(worker) else {
                 return;
@@ -314,7 +315,11 @@
             if !is_assigned || self.has_ended() {
                 return;
             }
-            if self.may_send_commands() && self.send_stop(worker, &info, &name, attempt).await {
+            if self.may_send_commands()
+                && self
+                    .send_stop(worker, &info, (&name, attempt), decided_at)
+                    .await
+            {
                 if let Some(task) = task {
                     let now = self.node.clock.now();
                     self.scheduler
@@ -337,9 +342,10 @@
         &self,
         worker: WorkerKey,
         info: &WorkerInfo,
-        name: &SmolStr,
-        attempt: u32,
+        (name, attempt): (&SmolStr, u32),
+        decided_at: Instant,
     ) -> bool {
+        let decision_age_ms = decided_at.elapsed().as_millis();
         let target = (name.as_str(), attempt);
         let timeout = self.node.worker_timeout();
         let sent_at = Instant::now();
@@ -350,17 +356,16 @@
         let response = stop.await;
         self.record_response(worker, sent_at);
         self.count_command("stop", response_label(&response));
-        let Ok(is_accepted) = response else {
-            return false;
-        };
         tracing::info!(
             task = name.as_str(),
             run = attempt,
             worker = info.id.as_str(),
-            is_taken = is_accepted,
+            is_taken = response.as_ref().ok(),
+            term = self.term,
+            decision_age_ms,
             "sent a stop command"
         );
-        is_accepted
+        response.unwrap_or(false)
     }
 
     /// Sends a speed limit for a best-effort task, once.
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -4,7 +4,7 @@
 use submission::{Job, TaskKey};
 
 use crate::scheduler::Scheduler;
-use crate::types::Now;
+use crate::types::{Now, SchedulerEvent};
 use crate::worker::WorkerKey;
 
 /// The progress at which a service task counts as available.
@@ -45,7 +45,8 @@
             let age_ms = now.local_ms.saturating_sub(assigned_at_ms);
             if !self.has_place_elsewhere(task, now) {
                 is_drain_blocked = true;
-            } else if self.may_stop(task, age_ms) {
+            } else if self.may_stop(task, age_ms, now) {
+                self.note_stop(key, task, attempt, now);
                 self.issue_stop(key, task, attempt);
             }
         }
@@ -84,7 +85,7 @@
     }
 
     /// Whether a task may be stopped on a worker that is being drained.
-    fn may_stop(&self, task: TaskKey, age_ms: u64) -> bool {
+    fn may_stop(&self, task: TaskKey, age_ms: u64, now: Now) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return true;
         };
@@ -93,32 +94,68 @@
             return step.has_checkpoints && age_ms > MIN_BATCH_AGE_TO_STOP_MS;
         }
         // The last report may be old: this task counts as available even if the report showed the contrary.
-        self.unavailable_others(job, task) < max_unavailable(job, task)
+        self.other_tasks(job, task, now).unavailable < max_unavailable(job, task)
     }
 
-    /// The number of other tasks of a service step that are not available, as the last reports show.
-    pub(crate) fn unavailable_others(&self, job: &Job, task: TaskKey) -> u32 {
+    /// The availability of the other tasks of a service step, as the last reports show.
+    fn other_tasks(&self, job: &Job, task: TaskKey, now: Now) -> OtherTasks {
         let (occurrence, step, _) = job.position(task.index);
         let others = job
             .step_tasks(occurrence, step)
             .filter(|&index| index != task.index);
-        let unavailable = others.filter(|&index| {
+        let mut tasks = OtherTasks::default();
+        for index in others {
             let other = TaskKey {
                 job: task.job,
                 index,
             };
-            !self.workers.values().any(|worker| {
-                let attempt = worker.attempts.get(&other);
-                let is_available = attempt.is_some_and(|attempt| {
-                    attempt.progress_percent >= AVAILABLE_PROGRESS_PERCENT && !attempt.is_stopping
-                });
-                is_available && !worker.is_unresponsive
-            })
+            let available = self.workers.values().find_map(|worker| {
+                let attempt = worker.attempts.get(&other)?;
+                let is_available = attempt.progress_percent >= AVAILABLE_PROGRESS_PERCENT
+                    && !attempt.is_stopping
+                    && !worker.is_unresponsive;
+                is_available.then_some((worker, attempt))
+            });
+            let Some((worker, attempt)) = available else {
+                tasks.unavailable += 1;
+                continue;
+            };
+            let age_ms = worker.incarnation.report_age_ms(now.local_ms);
+            tasks.oldest_report_ms = tasks.oldest_report_ms.max(age_ms);
+            tasks.adopted += u32::from(attempt.is_adopted);
+        }
+        tasks
+    }
+
+    /// Notes for the log that a service task is about to be stopped for a drain, and on what the decision rests.
+    fn note_stop(&mut self, key: WorkerKey, task: TaskKey, attempt: u32, now: Now) {
+        let job = self.jobs.get(&task.job);
+        let Some(job) = job.filter(|job| job.step(task.index).is_service) else {
+            return;
+        };
+        let others = self.other_tasks(job, task, now);
+        self.events.push(SchedulerEvent::StoppedForDrain {
+            worker: self.workers[key].info.id.clone(),
+            task: job.task_name(task.index),
+            attempt,
+            unavailable: others.unavailable,
+            tolerated: max_unavailable(job, task),
+            adopted: others.adopted,
+            oldest_report_ms: others.oldest_report_ms,
         });
-        u32::try_from(unavailable.count()).unwrap_or(u32::MAX)
     }
 }
 
+/// The availability of all tasks of a service step but one.
+#[derive(Debug, Clone, Copy, Default)]
+struct OtherTasks {
+    unavailable: u32,
+    /// The number of available tasks whose attempts a previous owner started.
+    adopted: u32,
+    /// The age of the oldest report that shows one of the tasks available, in ms.
+    oldest_report_ms: u64,
+}
+
 /// The number of unavailable tasks that the step of a service task tolerates. A held task is unavailable until its job is
 /// cancelled, and counts towards the number that the step allows: workers of a step that allows no more can't be drained.
 fn max_unavailable(job: &Job, task: TaskKey) -> u32 {
--- a/crates/scheduler/src/incarnation.rs
+++ b/crates/scheduler/src/incarnation.rs
@@ -91,6 +91,11 @@
         self.last_response_at_ms = now_ms;
     }
 
+    /// The time since the last report of the process, in ms; since the start of the daemon's clock before the first.
+    pub(crate) fn report_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.last_report_at_ms)
+    }
+
     /// Whether a response shows that the process was alive at a time, or shortly before.
     pub(crate) fn was_alive_at(&self, at_ms: u64) -> bool {
         self.last_response_at_ms > 0 && at_ms <= self.last_response_at_ms + ALIVE_MS
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -82,6 +82,23 @@
         /// The number of the attempt.
         attempt: u32,
     },
+    /// A service task is stopped, because its worker is drained.
+    StoppedForDrain {
+        /// The id of the worker.
+        worker: SmolStr,
+        /// The name of the task.
+        task: SmolStr,
+        /// The number of the attempt.
+        attempt: u32,
+        /// The number of other tasks of the step that are unavailable.
+        unavailable: u32,
+        /// The number of unavailable tasks that the step tolerates.
+        tolerated: u32,
+        /// The number of other tasks that count as available and whose attempts a previous owner started.
+        adopted: u32,
+        /// The age of the oldest report by which one of the other tasks counts as available, in ms.
+        oldest_report_ms: u64,
+    },
     /// A worker crashed while attempts may have run there.
     Crashed {
         /// The id of the worker.
@@ -183,6 +200,7 @@
             }
             Self::Restarted { .. } => "a worker restarted under its id",
             Self::NotListed { .. } => "an attempt counts as lost: its worker does not list it",
+            Self::StoppedForDrain { .. } => "a service task is stopped: its worker is drained",
             Self::Crashed { .. } => "a worker crashed under its tasks",
             Self::GivenUp { .. } => "a task is given up: workers crash under it",
             Self::Held { .. } => "a service task is held: workers crash under it",
@@ -227,6 +245,24 @@
                 .field("task", task)
                 .field("run", attempt)
                 .finish(),
+            Self::StoppedForDrain {
+                worker,
+                task,
+                attempt,
+                unavailable,
+                tolerated,
+                adopted,
+                oldest_report_ms,
+            } => f
+                .debug_struct("StoppedForDrain")
+                .field("worker", worker)
+                .field("task", task)
+                .field("run", attempt)
+                .field("unavailable", unavailable)
+                .field("tolerated", tolerated)
+                .field("adopted", adopted)
+                .field("oldest_report_ms", oldest_report_ms)
+                .finish(),
             Self::Crashed {
                 worker,
                 source,
--- a/crates/scheduler/tests/events.rs
+++ b/crates/scheduler/tests/events.rs
@@ -39,6 +39,19 @@
         format!("{lost:?}"),
         r#"NotListed { worker: "w-1", task: "t", run: 1 }"#
     );
+    let stopped = SchedulerEvent::StoppedForDrain {
+        worker: "w-1".into(),
+        task: "t".into(),
+        attempt: 1,
+        unavailable: 0,
+        tolerated: 1,
+        adopted: 3,
+        oldest_report_ms: 1800,
+    };
+    assert_eq!(
+        format!("{stopped:?}"),
+        r#"StoppedForDrain { worker: "w-1", task: "t", run: 1, unavailable: 0, tolerated: 1, adopted: 3, oldest_report_ms: 1800 }"#
+    );
     let crashed = SchedulerEvent::Crashed {
         worker: "w-1".into(),
         source: CrashSource::ReportedByLeader,
