scheduler: a new owner counts no task as available that the previous one may have stopped

A worker refuses the commands of earlier owners once it has accepted a request of the present one, and a stop that it accepted before takes effect within stop_ms. So a report shows an adopted task available only if the worker made it stop_ms after its first report, on its own clock, which may be slow, never fast.

--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -17,6 +17,7 @@
 use crate::pool::recorder::{JobRow, decode_progress};
 use crate::pool::sequence::{Sequence, SequenceRow};
 use crate::pool::{OWNER_GRACE_MS, PoolOwner};
+use crate::settings::DEFAULT_STOP_MS;
 
 /// The duration of a lease on a worker's attempts, in ms. The lease outlasts the delay between two renewals and two
 /// lost renewals. The lease is short because a task on an unresponsive worker starts elsewhere only after the lease has
@@ -185,6 +186,7 @@
         owner_grace_ms: OWNER_GRACE_MS,
         slow_clock_percent: SLOW_CLOCK_PERCENT,
         ended_job_retention_ms: bounds.ended_job_retention_s * 1000,
+        stop_ms: bounds.stop_ms.unwrap_or(DEFAULT_STOP_MS),
     })
     .with_overload_rules(OverloadRules {
         shed_least_cost: node.settings.overload.shed_least_cost,
--- a/crates/fleetd/src/settings.rs
+++ b/crates/fleetd/src/settings.rs
@@ -12,6 +12,9 @@
 /// saturated a link of 10 Mbit/s while it used a twentieth of a core.
 const MILLICORES_PER_MBPS: f64 = 5.0;
 
+/// How long workers are assumed to take to stop a task where the settings don't tell it, in ms.
+pub(crate) const DEFAULT_STOP_MS: u64 = 1000;
+
 /// The settings of a daemon, which are read once when the process starts.
 #[derive(Debug, Clone, Deserialize)]
 pub struct FleetSettings {
@@ -103,6 +106,10 @@
     pub leader_gap_ms: u64,
     /// The duration of the maintenance of a VM, in seconds.
     pub maintenance_s: f64,
+    /// How long a task may still run after its worker has accepted a stop command, in ms; [`DEFAULT_STOP_MS`] where the
+    /// settings don't tell it.
+    #[serde(default)]
+    pub stop_ms: Option<u64>,
     /// Whether a key of a team is refused once the configuration is so old that the key may have been revoked; callers then
     /// need a key even under a configuration without teams. Absent where the deployment has no teams.
     #[serde(default)]
--- a/crates/scheduler/benches/round.rs
+++ b/crates/scheduler/benches/round.rs
@@ -34,6 +34,7 @@
         owner_grace_ms: 4000,
         slow_clock_percent: 3,
         ended_job_retention_ms: 120_000,
+        stop_ms: 200,
     });
     let rules = QueueRules {
         priority: 0,
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -113,7 +113,8 @@
                 let attempt = worker.attempts.get(&other)?;
                 let is_available = attempt.progress_percent >= AVAILABLE_PROGRESS_PERCENT
                     && !attempt.is_stopping
-                    && !worker.is_unresponsive;
+                    && !worker.is_unresponsive
+                    && !(attempt.is_adopted && worker.may_run_earlier_stops(self.limits.stop_ms));
                 is_available.then_some((worker, attempt))
             });
             let Some((worker, attempt)) = available else {
--- a/crates/scheduler/src/incarnation.rs
+++ b/crates/scheduler/src/incarnation.rs
@@ -39,6 +39,9 @@
     /// When the first report of the process arrived, in ms on the daemon's clock; 0 before.
     pub(crate) reports_since_ms: u64,
     last_report_at_ms: u64,
+    /// The worker's clock in the first and in the last report of the process, in ms; 0 before.
+    first_report_clock_ms: u64,
+    last_report_clock_ms: u64,
     /// When the last response of the process arrived, in ms on the daemon's clock; 0 before the first.
     last_response_at_ms: u64,
     /// The size of a task that the process refused, and until when tasks of that size are not sent (in ms on the daemon's
@@ -76,12 +79,15 @@
     }
 
     /// Records a report: that the process has accepted the term, and ends up to `acknowledged_end` were acknowledged to it.
-    pub(crate) fn record_report(&mut self, acknowledged_end: u64, now_ms: u64) {
+    /// The report was made at `clock_ms` on the worker's clock.
+    pub(crate) fn record_report(&mut self, acknowledged_end: u64, clock_ms: u64, now_ms: u64) {
         if !self.has_accepted_term {
             self.reports_since_ms = now_ms;
+            self.first_report_clock_ms = clock_ms;
         }
         self.has_accepted_term = true;
         self.last_report_at_ms = now_ms;
+        self.last_report_clock_ms = clock_ms;
         self.record_response(now_ms);
         self.acknowledged_end = self.acknowledged_end.max(acknowledged_end);
     }
@@ -96,6 +102,13 @@
         now_ms.saturating_sub(self.last_report_at_ms)
     }
 
+    /// Whether an attempt in the last report may be about to end, because a previous owner has stopped it. The process refuses the
+    /// commands of previous owners since its first report, and an attempt runs for at most `stop_ms` after a stop.
+    pub(crate) fn may_run_earlier_stops(&self, stop_ms: u64) -> bool {
+        !self.has_accepted_term
+            || self.last_report_clock_ms < self.first_report_clock_ms.saturating_add(stop_ms)
+    }
+
     /// Whether a response shows that the process was alive at a time, or shortly before.
     pub(crate) fn was_alive_at(&self, at_ms: u64) -> bool {
         self.last_response_at_ms > 0 && at_ms <= self.last_response_at_ms + ALIVE_MS
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -112,7 +112,7 @@
         };
         worker
             .incarnation
-            .record_report(acknowledged_end, now.local_ms);
+            .record_report(acknowledged_end, report.worker_clock_ms, now.local_ms);
         let last_end = report.ended.iter().map(|end| end.number).max();
         for end in report.ended {
             self.apply_end(key, end, now);
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -29,6 +29,8 @@
     pub slow_clock_percent: u64,
     /// How long ended jobs are retained, in ms.
     pub ended_job_retention_ms: u64,
+    /// How long an attempt may still run after its worker has accepted a stop command, in ms.
+    pub stop_ms: u64,
 }
 
 /// The rules of a queue, from the active configuration.
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -195,7 +195,8 @@
     pub recorded_end: u64,
     /// Whether attempts run on the worker, so that the worker may hold back its response until one of them ends.
     pub is_busy: bool,
-    /// Whether the worker has to be polled often: batch tasks, which end soon, or best-effort tasks run there.
+    /// Whether the worker has to be polled often: batch tasks, which end soon, or best-effort tasks run there, or service tasks
+    /// that a previous owner may have stopped.
     pub is_polled_often: bool,
 }
 
@@ -269,6 +270,13 @@
         }
     }
 
+    /// Whether an attempt of a service task there may be about to end, because a previous owner has stopped it.
+    pub(crate) fn may_run_earlier_stops(&self, stop_ms: u64) -> bool {
+        let mut attempts = self.attempts.values();
+        attempts.any(|attempt| attempt.is_adopted && attempt.is_service)
+            && self.incarnation.may_run_earlier_stops(stop_ms)
+    }
+
     /// The resources of all attempts that run or may run on the worker, with those that are being stopped.
     fn occupied(&self) -> Resources {
         self.used
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -235,6 +235,7 @@
             is_busy: worker.incarnation.has_accepted_term
                 && (lease_until_ms.is_some() || has_unassigned_attempts),
             is_polled_often: has_unassigned_attempts
+                || worker.may_run_earlier_stops(limits.stop_ms)
                 || worker
                     .attempts
                     .values()
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -36,6 +36,7 @@
         owner_grace_ms: GRACE_MS,
         slow_clock_percent: 3,
         ended_job_retention_ms: 120_000,
+        stop_ms: 200,
     }
 }
 
--- a/crates/test-support/src/fleet_daemon.rs
+++ b/crates/test-support/src/fleet_daemon.rs
@@ -69,7 +69,7 @@
             "daemon: {name}\nip: {}\nzone: z\ncallers_addr: {callers}\nready_addr: {ready}\n\
              peer_port: {}\nmetrics_port: {}\nstore_addr: {store}\nvms_addr: {vms}\nnew_field: ignored\n\
              bounds: {{ grace_s: 6, longest_lease_ms: 10000, keep_ended_s: 120, steward_gap_ms: 3000, \
-             maintenance_s: 0.4{revocation} }}\n",
+             maintenance_s: 0.4, stop_ms: 200{revocation} }}\n",
             peers.ip(),
             peers.port(),
             metrics.port(),
