scheduler: a report from before a pause of the owner shows no task available

The last report of a worker counted as the present until a poll failed. An owner whose process was suspended, or that could send no commands for a while, polls nobody meanwhile: asked to drain a worker right after, it stopped a task of a step of which others had been away for seconds. A report counts for 3.5 s now, which a poll and its timeout never exceed.

--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -19,6 +19,11 @@
 /// no worker of the step could be drained.
 const MIN_TOLERATED_UNAVAILABLE: u32 = 1;
 
+/// The age of a report in ms up to which it shows tasks available: more than a poll that is not answered takes, so that a report
+/// is older only if the process was suspended or could send no polls. Less than the time after which
+/// operators count a task as unavailable whatever the cause, by the duration of a stop.
+const MAX_REPORT_AGE_MS: u64 = 3500;
+
 /// The time since its assignment after which a batch task with checkpoints is stopped while its worker is drained.
 /// Batch tasks without checkpoints are not stopped.
 const MIN_BATCH_AGE_TO_STOP_MS: u64 = 1200;
@@ -114,6 +119,7 @@
                 let is_available = attempt.progress_percent >= AVAILABLE_PROGRESS_PERCENT
                     && !attempt.is_stopping
                     && !worker.is_unresponsive
+                    && worker.incarnation.report_age_ms(now.local_ms) <= MAX_REPORT_AGE_MS
                     && !(attempt.is_adopted && worker.may_run_earlier_stops(self.limits.stop_ms));
                 is_available.then_some((worker, attempt))
             });
--- a/crates/scheduler/tests/availability.rs
+++ b/crates/scheduler/tests/availability.rs
@@ -105,3 +105,12 @@
     service.report_all();
     assert!(!is_polled_often(&mut service));
 }
+
+#[test]
+fn a_report_from_before_a_pause_of_the_owner_shows_no_task_available() {
+    let mut service = Service::new();
+    service.pool.advance(4000);
+    assert_eq!(service.drain(1), 0);
+    service.report_all();
+    assert_eq!(service.drain(1), 1);
+}
