scheduler, fleetd: a stop command is decided on anew before each send

A stop was repeated until the worker accepted it or the ownership ended. Between the decision and the send that arrives, other tasks of the step may have gone away, the drain may be over, and an attempt whose start got no response may have been reported at work; the stop ended it nevertheless, seconds later and while the step allowed none.

The scheduler is asked before each send: a stop for a drain goes out while the drain goes on and the step tolerates it, and is withdrawn if it can't have arrived yet. A service task whose start got no response is stopped only once a report to a later poll does not list it; one that is listed just goes on.

--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use scheduler::{StartOutcome, WorkerCommand, WorkerInfo, WorkerKey};
+use scheduler::{StartOutcome, StopStep, WorkerCommand, WorkerInfo, WorkerKey};
 use smol_str::SmolStr;
 use submission::TaskKey;
 use tokio::sync::Semaphore;
@@ -296,8 +296,8 @@
         }
     }
 
-    /// Sends a stop command, and repeats the command until the worker accepts it while the attempt is assigned to the
-    /// worker. Without a `task` (the attempt belongs to no assigned task), the command is sent once.
+    /// Sends a stop command, and repeats the command until the worker accepts it or the scheduler withdraws it. Without a `task`
+    /// (the attempt belongs to no assigned task), the command is sent once.
     async fn stop(
         self: Arc<Self>,
         worker: WorkerKey,
@@ -306,45 +306,57 @@
         attempt: u32,
     ) {
         let decided_at = Instant::now();
+        let Some(task) = task else {
+            // If the command is lost, the next report lists the attempt again.
+            if let Some(info) = self.worker_info(worker).filter(|_| self.may_send_commands()) {
+                self.send_stop(worker, &info, (&name, attempt), decided_at)
+                    .await;
+            }
+            return;
+        };
+        let mut may_be_delivered = false;
         loop {
             let Some(info) = self.worker_info(worker) else {
                 return;
             };
-            let is_assigned =
-                task.is_none_or(|task| self.scheduler.lock().is_assigned(worker, task, attempt));
-            if !is_assigned || self.has_ended() {
+            if self.has_ended() {
                 return;
             }
-            if self.may_send_commands()
-                && self
-                    .send_stop(worker, &info, (&name, attempt), decided_at)
-                    .await
-            {
-                if let Some(task) = task {
-                    let now = self.node.clock.now();
-                    self.scheduler
-                        .lock()
-                        .stop_accepted(worker, task, attempt, now);
-                    self.wake_lease_renewals(std::iter::once(worker));
-                }
+            let step = {
+                let now = self.node.clock.now();
+                let mut scheduler = self.scheduler.lock();
+                scheduler.next_stop_step(worker, task, attempt, may_be_delivered, now)
+            };
+            if step == StopStep::Withdrawn {
                 return;
             }
-            if task.is_none() {
-                // The next report lists the attempt again if it still runs.
-                return;
+            if step == StopStep::Send && self.may_send_commands() {
+                let sent = self.send_stop(worker, &info, (&name, attempt), decided_at);
+                match sent.await {
+                    Ok(true) => {
+                        let now = self.node.clock.now();
+                        let mut scheduler = self.scheduler.lock();
+                        scheduler.stop_accepted(worker, task, attempt, now);
+                        drop(scheduler);
+                        self.wake_lease_renewals(std::iter::once(worker));
+                        return;
+                    }
+                    Ok(false) => {}
+                    Err(err) => may_be_delivered |= !err.is_without_effect(),
+                }
             }
             tokio::time::sleep(STOP_RETRY_DELAY).await;
         }
     }
 
-    /// Sends a stop command once. Returns whether the worker accepted it.
+    /// Sends a stop command once, which was decided on at `decided_at`. Returns whether the worker accepted it.
     async fn send_stop(
         &self,
         worker: WorkerKey,
         info: &WorkerInfo,
         (name, attempt): (&SmolStr, u32),
         decided_at: Instant,
-    ) -> bool {
+    ) -> Result<bool, Error> {
         let decision_age_ms = decided_at.elapsed().as_millis();
         let target = (name.as_str(), attempt);
         let timeout = self.node.worker_timeout();
@@ -365,7 +377,7 @@
             decision_age_ms,
             "sent a stop command"
         );
-        response.unwrap_or(false)
+        response
     }
 
     /// Sends a speed limit for a best-effort task, once.
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -98,6 +98,11 @@
         if !step.is_service {
             return step.has_checkpoints && age_ms > MIN_BATCH_AGE_TO_STOP_MS;
         }
+        self.tolerates_stop(job, task, now)
+    }
+
+    /// Whether the step of a service task tolerates that the task becomes unavailable.
+    pub(crate) fn tolerates_stop(&self, job: &Job, task: TaskKey, now: Now) -> bool {
         // The last report may be old: this task counts as available even if the report showed the contrary.
         self.other_tasks(job, task, now).unavailable < max_unavailable(job, task)
     }
--- a/crates/scheduler/src/incarnation.rs
+++ b/crates/scheduler/src/incarnation.rs
@@ -26,6 +26,15 @@
     pub(crate) at_ms: u64,
 }
 
+/// A poll that was answered.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Poll {
+    /// When the poll was sent, in ms on the daemon's clock.
+    pub(crate) sent_at_ms: u64,
+    /// The number of the last ended attempt that the poll acknowledged as recorded; 0 for none.
+    pub(crate) acknowledged_end: u64,
+}
+
 /// The state of a worker's process, as far as this owner knows it.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Incarnation {
@@ -39,6 +48,8 @@
     /// When the first report of the process arrived, in ms on the daemon's clock; 0 before.
     pub(crate) reports_since_ms: u64,
     last_report_at_ms: u64,
+    /// When the poll was sent that the last report responds to, in ms on the daemon's clock.
+    last_poll_sent_at_ms: u64,
     /// The worker's clock in the first and in the last report of the process, in ms; 0 before.
     first_report_clock_ms: u64,
     last_report_clock_ms: u64,
@@ -78,9 +89,9 @@
         }
     }
 
-    /// Records a report: that the process has accepted the term, and ends up to `acknowledged_end` were acknowledged to it.
-    /// The report was made at `clock_ms` on the worker's clock.
-    pub(crate) fn record_report(&mut self, acknowledged_end: u64, clock_ms: u64, now_ms: u64) {
+    /// Records a report in response to a poll that was sent at `poll.sent_at_ms`: that the process has accepted the term, and
+    /// that ends up to `poll.acknowledged_end` were acknowledged to it. The report was made at `clock_ms` on the worker's clock.
+    pub(crate) fn record_report(&mut self, poll: Poll, clock_ms: u64, now_ms: u64) {
         if !self.has_accepted_term {
             self.reports_since_ms = now_ms;
             self.first_report_clock_ms = clock_ms;
@@ -88,8 +99,14 @@
         self.has_accepted_term = true;
         self.last_report_at_ms = now_ms;
         self.last_report_clock_ms = clock_ms;
+        self.last_poll_sent_at_ms = poll.sent_at_ms;
         self.record_response(now_ms);
-        self.acknowledged_end = self.acknowledged_end.max(acknowledged_end);
+        self.acknowledged_end = self.acknowledged_end.max(poll.acknowledged_end);
+    }
+
+    /// Whether the last report responds to a poll that was sent after `at_ms` on the daemon's clock.
+    pub(crate) fn has_reported_since(&self, at_ms: u64) -> bool {
+        self.last_poll_sent_at_ms > at_ms
     }
 
     /// Records that a response of the process has arrived.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -19,6 +19,7 @@
 mod reports;
 mod scheduler;
 mod speed_limits;
+mod stops;
 mod team_steps;
 mod teams;
 mod types;
@@ -33,6 +34,7 @@
 pub use policy::PolicyRequest;
 pub use reports::{EndedAttempt, RunningTask, WorkerReport};
 pub use scheduler::Scheduler;
+pub use stops::StopStep;
 pub use teams::TeamDemand;
 pub use types::{
     CrashSource, CrashedTask, JobStatus, Limits, Now, QueueRules, SchedulerEvent, StartOutcome,
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -4,6 +4,7 @@
 use submission::{AttemptOutcome, JobId, Resources, TaskKey};
 
 use crate::batch::WorkerCommand;
+use crate::incarnation::Poll;
 use crate::scheduler::Scheduler;
 use crate::teams::TeamKey;
 use crate::types::{CrashSource, Now, SchedulerEvent};
@@ -110,9 +111,13 @@
         } else {
             report.acknowledged_end
         };
+        let poll = Poll {
+            sent_at_ms: report.request_sent_at_ms,
+            acknowledged_end,
+        };
         worker
             .incarnation
-            .record_report(acknowledged_end, report.worker_clock_ms, now.local_ms);
+            .record_report(poll, report.worker_clock_ms, now.local_ms);
         let last_end = report.ended.iter().map(|end| end.number).max();
         for end in report.ended {
             self.apply_end(key, end, now);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -64,6 +64,8 @@
     pub(crate) is_start_in_flight: bool,
     /// When the start command was first sent, in ms on the daemon's clock; `None` before.
     pub(crate) start_sent_at_ms: Option<u64>,
+    /// When the start command was given up without a response, in ms on the daemon's clock; `None` before and otherwise.
+    pub(crate) unanswered_at_ms: Option<u64>,
     /// The earliest time on the worker's clock at which the incarnation for which the start command's lease was computed can
     /// respond to the command, in ms.
     pub(crate) earliest_response_ms: u64,
@@ -117,6 +119,7 @@
             settled_at_ms: None,
             is_start_in_flight: false,
             start_sent_at_ms: None,
+            unanswered_at_ms: None,
             earliest_response_ms: 0,
             has_started: false,
             assigned_at_ms: now_ms,
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -311,10 +311,12 @@
                 self.remove_not_started(task.job);
             }
             StartOutcome::OutcomeUnknown => {
+                attempt.unanswered_at_ms = Some(now.local_ms);
                 attempt.may_have_begun = true;
                 worker.is_unresponsive = true;
             }
             StartOutcome::NoResponse => {
+                attempt.unanswered_at_ms = Some(now.local_ms);
                 let sent_at_ms = attempt.start_sent_at_ms.unwrap_or(now.local_ms);
                 attempt.may_have_begun |= worker.incarnation.was_alive_at(sent_at_ms);
                 worker.is_unresponsive = true;
--- a/crates/scheduler/tests/availability.rs
+++ b/crates/scheduler/tests/availability.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use scheduler::{Scheduler, WorkerKey};
+use scheduler::{DRAIN_LEASE_MS, Scheduler, StartOutcome, StopStep, WorkerKey};
 use smol_str::SmolStr;
 use submission::{Job, JobId, TaskKey};
-use support::{Pool, job, limits, service_step, stops};
+use support::{Pool, job, limits, service_step, starts, stops};
 
 const JOB: JobId = JobId(1);
 
@@ -64,6 +64,14 @@
         stops(&self.pool.round()).len()
     }
 
+    /// What to do about the stop command of a task that is assigned to a worker.
+    fn stop_step(&mut self, index: usize, may_be_delivered: bool) -> StopStep {
+        let (key, (_, task, attempt), now) =
+            (self.key(index), self.running[index].clone(), self.pool.now());
+        let scheduler = &mut self.pool.scheduler;
+        scheduler.next_stop_step(key, task, attempt, may_be_delivered, now)
+    }
+
     /// Replaces the owner by one that has read the rows and the registry, and has polled no worker.
     fn take_over(&mut self) {
         let job = self.pool.scheduler.job(JOB).unwrap();
@@ -114,3 +122,65 @@
     service.report_all();
     assert_eq!(service.drain(1), 1);
 }
+
+#[test]
+fn a_stop_that_was_not_sent_is_withdrawn_once_another_task_of_the_step_is_away() {
+    let mut service = Service::new();
+    assert_eq!(service.drain(0), 1);
+    assert_eq!(service.stop_step(0, false), StopStep::Send);
+    let other = service.key(1);
+    service.pool.scheduler.mark_unresponsive(other);
+    assert_eq!(service.stop_step(0, false), StopStep::Withdrawn);
+    assert_eq!(service.drain(0), 0);
+    service.report_all();
+    assert_eq!(service.drain(0), 1, "the drain goes on");
+}
+
+#[test]
+fn a_stop_that_may_be_delivered_is_not_sent_again_while_another_task_of_the_step_is_away() {
+    let mut service = Service::new();
+    assert_eq!(service.drain(0), 1);
+    let other = service.key(1);
+    service.pool.scheduler.mark_unresponsive(other);
+    assert_eq!(service.stop_step(0, true), StopStep::Wait);
+    service.report(1);
+    assert_eq!(service.drain(1), 0, "the first stop may still take effect");
+    assert_eq!(service.stop_step(0, true), StopStep::Send);
+}
+
+#[test]
+fn a_stop_that_was_not_sent_is_withdrawn_after_the_drain() {
+    let mut service = Service::new();
+    assert_eq!(service.drain(0), 1);
+    service.pool.advance(DRAIN_LEASE_MS);
+    service.report_all();
+    assert_eq!(service.stop_step(0, false), StopStep::Withdrawn);
+    assert_eq!(service.drain(1), 1, "the task counts as available again");
+}
+
+#[test]
+fn a_service_task_whose_start_got_no_response_is_stopped_only_if_it_does_not_run() {
+    for outcome in [StartOutcome::OutcomeUnknown, StartOutcome::NoResponse] {
+        for runs in [false, true] {
+            let mut pool = Pool::new(&["one"]);
+            pool.submit(JOB.0, job(vec![service_step(1, 1)]));
+            let (key, task, attempt) = starts(&pool.round())[0];
+            pool.apply_start(key, task, attempt, outcome);
+            let mut step = |pool: &mut Pool| {
+                let now = pool.now();
+                pool.scheduler.next_stop_step(key, task, attempt, false, now)
+            };
+            assert_eq!(step(&mut pool), StopStep::Wait, "no report tells");
+            pool.advance(10);
+            let running = [(pool.task_name(task), attempt, 100)];
+            let running = if runs { &running[..] } else { &[] };
+            pool.report("one", running, &[]);
+            let expected = if runs {
+                StopStep::Withdrawn
+            } else {
+                StopStep::Send
+            };
+            assert_eq!(step(&mut pool), expected);
+        }
+    }
+}
