leader: a command to a VM without an outcome is repeated only while the pool confirms its drain

A wave repeated a maintenance command without an outcome every 0.3 s, and the leader a move, whatever ran on the VM by then.

A VM is drained for as long as a command to it may be under way, and the command is repeated only when the pool confirms that nothing runs there, or when the VM is not up or has left.

--- a/crates/fleetd/src/leader/inputs.rs
+++ b/crates/fleetd/src/leader/inputs.rs
@@ -110,6 +110,23 @@
     listed.iter().map(wave_vm).collect()
 }
 
+/// Returns whether a move of a VM to a pool, whose outcome is unknown, may be repeated. Not while the VM is still in the pool that it
+/// leaves and may run tasks there.
+pub(super) fn may_repeat_move(
+    (name, pool): (&SmolStr, &SmolStr),
+    listed: &[ListedVm],
+    standby: &BTreeSet<SmolStr>,
+    draining: &BTreeMap<SmolStr, BTreeSet<SmolStr>>,
+    replies: &BTreeMap<SmolStr, RoundReply>,
+) -> bool {
+    let Some(vm) = listed.iter().find(|vm| vm.vm == *name) else {
+        return true;
+    };
+    let is_off = standby.contains(&vm.pool) || vm.worker_id.is_none();
+    let has_left = vm.pool == *pool || vm.phase != VmPhase::Up;
+    is_off || has_left || remaining_tasks(vm, draining, replies) == Some(0)
+}
+
 /// Returns how many tasks remain on a VM that its pool is draining. `None` when the pool was not asked to drain the VM
 /// or did not reply.
 pub(super) fn remaining_tasks(
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -28,7 +28,7 @@
 use crate::leader::commands::{CommandSender, VmCommand};
 use crate::leader::ended_incarnations::EndedIncarnations;
 use crate::leader::inputs::{
-    incarnations_by_vm, log_pools, pool_states, remaining_tasks, wave_vms,
+    incarnations_by_vm, log_pools, may_repeat_move, pool_states, remaining_tasks, wave_vms,
 };
 use crate::leader::lease_renewal::{StoreRefusals, renew_lease};
 use crate::leader::pool_calls::{PoolCalls, REPLY_WAIT, call_pool};
@@ -224,6 +224,8 @@
         let (mut to_drain, mut commands) = self.waves.next_actions(&list);
         let incarnations = incarnations_by_vm(&listed);
         commands.extend(self.move_commands(&listed, &standby, &replies).await);
+        // Until its outcome is known, a command may have to be sent again.
+        to_drain.extend(commands.iter().map(|command| command.vm().clone()));
         to_drain.extend(self.reclaiming.iter().cloned());
         to_drain.extend(self.unconfirmed_moves.keys().cloned());
         self.log_unconfirmed_drains(&listed, &replies, &commands);
@@ -379,15 +381,17 @@
         }
     }
 
-    /// Returns the moves whose outcome is unknown, then new moves that follow the demand: of VMs that are under a drain
-    /// lease of their pool and have no tasks, VMs of standby pools and VMs without a worker.
+    /// Returns the moves whose outcome is unknown and that may be repeated, then new moves that follow the demand: of VMs that are
+    /// under a drain lease of their pool and have no tasks, VMs of standby pools and VMs without a worker.
     async fn move_commands(
         &mut self,
         listed: &[ListedVm],
         standby: &BTreeSet<SmolStr>,
         replies: &BTreeMap<SmolStr, RoundReply>,
     ) -> Vec<VmCommand> {
-        let repeated = self.unconfirmed_moves.iter();
+        let repeated = self.unconfirmed_moves.iter().filter(|(vm, pool)| {
+            may_repeat_move((vm, pool), listed, standby, &self.draining, replies)
+        });
         let mut commands: Vec<_> = repeated
             .map(|(vm, pool)| VmCommand::Move {
                 vm: vm.clone(),
--- a/crates/pools/src/wave.rs
+++ b/crates/pools/src/wave.rs
@@ -58,7 +58,7 @@
 /// The next actions of a maintenance wave.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct WaveActions {
-    /// The VMs to drain, including those whose drain is in progress.
+    /// The VMs to drain, including those whose drain is in progress and those to which a command may be under way.
     pub drain: Vec<SmolStr>,
     /// The VMs to send a maintenance command to.
     pub maintain: Vec<SmolStr>,
@@ -200,7 +200,11 @@
                 MaintenanceStage::Draining => {
                     list.get(vm).is_some_and(|vm| vm.is_drained && vm.is_up) && free_capacity > 0
                 }
-                MaintenanceStage::OutcomeUnknown { not_before_ms } => now_ms >= not_before_ms,
+                MaintenanceStage::OutcomeUnknown { not_before_ms } => {
+                    // A VM that is up may have been given tasks again since the last command.
+                    let is_empty = list.get(vm).is_none_or(|vm| vm.is_drained || !vm.is_up);
+                    now_ms >= not_before_ms && is_empty
+                }
                 _ => false,
             };
             if is_due {
@@ -211,7 +215,14 @@
             }
         }
         self.select_vms_to_drain(list, now_ms);
-        actions.drain = self.draining().cloned().collect();
+        let unknown = self.stages.iter().filter(|(_, stage)| {
+            matches!(
+                stage,
+                MaintenanceStage::CommandSent { .. } | MaintenanceStage::OutcomeUnknown { .. }
+            )
+        });
+        let drain = self.draining().chain(unknown.map(|(vm, _)| vm));
+        actions.drain = drain.cloned().collect();
         actions
     }
 
--- a/crates/pools/tests/wave.rs
+++ b/crates/pools/tests/wave.rs
@@ -134,6 +134,31 @@
     assert_eq!(wave.next_actions(&list, 500).maintain, commanded);
 }
 
+#[test]
+fn maintenance_without_an_outcome_is_not_commanded_again_while_the_vm_runs_tasks() {
+    let mut wave = new_wave(names(1), 1, 30_000);
+    let list = |is_drained| {
+        let vms = names(1).into_iter();
+        let state = WaveVm {
+            is_drained,
+            ..busy()
+        };
+        vms.map(|vm| (vm, state.clone())).collect::<BTreeMap<_, _>>()
+    };
+    let _ = wave.next_actions(&list(false), 0);
+    assert_eq!(wave.next_actions(&list(true), 300).maintain, names(1));
+    for round in 1..20 {
+        let now_ms = 300 + round * 300;
+        wave.record_outcome("vm-00", VmCommandOutcome::Unknown, now_ms);
+        let actions = wave.next_actions(&list(false), now_ms + 300);
+        assert_eq!(actions.maintain, Vec::<SmolStr>::new(), "{round}");
+        assert_eq!(actions.drain, names(1), "{round}");
+    }
+    let actions = wave.next_actions(&list(true), 20_000);
+    assert_eq!(actions.maintain, names(1));
+    assert_eq!(actions.drain, names(1), "the command may be repeated");
+}
+
 /// How long it takes to move the service tasks of one VM to another VM. These drains run one after another.
 const SERVICE_DRAIN_MS: u64 = 2000;
 
