scheduler: the drain lease of a worker that the owner does not know yet begins nevertheless

Asked to drain a worker that it had not read from the registry yet, as right after a takeover, an owner replied that nothing runs there and kept no drain lease. The leader then commanded the VM, while the owner read the registry and placed tasks on the worker, which the command ended (AVAIL for service tasks at work, lost work for others).

The lease is kept by id until the worker is known. A worker whose command has started is drained no longer, as the next incarnation may have its id.

--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -526,6 +526,9 @@
         match outcome {
             VmCommandOutcome::Started => {
                 self.ended_incarnations.insert(pool.clone(), worker.clone());
+                if let Some(draining) = self.draining.get_mut(pool) {
+                    draining.remove(worker);
+                }
             }
             // Another command may be under way to the VM.
             VmCommandOutcome::WithoutEffect if self.is_reserved(vm) => {}
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -231,25 +231,14 @@
                 scheduler.incarnation_ended(key, start_unix_ms, now);
             }
         }
-        for key in request
-            .cancel_drain
-            .iter()
-            .filter_map(|id| scheduler.worker_key(id))
-            .collect::<Vec<_>>()
-        {
-            scheduler.cancel_drain(key);
+        for id in &request.cancel_drain {
+            scheduler.cancel_drain_by_id(id);
         }
         if let Some(due) = &request.maintenance_due {
             scheduler.set_maintenance_due(due);
         }
-        let tasks = request
-            .drain
-            .iter()
-            .map(|id| match scheduler.worker_key(id) {
-                Some(key) => scheduler.drain(key, now),
-                None => 0,
-            });
-        let tasks = tasks.collect();
+        let drain = request.drain.iter();
+        let tasks = drain.map(|id| scheduler.drain_by_id(id, now)).collect();
         let quotas = request
             .quotas
             .as_ref()
--- a/crates/scheduler/src/adopt.rs
+++ b/crates/scheduler/src/adopt.rs
@@ -49,6 +49,7 @@
         let leases_expired_by_ms = self.previous_leases_expired_by_ms(now.local_ms);
         let mut worker = Worker::new(info, leases_expired_by_ms);
         worker.is_listed = false;
+        worker.drain_until_ms = self.expected_drains.remove(id).unwrap_or(0);
         let key = self.workers.insert(worker);
         self.workers_by_id.insert(id.clone(), key);
         key
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -60,6 +60,19 @@
         worker.attempts.len() + usize::from(worker.incarnation.has_unrecorded_ends())
     }
 
+    /// Like [`Self::drain`], for the worker with this id. The drain lease of a worker that is not known yet begins nevertheless:
+    /// the leader may command its VM once nothing is said to run there.
+    pub fn drain_by_id(&mut self, id: &SmolStr, now: Now) -> usize {
+        if let Some(&key) = self.workers_by_id.get(id) {
+            return self.drain(key, now);
+        }
+        self.expected_drains
+            .retain(|_, until_ms| now.local_ms < *until_ms);
+        let until_ms = now.local_ms + DRAIN_LEASE_MS;
+        self.expected_drains.insert(id.clone(), until_ms);
+        0
+    }
+
     /// Ends the drain lease of a worker, so that the worker may be given tasks again.
     pub fn cancel_drain(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.get_mut(key) {
@@ -67,6 +80,14 @@
         }
     }
 
+    /// Like [`Self::cancel_drain`], for the worker with this id, which need not be known yet.
+    pub fn cancel_drain_by_id(&mut self, id: &SmolStr) {
+        self.expected_drains.remove(id);
+        if let Some(&key) = self.workers_by_id.get(id) {
+            self.cancel_drain(key);
+        }
+    }
+
     /// Sets the workers that will be drained for maintenance, by the ids of their incarnations. Service tasks are assigned
     /// to other workers if possible, so that they move once and not once more for each later drain.
     pub fn set_maintenance_due(&mut self, ids: &[SmolStr]) {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -38,6 +38,8 @@
     pub(crate) workers_by_id: HashMap<SmolStr, WorkerKey>,
     /// Ids and starts of ended worker incarnations that the registry, which lags behind, still lists.
     pub(crate) ended_incarnations: BTreeSet<(SmolStr, Option<u64>)>,
+    /// The drain leases of workers that the scheduler does not know yet, by id: when each ends, in ms on the daemon's clock.
+    pub(crate) expected_drains: HashMap<SmolStr, u64>,
     pub(crate) jobs: HashMap<JobId, Job>,
     pub(crate) queue_rules: HashMap<SmolStr, QueueRules>,
     pub(crate) ready: Ready,
@@ -77,6 +79,7 @@
             workers: SlotMap::with_key(),
             workers_by_id: HashMap::new(),
             ended_incarnations: BTreeSet::new(),
+            expected_drains: HashMap::new(),
             jobs: HashMap::new(),
             queue_rules: HashMap::new(),
             ready: Ready::default(),
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -51,6 +51,7 @@
             let id = info.id.clone();
             let mut worker = Worker::new(info, leases_expired_by_ms);
             worker.idle_since_ms = now.local_ms;
+            worker.drain_until_ms = self.expected_drains.remove(&id).unwrap_or(0);
             let key = self.workers.insert(worker);
             self.workers_by_id.insert(id, key);
         }
--- a/crates/scheduler/tests/availability.rs
+++ b/crates/scheduler/tests/availability.rs
@@ -184,3 +184,16 @@
         }
     }
 }
+
+#[test]
+fn a_worker_that_is_listed_after_it_was_drained_is_given_no_task_during_the_drain_lease() {
+    let mut pool = Pool::new(&[]);
+    pool.submit(JOB.0, job(vec![service_step(1, 1)]));
+    assert_eq!(pool.scheduler.drain_by_id(&"one".into(), pool.now()), 0);
+    pool.advance(DRAIN_LEASE_MS / 2);
+    pool.set_registry(&["one"]);
+    pool.report("one", &[], &[]);
+    assert_eq!(starts(&pool.round()), []);
+    pool.advance(DRAIN_LEASE_MS / 2);
+    assert_eq!(starts(&pool.round()).len(), 1);
+}
