fleetd: an owner that may have been deposed does not tell the leader that a worker runs nothing

An owner that the store no longer answers, or that was suspended, replied to drains as before, although a successor may have started tasks on the worker by then; the leader's command ended them (AVAIL). Such an owner says that one task is left at least, until it has committed a transaction again. It commits one each second.

--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -47,6 +47,10 @@
 /// time before it assumes that the leases of an unresponsive worker have expired.
 pub(crate) const OWNER_GRACE_MS: u64 = 4000;
 
+/// How long after its last committed transaction an owner may tell the leader that a worker runs nothing. An owner renews its lease each
+/// second.
+const DRAIN_REPLY_WINDOW_MS: u64 = 1500;
+
 /// How long the store may fail transactions before new jobs are refused at once instead of waiting for a commit.
 const STORE_UNAVAILABLE_MS: u64 = 700;
 
@@ -238,7 +242,15 @@
             scheduler.set_maintenance_due(due);
         }
         let drain = request.drain.iter();
-        let tasks = drain.map(|id| scheduler.drain_by_id(id, now)).collect();
+        // A successor may have started tasks of which an owner that was deposed does not know.
+        let least_tasks = usize::from(
+            !self
+                .lease
+                .lock()
+                .is_valid(now.local_ms, DRAIN_REPLY_WINDOW_MS),
+        );
+        let tasks = drain.map(|id| scheduler.drain_by_id(id, now).max(least_tasks));
+        let tasks = tasks.collect();
         let quotas = request
             .quotas
             .as_ref()
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -121,7 +121,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct RoundReply {
     /// The number of tasks on each of the workers to drain, in the order of the request; 0 for a worker that the pool
-    /// does not know.
+    /// does not know, and at least 1 while the owner may have been deposed.
     #[serde(rename = "tasks")]
     pub(crate) remaining_tasks: Vec<usize>,
     /// The number of workers that the pool needs for its service tasks; 0 from a daemon of an earlier build.
--- a/crates/pools/tests/wave.rs
+++ b/crates/pools/tests/wave.rs
@@ -143,7 +143,8 @@
             is_drained,
             ..busy()
         };
-        vms.map(|vm| (vm, state.clone())).collect::<BTreeMap<_, _>>()
+        vms.map(|vm| (vm, state.clone()))
+            .collect::<BTreeMap<_, _>>()
     };
     let _ = wave.next_actions(&list(false), 0);
     assert_eq!(wave.next_actions(&list(true), 300).maintain, names(1));
--- a/crates/scheduler/tests/availability.rs
+++ b/crates/scheduler/tests/availability.rs
@@ -66,8 +66,11 @@
 
     /// What to do about the stop command of a task that is assigned to a worker.
     fn stop_step(&mut self, index: usize, may_be_delivered: bool) -> StopStep {
-        let (key, (_, task, attempt), now) =
-            (self.key(index), self.running[index].clone(), self.pool.now());
+        let (key, (_, task, attempt), now) = (
+            self.key(index),
+            self.running[index].clone(),
+            self.pool.now(),
+        );
         let scheduler = &mut self.pool.scheduler;
         scheduler.next_stop_step(key, task, attempt, may_be_delivered, now)
     }
@@ -78,9 +81,7 @@
         let adopted = Job::new(JOB, "queue".into(), job.spec().clone(), 0);
         let adopted = adopted.with_record(job.record());
         self.pool.scheduler = Scheduler::new(limits());
-        self.pool
-            .scheduler
-            .adopt_job(adopted, self.pool.now());
+        self.pool.scheduler.adopt_job(adopted, self.pool.now());
         self.pool.set_registry(&self.workers.clone());
     }
 }
@@ -166,9 +167,10 @@
             pool.submit(JOB.0, job(vec![service_step(1, 1)]));
             let (key, task, attempt) = starts(&pool.round())[0];
             pool.apply_start(key, task, attempt, outcome);
-            let mut step = |pool: &mut Pool| {
+            let step = |pool: &mut Pool| {
                 let now = pool.now();
-                pool.scheduler.next_stop_step(key, task, attempt, false, now)
+                pool.scheduler
+                    .next_stop_step(key, task, attempt, false, now)
             };
             assert_eq!(step(&mut pool), StopStep::Wait, "no report tells");
             pool.advance(10);
--- a/crates/trefoilpassd/tests/fleet_commands.rs
+++ b/crates/trefoilpassd/tests/fleet_commands.rs
@@ -33,7 +33,10 @@
     assert_eq!(submitted.0, 200);
     tokio::time::sleep(Duration::from_secs(3)).await;
     let attempts = platform.attempts();
-    let service: Vec<_> = attempts.iter().filter(|attempt| attempt.is_service).collect();
+    let service: Vec<_> = attempts
+        .iter()
+        .filter(|attempt| attempt.is_service)
+        .collect();
     assert_eq!(service.len(), 1);
     assert_eq!(service[0].ended, None);
 }
