fleetd: a worker that has not responded lately is polled before a task is started there

A broken or unanswered start shows that the task ended the process only if the process was alive when the command was sent. So the worker has to have responded within 500 ms before, and for a task under which a worker has crashed within 50 ms; otherwise it is polled first, and gets no start unless it reports. A task that does crash workers counts the crash at its first start on an idle worker as before, also when it takes the VM off the network.

--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -11,6 +11,7 @@
 use users_platform::{Error, StartCommand, StartRefusal, StartResponse};
 
 use crate::pool::PoolOwner;
+use crate::pool::lease_renewal::PollOutcome;
 use crate::pool::recorder::task_name;
 
 /// The maximum number of concurrent start commands to a worker. The number is small because new connections are
@@ -95,15 +96,26 @@
         let Ok(_slot) = slots.acquire().await else {
             return;
         };
+        let mut is_sent = false;
         let mut may_be_delivered = false;
         let mut has_only_timed_out = true;
         let mut is_replaced = false;
-        for sent_count in 0..MAX_START_SENDS {
+        for _ in 0..MAX_START_SENDS {
             self.wait_for_link(task, &checkpoint).await;
+            if self.may_start(worker, task, attempt) {
+                match self.poll_before_start(worker, task, &info).await {
+                    PollOutcome::Reported { .. } => {}
+                    PollOutcome::OtherIncarnation { is_removed } => {
+                        is_replaced = !is_removed;
+                        break;
+                    }
+                    PollOutcome::NoReport => continue,
+                }
+            }
             let prepared = self.prepare_start(worker, task, attempt);
             let (lease_until_ms, name, spec, authorization) = match prepared {
                 Ok(prepared) => prepared,
-                Err(outcome) if sent_count == 0 => {
+                Err(outcome) if !is_sent => {
                     self.count_command("start", "not sent");
                     self.apply_start_outcome(worker, task, attempt, outcome, None);
                     return;
@@ -119,6 +131,7 @@
                 checkpoint: &checkpoint,
                 authorization: authorization.as_deref(),
             };
+            is_sent = true;
             let timeout = self.node.worker_timeout();
             let sent_at = Instant::now();
             let start = self
@@ -190,6 +203,11 @@
         }
     }
 
+    /// Whether a start command may be sent now.
+    fn may_start(&self, worker: WorkerKey, task: TaskKey, attempt: u32) -> bool {
+        self.may_send_commands() && self.scheduler.lock().may_start(worker, task, attempt)
+    }
+
     /// Grants the lease of a start command and returns the end of the lease (in ms on the worker's clock), the task's
     /// name, the job's spec and the authorization of the policy service. Fails when the command must not be sent any
     /// more, with its outcome if it has not been sent before.
@@ -199,14 +217,11 @@
         task: TaskKey,
         attempt: u32,
     ) -> Result<(u64, SmolStr, Arc<submission::JobSpec>, Option<SmolStr>), StartOutcome> {
-        if !self.may_send_commands() {
+        if !self.may_start(worker, task, attempt) {
             return Err(StartOutcome::Refused);
         }
         let now = self.node.clock.now();
         let mut scheduler = self.scheduler.lock();
-        if !scheduler.may_start(worker, task, attempt) {
-            return Err(StartOutcome::Refused);
-        }
         if !scheduler.fits_capacity(worker) {
             return Err(StartOutcome::NoFreeCapacity);
         }
@@ -308,9 +323,12 @@
         let decided_at = Instant::now();
         let Some(task) = task else {
             // If the command is lost, the next report lists the attempt again.
-            if let Some(info) = self.worker_info(worker).filter(|_| self.may_send_commands()) {
-                self.send_stop(worker, &info, (&name, attempt), decided_at)
-                    .await;
+            if let Some(info) = self
+                .worker_info(worker)
+                .filter(|_| self.may_send_commands())
+            {
+                let sent = self.send_stop(worker, &info, (&name, attempt), decided_at);
+                let _ = sent.await;
             }
             return;
         };
--- a/crates/fleetd/src/pool/lease_renewal.rs
+++ b/crates/fleetd/src/pool/lease_renewal.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use scheduler::{EndedAttempt, LeaseRenewalPlan, RunningTask, WorkerInfo, WorkerKey, WorkerReport};
-use submission::AttemptOutcome;
+use submission::{AttemptOutcome, TaskKey};
 use tokio::sync::Notify;
 use users_platform::{AttemptEndReason, LeaseRenewalRequest, LeaseRenewalResponse};
 
@@ -33,6 +33,23 @@
 /// them and the worker can discard them.
 const MAX_RECORD_WAIT: Duration = Duration::from_millis(300);
 
+/// The outcome of a lease renewal or a poll.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PollOutcome {
+    /// The worker sent a report.
+    Reported {
+        /// Whether the report contained ended attempts.
+        has_ended_attempts: bool,
+    },
+    /// Another incarnation responded.
+    OtherIncarnation {
+        /// Whether the worker was removed from the scheduler.
+        is_removed: bool,
+    },
+    /// The worker did not respond, or not with a report.
+    NoReport,
+}
+
 impl PoolOwner {
     /// Starts a lease renewal loop for each worker that has none.
     pub(crate) fn start_lease_renewals(self: &Arc<Self>, keys: &[WorkerKey]) {
@@ -74,83 +91,122 @@
                 let _ = tokio::time::timeout(MAX_IDLE_WAIT, waker.notified()).await;
                 continue;
             };
-            let request = self.renewal_request(plan);
-            let sent_at_ms = local_ms();
-            let renewal = self.node.workers.renew_leases(
-                &info.addr,
-                &info.id,
-                &request,
-                self.node.worker_timeout(),
-            );
-            let response = renewal.await;
-            match response {
-                Ok(LeaseRenewalResponse::Accepted {
-                    clock_ms,
-                    start_unix_ms,
-                    running,
-                    ended,
-                    has_more_ends,
-                }) => {
-                    self.count_command("hold", "answered");
-                    let has_ended_attempts = !ended.is_empty();
-                    let report = WorkerReport {
-                        request_sent_at_ms: sent_at_ms,
-                        worker_clock_ms: clock_ms,
-                        start_unix_ms,
-                        acknowledged_end: request.recorded_end,
-                        running: running.into_iter().map(running_task).collect(),
-                        ended: ended
-                            .into_iter()
-                            .map(|ended| self.observe_end(&info.id, ended))
-                            .collect(),
-                        has_more_ends,
-                    };
-                    self.apply_report(key, report);
+            match self.poll(key, &info, plan).await {
+                PollOutcome::Reported { has_ended_attempts } => {
                     if has_ended_attempts {
                         // On a timeout, the next poll reports the ends that are not recorded again.
                         let recorded = self.ends_recorded(key, &waker);
                         let _ = tokio::time::timeout(MAX_RECORD_WAIT, recorded).await;
                     }
                 }
-                Ok(LeaseRenewalResponse::OtherIncarnation) => {
-                    self.count_command("hold", "other life");
-                    if self.remove_replaced_worker(key, &info) {
-                        break;
-                    }
-                    self.scheduler.lock().mark_unresponsive(key);
+                PollOutcome::OtherIncarnation { is_removed: true } => break,
+                PollOutcome::OtherIncarnation { is_removed: false } | PollOutcome::NoReport => {
                     tokio::time::sleep(UNRESPONSIVE_RETRY_DELAY).await;
                 }
-                Ok(LeaseRenewalResponse::Refused) => {
-                    self.count_command("hold", "refused");
+            }
+        }
+        self.renewal_wakers.lock().remove(&key);
+    }
+
+    /// Polls a worker before a start command is sent, unless a response has shown lately that its process is alive. What happens
+    /// to the command tells of the task only then: idle workers are not polled, and may have ended long before.
+    pub(super) async fn poll_before_start(
+        self: &Arc<Self>,
+        key: WorkerKey,
+        task: TaskKey,
+        info: &WorkerInfo,
+    ) -> PollOutcome {
+        let now = self.node.clock.now();
+        if !self.scheduler.lock().must_poll_before_start(key, task, now) {
+            return PollOutcome::Reported {
+                has_ended_attempts: false,
+            };
+        }
+        let plan = LeaseRenewalPlan {
+            lease_until_ms: None,
+            recorded_end: 0,
+            is_busy: false,
+            is_polled_often: false,
+        };
+        self.poll(key, info, plan).await
+    }
+
+    /// Sends a lease renewal or a poll once, and applies the response to the scheduler.
+    async fn poll(
+        self: &Arc<Self>,
+        key: WorkerKey,
+        info: &WorkerInfo,
+        plan: LeaseRenewalPlan,
+    ) -> PollOutcome {
+        let request = self.renewal_request(plan);
+        let sent_at_ms = local_ms();
+        let renewal = self.node.workers.renew_leases(
+            &info.addr,
+            &info.id,
+            &request,
+            self.node.worker_timeout(),
+        );
+        let response = renewal.await;
+        match response {
+            Ok(LeaseRenewalResponse::Accepted {
+                clock_ms,
+                start_unix_ms,
+                running,
+                ended,
+                has_more_ends,
+            }) => {
+                self.count_command("hold", "answered");
+                let has_ended_attempts = !ended.is_empty();
+                let report = WorkerReport {
+                    request_sent_at_ms: sent_at_ms,
+                    worker_clock_ms: clock_ms,
+                    start_unix_ms,
+                    acknowledged_end: request.recorded_end,
+                    running: running.into_iter().map(running_task).collect(),
+                    ended: ended
+                        .into_iter()
+                        .map(|ended| self.observe_end(&info.id, ended))
+                        .collect(),
+                    has_more_ends,
+                };
+                self.apply_report(key, report);
+                return PollOutcome::Reported { has_ended_attempts };
+            }
+            Ok(LeaseRenewalResponse::OtherIncarnation) => {
+                self.count_command("hold", "other life");
+                let is_removed = self.remove_replaced_worker(key, info);
+                if !is_removed {
+                    self.scheduler.lock().mark_unresponsive(key);
+                }
+                return PollOutcome::OtherIncarnation { is_removed };
+            }
+            Ok(LeaseRenewalResponse::Refused) => {
+                self.count_command("hold", "refused");
+                tracing::warn!(
+                    worker = info.id.as_str(),
+                    term = self.term,
+                    "lease renewal was refused: the worker has seen a later term"
+                );
+                self.scheduler.lock().mark_unresponsive(key);
+            }
+            Ok(LeaseRenewalResponse::Unhealthy { status }) => {
+                self.count_command("hold", "unhealthy");
+                if self.scheduler.lock().mark_unresponsive(key) {
                     tracing::warn!(
                         worker = info.id.as_str(),
-                        term = self.term,
-                        "lease renewal was refused: the worker has seen a later term"
+                        status,
+                        "lease renewal failed: the worker is unhealthy"
                     );
-                    self.scheduler.lock().mark_unresponsive(key);
-                    tokio::time::sleep(UNRESPONSIVE_RETRY_DELAY).await;
-                }
-                Ok(LeaseRenewalResponse::Unhealthy { status }) => {
-                    self.count_command("hold", "unhealthy");
-                    if self.scheduler.lock().mark_unresponsive(key) {
-                        tracing::warn!(
-                            worker = info.id.as_str(),
-                            status,
-                            "lease renewal failed: the worker is unhealthy"
-                        );
-                    }
-                    tokio::time::sleep(UNRESPONSIVE_RETRY_DELAY).await;
                 }
-                Err(err) => {
-                    self.count_command("hold", "unanswered");
-                    if self.scheduler.lock().mark_unresponsive(key) {
-                        tracing::warn!(worker = info.id.as_str(), error = %err, "lease renewal got no response");
-                    }
-                    tokio::time::sleep(UNRESPONSIVE_RETRY_DELAY).await;
+            }
+            Err(err) => {
+                self.count_command("hold", "unanswered");
+                if self.scheduler.lock().mark_unresponsive(key) {
+                    tracing::warn!(worker = info.id.as_str(), error = %err, "lease renewal got no response");
                 }
             }
         }
-        self.renewal_wakers.lock().remove(&key);
+        PollOutcome::NoReport
     }
 
     /// Removes a worker after a worker with another id responded at the address of the registry entry `info`. Returns false
--- a/crates/scheduler/src/incarnation.rs
+++ b/crates/scheduler/src/incarnation.rs
@@ -18,6 +18,10 @@
 /// How long after a response a process counts as alive, in ms. A worker with batch tasks is polled every 0.3 s.
 const ALIVE_MS: u64 = 500;
 
+/// The same when a task under which a worker has crashed is started, in ms: hardly any worker ends by itself in this time, so that
+/// the task is the likely cause if one does.
+const ALIVE_FOR_SUSPECT_MS: u64 = 50;
+
 /// A reading of a worker's clock, paired with the time on the daemon's clock.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ClockSample {
@@ -131,6 +135,17 @@
         self.last_response_at_ms > 0 && at_ms <= self.last_response_at_ms + ALIVE_MS
     }
 
+    /// Whether the last response shows for a start at `now_ms` that the process is alive. `is_suspect` tells whether a worker has crashed
+    /// under the task before.
+    pub(crate) fn is_alive_for_start(&self, is_suspect: bool, now_ms: u64) -> bool {
+        let alive_ms = if is_suspect {
+            ALIVE_FOR_SUSPECT_MS
+        } else {
+            ALIVE_MS
+        };
+        self.last_response_at_ms > 0 && now_ms <= self.last_response_at_ms + alive_ms
+    }
+
     /// Whether attempts that are not assigned to the worker were running at the last report.
     pub(crate) fn has_unassigned_attempts(&self) -> bool {
         self.used_by_unassigned != Resources::default()
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -244,6 +244,21 @@
         })
     }
 
+    /// Returns whether a worker has to be polled before the start command of a task is sent to it now, because no response has shown
+    /// lately that its process is alive; false when the task is not assigned to the worker.
+    ///
+    /// A process that ended before the command is sent can't have been ended by the task, but breaks the connection all the same.
+    #[must_use]
+    pub fn must_poll_before_start(&self, key: WorkerKey, task: TaskKey, now: Now) -> bool {
+        let worker = self.workers.get(key);
+        let attempt = worker.and_then(|worker| Some((worker, worker.attempts.get(&task)?)));
+        attempt.is_some_and(|(worker, attempt)| {
+            let is_suspect = attempt.crashes > 0;
+            let incarnation = &worker.incarnation;
+            !incarnation.is_alive_for_start(is_suspect, now.local_ms)
+        })
+    }
+
     /// Grants the lease that the start command of a task carries, which is to be sent now, and returns its end in ms on the
     /// worker's clock. Returns `None` when the worker has been removed or no reading of its clock is known.
     pub fn grant_start_lease(&mut self, key: WorkerKey, task: TaskKey, now: Now) -> Option<u64> {
--- a/crates/scheduler/tests/undelivered_starts.rs
+++ b/crates/scheduler/tests/undelivered_starts.rs
@@ -261,3 +261,28 @@
         assert!((3..=5).contains(&started), "{evidence:?}: {started}");
     }
 }
+
+#[test]
+fn a_start_on_a_worker_that_has_not_responded_lately_needs_a_poll_first() {
+    for (crashes, silent_ms, needs_poll) in [
+        (0, 400, false),
+        (0, 600, true),
+        (1, 40, false),
+        (1, 100, true),
+    ] {
+        let mut workers = Workers::new(8);
+        workers.pool.submit(JOB.0, job(vec![step(1)]));
+        for _ in 0..crashes {
+            let commands = workers.pool.round();
+            workers.pool.confirm_starts(&commands);
+            workers.crash(starts(&commands)[0].0, Evidence::AnotherIdResponds);
+        }
+        workers.register();
+        let (key, task, _) = start_task(&mut workers).unwrap();
+        workers.pool.advance(silent_ms);
+        let now = workers.pool.now();
+        let scheduler = &workers.pool.scheduler;
+        let found = scheduler.must_poll_before_start(key, task, now);
+        assert_eq!(found, needs_poll, "{crashes} crashes, {silent_ms} ms");
+    }
+}
--- a/crates/trefoilpassd/tests/fleet_crashes.rs
+++ b/crates/trefoilpassd/tests/fleet_crashes.rs
@@ -149,3 +149,25 @@
         "{body}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_is_not_given_up_because_it_is_started_on_workers_that_lost_power_with_its_first_one()
+{
+    const WORKERS: usize = 10;
+    let (platform, daemons) = start(WORKERS, 1).await;
+    all_polled(&platform).await;
+    // Idle workers are not polled any more. The connections to them stay open.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    submit_surely(&daemons, 1, 1).await;
+    let start = Instant::now();
+    while platform.attempts().is_empty() {
+        assert!(start.elapsed() < PATIENCE, "the task is never started");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    for worker in &platform.workers {
+        worker.lose_registry_for(Duration::from_secs(3));
+        worker.lose_power_for_a_moment();
+    }
+    // Fails when the job is shown as failed.
+    done(&daemons, 1).await;
+}
