scheduler: the verdict on a task is logged with the crashes that it rests on

A job that is given up falsely can't be taken back, and what led there had to be searched for over several lines and workers. The line of the verdict names each crash that this owner has counted: worker, source, evidence, whether the start was confirmed, how long the task ran, and how long ago it was counted.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -15,7 +15,7 @@
 
 use crate::draining::AVAILABLE_PROGRESS_PERCENT;
 use crate::scheduler::{Scheduler, step_key};
-use crate::types::{CrashSource, CrashedTask, Now, SchedulerEvent};
+use crate::types::{CountedCrash, CrashSource, CrashedTask, Now, SchedulerEvent};
 use crate::worker::{AssignedAttempt, Worker, WorkerKey};
 
 /// The number of crashes from which a task is isolated: its worker is given no other task meanwhile.
@@ -314,6 +314,7 @@
         let is_forgotten = attempt.is_cleared() && job.forget_crashes(task.index);
         if is_forgotten {
             worker.clear_suspect(task);
+            self.counted_crashes.remove(&task);
         }
         if is_forgotten || is_newly_recorded {
             self.dirty_jobs.insert(task.job);
@@ -373,12 +374,23 @@
                 ran_for_ms: suspect.ran_for_ms,
             });
             self.dirty_jobs.insert(task.job);
+            let counted = CountedCrash {
+                worker: self.workers[key].info.id.clone(),
+                source,
+                evidence: suspect.evidence,
+                is_start_confirmed: suspect.is_start_confirmed,
+                ran_for_ms: suspect.ran_for_ms,
+                age_ms: 0,
+            };
+            let counted_crashes = self.counted_crashes.entry(task).or_default();
+            counted_crashes.push((now.local_ms, counted));
             match verdict {
                 CrashVerdict::GoesOn => {}
                 CrashVerdict::GivenUp => {
                     given_up.push(SchedulerEvent::GivenUp {
                         task: name,
                         crashes: count,
+                        counts: self.take_counted_crashes(task, now),
                     });
                     self.finish_job(task.job);
                 }
@@ -387,6 +399,7 @@
                     given_up.push(SchedulerEvent::Held {
                         task: name,
                         crashes: count,
+                        counts: self.take_counted_crashes(task, now),
                     });
                     self.remove_not_started(task.job);
                     self.update_ready(step_key(task.job, occurrence, step), now);
@@ -405,6 +418,16 @@
         }
     }
 
+    /// The crashes on which a verdict on a task rests, as far as this owner has counted them.
+    fn take_counted_crashes(&mut self, task: TaskKey, now: Now) -> Vec<CountedCrash> {
+        let counted = self.counted_crashes.remove(&task).unwrap_or_default();
+        let with_age = |(at_ms, crash): (u64, CountedCrash)| CountedCrash {
+            age_ms: now.local_ms.saturating_sub(at_ms),
+            ..crash
+        };
+        counted.into_iter().map(with_age).collect()
+    }
+
     /// Whether a task under which `crashes` workers crashed has to wait for a worker that has not crashed lately: it has to be
     /// isolated, and there is such a worker that can run tasks of the step. A service task waits only for a worker that has room
     /// for it beside its service tasks, which don't end.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -37,6 +37,7 @@
 pub use stops::StopStep;
 pub use teams::TeamDemand;
 pub use types::{
-    CrashSource, CrashedTask, JobStatus, Limits, Now, QueueRules, SchedulerEvent, StartOutcome,
+    CountedCrash, CrashSource, CrashedTask, JobStatus, Limits, Now, QueueRules, SchedulerEvent,
+    StartOutcome,
 };
 pub use worker::{LeaseRenewalPlan, UnavailableReason, WorkerInfo, WorkerKey};
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -15,7 +15,7 @@
 use crate::policy::PolicyDecision;
 use crate::ready::{Prospect, Rank, Ready, StepKey};
 use crate::teams::Teams;
-use crate::types::{JobStatus, Limits, Now, QueueRules, SchedulerEvent};
+use crate::types::{CountedCrash, JobStatus, Limits, Now, QueueRules, SchedulerEvent};
 use crate::worker::{AssignedAttempt, Worker, WorkerKey};
 
 /// The expected duration of the remaining critical path of a started job, in percent of the estimate. More than 100,
@@ -66,6 +66,9 @@
     /// The remaining jobs with service tasks.
     pub(crate) service_jobs: BTreeSet<JobId>,
     pub(crate) teams: Teams,
+    /// The crashes that this owner has counted under each task, for the log, with the time of the count in ms on the daemon's
+    /// clock.
+    pub(crate) counted_crashes: BTreeMap<TaskKey, Vec<(u64, CountedCrash)>>,
     /// The last crashes of workers where no task was a likely cause, with their times in ms on the daemon's clock.
     pub(crate) unexplained_crashes: Vec<(WorkerKey, u64)>,
 }
@@ -97,6 +100,7 @@
             policy_decisions: HashMap::new(),
             service_jobs: BTreeSet::new(),
             teams: Teams::default(),
+            counted_crashes: BTreeMap::new(),
             unexplained_crashes: Vec::new(),
         }
     }
@@ -180,6 +184,7 @@
         }
         self.ended_jobs.remove(&(job.ended_at_ms(), id));
         self.service_jobs.remove(&id);
+        self.counted_crashes.retain(|task, _| task.job != id);
         self.teams.forget_job(id);
         self.deferred_commands.remove(&id);
         for (index, task) in job.tasks() {
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -116,6 +116,8 @@
         task: SmolStr,
         /// The number of workers that crashed under the task.
         crashes: u32,
+        /// The crashes that this owner has counted, in order.
+        counts: Vec<CountedCrash>,
     },
     /// A service task is not started again, because too many workers crashed under it. The other tasks of its job go on.
     Held {
@@ -123,6 +125,8 @@
         task: SmolStr,
         /// The number of workers that crashed under the task.
         crashes: u32,
+        /// The crashes that this owner has counted, in order.
+        counts: Vec<CountedCrash>,
     },
     /// Not all waiting jobs can meet their latency objective any more, and they are ordered by what their delay costs.
     OverloadBegan {
@@ -164,14 +168,54 @@
     pub ran_for_ms: u64,
 }
 
+/// A crash of a worker on which a verdict on a task rests.
+#[derive(Clone, PartialEq, Eq)]
+pub struct CountedCrash {
+    /// The id of the worker.
+    pub worker: SmolStr,
+    /// How the scheduler learned of the crash.
+    pub source: CrashSource,
+    /// How far the crash shows that the task was the cause.
+    pub evidence: CrashEvidence,
+    /// Whether a response showed that the attempt had started on the worker.
+    pub is_start_confirmed: bool,
+    /// How long the attempt is known to have run, in ms.
+    pub ran_for_ms: u64,
+    /// The time since the crash was counted, in ms.
+    pub age_ms: u64,
+}
+
+/// Writes one line, as a record lists all crashes under a task.
+impl fmt::Debug for CountedCrash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let start = start_label(self.is_start_confirmed);
+        let Self {
+            worker,
+            source,
+            evidence,
+            ran_for_ms,
+            age_ms,
+            ..
+        } = self;
+        write!(
+            f,
+            "({worker:?}, {source:?}, {evidence:?}, {start}, {ran_for_ms} ms, {age_ms} ms ago)"
+        )
+    }
+}
+
+fn start_label(is_confirmed: bool) -> &'static str {
+    if is_confirmed {
+        "started"
+    } else {
+        "unanswered"
+    }
+}
+
 /// Writes one line, as a record lists all tasks of a worker.
 impl fmt::Debug for CrashedTask {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let start = if self.is_start_confirmed {
-            "started"
-        } else {
-            "unanswered"
-        };
+        let start = start_label(self.is_start_confirmed);
         let Self {
             task,
             crashes,
@@ -275,15 +319,25 @@
                 .field("source", source)
                 .field("tasks", tasks)
                 .finish(),
-            Self::GivenUp { task, crashes } => f
+            Self::GivenUp {
+                task,
+                crashes,
+                counts,
+            } => f
                 .debug_struct("GivenUp")
                 .field("task", task)
                 .field("crashes", crashes)
+                .field("counts", counts)
                 .finish(),
-            Self::Held { task, crashes } => f
+            Self::Held {
+                task,
+                crashes,
+                counts,
+            } => f
                 .debug_struct("Held")
                 .field("task", task)
                 .field("crashes", crashes)
+                .field("counts", counts)
                 .finish(),
             Self::OverloadBegan { queue_ms, jobs } => f
                 .debug_struct("OverloadBegan")
--- a/crates/scheduler/tests/service_crashes.rs
+++ b/crates/scheduler/tests/service_crashes.rs
@@ -233,7 +233,11 @@
     assert_eq!(service_workers(&mut workers), 2);
     let events = workers.pool.scheduler.drain_events();
     let held = events.into_iter().filter_map(|event| match event {
-        SchedulerEvent::Held { task, crashes } => Some((task, crashes)),
+        SchedulerEvent::Held {
+            task,
+            crashes,
+            counts,
+        } => Some((task, crashes, counts.len())),
         SchedulerEvent::GivenUp { task, .. } => panic!("{task} is given up"),
         _ => None,
     });
@@ -241,7 +245,7 @@
         job: SERVICE,
         index: 0,
     });
-    assert_eq!(held.collect::<Vec<_>>(), [(name, 3)]);
+    assert_eq!(held.collect::<Vec<_>>(), [(name, 3, 3)]);
     // A failed end of another task starts it again, as before.
     let ended = workers
         .pool
