--- a/crates/fleetd/src/leader/inputs.rs
+++ b/crates/fleetd/src/leader/inputs.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 use users_platform::{ListedVm, VmPhase};
 
+use crate::leader::commands::VmCommand;
 use crate::rpc::RoundReply;
 
 /// Logs the demand and the number of VMs of each pool, and the progress of its owner.
@@ -40,6 +41,35 @@
     }
 }
 
+/// Logs the commands to VMs on which a worker runs whose pool did not confirm in this round that it has no tasks.
+pub(super) fn log_unconfirmed_drains<'a>(
+    commands: impl Iterator<Item = &'a VmCommand>,
+    listed: &[ListedVm],
+    draining: &BTreeMap<SmolStr, BTreeSet<SmolStr>>,
+    replies: &BTreeMap<SmolStr, RoundReply>,
+) {
+    for command in commands {
+        let vm = listed.iter().find(|vm| vm.vm == *command.vm());
+        let Some(vm) = vm.filter(|vm| vm.phase == VmPhase::Up && vm.worker_id.is_some()) else {
+            continue;
+        };
+        let tasks = remaining_tasks(vm, draining, replies);
+        if tasks == Some(0) {
+            continue;
+        }
+        let reply = replies.get(&vm.pool);
+        let progress = reply.and_then(|reply| reply.progress.as_ref());
+        tracing::info!(
+            order = ?command,
+            pool = vm.pool.as_str(),
+            worker = vm.worker_id.as_deref(),
+            tasks,
+            owner_term = progress.map(|progress| progress.term),
+            "a command goes to a VM whose drain was not confirmed in this round"
+        );
+    }
+}
+
 /// Returns the pool and the worker incarnation of each VM that has a worker.
 pub(super) fn incarnations_by_vm(listed: &[ListedVm]) -> BTreeMap<SmolStr, (SmolStr, SmolStr)> {
     let incarnations = listed.iter().filter_map(|vm| {
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -28,7 +28,8 @@
 use crate::leader::commands::{CommandSender, VmCommand};
 use crate::leader::ended_incarnations::EndedIncarnations;
 use crate::leader::inputs::{
-    incarnations_by_vm, log_pools, may_repeat_move, pool_states, remaining_tasks, wave_vms,
+    incarnations_by_vm, log_pools, log_unconfirmed_drains, may_repeat_move, pool_states,
+    remaining_tasks, wave_vms,
 };
 use crate::leader::lease_renewal::{StoreRefusals, renew_lease};
 use crate::leader::pool_calls::{PoolCalls, REPLY_WAIT, call_pool};
@@ -228,7 +229,9 @@
         to_drain.extend(commands.iter().map(|command| command.vm().clone()));
         to_drain.extend(self.reclaiming.iter().cloned());
         to_drain.extend(self.unconfirmed_moves.keys().cloned());
-        self.log_unconfirmed_drains(&listed, &replies, &commands);
+        let is_new_move = |command: &&VmCommand| matches!(command, VmCommand::Move { vm, .. } if !self.unconfirmed_moves.contains_key(vm));
+        let unconfirmed = commands.iter().filter(|command| !is_new_move(command));
+        log_unconfirmed_drains(unconfirmed, &listed, &self.draining, &replies);
         self.set_draining(&listed, &to_drain);
         let has_commands = !commands.is_empty();
         let recorded =
@@ -254,38 +257,6 @@
             .await;
     }
 
-    /// Logs the commands to VMs on which a worker runs whose pool did not confirm in this round that it has no tasks. The pool
-    /// has confirmed that for each new move, right before.
-    fn log_unconfirmed_drains(
-        &self,
-        listed: &[ListedVm],
-        replies: &BTreeMap<SmolStr, RoundReply>,
-        commands: &[VmCommand],
-    ) {
-        for command in commands {
-            let vm = listed.iter().find(|vm| vm.vm == *command.vm());
-            let Some(vm) = vm.filter(|vm| vm.phase == VmPhase::Up && vm.worker_id.is_some()) else {
-                continue;
-            };
-            let is_new_move = matches!(command, VmCommand::Move { vm, .. } if !self.unconfirmed_moves.contains_key(vm));
-            let tasks = remaining_tasks(vm, &self.draining, replies);
-            if is_new_move || tasks == Some(0) {
-                continue;
-            }
-            let progress = replies
-                .get(&vm.pool)
-                .and_then(|reply| reply.progress.as_ref());
-            tracing::info!(
-                order = ?command,
-                pool = vm.pool.as_str(),
-                worker = vm.worker_id.as_deref(),
-                tasks,
-                owner_term = progress.map(|progress| progress.term),
-                "a command goes to a VM whose drain was not confirmed in this round"
-            );
-        }
-    }
-
     /// Returns the maximum number of moves in a round.
     #[expect(
         clippy::cast_possible_truncation,
