Read-through: a stop that got no response is logged with its error; moves are drained once

The error of a stop command was dropped where the log said only that there was no response. The leader asked to drain the VMs of waves a second time, which the waves themselves do while a command may be under way; now it adds those of moves only. The outer name of bounds.stop_ms has a test. No decision changes, no expectation is loosened.

--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -224,9 +224,10 @@
         let list = wave_vms(&listed, &standby, &self.draining, &replies, is_soft_locked);
         let (mut to_drain, mut commands) = self.waves.next_actions(&list);
         let incarnations = incarnations_by_vm(&listed);
-        commands.extend(self.move_commands(&listed, &standby, &replies).await);
-        // Until its outcome is known, a command may have to be sent again.
-        to_drain.extend(commands.iter().map(|command| command.vm().clone()));
+        let moves = self.move_commands(&listed, &standby, &replies).await;
+        // Until its outcome is known, a move may have to be sent again.
+        to_drain.extend(moves.iter().map(|command| command.vm().clone()));
+        commands.extend(moves);
         to_drain.extend(self.reclaiming.iter().cloned());
         to_drain.extend(self.unconfirmed_moves.keys().cloned());
         let is_new_move = |command: &&VmCommand| matches!(command, VmCommand::Move { vm, .. } if !self.unconfirmed_moves.contains_key(vm));
--- a/crates/fleetd/src/pool/commands.rs
+++ b/crates/fleetd/src/pool/commands.rs
@@ -322,7 +322,7 @@
     ) {
         let decided_at = Instant::now();
         let Some(task) = task else {
-            // If the command is lost, the next report lists the attempt again.
+            // The next report lists an attempt again whose stop was lost.
             if let Some(info) = self
                 .worker_info(worker)
                 .filter(|_| self.may_send_commands())
@@ -393,6 +393,7 @@
             is_taken = response.as_ref().ok(),
             term = self.term,
             decision_age_ms,
+            error = response.as_ref().err().map(tracing::field::display),
             "sent a stop command"
         );
         response
--- a/crates/fleetd/src/settings/tests/mod.rs
+++ b/crates/fleetd/src/settings/tests/mod.rs
@@ -10,7 +10,7 @@
         {daemon: d1, ip: 10.0.0.1, zone: a, callers_addr: 10.0.0.1:80, ready_addr: 10.0.0.1:81, peer_port: 82, \
         metrics_port: 83, store_addr: store:84, vms_addr: vms:85, vm_orders_per_s: 2.5, advice_addr: policy:86, \
         machine: {cpu_share: 0.5, speed: 1.5, link_mbps: 100}, bounds: {grace_s: 10.5, longest_lease_ms: 30000, \
-        keep_ended_s: 3600, steward_gap_ms: 4000, maintenance_s: 90.5}}";
+        keep_ended_s: 3600, steward_gap_ms: 4000, maintenance_s: 90.5, stop_ms: 300}}";
     let settings: FleetSettings = serde_norway::from_str(text).unwrap();
     assert_eq!(settings.daemon, "d1");
     assert_eq!(settings.ip.to_string(), "10.0.0.1");
@@ -31,6 +31,7 @@
     assert_eq!(settings.bounds.ended_job_retention_s, 3600);
     assert_eq!(settings.bounds.leader_gap_ms, 4000);
     assert!((settings.bounds.maintenance_s - 90.5).abs() < f64::EPSILON);
+    assert_eq!(settings.bounds.stop_ms, Some(300));
     assert_eq!(settings.bounds.access_rules(), AccessRules::default());
     assert!(!settings.overload.shed_least_cost);
     let text = text.replace("bounds:", "overload: {shed_least_cost: true}, bounds:");
