--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -18,11 +18,14 @@
 pub async fn run(name: &str, stage: Stage) -> Verdict {
     let verdict = match name {
         "wide" => wide(&stage).await,
-        "moved-queue" => moved_queue(&stage).await,
+        "moved-queue" => moved_queue(&stage, false).await,
+        "replaced-queue" => moved_queue(&stage, true).await,
         "advice" => advice(&stage).await,
+        "slow-advice" => slow_advice(&stage).await,
         "dropped-advice" => dropped_advice(&stage).await,
         "dropped-attempts" => dropped_attempts(&stage).await,
         "moved-pending" => moved_pending(&stage).await,
+        "slow-upkeep" => slow_upkeep(&stage).await,
         "slow-control-and-cut" => slow_control_and_cut(&stage).await,
         "slow-control" => slow_control(&stage).await,
         _ => None,
@@ -238,7 +241,9 @@
 }
 
 /// A queue is sent to another service, a machine is added, and the request of a submission arrives once more there.
-async fn moved_queue(stage: &Stage) -> Option<Verdict> {
+/// `is_replaced`: the route is removed instead, another one with its prefix is added, and the request arrives at a machine
+/// that was there before.
+async fn moved_queue(stage: &Stage, is_replaced: bool) -> Option<Verdict> {
     let services = [("alpha", 3, 32_000, 65_536), ("beta", 3, 32_000, 65_536)];
     let platform = Platform::start(stage.record.clone(), &services, false).await;
     platform.configure(3, &[route("r-1", "/q/", "alpha", 3)], &["alpha", "beta"]);
@@ -253,7 +258,8 @@
     }
     let accepted_ms = stage.record.now_ms();
     if stage.has_trouble {
-        platform.configure(8, &[route("r-1", "/q/", "beta", 3)], &["alpha", "beta"]);
+        let name = if is_replaced { "r-9" } else { "r-1" };
+        platform.configure(8, &[route(name, "/q/", "beta", 3)], &["alpha", "beta"]);
     }
     let mut added = Daemon::start("edge-4", &platform, &stage.folder, stage.record.clone());
     if !added.wait_until_ready().await {
@@ -263,9 +269,12 @@
     if !wait_until_done(&consumer, &daemons[1], path).await {
         return None;
     }
-    let again = consumer
-        .send(added.front, "POST", path, &job.to_string())
-        .await;
+    let front = if is_replaced {
+        daemons[1].front
+    } else {
+        added.front
+    };
+    let again = consumer.send(front, "POST", path, &job.to_string()).await;
     if !matches!(again, Ok((200, _))) {
         return None;
     }
@@ -647,3 +656,113 @@
     ));
     verdict(overlaps > 0)
 }
+
+/// The VM control is slow while two machines of a service have their upkeep.
+async fn slow_upkeep(stage: &Stage) -> Option<Verdict> {
+    let platform =
+        Platform::start(stage.record.clone(), &[("work", 4, 32_000, 65_536)], false).await;
+    platform.configure(3, &[route("r-1", "/q/", "work", 3)], &["work"]);
+    let daemons = start_daemons(stage, &platform, &["edge-1", "edge-2", "edge-3"]).await?;
+    let consumer = Consumer {
+        record: stage.record.clone(),
+    };
+    let mut lasting = step(2, 20_000, 900);
+    lasting["longRunning"] = json!(true);
+    lasting["maxPerServer"] = json!(1);
+    let path = "/q/0000000000001a57";
+    if submit(
+        &platform,
+        &consumer,
+        &daemons[0],
+        path,
+        &body("lasts", vec![lasting]),
+    )
+    .await
+        != Some(200)
+    {
+        return None;
+    }
+    sleep_ms(2000).await;
+    if stage.has_trouble {
+        platform.cloud_ms.store(50 * CLOUD_MS, Ordering::Relaxed);
+        stage.record.line("the VM control becomes slow");
+    }
+    let busy: Vec<_> = platform
+        .log
+        .runs_of("0000000000001a57")
+        .into_iter()
+        .map(|run| run.executor)
+        .collect();
+    let machines = platform.idle_machines(&busy);
+    let wave = json!({"wave": 1, "machines": machines, "deadlineS": 20, "cap": 2});
+    platform.store.put("op", "wave/1", Some(&wave));
+    stage
+        .record
+        .line(&format!("operator: wave 1 acknowledged: {machines:?}"));
+    sleep_ms(5000).await;
+    platform.cloud_ms.store(CLOUD_MS, Ordering::Relaxed);
+    stage.record.line("the VM control is as usual");
+    sleep_ms(STABLE_MS + 9000).await;
+    let next = body("ms=800", vec![step(1, 14_000, 800)]);
+    if submit(
+        &platform,
+        &consumer,
+        &daemons[2],
+        "/q/0000000000000c57",
+        &next,
+    )
+    .await
+        != Some(200)
+    {
+        return None;
+    }
+    stage.record.line("the traffic has ended");
+    sleep_ms(FINISH_S * 1000).await;
+    consumer
+        .state(daemons[0].front, "/q/0000000000000c57")
+        .await;
+    let starved = starved(&platform, "work", &["0000000000000c57".to_owned()], 5000).await;
+    record_runs(&platform, 40);
+    stage.record.line(&format!(
+        "{} of 1 submission had nothing running for 3 s with room",
+        starved.len()
+    ));
+    let is_done = platform
+        .log
+        .runs_of("0000000000000c57")
+        .iter()
+        .any(|run| run.ended.is_some());
+    verdict(!starved.is_empty() && !is_done)
+}
+
+/// A queue whose policy takes 3.5 s to decide on 30 executors.
+async fn slow_advice(stage: &Stage) -> Option<Verdict> {
+    let platform =
+        Platform::start(stage.record.clone(), &[("work", 31, 32_000, 65_536)], false).await;
+    let (decide_ms, period_ms) = if stage.has_trouble {
+        (500, 100)
+    } else {
+        (20, 2)
+    };
+    *platform.advice_ms.lock().unwrap() = (decide_ms, period_ms);
+    let mut guarded = route("r-1", "/q/", "work", 3);
+    guarded["advice"] = json!({"decideMs": decide_ms, "periodMs": period_ms, "validMs": 10_000});
+    platform.configure(3, &[guarded], &["work"]);
+    let daemons = start_daemons(stage, &platform, &["edge-1", "edge-2", "edge-3"]).await?;
+    let consumer = Consumer {
+        record: stage.record.clone(),
+    };
+    let id = "5c0e7a21d94b36f8";
+    platform.log.ticketed.lock().unwrap().insert(id.into());
+    let path = format!("/q/{id}");
+    let job = body("ms=800", vec![step(2, 1000, 800)]);
+    if submit(&platform, &consumer, &daemons[0], &path, &job).await != Some(200) {
+        return None;
+    }
+    stage.record.line("the traffic has ended");
+    sleep_ms(FINISH_S * 1000 + 10_000).await;
+    let state = consumer.state(daemons[0].front, &path).await;
+    let starved = starved(&platform, "work", &[id.to_owned()], 5000).await;
+    record_runs(&platform, 40);
+    verdict(state.as_deref() != Some("done") && !starved.is_empty())
+}
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -17,8 +17,6 @@
 
 const MOVE_TIME: Duration = Duration::from_millis(1500);
 const UPKEEP_TIME: Duration = Duration::from_millis(2000);
-const ADVICE_DECIDE_MS: u64 = 20;
-const ADVICE_PERIOD_MS: u64 = 2;
 const ADVICE_VALID_MS: u64 = 10_000;
 /// The service whose machines are off, and how long the VM control usually takes to answer.
 pub const STANDBY: &str = "spare";
@@ -44,6 +42,8 @@
     pub cloud_ms: AtomicU64,
     /// How many executors the policy allows to run a step, others for each step.
     pub allowed_each_step: Mutex<usize>,
+    /// How long the advice takes to decide, and for each executor.
+    pub advice_ms: Mutex<(u64, u64)>,
     advice_turn: tokio::sync::Mutex<()>,
     pub store_addr: SocketAddr,
     pub cloud_addr: SocketAddr,
@@ -82,6 +82,7 @@
             upkept: Mutex::default(),
             cloud_ms: AtomicU64::new(CLOUD_MS),
             allowed_each_step: Mutex::new(usize::MAX),
+            advice_ms: Mutex::new((20, 2)),
             advice_turn: tokio::sync::Mutex::default(),
             store_addr,
             cloud_addr,
@@ -148,6 +149,15 @@
         self.machines.lock().unwrap().insert(spec.machine, machine);
     }
 
+    /// The machines that are up, but for those of the executors `busy`.
+    pub fn idle_machines(&self, busy: &[String]) -> Vec<String> {
+        let machines = self.machines.lock().unwrap();
+        let idle = machines
+            .iter()
+            .filter(|(_, it)| it.executor.is_some() && !busy.contains(&it.spec.id));
+        idle.map(|(name, _)| name.clone()).collect()
+    }
+
     /// The executor with this id.
     pub fn executor(&self, id: &str) -> Option<Arc<Executor>> {
         let machines = self.machines.lock().unwrap();
@@ -336,10 +346,8 @@
             .filter_map(|it| Some(it.as_str()?.to_owned()))
             .collect();
         let count = u64::try_from(workers.len()).unwrap_or(0);
-        tokio::time::sleep(Duration::from_millis(
-            ADVICE_DECIDE_MS + ADVICE_PERIOD_MS * count,
-        ))
-        .await;
+        let (decide_ms, period_ms) = *self.advice_ms.lock().unwrap();
+        tokio::time::sleep(Duration::from_millis(decide_ms + period_ms * count)).await;
         let allowed = self.allowed(&step);
         let rows = workers.iter().filter(|id| allowed.contains(id)).map(|id| {
             let ticket = format!("t-{step}-{id}");
