--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -25,6 +25,7 @@
         "dropped-advice" => dropped_advice(&stage).await,
         "dropped-attempts" => dropped_attempts(&stage).await,
         "moved-pending" => moved_pending(&stage).await,
+        "held" => held(&stage).await,
         "slow-upkeep" => slow_upkeep(&stage).await,
         "slow-control-and-cut" => slow_control_and_cut(&stage).await,
         "slow-control" => slow_control(&stage).await,
@@ -766,3 +767,84 @@
     record_runs(&platform, 40);
     verdict(state.as_deref() != Some("done") && !starved.is_empty())
 }
+
+/// Three times in turn, the executor of a subtask that lasts is cut off, its lease lapses, and then it crashes.
+async fn held(stage: &Stage) -> Option<Verdict> {
+    let platform =
+        Platform::start(stage.record.clone(), &[("work", 6, 32_000, 65_536)], false).await;
+    platform.configure(3, &[route("r-1", "/q/", "work", 3)], &["work"]);
+    let daemons = start_daemons(stage, &platform, &["edge-1", "edge-2", "edge-3"]).await?;
+    let consumer = Consumer {
+        record: stage.record.clone(),
+    };
+    let id = "0000000000001a57";
+    let mut lasting = step(1, 2000, 900);
+    lasting["longRunning"] = json!(true);
+    let path = format!("/q/{id}");
+    if submit(
+        &platform,
+        &consumer,
+        &daemons[0],
+        &path,
+        &body("lasts", vec![lasting]),
+    )
+    .await
+        != Some(200)
+    {
+        return None;
+    }
+    let rounds = if stage.has_trouble { 5 } else { 0 };
+    for _ in 0..rounds {
+        let mut found = None;
+        for _ in 0..200 {
+            let runs = platform.log.runs_of(id);
+            found = runs.into_iter().find(|run| run.ended.is_none());
+            if found.is_some() {
+                break;
+            }
+            sleep_ms(50).await;
+        }
+        let Some(run) = found else {
+            break;
+        };
+        let executor = platform.executor(&run.executor)?;
+        sleep_ms(100).await;
+        executor.set_cut_off(true);
+        stage.record.line(&format!(
+            "{} is cut off {} ms after the start",
+            run.executor,
+            stage.record.now_ms() - run.started_ms
+        ));
+        sleep_ms(5500).await;
+        let (lapsed, next) = {
+            let runs = platform.log.runs_of(id);
+            let lapsed = runs
+                .iter()
+                .find(|it| it.run == run.run)
+                .and_then(|it| it.ended);
+            (
+                lapsed,
+                runs.iter()
+                    .find(|it| it.run > run.run)
+                    .map(|it| it.started_ms),
+            )
+        };
+        stage.record.line(&format!(
+            "run {}: {lapsed:?}, the next one started at {next:?}",
+            run.run
+        ));
+        // The crash takes half a second.
+        sleep_ms(500).await;
+        platform.restart(&run.executor).await;
+    }
+    sleep_ms(STABLE_MS + 4000 + 6000).await;
+    let name = format!("{id}.0.0.0");
+    let starved = starved(&platform, "work", &[name], 8000).await;
+    consumer.state(daemons[0].front, &path).await;
+    record_runs(&platform, 40);
+    stage.record.line(&format!(
+        "the subtask that lasts had nothing running for 3 s with room: {}",
+        !starved.is_empty()
+    ));
+    verdict(!starved.is_empty())
+}
--- a/review/standins/src/executor.rs
+++ b/review/standins/src/executor.rs
@@ -16,6 +16,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1500);
 const HOLD_MAX_MS: u64 = 10_000;
 const TICK: Duration = Duration::from_millis(5);
+/// How long a subtask that lasts takes until it is at work.
+const STARTUP_MS: u64 = 900;
 const MAX_LISTED_ENDS: usize = 500;
 
 /// What a subtask asks for, which consumers declare and executors know.
@@ -110,6 +112,7 @@
     is_over: Mutex<bool>,
     /// Whether the executor is cut off from everything, and runs on.
     is_cut_off: AtomicBool,
+    has_crashed: AtomicBool,
 }
 
 fn spec_ms(spec: &str) -> Option<u64> {
@@ -147,6 +150,7 @@
             record,
             is_over: Mutex::new(false),
             is_cut_off: AtomicBool::new(false),
+            has_crashed: AtomicBool::new(false),
         });
         *slot.lock().unwrap() = Some(executor.clone());
         tokio::spawn(executor.clone().tick());
@@ -167,6 +171,12 @@
         }
     }
 
+    /// Ends this life as a crash does; the next life may have the same id, and so its entry stays.
+    pub fn crash(&self) {
+        self.has_crashed.store(true, Ordering::Relaxed);
+        self.end();
+    }
+
     /// Cuts the executor off from everything, or ends that.
     pub fn set_cut_off(&self, is_cut_off: bool) {
         self.is_cut_off.store(is_cut_off, Ordering::Relaxed);
@@ -180,7 +190,9 @@
         let spec = &self.spec;
         for seq in 1u64.. {
             if self.is_over() {
-                store.put("servers", &spec.id, None);
+                if !self.has_crashed.load(Ordering::Relaxed) {
+                    store.put("servers", &spec.id, None);
+                }
                 return;
             }
             let entry = json!({
@@ -402,8 +414,10 @@
                 let running = state.running.iter().map(|index| {
                     let run = &runs[*index];
                     let ran_ms = u64::try_from(run.begun.elapsed().as_millis()).unwrap_or(0);
-                    let percent =
-                        spec_ms(&run.spec).map_or(100, |ms| (ran_ms * 100 / ms.max(1)).min(99));
+                    let percent = spec_ms(&run.spec)
+                        .map_or(if ran_ms < STARTUP_MS { 0 } else { 100 }, |ms| {
+                            (ran_ms * 100 / ms.max(1)).min(99)
+                        });
                     json!([run.task, run.run, "", percent, 0])
                 });
                 let running: Vec<_> = running.collect();
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -158,6 +158,17 @@
         idle.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Lets an executor crash and start again under its id.
+    pub async fn restart(&self, id: &str) {
+        let Some(executor) = self.executor(id) else {
+            return;
+        };
+        executor.crash();
+        self.record
+            .line(&format!("{id} crashes and starts again under its id"));
+        self.run(executor.spec.clone()).await;
+    }
+
     /// The executor with this id.
     pub fn executor(&self, id: &str) -> Option<Arc<Executor>> {
         let machines = self.machines.lock().unwrap();
