--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -25,7 +25,8 @@
         "dropped-advice" => dropped_advice(&stage).await,
         "dropped-attempts" => dropped_attempts(&stage).await,
         "moved-pending" => moved_pending(&stage).await,
-        "held" => held(&stage).await,
+        "held" => held(&stage, true).await,
+        "given-up" => held(&stage, false).await,
         "slow-upkeep" => slow_upkeep(&stage).await,
         "slow-control-and-cut" => slow_control_and_cut(&stage).await,
         "slow-control" => slow_control(&stage).await,
@@ -768,76 +769,89 @@
     verdict(state.as_deref() != Some("done") && !starved.is_empty())
 }
 
-/// Three times in turn, the executor of a subtask that lasts is cut off, its lease lapses, and then it crashes.
-async fn held(stage: &Stage) -> Option<Verdict> {
+/// Some times in turn, the executor of a subtask is cut off, the lease there lapses, and then the executor crashes. The
+/// subtask lasts, or takes a minute.
+async fn held(stage: &Stage, is_lasting: bool) -> Option<Verdict> {
     let platform =
-        Platform::start(stage.record.clone(), &[("work", 6, 32_000, 65_536)], false).await;
+        Platform::start(stage.record.clone(), &[("work", 12, 32_000, 65_536)], false).await;
     platform.configure(3, &[route("r-1", "/q/", "work", 3)], &["work"]);
     let daemons = start_daemons(stage, &platform, &["edge-1", "edge-2", "edge-3"]).await?;
     let consumer = Consumer {
         record: stage.record.clone(),
     };
     let id = "0000000000001a57";
-    let mut lasting = step(1, 2000, 900);
-    lasting["longRunning"] = json!(true);
+    let mut only = step(1, 2000, if is_lasting { 900 } else { 60_000 });
+    only["longRunning"] = json!(is_lasting);
+    let spec = if is_lasting { "lasts" } else { "ms=60000" };
     let path = format!("/q/{id}");
     if submit(
         &platform,
         &consumer,
         &daemons[0],
         &path,
-        &body("lasts", vec![lasting]),
+        &body(spec, vec![only]),
     )
     .await
         != Some(200)
     {
         return None;
     }
-    let rounds = if stage.has_trouble { 5 } else { 0 };
-    for _ in 0..rounds {
+    let mut cut_runs = 0;
+    while stage.has_trouble && cut_runs < 4 {
         let mut found = None;
-        for _ in 0..200 {
+        for _ in 0..500 {
             let runs = platform.log.runs_of(id);
-            found = runs.into_iter().find(|run| run.ended.is_none());
+            found = runs
+                .into_iter()
+                .find(|run| run.run > cut_runs && run.ended.is_none());
             if found.is_some() {
                 break;
             }
-            sleep_ms(50).await;
+            sleep_ms(20).await;
         }
         let Some(run) = found else {
             break;
         };
-        let executor = platform.executor(&run.executor)?;
+        cut_runs = run.run;
         sleep_ms(100).await;
+        let executor = platform.executor(&run.executor)?;
         executor.set_cut_off(true);
+        let after_ms = stage.record.now_ms() - run.started_ms;
         stage.record.line(&format!(
-            "{} is cut off {} ms after the start",
-            run.executor,
-            stage.record.now_ms() - run.started_ms
+            "{} is cut off for 5.5 s, {after_ms} ms after the start",
+            run.executor
         ));
-        sleep_ms(5500).await;
-        let (lapsed, next) = {
+        let platform = platform.clone();
+        tokio::spawn(async move {
+            sleep_ms(5450).await;
             let runs = platform.log.runs_of(id);
-            let lapsed = runs
+            let ended = runs
                 .iter()
                 .find(|it| it.run == run.run)
                 .and_then(|it| it.ended);
-            (
-                lapsed,
-                runs.iter()
-                    .find(|it| it.run > run.run)
-                    .map(|it| it.started_ms),
-            )
-        };
+            platform.record.line(&format!(
+                "before the crash of {}, run {} had ended: {ended:?}",
+                run.executor, run.run
+            ));
+            sleep_ms(50).await;
+            platform.restart(&run.executor).await;
+        });
+    }
+    sleep_ms(STABLE_MS + 4000 + 6000).await;
+    let state = consumer.state(daemons[0].front, &path).await;
+    if !is_lasting {
+        record_runs(&platform, 40);
+        let runs = platform.log.runs_of(id);
+        let failed = runs.iter().filter(|run| {
+            run.ended
+                .is_some_and(|(_, how)| how == "failed" || how == "gone")
+        });
+        let failed = failed.count();
         stage.record.line(&format!(
-            "run {}: {lapsed:?}, the next one started at {next:?}",
-            run.run
+            "{failed} runs failed, or ran while their executor crashed; the state is {state:?}"
         ));
-        // The crash takes half a second.
-        sleep_ms(500).await;
-        platform.restart(&run.executor).await;
+        return verdict(failed == 0 && state.as_deref() == Some("failed"));
     }
-    sleep_ms(STABLE_MS + 4000 + 6000).await;
     let name = format!("{id}.0.0.0");
     let starved = starved(&platform, "work", &[name], 8000).await;
     consumer.state(daemons[0].front, &path).await;
--- a/review/standins/src/executor.rs
+++ b/review/standins/src/executor.rs
@@ -188,6 +188,7 @@
 
     async fn register(self: Arc<Self>, store: Arc<Store>) {
         let spec = &self.spec;
+        let mut written_at = None;
         for seq in 1u64.. {
             if self.is_over() {
                 if !self.has_crashed.load(Ordering::Relaxed) {
@@ -202,10 +203,16 @@
             });
             if !self.is_cut_off.load(Ordering::Relaxed) {
                 store.put("servers", &spec.id, Some(&entry));
+                written_at = Some(Instant::now());
             }
             let next = tokio::time::Instant::now() + HEARTBEAT;
             while tokio::time::Instant::now() < next && !self.is_over() {
                 tokio::time::sleep(Duration::from_millis(50)).await;
+                // The platform removes an entry after three intervals of silence.
+                if written_at.is_some_and(|at| at.elapsed() > 3 * HEARTBEAT) {
+                    written_at = None;
+                    store.put("servers", &spec.id, None);
+                }
             }
         }
     }
@@ -254,6 +261,12 @@
         if self.is_over() || self.is_cut_off.load(Ordering::Relaxed) {
             return None;
         }
+        let response = self.answer(request).await;
+        // What a cut holds up is lost with its channel.
+        response.filter(|_| !self.is_cut_off.load(Ordering::Relaxed))
+    }
+
+    async fn answer(&self, request: Request) -> Response {
         let clock = |extra: Value| {
             let mut body = json!({"clockMs": self.clock_ms(), "born": self.born_ms});
             for (name, value) in extra.as_object().cloned().unwrap_or_default() {
@@ -438,7 +451,7 @@
                 let ended: Vec<_> = ended.collect();
                 (running, ended)
             };
-            if self.is_over() || self.is_cut_off.load(Ordering::Relaxed) {
+            if self.is_over() {
                 return None;
             }
             if !lists.1.is_empty() || tokio::time::timeout_at(deadline, changed).await.is_err() {
