--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -112,7 +112,10 @@
         CallerRequest::Submit(id) => {
             let max_body_bytes = config.limits.max_body_bytes;
             match Limited::new(body, max_body_bytes).collect().await {
-                Ok(body) => submit(node, queue, &caller, id, &body.to_bytes(), caller_wait).await,
+                Ok(body) => {
+                    let body = body.to_bytes();
+                    submit(node, queue, &caller, id, &body, caller_wait, record).await
+                }
                 Err(err) if err.is::<http_body_util::LengthLimitError>() => {
                     ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE)
                 }
@@ -162,6 +165,7 @@
     id: JobId,
     body: &[u8],
     caller_wait: Option<Duration>,
+    record: &mut RequestRecord,
 ) -> ApiResponse {
     let spec = match decode_job(body) {
         Ok(spec) => spec,
@@ -174,7 +178,10 @@
     if !fits_row(&queue.name, &caller.team().into(), &spec) {
         return ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    for pool in node.active_config.previous_pools(queue) {
+    let previous_pools = node.active_config.previous_pools(queue);
+    record.searched_pools = Some(previous_pools.len());
+    for pool in previous_pools {
+        record.pool = Some(pool.clone());
         // A job that is submitted again after its queue was assigned to another pool stays in its pool.
         match stored_job(node, &pool, id).await {
             Ok(Some(job)) if !caller.may_access(&job.team) => return ApiResponse::other_team(),
@@ -186,6 +193,7 @@
             }
         }
     }
+    record.pool = Some(queue.pool.clone());
     let request = SubmitRequest {
         pool: queue.pool.clone(),
         queue: queue.name.clone(),
--- a/crates/fleetd/src/api/request_record.rs
+++ b/crates/fleetd/src/api/request_record.rs
@@ -23,6 +23,10 @@
     pub(super) team: SmolStr,
     /// How long the caller waits for the response, in ms; 0 when the request does not tell.
     pub(super) caller_wait_ms: u64,
+    /// The pool that a submitted job was sent to, or was found in.
+    pub(super) pool: Option<SmolStr>,
+    /// How many previous pools of the queue were searched for a submitted job.
+    pub(super) searched_pools: Option<usize>,
     is_answered: bool,
 }
 
@@ -36,6 +40,8 @@
             subject: SmolStr::default(),
             team: SmolStr::default(),
             caller_wait_ms: 0,
+            pool: None,
+            searched_pools: None,
             is_answered: false,
         }
     }
@@ -73,6 +79,8 @@
             call = self.call,
             job = self.subject.as_str(),
             team = self.logged_team(),
+            pool = self.pool.as_deref(),
+            searched_pools = self.searched_pools,
             status = status.as_u16(),
             reason = response.refusal,
             ms = self.elapsed_ms(),
