--- a/crates/fleetd/src/api/mod.rs
+++ b/crates/fleetd/src/api/mod.rs
@@ -4,6 +4,7 @@
 mod request_record;
 mod response;
 mod server;
+mod submit;
 
 pub(crate) use handlers::{handle_metrics, handle_readiness, handle_request};
 pub(crate) use server::{serve_callers, serve_endpoint};
