TWICE: one pool at a time records the new jobs of a queue, by rows in the store

What callers saw: a job was accepted and done. The operators assigned its queue to another pool and added a daemon.

Cause: a job's row is conditional within the part of its own pool only, and no row is shared by the pools. The one guard between pools was a list of previous pools that each process kept of the configurations it had seen, by the name of the queue. It does not hold in a daemon that started later, in one that missed a configuration, for a queue that replaces another one with its paths, nor between two daemons with different configurations, each of which records the job in another pool.

Mended: the store has an assignment for each place where jobs are submitted, and copies in the parts of the pools that it names. A new job is recorded on the condition on the version of its pool's copy. A queue is handed over by conditional writes, the previous pools first. A daemon that submits reads the copy once and looks for the job in the previous pools; if the queue was reassigned meanwhile, the condition fails, the owner returns the job, and the daemon follows to the other pool. Why that suffices: after the copy of a pool names it, its previous pools can't record a job until that copy has another version.

The specification `handovers` runs the shipped decisions in all orders of four submissions with three configurations; without the condition, the order of the copies or the search it finds a job that is recorded in two pools.

Cost: one read of the store for each daemon and queue, some calls when a queue gets a pool, one condition in a transaction.

--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -19,7 +19,7 @@
 
 use super::request_record::RequestRecord;
 use super::response::{ApiResponse, RETRY_AFTER_S};
-use super::submit::submit;
+use super::submit::Submission;
 use crate::clock::local_ms;
 use crate::config::{FLEET_SHARD, find_queue};
 use crate::node::{Node, STORE_TIMEOUT, tables};
@@ -104,7 +104,8 @@
             match Limited::new(body, max_body_bytes).collect().await {
                 Ok(body) => {
                     let body = body.to_bytes();
-                    submit(node, queue, &caller, id, &body, caller_wait, record).await
+                    let submission = Submission::new(queue, config.epoch, &caller, id, caller_wait);
+                    submission.submit(node, &body, record).await
                 }
                 Err(err) if err.is::<http_body_util::LengthLimitError>() => {
                     ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE)
@@ -209,9 +210,21 @@
     let mut pools = node.active_config.shards();
     pools.retain(|pool| pool != FLEET_SHARD && *pool != queue.pool);
     pools.insert(0, queue.pool.clone());
+    find_in_pools(node, pools.iter(), id).await
+}
+
+/// Reads a job and the name of its pool from the store. Searches the pools in their order; none if no pool has the job.
+///
+/// # Errors
+/// When a read from the store fails.
+pub(super) async fn find_in_pools(
+    node: &Arc<Node>,
+    pools: impl Iterator<Item = &SmolStr>,
+    id: JobId,
+) -> Result<Option<(SmolStr, Job)>, users_platform::Error> {
     for pool in pools {
-        if let Some(job) = stored_job(node, &pool, id).await? {
-            return Ok(Some((pool, job)));
+        if let Some(job) = stored_job(node, pool, id).await? {
+            return Ok(Some((pool.clone(), job)));
         }
     }
     Ok(None)
@@ -221,7 +234,7 @@
 ///
 /// # Errors
 /// When a read from the store fails, or the rows of the job can't be decoded.
-pub(super) async fn stored_job(
+async fn stored_job(
     node: &Arc<Node>,
     pool: &str,
     id: JobId,
@@ -263,7 +276,7 @@
         };
     }
     match reply {
-        JobReply::State(_) => ApiResponse::new(StatusCode::OK).with_body("{}".into()),
+        JobReply::State(_) => ApiResponse::accepted(),
         JobReply::OtherTeam => ApiResponse::other_team(),
         _ => ApiResponse::unavailable(RETRY_AFTER_S),
     }
--- a/crates/fleetd/src/api/response.rs
+++ b/crates/fleetd/src/api/response.rs
@@ -31,6 +31,11 @@
         self
     }
 
+    /// Status 200 for a submission or a cancellation.
+    pub(super) fn accepted() -> Self {
+        Self::new(StatusCode::OK).with_body("{}".into())
+    }
+
     /// Status 503 with the delay after which the caller may retry. A submission had no effect and will have none; the
     /// outcome of a cancellation may be unknown.
     pub(super) fn unavailable(retry_after_s: u32) -> Self {
--- a/crates/fleetd/src/api/submit.rs
+++ b/crates/fleetd/src/api/submit.rs
@@ -1,16 +1,19 @@
-//! Submits a job to the owner of its pool, unless a previous pool of its queue has it.
+//! Submits a job: to the owner of the pool that records the new jobs of its queue, unless a previous pool of the queue has it.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use access::Caller;
 use http::StatusCode;
-use submission::JobId;
+use smol_str::SmolStr;
+use submission::{Job, JobId};
+use tokio::time::{Instant, timeout_at};
 use users_platform::{Queue, decode_job};
 
-use super::handlers::stored_job;
+use super::handlers::find_in_pools;
 use super::request_record::RequestRecord;
 use super::response::{ApiResponse, RETRY_AFTER_S};
+use crate::assignments::OpenIntake;
 use crate::node::Node;
 use crate::peer_calls::{CALL_TIMEOUT, call_peer};
 use crate::pool::fits_row;
@@ -27,95 +30,164 @@
 /// quarter of it.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
-pub(super) async fn submit(
-    node: &Arc<Node>,
-    queue: &Queue,
-    caller: &Caller,
+/// A submission of a caller.
+pub(super) struct Submission<'a> {
+    queue: &'a Queue,
+    /// The epoch of the configuration with the queue.
+    epoch: u64,
+    caller: &'a Caller,
     id: JobId,
-    body: &[u8],
-    caller_wait: Option<Duration>,
-    record: &mut RequestRecord,
-) -> ApiResponse {
-    let spec = match decode_job(body) {
-        Ok(spec) => spec,
-        Err(err) => return ApiResponse::bad_request(&err.to_string()),
-    };
-    if let Err(err) = spec.validate() {
-        return ApiResponse::bad_request(&err.to_string());
-    }
-    // A transaction with a row that the store refuses would fail again and again, and others with it.
-    if !fits_row(&queue.name, &caller.team().into(), &spec) {
-        return ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE);
+    /// When the caller gets a response at the latest.
+    respond_by: Instant,
+    /// Until when the submission waits for an owner of its pool.
+    give_up_at: Instant,
+}
+
+/// What a submission finds out before it is sent to the owner of a pool.
+struct Findings {
+    intake: OpenIntake,
+    /// The job and its pool, if it is in a previous pool of the queue.
+    found: Option<(SmolStr, Job)>,
+}
+
+impl<'a> Submission<'a> {
+    /// Creates the submission of the job `id` that has just arrived.
+    pub(super) fn new(
+        queue: &'a Queue,
+        epoch: u64,
+        caller: &'a Caller,
+        id: JobId,
+        caller_wait: Option<Duration>,
+    ) -> Self {
+        let now = Instant::now();
+        let caller_wait = caller_wait.unwrap_or(DEFAULT_CALLER_WAIT);
+        let respond_by = now + caller_wait - RESPONSE_MARGIN.min(caller_wait / 4);
+        Self {
+            queue,
+            epoch,
+            caller,
+            id,
+            respond_by,
+            give_up_at: respond_by.min(now + TAKEOVER_WAIT.max(caller_wait / 2)),
+        }
     }
-    let previous_pools = node.active_config.previous_pools(queue);
-    record.searched_pools = Some(previous_pools.len());
-    for pool in previous_pools {
-        record.pool = Some(pool.clone());
-        // A job that is submitted again after its queue was assigned to another pool stays in its pool.
-        match stored_job(node, &pool, id).await {
-            Ok(Some(job)) if !caller.may_access(&job.team) => return ApiResponse::other_team(),
-            Ok(Some(_)) => return ApiResponse::new(StatusCode::OK).with_body("{}".into()),
-            Ok(None) => {}
-            Err(err) => {
-                tracing::info!(job = %id, error = %err, "failed to check a previous pool of the queue for a submitted job");
+
+    /// Submits the job that the body of the request describes. A job that is submitted again after its queue was assigned to
+    /// another pool stays in the pool that has it.
+    pub(super) async fn submit(
+        &self,
+        node: &Arc<Node>,
+        body: &[u8],
+        record: &mut RequestRecord,
+    ) -> ApiResponse {
+        let spec = match decode_job(body) {
+            Ok(spec) => spec,
+            Err(err) => return ApiResponse::bad_request(&err.to_string()),
+        };
+        if let Err(err) = spec.validate() {
+            return ApiResponse::bad_request(&err.to_string());
+        }
+        let team: SmolStr = self.caller.team().into();
+        // A transaction with a row that the store refuses would fail again and again, and others with it.
+        if !fits_row(&self.queue.name, &team, &spec) {
+            return ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let mut request = SubmitRequest {
+            pool: self.queue.pool.clone(),
+            queue: self.queue.name.clone(),
+            team,
+            id: self.id,
+            spec,
+            intake: None,
+        };
+        loop {
+            let Some(Findings { intake, found }) = self.find(node).await else {
                 return ApiResponse::unavailable(RETRY_AFTER_S);
+            };
+            record.searched_pools = Some(intake.previous_pools.len());
+            if let Some((pool, job)) = found {
+                record.pool = Some(pool);
+                return if self.caller.may_access(&job.team) {
+                    ApiResponse::accepted()
+                } else {
+                    ApiResponse::other_team()
+                };
+            }
+            record.pool = Some(intake.pool.clone());
+            request.pool = intake.pool;
+            request.intake = Some(intake.condition.clone());
+            match self.submit_to_owner(node, &request).await {
+                SubmitReply::Accepted => return ApiResponse::accepted(),
+                SubmitReply::Refused { retry_after_s } => {
+                    return ApiResponse::unavailable(retry_after_s);
+                }
+                SubmitReply::NotOwner => return ApiResponse::unavailable(RETRY_AFTER_S),
+                SubmitReply::OtherTeam => return ApiResponse::other_team(),
+                SubmitReply::OutcomeUnknown => {
+                    return ApiResponse::new(StatusCode::GATEWAY_TIMEOUT);
+                }
+                SubmitReply::Reassigned => {
+                    node.assignments.forget(self.queue, &intake.condition).await;
+                }
             }
         }
     }
-    record.pool = Some(queue.pool.clone());
-    let request = SubmitRequest {
-        pool: queue.pool.clone(),
-        queue: queue.name.clone(),
-        team: caller.team().into(),
-        id,
-        spec,
-    };
-    match submit_to_owner(node, request, caller_wait).await {
-        SubmitReply::Accepted => ApiResponse::new(StatusCode::OK).with_body("{}".into()),
-        SubmitReply::Refused { retry_after_s } => ApiResponse::unavailable(retry_after_s),
-        SubmitReply::NotOwner => ApiResponse::unavailable(RETRY_AFTER_S),
-        SubmitReply::OtherTeam => ApiResponse::other_team(),
-        SubmitReply::OutcomeUnknown => ApiResponse::new(StatusCode::GATEWAY_TIMEOUT),
-    }
-}
 
-/// Submits a job to the owner of its pool. While no owner responds, waits for a takeover, unless the store is
-/// unavailable. A call whose outcome is unknown is repeated: the id of the job makes that safe, and the next owner knows
-/// whether the job was recorded.
-async fn submit_to_owner(
-    node: &Arc<Node>,
-    request: SubmitRequest,
-    caller_wait: Option<Duration>,
-) -> SubmitReply {
-    let start = tokio::time::Instant::now();
-    let caller_wait = caller_wait.unwrap_or(DEFAULT_CALLER_WAIT);
-    let respond_by = start + caller_wait - RESPONSE_MARGIN.min(caller_wait / 4);
-    let give_up_at = respond_by.min(start + TAKEOVER_WAIT.max(caller_wait / 2));
-    // The term of the owner that may have recorded the job, or may do so later.
-    let mut in_doubt = None;
-    loop {
-        let owners_read = node.peers_updated.notified();
-        let attempt = try_submit_to_owner(node, request.clone());
-        let Ok((term, reply)) = tokio::time::timeout_at(respond_by, attempt).await else {
-            return SubmitReply::OutcomeUnknown;
+    /// Finds the pool that records the job if it is new, and the job in the previous pools of the queue. None, with a log
+    /// record, if the store does not tell in time.
+    async fn find(&self, node: &Arc<Node>) -> Option<Findings> {
+        let search = async {
+            let intake = node
+                .assignments
+                .open_intake(&node.store, self.queue, self.epoch);
+            let intake = intake.await?;
+            // The pools are searched after the intake was found open: they record no new jobs of the queue since.
+            let found = find_in_pools(node, intake.previous_pools.iter(), self.id).await?;
+            Ok::<_, users_platform::Error>(Findings { intake, found })
+        };
+        let message = match timeout_at(self.give_up_at, search).await {
+            Ok(Ok(findings)) => return Some(findings),
+            Ok(Err(err)) => err.to_string(),
+            Err(_) => "the time of the submission is over".to_owned(),
         };
-        match reply {
-            // An earlier call to the same owner may arrive late. The owner of a later term has read all rows.
-            SubmitReply::Refused { .. } if in_doubt.is_some_and(|in_doubt| in_doubt >= term) => {
+        tracing::info!(job = %self.id, queue = self.queue.name.as_str(), error = message, "failed to find the pool of a submitted job");
+        None
+    }
+
+    /// Submits a job to the owner of its pool. While no owner responds, waits for a takeover, unless the store is
+    /// unavailable. A call whose outcome is unknown is repeated: the id of the job makes that safe, and the next owner knows
+    /// whether the job was recorded.
+    async fn submit_to_owner(&self, node: &Arc<Node>, request: &SubmitRequest) -> SubmitReply {
+        // The term of the owner that may have recorded the job, or may do so later.
+        let mut in_doubt = None;
+        loop {
+            let owners_read = node.peers_updated.notified();
+            let attempt = try_submit_to_owner(node, request.clone());
+            let Ok((term, reply)) = timeout_at(self.respond_by, attempt).await else {
                 return SubmitReply::OutcomeUnknown;
+            };
+            match reply {
+                // An earlier call to the same owner may arrive late. The owner of a later term has read all rows.
+                SubmitReply::Refused { .. }
+                    if in_doubt.is_some_and(|in_doubt| in_doubt >= term) =>
+                {
+                    return SubmitReply::OutcomeUnknown;
+                }
+                // An earlier call that arrives late finds that its intake condition does not hold either.
+                SubmitReply::Accepted
+                | SubmitReply::Refused { .. }
+                | SubmitReply::OtherTeam
+                | SubmitReply::Reassigned => return reply,
+                SubmitReply::OutcomeUnknown => in_doubt = in_doubt.max(Some(term)),
+                SubmitReply::NotOwner => node.peers_outdated.notify_one(),
             }
-            SubmitReply::Accepted | SubmitReply::Refused { .. } | SubmitReply::OtherTeam => {
-                return reply;
+            let next_owner = timeout_at(self.give_up_at, owners_read);
+            if node.is_store_unavailable() || next_owner.await.is_err() {
+                return match in_doubt {
+                    Some(_) => SubmitReply::OutcomeUnknown,
+                    None => SubmitReply::NotOwner,
+                };
             }
-            SubmitReply::OutcomeUnknown => in_doubt = in_doubt.max(Some(term)),
-            SubmitReply::NotOwner => node.peers_outdated.notify_one(),
-        }
-        let next_owner = tokio::time::timeout_at(give_up_at, owners_read);
-        if node.is_store_unavailable() || next_owner.await.is_err() {
-            return match in_doubt {
-                Some(_) => SubmitReply::OutcomeUnknown,
-                None => SubmitReply::NotOwner,
-            };
         }
     }
 }
@@ -131,7 +203,7 @@
         return (0, SubmitReply::NotOwner);
     };
     let (job, pool) = (request.id, request.pool.clone());
-    let start = Instant::now();
+    let start = std::time::Instant::now();
     let reply = call_peer(
         node,
         &owner,
--- a/crates/fleetd/src/config.rs
+++ b/crates/fleetd/src/config.rs
@@ -1,6 +1,6 @@
 //! The active configuration, which only a configuration with a higher epoch replaces.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use access::Keys;
@@ -13,13 +13,11 @@
 /// The name of the fleet shard, which the leader owns. All other shards are pools, whose names are chosen by operators.
 pub(crate) const FLEET_SHARD: &str = "fleet";
 
-/// The active configuration, and the pools of each queue in the active and all previous configurations.
+/// The active configuration.
 #[derive(Debug, Default)]
 pub(crate) struct ActiveConfig {
     /// None until the first configuration arrives.
     current: RwLock<Option<(Arc<ConfigDocument>, Arc<Keys>)>>,
-    /// The pools that each queue has been assigned to since this process started, by queue.
-    pools_by_queue: RwLock<BTreeMap<SmolStr, BTreeSet<SmolStr>>>,
 }
 
 impl ActiveConfig {
@@ -33,13 +31,6 @@
         {
             return false;
         }
-        let mut pools_by_queue = self.pools_by_queue.write();
-        for queue in &document.queues {
-            pools_by_queue
-                .entry(queue.name.clone())
-                .or_default()
-                .insert(queue.pool.clone());
-        }
         let teams = document.teams.iter();
         let keys = Keys::new(teams.map(|team| (team.name.as_str(), team.keys.as_slice())));
         if keys.duplicates() > 0 {
@@ -64,13 +55,6 @@
         self.current.read().clone()
     }
 
-    /// The other pools that a queue was assigned to since this process started. Earlier jobs of the queue are in them.
-    pub(crate) fn previous_pools(&self, queue: &Queue) -> Vec<SmolStr> {
-        let pools_by_queue = self.pools_by_queue.read();
-        let pools = pools_by_queue.get(&queue.name).into_iter().flatten();
-        pools.filter(|pool| **pool != queue.pool).cloned().collect()
-    }
-
     /// The names of all shards: the pools other than standby pools, and the fleet. Empty until the first configuration
     /// arrives.
     pub(crate) fn shards(&self) -> Vec<SmolStr> {
--- a/crates/fleetd/src/lib.rs
+++ b/crates/fleetd/src/lib.rs
@@ -2,6 +2,7 @@
 //! `ownership`.
 
 mod api;
+mod assignments;
 mod clock;
 mod config;
 mod leader;
--- a/crates/fleetd/src/membership.rs
+++ b/crates/fleetd/src/membership.rs
@@ -335,6 +335,9 @@
         Ok(document) => {
             let epoch = document.epoch;
             if node.active_config.activate(document) {
+                if let Some(config) = node.active_config.get() {
+                    node.assignments.retain(&config.queues);
+                }
                 tracing::info!(epoch, version = row.version, "activated a configuration");
             }
             true
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -12,6 +12,7 @@
 use transfer::{LinkBudget, ResponseTimes};
 use users_platform::{HttpClient, PolicyClient, StoreClient, VmClient, WaveRequest, WorkerClient};
 
+use crate::assignments::Assignments;
 use crate::clock::{Clock, local_ms, local_us};
 use crate::config::ActiveConfig;
 use crate::metrics::Metrics;
@@ -61,6 +62,9 @@
     pub(crate) const WAVE: &str = "wave";
     /// The recent commands of leaders to VMs, in the part of the fleet shard.
     pub(crate) const VM_COMMANDS: &str = "ordered";
+    /// The pool of each queue, by where the queue's jobs are submitted: the assignments in the unnamed part, their copies in the
+    /// parts of the pools.
+    pub(crate) const ASSIGNMENT: &str = "assignment";
     /// What each pool holds of a team's quota, by team, in the part of the fleet shard.
     pub(crate) const QUOTA: &str = "quota";
 }
@@ -81,6 +85,7 @@
     pub(crate) vms: VmClient,
     pub(crate) policy_client: Option<PolicyClient>,
     pub(crate) active_config: ActiveConfig,
+    pub(crate) assignments: Assignments,
     pub(crate) metrics: Metrics,
     pub(crate) peers: Mutex<Peers>,
     /// The pools that this daemon owns and whose jobs it has read.
@@ -142,6 +147,7 @@
             started_at_ms: local_ms(),
             clock: Clock::default(),
             active_config: ActiveConfig::default(),
+            assignments: Assignments::default(),
             metrics,
             peers: Mutex::new(peers),
             pool_owners: Mutex::new(BTreeMap::new()),
--- a/crates/fleetd/src/peer_calls/tests/mod.rs
+++ b/crates/fleetd/src/peer_calls/tests/mod.rs
@@ -84,6 +84,7 @@
         team: SmolStr::default(),
         id: JobId(1),
         spec: submission::JobSpec::default(),
+        intake: None,
     };
     for _ in 0..submissions {
         let (client, request) = (connection.client.clone(), request.clone());
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -141,8 +141,9 @@
 
     /// Submits a job and returns once its rows are written. A job with a known id is not submitted again. Returns
     /// `OtherTeam` when the id is that of a job of another team,
-    /// `Refused` for a new job when the store is unavailable before a transaction with the job was sent, `NotOwner` when
-    /// the ownership has ended by then, and `OutcomeUnknown` when the ownership ends later.
+    /// `Refused` for a new job when the store is unavailable before a transaction with the job was sent, `Reassigned` for a new
+    /// job whose intake condition does not hold, `NotOwner` when the ownership has ended by then, and `OutcomeUnknown` when the
+    /// ownership ends later.
     pub(crate) async fn submit(&self, request: SubmitRequest) -> SubmitReply {
         let id = request.id;
         if self.has_ended() {
@@ -162,6 +163,9 @@
                     let spec = Arc::new(request.spec);
                     let now = self.node.clock.now();
                     scheduler.submit_for_team(id, request.queue, request.team, spec, now);
+                    if let Some(intake) = request.intake {
+                        self.submissions.lock().set_intake(id, intake);
+                    }
                 }
                 JobStatus::NotYetRecorded => {}
             }
@@ -309,19 +313,9 @@
         }
     }
 
-    /// Refuses the submissions of new jobs, which must be in no transaction. Leaves out the jobs with rows: callers that
-    /// cancel a job wait for its rows too.
+    /// Refuses the submissions of new jobs in an outage of the store; see [`PoolOwner::withdraw_submissions`].
     fn refuse_submissions(&self, jobs: Vec<JobId>) {
-        let now = self.node.clock.now();
-        let mut scheduler = self.scheduler.lock();
-        let mut submissions = self.submissions.lock();
-        let mut refused = 0;
-        for job in jobs {
-            if scheduler.withdraw(job, now) {
-                submissions.respond(job, REFUSED_IN_OUTAGE);
-                refused += 1;
-            }
-        }
+        let refused = self.withdraw_submissions(jobs, REFUSED_IN_OUTAGE);
         if refused > 0 {
             let pool = self.pool.as_str();
             tracing::info!(
@@ -332,6 +326,22 @@
         }
     }
 
+    /// Removes new jobs, which must be in no transaction, and responds to their callers. Leaves out the jobs with rows: callers
+    /// that cancel a job wait for its rows too. Returns the number of removed jobs.
+    fn withdraw_submissions(&self, jobs: Vec<JobId>, reply: SubmitReply) -> usize {
+        let now = self.node.clock.now();
+        let mut scheduler = self.scheduler.lock();
+        let mut submissions = self.submissions.lock();
+        let mut withdrawn = 0;
+        for job in jobs {
+            if scheduler.withdraw(job, now) {
+                submissions.respond(job, reply);
+                withdrawn += 1;
+            }
+        }
+        withdrawn
+    }
+
     /// Hands the pool over to a daemon that the store serves, if there is one.
     async fn hand_over(&self) {
         let Some(other) = self.node.handover_target() else {
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -1,5 +1,6 @@
 //! Records the scheduler's decisions, one transaction after another, and then executes them.
 
+use std::collections::{HashMap, HashSet};
 use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -28,6 +29,10 @@
 /// row takes two.
 const MAX_ENTRIES_PER_TRANSACTION: usize = 98;
 
+/// The number of new jobs that fit into a transaction if each has an intake condition of its own: three entries for its rows,
+/// and the condition.
+const MAX_INTAKES_PER_TRANSACTION: usize = MAX_ENTRIES_PER_TRANSACTION / 4;
+
 impl PoolOwner {
     /// Records and executes the scheduler's decisions until the ownership ends.
     pub(crate) async fn record(self: Arc<Self>, mut sequence: Sequence) {
@@ -69,13 +74,15 @@
             }
             tracing::warn!(pool = self.pool.as_str(), note = ?event, "{}", event.message());
         }
-        scheduler.take_batch(MAX_ENTRIES_PER_TRANSACTION)
+        let intakes = self.submissions.lock().intake_count();
+        let entries = MAX_ENTRIES_PER_TRANSACTION - intakes.min(MAX_INTAKES_PER_TRANSACTION);
+        scheduler.take_batch(entries)
     }
 
     /// Writes the rows of a batch and returns the local time in ms at which the transaction was sent; `None` when the
     /// ownership ended, because another daemon took over the pool or a conflict could not be resolved. New jobs that
     /// have rows already are left out and loaded from their rows instead. New jobs that the store has rejected for too
-    /// long are removed from the batch and refused.
+    /// long, or whose intake condition does not hold, are removed from the batch and refused.
     async fn write(&self, sequence: &mut Sequence, batch: &mut Batch) -> Option<u64> {
         let start = std::time::Instant::now();
         let mut existing = Vec::new();
@@ -130,7 +137,8 @@
                         .inc();
                     let previous_count = existing.len();
                     existing.extend(existing_jobs(&rows));
-                    if existing.len() == previous_count {
+                    let reassigned = self.reassigned_jobs(batch, &existing, &rows);
+                    if existing.len() == previous_count && reassigned.is_empty() {
                         tracing::error!(
                             pool = self.pool.as_str(),
                             "commit conflict names no existing job: ending the ownership of the pool"
@@ -138,6 +146,8 @@
                         self.end();
                         return None;
                     }
+                    batch.remove_jobs(&reassigned);
+                    self.return_reassigned(reassigned);
                 }
                 Err(SequenceError::GivenUp) => {
                     let new_jobs = batch.new_jobs().filter(|job| !existing.contains(job));
@@ -163,6 +173,38 @@
         }
     }
 
+    /// Returns the new jobs of a batch, other than `existing` ones, whose intake condition does not hold by the rows of a conflict.
+    fn reassigned_jobs(&self, batch: &Batch, existing: &[JobId], rows: &[Row]) -> Vec<JobId> {
+        let versions: HashMap<_, _> = rows
+            .iter()
+            .filter(|row| row.key.table == tables::ASSIGNMENT)
+            .map(|row| (&row.key.key, row.version))
+            .collect();
+        let submissions = self.submissions.lock();
+        let is_reassigned = |job: &JobId| {
+            let intake = submissions.intake(*job);
+            intake.is_some_and(|intake| {
+                let version = versions.get(&intake.key);
+                version.is_some_and(|version| *version != intake.version)
+            })
+        };
+        let new_jobs = batch.new_jobs().filter(|job| !existing.contains(job));
+        new_jobs.filter(is_reassigned).collect()
+    }
+
+    /// Returns the submissions of new jobs, which must be in no transaction, to the daemons that sent them: their queues were
+    /// assigned anew.
+    fn return_reassigned(&self, jobs: Vec<JobId>) {
+        let returned = self.withdraw_submissions(jobs, SubmitReply::Reassigned);
+        if returned > 0 {
+            tracing::info!(
+                pool = self.pool.as_str(),
+                returned,
+                "returned submissions whose queue was assigned anew"
+            );
+        }
+    }
+
     fn record_store_failure(&self, err: &users_platform::Error) {
         if err.is_without_effect() {
             // Keeps the time of the first failure.
@@ -204,6 +246,8 @@
     /// turned out to have rows already.
     fn transaction(&self, changes: &[RowChange], existing: &[JobId]) -> Transaction {
         let scheduler = self.scheduler.lock();
+        let submissions = self.submissions.lock();
+        let mut intakes = HashSet::new();
         let mut transaction = Transaction::default();
         for change in changes
             .iter()
@@ -217,6 +261,13 @@
                 continue;
             };
             if change.is_new {
+                if let Some(intake) = submissions.intake(change.job)
+                    && intakes.insert(intake)
+                {
+                    let key =
+                        RowKey::new(tables::ASSIGNMENT, self.pool.clone(), intake.key.clone());
+                    transaction = transaction.with_condition(key, intake.version);
+                }
                 transaction = transaction
                     .with_condition(key(tables::JOB), 0)
                     .with_write(key(tables::JOB), encode_job_row(job));
--- a/crates/fleetd/src/pool/submissions.rs
+++ b/crates/fleetd/src/pool/submissions.rs
@@ -5,6 +5,7 @@
 use submission::JobId;
 use tokio::sync::oneshot;
 
+use crate::assignments::IntakeCondition;
 use crate::rpc::SubmitReply;
 
 /// The callers that wait until the rows of a job are written, by job.
@@ -15,6 +16,8 @@
 pub(super) struct Submissions {
     waiters: HashMap<JobId, Vec<oneshot::Sender<SubmitReply>>>,
     in_doubt: HashSet<JobId>,
+    /// The conditions on which the new jobs are recorded.
+    intakes: HashMap<JobId, IntakeCondition>,
 }
 
 impl Submissions {
@@ -26,6 +29,22 @@
         receiver
     }
 
+    /// Sets the condition on which a new job is recorded. Lasts until the callers that wait for the job get their response.
+    pub(super) fn set_intake(&mut self, job: JobId, intake: IntakeCondition) {
+        self.intakes.insert(job, intake);
+    }
+
+    /// The condition on which a new job is recorded.
+    pub(super) fn intake(&self, job: JobId) -> Option<&IntakeCondition> {
+        self.intakes.get(&job)
+    }
+
+    /// The number of different conditions on which new jobs are recorded.
+    pub(super) fn intake_count(&self) -> usize {
+        let intakes: HashSet<_> = self.intakes.values().collect();
+        intakes.len()
+    }
+
     /// The number of jobs for whose rows a caller waits.
     pub(super) fn len(&self) -> usize {
         self.waiters.len()
@@ -56,6 +75,7 @@
 
     /// Responds to the callers that wait for a job.
     pub(super) fn respond(&mut self, job: JobId, reply: SubmitReply) {
+        self.intakes.remove(&job);
         for waiter in self.waiters.remove(&job).unwrap_or_default() {
             // The send fails only when the caller no longer waits.
             let _ = waiter.send(reply);
@@ -69,5 +89,6 @@
             self.respond(job, SubmitReply::NotOwner);
         }
         self.waiters.clear();
+        self.intakes.clear();
     }
 }
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -27,6 +27,7 @@
             first_at_unix_ms: 2,
             interval_ms: 3,
         },
+        intake: None,
     };
     let spec = serde_json::to_value(&request.spec).unwrap();
     check_json(
@@ -41,6 +42,19 @@
         &request,
         &json!({"pool": "p", "queue": "q", "team": "t", "id": 7, "spec": spec}),
     );
+    let intake = IntakeCondition {
+        key: "h/q/".into(),
+        version: 5,
+    };
+    let request = SubmitRequest {
+        intake: Some(intake),
+        ..request
+    };
+    let intake = json!({"key": "h/q/", "version": 5});
+    check_json(
+        &request,
+        &json!({"pool": "p", "queue": "q", "team": "t", "id": 7, "spec": spec, "intake": intake}),
+    );
 }
 
 #[test]
@@ -52,6 +66,7 @@
     );
     check_json(&SubmitReply::NotOwner, &json!("NotOwner"));
     check_json(&SubmitReply::OtherTeam, &json!("OtherTeam"));
+    check_json(&SubmitReply::Reassigned, &json!("Reassigned"));
     check_json(&SubmitReply::OutcomeUnknown, &json!("Unknown"));
     check_json(&JobReply::Absent, &json!("Absent"));
     check_json(&JobReply::NotOwner, &json!("NotOwner"));
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -6,8 +6,10 @@
 //! increases the term by 1.
 //! This crate does no I/O and reads no clock.
 
+mod assignment;
 mod lease;
 mod peers;
 
+pub use assignment::{Assignment, CopyStep, Intake};
 pub use lease::Lease;
 pub use peers::{DaemonRow, OwnerEvidence, OwnerRow, Peers, ShardOwner};
--- a/crates/ownership/tests/rows.rs
+++ b/crates/ownership/tests/rows.rs
@@ -1,6 +1,6 @@
 //! Tests of the JSON form of the rows in the store, which daemons of other versions read and write.
 
-use ownership::{DaemonRow, OwnerRow};
+use ownership::{Assignment, DaemonRow, OwnerRow};
 use serde_json::json;
 
 #[test]
@@ -57,3 +57,15 @@
         0
     );
 }
+
+#[test]
+fn an_assignment_keeps_its_json_form() {
+    let row = Assignment {
+        epoch: 8,
+        pool: "b".into(),
+        previous_pools: ["a".into()].into(),
+    };
+    let text = r#"{"epoch":8,"pool":"b","previous_pools":["a"]}"#;
+    assert_eq!(serde_json::to_string(&row).unwrap(), text);
+    assert_eq!(serde_json::from_str::<Assignment>(text).unwrap(), row);
+}
--- a/crates/spec/tests/models.rs
+++ b/crates/spec/tests/models.rs
@@ -1,6 +1,9 @@
 //! The models hold with all their rules, and each rule left out shows the fault that it prevents.
 
-use spec::{ClaimModel, ClaimRule, LeaveModel, LeaveRule, Model, StewardModel, StewardRule, check};
+use spec::{
+    ClaimModel, ClaimRule, HandoverModel, HandoverRule, LeaveModel, LeaveRule, Model, StewardModel,
+    StewardRule, check,
+};
 
 /// Checks a model that has all its rules.
 fn check_whole<M: Model>(model: &M, at_least_states: usize) {
@@ -102,3 +105,32 @@
     };
     check_broken(&model, "a former steward writes after its successor");
 }
+
+#[test]
+fn handovers_of_queues() {
+    check_whole(&HandoverModel::default(), 10_000);
+}
+
+#[test]
+fn handovers_without_a_condition_on_the_copy() {
+    let model = HandoverModel {
+        without: Some(HandoverRule::RecordsOnCondition),
+    };
+    check_broken(&model, "a job is recorded in two pools");
+}
+
+#[test]
+fn handovers_that_begin_with_the_next_pool() {
+    let model = HandoverModel {
+        without: Some(HandoverRule::PreviousPoolsFirst),
+    };
+    check_broken(&model, "a job is recorded in two pools");
+}
+
+#[test]
+fn handovers_without_a_search_of_the_previous_pools() {
+    let model = HandoverModel {
+        without: Some(HandoverRule::SearchesPreviousPools),
+    };
+    check_broken(&model, "a job is recorded in two pools");
+}
