MIXED: jobs in previous pools of a queue are counted as not started

Only that pool's owner was asked.

Mended: the pools of the queue's assignment are asked, too, and the numbers added up. A daemon that has submitted a job of the queue knows them, others read the assignment. The request gets status 503 when a pool doesn't tell, as before with one pool.

Test: `jobs_that_wait_in_the_previous_pool_of_their_queue_are_pending`, at daemons that saw the change, at one that did not, and after a new job.

Not covered: a queue that replaces another one with its paths under another name does not count the jobs of that one.

--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -299,25 +299,41 @@
     })
 }
 
+/// Responds with the number of jobs of a queue that have not started, in all pools that may have jobs of the queue.
 async fn pending(node: &Arc<Node>, queue: &Queue) -> ApiResponse {
-    let count = match node.local_pool_owner(&queue.pool) {
-        Some(owner) => Some(owner.not_started_jobs(&queue.name)),
-        None => request_peer_count(node, queue).await,
+    let pools = node.assignments.pools_with_jobs(&node.store, queue).await;
+    let mut pools = match pools {
+        Ok(pools) => pools,
+        Err(err) => {
+            tracing::info!(queue = queue.name.as_str(), error = %err, "failed to find the pools with jobs of a queue");
+            return ApiResponse::unavailable(RETRY_AFTER_S);
+        }
     };
-    match count {
-        Some(count) => ApiResponse::new(StatusCode::OK).with_body(pending_body(count)),
-        None => ApiResponse::unavailable(RETRY_AFTER_S),
+    // A pool that the configuration no longer has is owned by no daemon.
+    let shards = node.active_config.shards();
+    pools.retain(|pool| shards.contains(pool));
+    let mut total = 0;
+    for pool in pools {
+        let count = match node.local_pool_owner(&pool) {
+            Some(owner) => Some(owner.not_started_jobs(&queue.name)),
+            None => request_peer_count(node, &pool, &queue.name).await,
+        };
+        let Some(count) = count else {
+            return ApiResponse::unavailable(RETRY_AFTER_S);
+        };
+        total += count;
     }
+    ApiResponse::new(StatusCode::OK).with_body(pending_body(total))
 }
 
-async fn request_peer_count(node: &Arc<Node>, queue: &Queue) -> Option<usize> {
-    let owner = node.reachable_owner(&queue.pool)?;
-    let (pool, name) = (queue.pool.clone(), queue.name.clone());
+async fn request_peer_count(node: &Arc<Node>, pool: &SmolStr, queue: &SmolStr) -> Option<usize> {
+    let owner = node.reachable_owner(pool)?;
+    let (pool, name) = (pool.clone(), queue.clone());
     let count = call_peer(node, &owner, |peer| async move {
         peer.not_started_jobs(pool, name).await
     });
     count.await.unwrap_or_else(|err| {
-        tracing::debug!(queue = queue.name.as_str(), error = %err, "request to the pool owner for the number of jobs not started failed");
+        tracing::debug!(queue = queue.as_str(), error = %err, "request to the pool owner for the number of jobs not started failed");
         None
     })
 }
--- a/crates/fleetd/src/assignments.rs
+++ b/crates/fleetd/src/assignments.rs
@@ -84,6 +84,32 @@
         })
     }
 
+    /// Returns the pools that may have jobs of a queue: the one that the configuration names, and those of the queue's assignment.
+    ///
+    /// # Errors
+    /// When the read from the store fails, or the row can't be decoded.
+    pub(crate) async fn pools_with_jobs(
+        &self,
+        store: &StoreClient,
+        queue: &Queue,
+    ) -> Result<BTreeSet<SmolStr>> {
+        let key = assignment_key(&queue.host, &queue.prefix);
+        let mut pools = BTreeSet::from([queue.pool.clone()]);
+        let slot = self.slot(&key, &queue.pool);
+        // A slot that is locked is not known yet.
+        let known = slot.try_lock().ok().and_then(|known| known.clone());
+        if let Some(intake) = known {
+            pools.extend(intake.previous_pools.iter().cloned());
+            return Ok(pools);
+        }
+        let stored = StoredAssignment::read(store, ASSIGNMENTS_PART, &key).await?;
+        if let Some(assignment) = stored.assignment {
+            pools.insert(assignment.pool);
+            pools.extend(assignment.previous_pools);
+        }
+        Ok(pools)
+    }
+
     /// Forgets a pool that no longer records jobs of the queue on this condition.
     pub(crate) async fn forget(&self, queue: &Queue, outdated: &IntakeCondition) {
         let slot = self.slot(&outdated.key, &queue.pool);
--- a/crates/trefoilpassd/tests/fleet_reassigned_queues.rs
+++ b/crates/trefoilpassd/tests/fleet_reassigned_queues.rs
@@ -4,8 +4,10 @@
 
 use std::time::Duration;
 
-use fleet_support::{Daemon, check_runs, daemon, done, ready, submit, submit_surely};
+use fleet_support::{Daemon, call, check_runs, daemon, done, ready, submit, submit_surely};
 use platform_stand_in::{PlatformStandIn, SECOND_POOL};
+use reqwest::Method;
+use serde_json::{Value, json};
 
 const TASKS: u32 = 2;
 
@@ -87,3 +89,38 @@
     tokio::time::sleep(SETTLED).await;
     check_runs(&platform, 2 * TASKS as usize);
 }
+
+/// The number of jobs of the queue that have not started, as a daemon tells it.
+async fn pending(daemon: &Daemon) -> (u16, Value) {
+    let (status, body) = call(Method::GET, daemon, "/q/", None).await;
+    (status, body["pending"].clone())
+}
+
+/// Guards against MIXED: after a queue was assigned to another pool, the jobs that waited in the previous pool were not counted
+/// as pending any more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_that_wait_in_the_previous_pool_of_their_queue_are_pending() {
+    let (platform, daemons) = start_with_two_pools(2).await;
+    let step = json!({"count": 1, "cpu": 1_000_000, "memMb": 10});
+    let too_large_for_a_worker = json!({"spec": "x", "steps": [step]}).to_string();
+    for id in 1..4 {
+        let path = format!("/q/{id:016x}");
+        let body = Some(too_large_for_a_worker.clone());
+        let (status, _) = call(Method::POST, &daemons[0], &path, body).await;
+        assert_eq!(status, 200, "{id}");
+    }
+    platform.configure_queue_in(8, "r-1", SECOND_POOL);
+    let added = daemon(&platform, "added");
+    ready(&added).await;
+    tokio::time::sleep(SETTLED).await;
+    for daemon in daemons.iter().chain([&added]) {
+        assert_eq!(pending(daemon).await, (200, json!(3)), "{}", daemon.name);
+    }
+    // Also where the daemon has submitted a job of the queue since.
+    submit_surely(&daemons[..1], 4, TASKS).await;
+    done(&daemons, 4).await;
+    assert_eq!(pending(&daemons[0]).await, (200, json!(3)));
+    let (status, _) = call(Method::DELETE, &daemons[0], "/q/0000000000000001", None).await;
+    assert_eq!(status, 200);
+    assert_eq!(pending(&daemons[0]).await, (200, json!(2)));
+}
