--- a/crates/fleetd/src/api/submit.rs
+++ b/crates/fleetd/src/api/submit.rs
@@ -127,7 +127,7 @@
                     return ApiResponse::new(StatusCode::GATEWAY_TIMEOUT);
                 }
                 SubmitReply::Reassigned => {
-                    node.assignments.forget(self.queue, &intake.condition).await;
+                    node.assignments.forget(self.queue, &intake.condition);
                 }
             }
         }
--- a/crates/fleetd/src/assignments.rs
+++ b/crates/fleetd/src/assignments.rs
@@ -111,10 +111,12 @@
     }
 
     /// Forgets a pool that no longer records jobs of the queue on this condition.
-    pub(crate) async fn forget(&self, queue: &Queue, outdated: &IntakeCondition) {
+    pub(crate) fn forget(&self, queue: &Queue, outdated: &IntakeCondition) {
         let slot = self.slot(&outdated.key, &queue.pool);
-        let mut known = slot.lock().await;
-        known.take_if(|intake| intake.condition == *outdated);
+        // A slot that is locked is being read anew.
+        if let Ok(mut known) = slot.try_lock() {
+            known.take_if(|intake| intake.condition == *outdated);
+        }
     }
 
     fn slot(&self, key: &SmolStr, pool: &SmolStr) -> Slot {
@@ -152,6 +154,8 @@
     digest.into()
 }
 
+/// Follows the assignment of a queue to the pool that records its new jobs, from the pool `pool` that the configuration with the
+/// epoch `epoch` names. Takes the steps of a handover that are missing.
 async fn find_open_intake(
     store: &StoreClient,
     key: &SmolStr,
@@ -274,6 +278,7 @@
 }
 
 /// An assignment or a copy of it as read from the store, with the version of its row.
+#[derive(Default)]
 struct StoredAssignment {
     assignment: Option<Assignment>,
     /// 0 when there is no row.
@@ -294,13 +299,7 @@
         };
         let page = store.read(range, 1, STORE_TIMEOUT).await?;
         let row = page.rows.into_iter().find(|row| row.key.key == *key);
-        row.map_or(
-            Ok(Self {
-                assignment: None,
-                version: 0,
-            }),
-            |row| Self::decode(&row),
-        )
+        row.map_or_else(|| Ok(Self::default()), |row| Self::decode(&row))
     }
 
     fn decode(row: &Row) -> Result<Self> {
