--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -29,6 +29,15 @@
 /// The number of the random stream for jobs that last. Callers have those from 1 on.
 const SERVICE_STREAM: u64 = u64::MAX;
 
+/// The number of the random stream for jobs that are handed in again.
+const REPEAT_STREAM: u64 = u64::MAX - 1;
+
+/// For how long after its acceptance a job is handed in again.
+const REPEATED_FOR: Duration = Duration::from_secs(6);
+
+/// The longest pause between two jobs that are handed in again.
+const LONGEST_REPEAT_PAUSE: Duration = Duration::from_millis(100);
+
 pub(crate) type SharedLedger = Arc<Mutex<Ledger>>;
 
 /// Calls until `until`. Connections stay open over the whole run.
@@ -91,6 +100,32 @@
     }
 }
 
+/// Hands accepted jobs in again until `until`, at any daemon, as callers do after a response that they did not get.
+pub(crate) async fn repeat_until(
+    until: Instant,
+    seed: u64,
+    daemons: Vec<Caller>,
+    ledger: SharedLedger,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(REPEAT_STREAM);
+    while Instant::now() < until {
+        let recent: Vec<_> = {
+            let ledger = ledger.lock();
+            let jobs = ledger.jobs.iter();
+            let recent = jobs.filter(|(_, job)| {
+                let accepted = job.accepted;
+                accepted.is_some_and(|accepted| accepted.elapsed() < REPEATED_FOR)
+            });
+            recent.map(|(id, job)| (*id, job.kind)).collect()
+        };
+        if let Some((job, kind)) = recent.choose(&mut rng) {
+            pick(&daemons, &mut rng).submit(*job, body(*kind)).await;
+        }
+        tokio::time::sleep(rng.random_range(Duration::ZERO..LONGEST_REPEAT_PAUSE)).await;
+    }
+}
+
 async fn await_burst(start: Instant) {
     let elapsed_ms = start.elapsed().as_millis();
     let burst_ms = BURST.as_millis();
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -9,6 +9,10 @@
 
 /// Plays randomized faults against real daemons and checks what callers, workers and VMs see.
 #[derive(Debug, Parser)]
+#[allow(
+    clippy::struct_excessive_bools,
+    reason = "each is a flag of the command line"
+)]
 struct Args {
     /// The first seed; by default a random one.
     #[arg(long)]
@@ -28,6 +32,9 @@
     /// Plays runs with outages of workers under jobs that last: 3 daemons and 14 workers.
     #[arg(long, conflicts_with_all = ["large", "leaders"])]
     workers: bool,
+    /// Plays runs in which the queue is assigned to one pool after the other, and jobs are handed in again.
+    #[arg(long, conflicts_with_all = ["large", "leaders", "workers"])]
+    queues: bool,
     /// The daemon's program.
     #[arg(long, default_value = "target/release/trefoilpassd")]
     program: PathBuf,
@@ -45,6 +52,8 @@
         Scale::leaders()
     } else if args.workers {
         Scale::workers()
+    } else if args.queues {
+        Scale::queues()
     } else {
         Scale::usual()
     };
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -22,6 +22,9 @@
 /// The number of the random stream for faults of the leader.
 const LEADER_STREAM: u64 = 2;
 
+/// The number of the random stream for configurations that assign the queue to the other pool.
+const REASSIGNMENT_STREAM: u64 = 3;
+
 /// The time for which a paused leader is paused: longer than the gap between the commands of two leaders.
 const LEADER_PAUSE: Range<Duration> = Duration::from_millis(3100)..LONGEST;
 
@@ -42,6 +45,9 @@
     pub outages: Option<Duration>,
     /// How many jobs that last are kept running, without being cancelled.
     pub services: usize,
+    /// The mean pause between two configurations that assign the queue to the other one of two pools, while accepted jobs are
+    /// handed in again; `None` for one pool.
+    pub reassignments: Option<Duration>,
 }
 
 impl Scale {
@@ -56,6 +62,7 @@
             pause: Duration::from_millis(900),
             outages: None,
             services: 0,
+            reassignments: None,
         }
     }
 
@@ -94,6 +101,16 @@
         }
     }
 
+    /// A run in which configurations assign the queue to one pool after the other, and jobs are handed in again.
+    #[must_use]
+    pub fn queues() -> Self {
+        Self {
+            workers: 6,
+            reassignments: Some(Duration::from_secs(3)),
+            ..Self::usual()
+        }
+    }
+
     /// A run near the limits of a machine.
     #[must_use]
     pub fn large() -> Self {
@@ -154,6 +171,8 @@
     KillOwner,
     /// The pool's owner is paused, and goes on at the end.
     PauseOwner,
+    /// A configuration assigns the queue to the other pool.
+    QueueReassigned,
     /// VMs are due for maintenance once more, unless a wave is under way.
     WaveAgain,
 }
@@ -198,6 +217,7 @@
     faults.extend(restarts(seed, scale));
     faults.extend(leader_faults(seed, scale));
     faults.extend(outages(seed, scale));
+    faults.extend(reassignments(seed, scale));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
@@ -220,6 +240,26 @@
     faults
 }
 
+/// The configurations that assign the queue to the other pool. They come from a random stream of their own, like [`restarts`].
+fn reassignments(seed: u64, scale: Scale) -> Vec<Planned> {
+    let Some(pause) = scale.reassignments else {
+        return Vec::new();
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(REASSIGNMENT_STREAM);
+    let mut faults = Vec::new();
+    let mut at = pause;
+    while at < scale.faults {
+        faults.push(Planned {
+            at,
+            lasts: Duration::ZERO,
+            fault: Fault::QueueReassigned,
+        });
+        at += pause.mul_f64(rng.random_range(0.1..2.0));
+    }
+    faults
+}
+
 /// The faults of the leader, of which some end one leader right after the other. They come from a random stream of their own,
 /// like [`restarts`].
 fn leader_faults(seed: u64, scale: Scale) -> Vec<Planned> {
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -8,7 +8,7 @@
 use platform_stand_in::{Caller, ReportedState};
 use tokio::task::JoinSet;
 
-use crate::callers::{SharedLedger, ask, call_until, cancel, serve_until};
+use crate::callers::{SharedLedger, ask, call_until, cancel, repeat_until, serve_until};
 use crate::checks::{allowed_failures, findings};
 use crate::leaders::leader_findings;
 use crate::ledger::{JobKind, Ledger};
@@ -96,6 +96,10 @@
         );
         calling.spawn(serves);
     }
+    if scale.reassignments.is_some() {
+        let until = start + scale.faults;
+        calling.spawn(repeat_until(until, seed, callers.clone(), ledger.clone()));
+    }
     for number in 0..scale.callers as u64 {
         let calls = call_until(
             start + scale.faults,
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -6,7 +6,7 @@
 use std::process::Stdio;
 use std::time::Duration;
 
-use platform_stand_in::{PlatformStandIn, StoreFaults};
+use platform_stand_in::{PlatformStandIn, SECOND_POOL, StoreFaults};
 use test_support::{Daemon, FaultProxy, FleetDaemonSpec, ProxyFault, free_addrs};
 use tokio::task::JoinHandle;
 
@@ -18,6 +18,9 @@
 /// The deadline of a wave.
 pub(crate) const WAVE_DEADLINE_S: u64 = 25;
 
+/// The pools of the queue in a run in which it is assigned to one after the other.
+const POOLS: [&str; 2] = ["work", SECOND_POOL];
+
 /// How many VMs a wave may have down at a time.
 pub(crate) fn most_down(workers: usize) -> usize {
     workers.div_ceil(4)
@@ -46,6 +49,8 @@
     program: PathBuf,
     /// The number of the last wave that was requested.
     last_wave: u64,
+    /// The number of the last configuration that assigned the queue to another pool.
+    last_assignment: u64,
     /// What daemons did that nothing asked them to.
     pub(crate) findings: Vec<String>,
 }
@@ -54,11 +59,24 @@
     FaultProxy::start(free_addrs(1)[0], server).await
 }
 
+/// Assigns the queue to the pools in turn.
+fn assign_queue(platform: &PlatformStandIn, number: u64) {
+    let pool = POOLS[usize::from(number % 2 == 1)];
+    platform.configure_queue_in(3 + number, "r-1", pool);
+}
+
 impl Stage {
     /// Starts everything; the daemons' logs go to `logs`.
     pub(crate) async fn start(program: &Path, logs: &Path, scale: Scale) -> Self {
         let platform = PlatformStandIn::start(scale.workers).await;
-        platform.configure_with_standby();
+        if scale.reassignments.is_some() {
+            for worker in &platform.workers[scale.workers / 2..] {
+                worker.set_pool(SECOND_POOL);
+            }
+            assign_queue(&platform, 0);
+        } else {
+            platform.configure_with_standby();
+        }
         let mut workers = Vec::new();
         for worker in &platform.workers {
             let proxy = proxy_to(worker.addr).await;
@@ -90,6 +108,7 @@
             workers,
             program: program.to_path_buf(),
             last_wave: 1,
+            last_assignment: 0,
             findings: Vec::new(),
         };
         for member in 0..stage.members.len() {
@@ -194,6 +213,10 @@
                 }
             }
             Fault::WaveAgain => self.request_wave_again(),
+            Fault::QueueReassigned => {
+                self.last_assignment += 1;
+                assign_queue(&self.platform, self.last_assignment);
+            }
             Fault::KillLeader
             | Fault::TerminateLeader
             | Fault::PauseLeader
@@ -240,6 +263,7 @@
             | Fault::KillOwner
             | Fault::PauseOwner
             | Fault::RegistryLapses
+            | Fault::QueueReassigned
             | Fault::WaveAgain => {}
         }
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -49,6 +49,9 @@
     ),
 ];
 
+/// The seeds of the runs in which the queue is assigned to one pool after the other.
+const QUEUES: [u64; 2] = [203, 204];
+
 /// As many runs play at the same time, of all tests.
 static SLOTS: Semaphore = Semaphore::const_new(3);
 
@@ -65,6 +68,12 @@
     play_all(regressions.to_vec()).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_run_once_while_their_queue_is_reassigned() {
+    let runs = QUEUES.map(|seed| (seed, Scale::queues(), "a queue in two pools"));
+    play_all(runs.to_vec()).await;
+}
+
 /// Plays runs; none may break a promise.
 async fn play_all(runs: Vec<(u64, Scale, &'static str)>) {
     let own = std::env::current_exe().expect("the path of this test");
