--- a/crates/spec/tests/models.rs
+++ b/crates/spec/tests/models.rs
@@ -108,7 +108,7 @@
 
 #[test]
 fn handovers_of_queues() {
-    check_whole(&HandoverModel::default(), 10_000);
+    check_whole(&HandoverModel::default(), 100_000);
 }
 
 #[test]
