--- a/crates/trefoilpassd/tests/fleet_rows.rs
+++ b/crates/trefoilpassd/tests/fleet_rows.rs
@@ -89,3 +89,29 @@
     assert_eq!((large, small), (413, 200));
     done(&daemons, 3).await;
 }
+
+/// Guards against transactions with more entries than the store accepts, as each queue with new jobs adds a condition.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_jobs_of_many_queues_at_once_are_accepted() {
+    const QUEUES: usize = 80;
+    let platform = PlatformStandIn::start(1).await;
+    platform.configure_queues(QUEUES);
+    let daemons = [daemon(&platform, "d0")];
+    ready(&daemons[0]).await;
+    let submit_to_all = |round: usize| {
+        let daemon = &daemons[0];
+        let submissions = (0..QUEUES).map(move |queue| async move {
+            let path = format!("/q{queue}/{:016x}", 1 + round * QUEUES + queue);
+            let body = Some(job_body("x", 1, false));
+            call(reqwest::Method::POST, daemon, &path, body).await.0
+        });
+        futures_util::future::join_all(submissions)
+    };
+    // The daemon finds the pool of each queue, and has an owner for the pool.
+    while submit_to_all(0).await.iter().any(|status| *status != 200) {}
+    // All jobs wait for the same transactions.
+    for round in 1..4 {
+        let statuses = submit_to_all(round).await;
+        assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    }
+}
