--- a/crates/trefoilpassd/tests/fleet_reassigned_queues.rs
+++ b/crates/trefoilpassd/tests/fleet_reassigned_queues.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use fleet_support::{Daemon, call, check_runs, daemon, done, ready, submit, submit_surely};
+use fleet_support::{
+    Daemon, call, check_runs, daemon, done, ready, start_daemons, submit, submit_surely,
+};
 use platform_stand_in::{PlatformStandIn, SECOND_POOL};
 use reqwest::Method;
 use serde_json::{Value, json};
@@ -19,12 +21,7 @@
     let platform = PlatformStandIn::start(2).await;
     platform.workers[1].set_pool(SECOND_POOL);
     platform.configure_queue_in(3, "r-1", "work");
-    let daemons: Vec<_> = (0..daemons)
-        .map(|number| daemon(&platform, &format!("d{number}")))
-        .collect();
-    for daemon in &daemons {
-        ready(daemon).await;
-    }
+    let daemons = start_daemons(&platform, daemons).await;
     (platform, daemons)
 }
 
--- a/crates/trefoilpassd/tests/fleet_support/mod.rs
+++ b/crates/trefoilpassd/tests/fleet_support/mod.rs
@@ -192,11 +192,17 @@
 pub async fn start(workers: usize, daemons: usize) -> (PlatformStandIn, Vec<Daemon>) {
     let platform = PlatformStandIn::start(workers).await;
     platform.configure();
-    let daemons: Vec<_> = (0..daemons)
-        .map(|number| daemon(&platform, &format!("d{number}")))
+    let daemons = start_daemons(&platform, daemons).await;
+    (platform, daemons)
+}
+
+/// Starts daemons on a platform with a configuration, and waits until they are ready.
+pub async fn start_daemons(platform: &PlatformStandIn, count: usize) -> Vec<Daemon> {
+    let daemons: Vec<_> = (0..count)
+        .map(|number| daemon(platform, &format!("d{number}")))
         .collect();
     for daemon in &daemons {
         ready(daemon).await;
     }
-    (platform, daemons)
+    daemons
 }
