fleetd: the owner of a pool knows the version of an assignment without previous pools

Cause: each daemon read the copy of a queue's assignment before its first job of the queue. A daemon that the store refuses could submit no job of a queue that it had not seen, although the pool's owner could record it; with 97 daemons that is each queue at each of them.

Change: a daemon that has not read the copy sends the job without a version. The owner uses the version of a copy without previous pools that a job was recorded on before, and returns the job if it knows none; then the daemon reads. The condition of the transaction is the same, and a copy without previous pools leaves no pool to search.

A job that is returned after a call without a response counts as in doubt, as that call may reach the owner when it knows the version.

--- a/crates/fleetd/src/api/submit.rs
+++ b/crates/fleetd/src/api/submit.rs
@@ -13,7 +13,7 @@
 use super::handlers::find_in_pools;
 use super::request_record::RequestRecord;
 use super::response::{ApiResponse, RETRY_AFTER_S};
-use crate::assignments::OpenIntake;
+use crate::assignments::{OpenIntake, SubmittedIntake, assignment_key};
 use crate::node::Node;
 use crate::peer_calls::{CALL_TIMEOUT, call_peer};
 use crate::pool::fits_row;
@@ -100,22 +100,31 @@
             spec,
             intake: None,
         };
+        let key = assignment_key(&self.queue.host, &self.queue.prefix);
+        // The owner of the pool knows most assignments. Without a read, a daemon that the store refuses can submit jobs, too.
+        let mut is_read = node.assignments.known_intake(self.queue).is_some();
         loop {
-            let Some(Findings { intake, found }) = self.find(node).await else {
-                return ApiResponse::unavailable(RETRY_AFTER_S);
-            };
-            record.searched_pools = Some(intake.previous_pools.len());
-            if let Some((pool, job)) = found {
-                record.pool = Some(pool);
-                return if self.caller.may_access(&job.team) {
-                    ApiResponse::accepted()
-                } else {
-                    ApiResponse::other_team()
+            let mut read_intake = None;
+            request.intake = Some(SubmittedIntake::unread(key.clone()));
+            record.searched_pools = Some(0);
+            if is_read {
+                let Some(Findings { intake, found }) = self.find(node).await else {
+                    return ApiResponse::unavailable(RETRY_AFTER_S);
                 };
+                record.searched_pools = Some(intake.previous_pools.len());
+                if let Some((pool, job)) = found {
+                    record.pool = Some(pool);
+                    return if self.caller.may_access(&job.team) {
+                        ApiResponse::accepted()
+                    } else {
+                        ApiResponse::other_team()
+                    };
+                }
+                request.pool = intake.pool.clone();
+                request.intake = Some(intake.submitted(key.clone()));
+                read_intake = Some(intake);
             }
-            record.pool = Some(intake.pool.clone());
-            request.pool = intake.pool;
-            request.intake = Some(intake.condition.clone());
+            record.pool = Some(request.pool.clone());
             match self.submit_to_owner(node, &request).await {
                 SubmitReply::Accepted => return ApiResponse::accepted(),
                 SubmitReply::Refused { retry_after_s } => {
@@ -127,7 +136,10 @@
                     return ApiResponse::new(StatusCode::GATEWAY_TIMEOUT);
                 }
                 SubmitReply::Reassigned => {
-                    node.assignments.forget(self.queue, &intake.condition);
+                    if let Some(outdated) = read_intake {
+                        node.assignments.forget(self.queue, &outdated);
+                    }
+                    is_read = true;
                 }
             }
         }
@@ -168,12 +180,11 @@
             };
             match reply {
                 // An earlier call to the same owner may arrive late. The owner of a later term has read all rows.
-                SubmitReply::Refused { .. }
+                SubmitReply::Refused { .. } | SubmitReply::Reassigned
                     if in_doubt.is_some_and(|in_doubt| in_doubt >= term) =>
                 {
                     return SubmitReply::OutcomeUnknown;
                 }
-                // An earlier call that arrives late finds that its intake condition does not hold either.
                 SubmitReply::Accepted
                 | SubmitReply::Refused { .. }
                 | SubmitReply::OtherTeam
--- a/crates/fleetd/src/assignments.rs
+++ b/crates/fleetd/src/assignments.rs
@@ -20,14 +20,30 @@
 /// The part with the assignments themselves. The copies are in the parts of the pools.
 const ASSIGNMENTS_PART: &str = "";
 
-/// The condition on which the owner of a pool records a new job: the version of the pool's copy of the assignment of the job's
-/// queue.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub(crate) struct IntakeCondition {
+/// What a submission tells the owner of a pool of the pool's copy of the assignment of the job's queue. The owner records the job
+/// on the condition that the copy has a version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SubmittedIntake {
     /// The key of the assignment.
     pub(crate) key: SmolStr,
-    /// The version of the copy that the submitting daemon has read.
-    pub(crate) version: u64,
+    /// The version of the copy, if the submitting daemon has read it, and has searched the previous pools for the job. Otherwise the
+    /// owner uses the version of a copy without previous pools, if it knows one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) version: Option<u64>,
+    /// Whether the copy with this version has no previous pools.
+    #[serde(rename = "first", default)]
+    pub(crate) is_first_pool: bool,
+}
+
+impl SubmittedIntake {
+    /// Creates the intake of a submission by a daemon that has not read the assignment.
+    pub(crate) fn unread(key: SmolStr) -> Self {
+        Self {
+            key,
+            version: None,
+            is_first_pool: false,
+        }
+    }
 }
 
 /// A pool that records the new jobs of a queue.
@@ -37,12 +53,23 @@
     pub(crate) pool: SmolStr,
     /// The pools that may have earlier jobs of the queue.
     pub(crate) previous_pools: Arc<BTreeSet<SmolStr>>,
-    /// The condition on which the pool records a job.
-    pub(crate) condition: IntakeCondition,
+    /// The version of the pool's copy of the assignment.
+    pub(crate) version: u64,
+}
+
+impl OpenIntake {
+    /// Creates the intake of a submission by a daemon that has searched the previous pools.
+    pub(crate) fn submitted(&self, key: SmolStr) -> SubmittedIntake {
+        SubmittedIntake {
+            key,
+            version: Some(self.version),
+            is_first_pool: self.previous_pools.is_empty(),
+        }
+    }
 }
 
 /// What a daemon knows of the pools that record the new jobs of queues. What it knows may be outdated: the pool's owner
-/// finds that out, as it records a job only on the [`IntakeCondition`].
+/// finds that out, as it records a job on the condition that the copy has the same version.
 #[derive(Debug, Default)]
 pub(crate) struct Assignments {
     /// By the key of the assignment and the pool that the configuration names. A slot is locked while the assignment is read,
@@ -53,6 +80,13 @@
 type Slot = Arc<tokio::sync::Mutex<Option<OpenIntake>>>;
 
 impl Assignments {
+    /// Returns the pool that records the new jobs of a queue, if this daemon knows it.
+    pub(crate) fn known_intake(&self, queue: &Queue) -> Option<OpenIntake> {
+        let key = assignment_key(&queue.host, &queue.prefix);
+        // A slot that is locked is not known yet.
+        self.slot(&key, &queue.pool).try_lock().ok()?.clone()
+    }
+
     /// Returns the pool that records the new jobs of a queue, which the configuration with the epoch `epoch` assigns to a pool.
     /// Hands the queue over to that pool unless a newer configuration names another one.
     ///
@@ -95,10 +129,7 @@
     ) -> Result<BTreeSet<SmolStr>> {
         let key = assignment_key(&queue.host, &queue.prefix);
         let mut pools = BTreeSet::from([queue.pool.clone()]);
-        let slot = self.slot(&key, &queue.pool);
-        // A slot that is locked is not known yet.
-        let known = slot.try_lock().ok().and_then(|known| known.clone());
-        if let Some(intake) = known {
+        if let Some(intake) = self.known_intake(queue) {
             pools.extend(intake.previous_pools.iter().cloned());
             return Ok(pools);
         }
@@ -110,12 +141,13 @@
         Ok(pools)
     }
 
-    /// Forgets a pool that no longer records jobs of the queue on this condition.
-    pub(crate) fn forget(&self, queue: &Queue, outdated: &IntakeCondition) {
-        let slot = self.slot(&outdated.key, &queue.pool);
+    /// Forgets that a pool records the new jobs of the queue.
+    pub(crate) fn forget(&self, queue: &Queue, outdated: &OpenIntake) {
+        let key = assignment_key(&queue.host, &queue.prefix);
+        let slot = self.slot(&key, &queue.pool);
         // A slot that is locked is being read anew.
         if let Ok(mut known) = slot.try_lock() {
-            known.take_if(|intake| intake.condition == *outdated);
+            known.take_if(|intake| intake == outdated);
         }
     }
 
@@ -141,7 +173,7 @@
 }
 
 /// The key of the assignment of a queue: where callers submit its jobs, which also a queue with another name may replace.
-fn assignment_key(host: &str, prefix: &str) -> SmolStr {
+pub(crate) fn assignment_key(host: &str, prefix: &str) -> SmolStr {
     let key = format_smolstr!("{}{prefix}", host.to_ascii_lowercase());
     if key.len() <= MAX_KEY_BYTES {
         return key;
@@ -178,10 +210,7 @@
             return Ok(OpenIntake {
                 pool: assignment.pool,
                 previous_pools: Arc::new(assignment.previous_pools),
-                condition: IntakeCondition {
-                    key: key.clone(),
-                    version,
-                },
+                version,
             });
         }
         (pool, epoch) = (assignment.pool, assignment.epoch);
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -142,7 +142,7 @@
     /// Submits a job and returns once its rows are written. A job with a known id is not submitted again. Returns
     /// `OtherTeam` when the id is that of a job of another team,
     /// `Refused` for a new job when the store is unavailable before a transaction with the job was sent, `Reassigned` for a new
-    /// job whose intake condition does not hold, `NotOwner` when the ownership has ended by then, and `OutcomeUnknown` when the
+    /// job whose intake condition does not hold or is not known, `NotOwner` when the ownership has ended by then, and `OutcomeUnknown` when the
     /// ownership ends later.
     pub(crate) async fn submit(&self, request: SubmitRequest) -> SubmitReply {
         let id = request.id;
@@ -160,12 +160,16 @@
                 JobStatus::Recorded(_) => return SubmitReply::Accepted,
                 JobStatus::Unknown if self.is_store_unavailable() => return REFUSED_IN_OUTAGE,
                 JobStatus::Unknown => {
+                    if let Some(intake) = request.intake {
+                        let mut submissions = self.submissions.lock();
+                        let Some(condition) = submissions.condition(intake) else {
+                            return SubmitReply::Reassigned;
+                        };
+                        submissions.set_intake(id, condition);
+                    }
                     let spec = Arc::new(request.spec);
                     let now = self.node.clock.now();
                     scheduler.submit_for_team(id, request.queue, request.team, spec, now);
-                    if let Some(intake) = request.intake {
-                        self.submissions.lock().set_intake(id, intake);
-                    }
                 }
                 JobStatus::NotYetRecorded => {}
             }
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -109,7 +109,12 @@
             }
             match committed {
                 Ok(sent_at_ms) => {
-                    self.submissions.lock().end_transaction();
+                    {
+                        let mut submissions = self.submissions.lock();
+                        submissions.end_transaction();
+                        let recorded = batch.new_jobs().filter(|job| !existing.contains(job));
+                        recorded.for_each(|job| submissions.confirm_intake(job));
+                    }
                     self.node
                         .metrics
                         .commit_duration_s
@@ -180,7 +185,10 @@
             .filter(|row| row.key.table == tables::ASSIGNMENT)
             .map(|row| (&row.key.key, row.version))
             .collect();
-        let submissions = self.submissions.lock();
+        let mut submissions = self.submissions.lock();
+        for (key, version) in &versions {
+            submissions.check_intake(key, *version);
+        }
         let is_reassigned = |job: &JobId| {
             let intake = submissions.intake(*job);
             intake.is_some_and(|intake| {
--- a/crates/fleetd/src/pool/submissions.rs
+++ b/crates/fleetd/src/pool/submissions.rs
@@ -2,12 +2,23 @@
 
 use std::collections::{HashMap, HashSet};
 
+use smol_str::SmolStr;
 use submission::JobId;
 use tokio::sync::oneshot;
 
-use crate::assignments::IntakeCondition;
+use crate::assignments::SubmittedIntake;
 use crate::rpc::SubmitReply;
 
+/// The condition on which a new job is recorded: the version of the pool's copy of the assignment of the job's queue.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct IntakeCondition {
+    /// The key of the assignment.
+    pub(super) key: SmolStr,
+    pub(super) version: u64,
+    /// Whether the copy with this version has no previous pools.
+    is_first_pool: bool,
+}
+
 /// The callers that wait until the rows of a job are written, by job.
 ///
 /// A new job may have rows from the time at which a transaction with the job is about to be sent. The job is then **in
@@ -18,6 +29,9 @@
     in_doubt: HashSet<JobId>,
     /// The conditions on which the new jobs are recorded.
     intakes: HashMap<JobId, IntakeCondition>,
+    /// The versions of those copies without previous pools on which a job has been recorded, by key. Daemons that have not read the
+    /// copy, or can't as the store refuses them, submit jobs on this condition.
+    first_intakes: HashMap<SmolStr, u64>,
 }
 
 impl Submissions {
@@ -29,11 +43,48 @@
         receiver
     }
 
+    /// Returns the condition on which a submitted job is recorded; none if no version of the copy is known.
+    pub(super) fn condition(&self, intake: SubmittedIntake) -> Option<IntakeCondition> {
+        let SubmittedIntake {
+            key,
+            version,
+            is_first_pool,
+        } = intake;
+        let (version, is_first_pool) = match version {
+            Some(version) => (version, is_first_pool),
+            None => (*self.first_intakes.get(&key)?, true),
+        };
+        Some(IntakeCondition {
+            key,
+            version,
+            is_first_pool,
+        })
+    }
+
     /// Sets the condition on which a new job is recorded. Lasts until the callers that wait for the job get their response.
     pub(super) fn set_intake(&mut self, job: JobId, intake: IntakeCondition) {
         self.intakes.insert(job, intake);
     }
 
+    /// Notes that a new job was recorded on its condition.
+    pub(super) fn confirm_intake(&mut self, job: JobId) {
+        if let Some(intake) = self.intakes.get(&job).filter(|intake| intake.is_first_pool) {
+            self.first_intakes
+                .insert(intake.key.clone(), intake.version);
+        }
+    }
+
+    /// Notes the version that the copy with a key has, and forgets another one.
+    pub(super) fn check_intake(&mut self, key: &str, version: u64) {
+        if self
+            .first_intakes
+            .get(key)
+            .is_some_and(|known| *known != version)
+        {
+            self.first_intakes.remove(key);
+        }
+    }
+
     /// The condition on which a new job is recorded.
     pub(super) fn intake(&self, job: JobId) -> Option<&IntakeCondition> {
         self.intakes.get(&job)
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 use submission::{JobId, JobSpec};
 
-use crate::assignments::IntakeCondition;
+use crate::assignments::SubmittedIntake;
 
 /// A submitted job, sent to the owner of its pool.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -26,9 +26,9 @@
     pub(crate) id: JobId,
     /// The submitted spec of the job.
     pub(crate) spec: JobSpec,
-    /// The condition on which the pool records the job; `None` from a daemon of an earlier build.
+    /// What the pool's owner needs to record the job; `None` from a daemon of an earlier build.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(crate) intake: Option<IntakeCondition>,
+    pub(crate) intake: Option<SubmittedIntake>,
 }
 
 /// The outcome of a submission to the owner of a pool.
@@ -45,8 +45,8 @@
     NotOwner,
     /// The id is that of a job of another team. The call had no effect.
     OtherTeam,
-    /// The pool no longer records jobs on the condition of the request, as the queue was assigned anew. The row of the job is
-    /// not written and will not be.
+    /// The queue was assigned anew, or the request has no version of the pool's copy of the assignment, and the owner knows none.
+    /// The row of the job is not written and will not be.
     Reassigned,
     /// The outcome is unknown: the row of the job may be written or not.
     #[serde(rename = "Unknown")]
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -42,15 +42,16 @@
         &request,
         &json!({"pool": "p", "queue": "q", "team": "t", "id": 7, "spec": spec}),
     );
-    let intake = IntakeCondition {
+    let intake = SubmittedIntake {
         key: "h/q/".into(),
-        version: 5,
+        version: Some(5),
+        is_first_pool: true,
     };
     let request = SubmitRequest {
         intake: Some(intake),
         ..request
     };
-    let intake = json!({"key": "h/q/", "version": 5});
+    let intake = json!({"key": "h/q/", "version": 5, "first": true});
     check_json(
         &request,
         &json!({"pool": "p", "queue": "q", "team": "t", "id": 7, "spec": spec, "intake": intake}),
