--- a/crates/trefoilpassd/tests/fleet_outages.rs
+++ b/crates/trefoilpassd/tests/fleet_outages.rs
@@ -6,12 +6,13 @@
 use std::time::{Duration, Instant};
 
 use fleet_support::{
-    CALLER_WAIT, Daemon, PATIENCE, call, call_within, check_runs, daemon, daemon_logging_to, done,
-    ready, start, submit, submit_surely,
+    CALLER_WAIT, Daemon, PATIENCE, call, call_within, check_runs, daemon, daemon_logging_to,
+    daemon_of, done, ready, start, submit, submit_surely, test_log,
 };
 use platform_stand_in::{PlatformStandIn, StoreFaults, job_body};
 use reqwest::Client;
 use serde_json::{Value, json};
+use test_support::{FaultProxy, FleetDaemonSpec, ProxyFault, free_addrs};
 
 /// The daemon that owns the pool, and the others.
 fn split_owner<'a>(
@@ -372,3 +373,39 @@
     }
     check_runs(&platform, 2);
 }
+
+/// Guards against submissions that are refused by a daemon which can't reach the store, although the pool's owner can record them:
+/// the daemon has not read the assignment of the queue.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_without_the_store_submits_a_job_of_a_queue_that_it_has_not_seen() {
+    let platform = PlatformStandIn::start(1).await;
+    platform.configure();
+    let mut daemons = Vec::new();
+    let mut store_links = Vec::new();
+    for number in 0..3 {
+        let store = FaultProxy::start(free_addrs(1)[0], platform.store_addr).await;
+        let name = format!("d{number}");
+        let spec = FleetDaemonSpec::new(&name, store.addr, platform.vms_addr);
+        daemons.push(daemon_of(&spec, test_log()));
+        store_links.push(store);
+    }
+    for daemon in &daemons {
+        ready(daemon).await;
+    }
+    submit_surely(&daemons, 1, 1).await;
+    let (owner, others) = split_owner(&platform, &daemons);
+    // The owner knows the assignment from here on.
+    submit_surely(std::slice::from_ref(owner), 2, 1).await;
+    let other = daemons.iter().position(|it| it.name == others[1].name);
+    let other = other.unwrap();
+    // The other daemon knows the owner.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    store_links[other].set(ProxyFault::Cut);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(submit(&daemons[other], 3, 1).await, 200);
+    store_links[other].set(ProxyFault::None);
+    for id in 1..4 {
+        done(&daemons, id).await;
+    }
+    check_runs(&platform, 3);
+}
