fleetd: a daemon that can't read the store tells how many jobs have not started

Cause: with the count over previous pools, a daemon reads the assignment of the queue first, and answered 503 when the store did not respond, although the owner of the configured pool tells its number.

Change: such a daemon assumes that the queue was in no other pool.

Test: the case of a daemon without the store asks for the number, too. It got 503 before and gets 200 now.

--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -1,6 +1,7 @@
 //! The request handlers of the API: submit a job, read its state, cancel it, and count the jobs of a queue that have
 //! not started.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -301,14 +302,7 @@
 
 /// Responds with the number of jobs of a queue that have not started, in all pools that may have jobs of the queue.
 async fn pending(node: &Arc<Node>, queue: &Queue) -> ApiResponse {
-    let pools = node.assignments.pools_with_jobs(&node.store, queue).await;
-    let mut pools = match pools {
-        Ok(pools) => pools,
-        Err(err) => {
-            tracing::info!(queue = queue.name.as_str(), error = %err, "failed to find the pools with jobs of a queue");
-            return ApiResponse::unavailable(RETRY_AFTER_S);
-        }
-    };
+    let mut pools = pools_with_jobs(node, queue).await;
     // A pool that the configuration no longer has is owned by no daemon.
     let shards = node.active_config.shards();
     pools.retain(|pool| shards.contains(pool));
@@ -326,6 +320,20 @@
     ApiResponse::new(StatusCode::OK).with_body(pending_body(total))
 }
 
+/// The pools that may have jobs of a queue. A daemon that can't read the store assumes that the queue was in no other pool, and
+/// goes on to respond.
+async fn pools_with_jobs(node: &Node, queue: &Queue) -> BTreeSet<SmolStr> {
+    let configured = BTreeSet::from([queue.pool.clone()]);
+    if node.is_store_unavailable() && node.assignments.known_intake(queue).is_none() {
+        return configured;
+    }
+    let pools = node.assignments.pools_with_jobs(&node.store, queue).await;
+    pools.unwrap_or_else(|err| {
+        tracing::info!(queue = queue.name.as_str(), error = %err, "failed to read the previous pools of a queue; assuming that it has none");
+        configured
+    })
+}
+
 async fn request_peer_count(node: &Arc<Node>, pool: &SmolStr, queue: &SmolStr) -> Option<usize> {
     let owner = node.reachable_owner(pool)?;
     let (pool, name) = (pool.clone(), queue.clone());
--- a/crates/trefoilpassd/tests/fleet_outages.rs
+++ b/crates/trefoilpassd/tests/fleet_outages.rs
@@ -374,7 +374,7 @@
     check_runs(&platform, 2);
 }
 
-/// Guards against submissions that are refused by a daemon which can't reach the store, although the pool's owner can record them:
+/// Guards against requests that are refused by a daemon which can't reach the store, although the pool's owner can serve them:
 /// the daemon has not read the assignment of the queue.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_daemon_without_the_store_submits_a_job_of_a_queue_that_it_has_not_seen() {
@@ -403,6 +403,8 @@
     store_links[other].set(ProxyFault::Cut);
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert_eq!(submit(&daemons[other], 3, 1).await, 200);
+    let (status, _) = call(reqwest::Method::GET, &daemons[other], "/q/", None).await;
+    assert_eq!(status, 200, "the number of jobs that have not started");
     store_links[other].set(ProxyFault::None);
     for id in 1..4 {
         done(&daemons, id).await;
