--- a/crates/trefoilpassd/tests/fleet_reassigned_queues.rs
+++ b/crates/trefoilpassd/tests/fleet_reassigned_queues.rs
@@ -98,7 +98,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn jobs_that_wait_in_the_previous_pool_of_their_queue_are_pending() {
     let (platform, daemons) = start_with_two_pools(2).await;
-    let step = json!({"count": 1, "cpu": 1_000_000, "memMb": 10});
+    let step = json!({"count": 1, "cpu": 1_000_000});
     let too_large_for_a_worker = json!({"spec": "x", "steps": [step]}).to_string();
     for id in 1..4 {
         let path = format!("/q/{id:016x}");
