--- a/crates/ownership/src/assignment.rs
+++ b/crates/ownership/src/assignment.rs
@@ -7,7 +7,7 @@
 //! 1. The assignment of the queue is replaced. It lists all pools that the queue was assigned to before.
 //! 2. It is copied to each of these pools. A pool records a new job only on the condition that the version of its copy is the
 //!    one that the submitting daemon has read, and that copy names the pool itself. So from now on these pools record no more
-//!    jobs of the queue.
+//!    jobs of the queue. For a copy without previous pools, the pool's owner may know the version instead of the daemon.
 //! 3. It is copied to the pool that the queue is assigned to now, which records jobs of the queue from then on.
 //!
 //! Any daemon may execute a step, also one that another daemon has begun, and each step may take effect late. A daemon that reads
