Logs: what the policy service was asked, and which ends of workers the leader reports

A line on a policy decision named the step and the number of allowed workers, which doesn't distinguish a service that refuses every worker from a request that names the same ones each time. The line now has the number of workers asked and of those that could be, and the first one asked. The owner of a pool logs each end of a worker that the leader reports, with the start that it names, the time since the worker's last response and whether the worker was removed, so that the end of a worker that responds can be seen.

--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -237,11 +237,20 @@
             let Some(key) = scheduler.worker_key(id) else {
                 continue;
             };
+            let response_age_ms = scheduler.response_age_ms(key, now);
             if request.may_have_crashed(id) {
                 scheduler.incarnation_crashed(key, start_unix_ms, now);
             } else {
                 scheduler.incarnation_ended(key, start_unix_ms, now);
             }
+            tracing::info!(
+                pool = self.pool.as_str(),
+                worker = id.as_str(),
+                start_unix_ms,
+                response_age_ms,
+                is_removed = scheduler.worker_key(id).is_none(),
+                "the leader reported the end of a worker"
+            );
         }
         for id in &request.cancel_drain {
             scheduler.cancel_drain_by_id(id);
--- a/crates/fleetd/src/pool/policy.rs
+++ b/crates/fleetd/src/pool/policy.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use scheduler::PolicyRequest;
+use smol_str::SmolStr;
 
 use crate::pool::PoolOwner;
 
@@ -42,6 +43,8 @@
             return;
         };
         let step = request.step.as_str();
+        let (asked, usable) = (request.workers.len(), request.usable_workers);
+        let first_asked = request.workers.first().map(SmolStr::as_str);
         match client
             .request_decision(step, &request.workers, DECISION_TIMEOUT)
             .await
@@ -49,6 +52,9 @@
             Ok((allowed, valid_ms)) => {
                 tracing::info!(
                     step,
+                    asked,
+                    usable,
+                    first_asked,
                     allowed = allowed.len(),
                     valid_ms,
                     "received a policy decision on a step"
@@ -59,7 +65,9 @@
                     .apply_policy_decision(request.task, allowed, valid_ms, now);
                 self.recorder_waker.notify_one();
             }
-            Err(err) => tracing::info!(step, error = %err, "policy decision request failed"),
+            Err(err) => {
+                tracing::info!(step, asked, usable, first_asked, error = %err, "policy decision request failed");
+            }
         }
     }
 }
--- a/crates/scheduler/src/incarnation.rs
+++ b/crates/scheduler/src/incarnation.rs
@@ -113,6 +113,11 @@
         self.last_poll_sent_at_ms > at_ms
     }
 
+    /// Returns the time since the last response of the process, in ms; `None` before the first.
+    pub(crate) fn response_age_ms(&self, now_ms: u64) -> Option<u64> {
+        (self.last_response_at_ms > 0).then(|| now_ms.saturating_sub(self.last_response_at_ms))
+    }
+
     /// Records that a response of the process has arrived.
     pub(crate) fn record_response(&mut self, now_ms: u64) {
         self.last_response_at_ms = now_ms;
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -54,6 +54,8 @@
     pub task: TaskKey,
     /// The ids of the workers.
     pub workers: Vec<SmolStr>,
+    /// The number of workers that could have been named.
+    pub usable_workers: usize,
 }
 
 impl Scheduler {
@@ -128,6 +130,7 @@
             .filter(|worker| worker.is_usable(now.local_ms));
         let mut workers: Vec<_> = usable.collect();
         workers.sort_by_key(|worker| std::cmp::Reverse(worker.free_capacity().cpu_milli));
+        let usable_workers = workers.len();
         let workers = workers
             .into_iter()
             .take(MAX_WORKERS_PER_REQUEST)
@@ -156,6 +159,7 @@
                     index,
                 },
                 workers: workers.clone(),
+                usable_workers,
             });
             let retry_at_ms = now.local_ms + REQUEST_RETRY_DELAY_MS;
             self.policy_decisions
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -189,6 +189,15 @@
         self.workers.get(key).map(|worker| &worker.info)
     }
 
+    /// Returns the time since the last response of a worker, in ms; `None` when there was none, or the worker has been removed.
+    #[must_use]
+    pub fn response_age_ms(&self, key: WorkerKey, now: Now) -> Option<u64> {
+        self.workers
+            .get(key)?
+            .incarnation
+            .response_age_ms(now.local_ms)
+    }
+
     /// Returns the key of the worker with this id, or `None` when there is no such worker.
     #[must_use]
     pub fn worker_key(&self, id: &str) -> Option<WorkerKey> {
