scheduler: the policy service is asked about every usable worker of a step

Cause: a request named the 30 usable workers with the most free CPU. A response without an allowed worker was dropped, and one with some hid the others until it expired. Nothing remembered who had been named.

Change: the decision on a step is kept for each worker and incarnation. A request names the workers that were not named for the step before, then those named longest ago, so that ceil(62 / 30) requests name all of them. Refusals hold as long as authorizations. The same cause on related paths: authorized workers that are full hid idle ones; workers without the step's label or too small for it were named and counted as authorized; workers that came later were not named; a request without a response was repeated for the same workers. Steps with workers that were never named come first, as the service takes one call at a time. Decisions leave with their job.

Tests: six in crates/scheduler/tests/policy.rs, each with the failure that it guards against.

--- a/crates/fleetd/src/pool/policy.rs
+++ b/crates/fleetd/src/pool/policy.rs
@@ -55,6 +55,7 @@
                     asked,
                     usable,
                     first_asked,
+                    never_asked = request.remaining_workers,
                     allowed = allowed.len(),
                     valid_ms,
                     "received a policy decision on a step"
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -144,15 +144,9 @@
                 unplaced: Some(Unplaced::AtTeamLimit),
             };
         }
-        let members = tasks.clone().filter_map(|index| job.task(index));
-        let crashes = members.map(|task| task.crashes).max().unwrap_or(0);
-        let mut chosen = Vec::new();
-        for _ in tasks.clone() {
-            let Some(worker) = self.choose(job, step, key, crashes, &chosen, now) else {
-                return not_placed;
-            };
-            chosen.push(worker);
-        }
+        let Some(chosen) = self.gang_workers(job, key, now) else {
+            return not_placed;
+        };
         let last_attempts = tasks
             .clone()
             .filter_map(|index| job.task(index))
@@ -171,10 +165,23 @@
         }
     }
 
+    /// The workers for all tasks of a gang; `None` when there is no room for all of them.
+    pub(crate) fn gang_workers(&self, job: &Job, key: StepKey, now: Now) -> Option<Vec<WorkerKey>> {
+        let step = &job.spec().steps[usize::from(key.step)];
+        let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
+        let members = tasks.clone().filter_map(|index| job.task(index));
+        let crashes = members.map(|task| task.crashes).max().unwrap_or(0);
+        let mut chosen = Vec::new();
+        for _ in tasks {
+            chosen.push(self.choose(job, step, key, crashes, &chosen, now)?);
+        }
+        Some(chosen)
+    }
+
     /// The best worker for one more task of a step, or `None` when no usable worker has enough free capacity and meets
     /// the constraints of the step. `crashes` is the number of workers that crashed under the task, and `gang_workers` are the
     /// workers already chosen for other tasks of the gang.
-    fn choose(
+    pub(crate) fn choose(
         &self,
         job: &Job,
         step: &StepSpec,
@@ -190,7 +197,7 @@
         let needs_stable_worker = self.needs_stable_worker(crashes, step, now);
         let preferred_rack = self.preferred_rack(job, step, key, gang_workers);
         let has_policy = self.has_policy(&job.queue);
-        let is_authorized = |worker: &SmolStr| {
+        let is_authorized = |worker: WorkerKey| {
             !has_policy || self.authorization_for_step(key, worker, now).is_some()
         };
         let usable = self.workers.iter().filter(|(worker_key, worker)| {
@@ -198,7 +205,7 @@
                 && worker.may_join()
                 && !(needs_stable_worker && worker.is_unstable(now.local_ms))
                 && worker.has_label(&step.required_label)
-                && is_authorized(&worker.info.id)
+                && is_authorized(*worker_key)
                 && fits(worker, step, *worker_key, gang_workers, now)
                 && is_below_step_limit(worker, job, step, key, *worker_key, gang_workers)
         });
@@ -312,7 +319,7 @@
 }
 
 /// Whether the step's limit on tasks per worker allows one more task on the worker.
-fn is_below_step_limit(
+pub(crate) fn is_below_step_limit(
     worker: &Worker,
     job: &Job,
     step: &StepSpec,
@@ -340,7 +347,7 @@
     assigned + chosen < step.max_per_worker as usize
 }
 
-fn fits(
+pub(crate) fn fits(
     worker: &Worker,
     step: &StepSpec,
     key: WorkerKey,
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -1,14 +1,19 @@
 //! Requests to the policy service, and its decisions on which workers may run a step.
+//!
+//! A request names a limited number of workers, those that were not named for the step before first. So each usable worker is named
+//! within `ceil(usable / MAX_WORKERS_PER_REQUEST)` requests for the step, whichever workers have the most free capacity meanwhile.
 
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
 
 use smol_str::{SmolStr, format_smolstr};
-use submission::TaskKey;
+use submission::{Job, JobId, StepSpec, TaskKey};
 
+use crate::plan::{fits, is_below_step_limit};
 use crate::ready::StepKey;
 use crate::scheduler::{Scheduler, step_key};
 use crate::types::Now;
-use crate::worker::WorkerKey;
+use crate::worker::{Worker, WorkerKey};
 
 /// The largest number of new requests at a time. The service handles one call of each daemon at a time.
 const MAX_REQUESTS: usize = 4;
@@ -16,32 +21,93 @@
 /// The largest number of workers in a request. Each takes the service time, and a step rarely needs more.
 const MAX_WORKERS_PER_REQUEST: usize = 30;
 
-/// The delay before a request is repeated when the service did not respond, or authorized no worker.
+/// The delay before a request is repeated when the service did not respond, and the time for which a refusal holds at least.
 const REQUEST_RETRY_DELAY_MS: u64 = 1000;
 
-/// The state of the policy decision on a step. Times are in ms on the daemon's clock.
-#[derive(Debug, Clone)]
-pub(crate) enum PolicyDecision {
-    /// A request was issued; the service has authorized no worker yet.
-    Requested { retry_at_ms: u64 },
-    /// The workers that may run the step, by id, each with its authorization token.
-    Authorized {
-        authorizations: HashMap<SmolStr, SmolStr>,
-        until_ms: u64,
-    },
+/// How long a step that needs no request is left alone.
+const RECHECK_DELAY_MS: u64 = 200;
+
+/// The largest number of steps that are examined at a time. Bounds the work under overload; with [`RECHECK_DELAY_MS`], the
+/// steps behind them follow.
+const MAX_EXAMINED_STEPS: usize = 64;
+
+/// The decisions of the policy service, by step.
+pub(crate) type PolicyDecisions = BTreeMap<StepKey, PolicyDecision>;
+
+/// What is known of the policy decision on a step. Times are in ms on the daemon's clock.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PolicyDecision {
+    workers: HashMap<WorkerKey, WorkerDecision>,
+    /// The workers that the last request names, until its response.
+    asked: Vec<WorkerKey>,
+    /// The step is not examined before.
+    not_before_ms: u64,
+}
+
+/// The decision on one worker, for the incarnation that was named.
+#[derive(Debug, Clone, Default)]
+struct WorkerDecision {
+    asked_at_ms: u64,
+    /// The authorization token; `None` when the service has not authorized the worker.
+    token: Option<SmolStr>,
+    /// Until when the response holds; 0 without a response.
+    until_ms: u64,
 }
 
 impl PolicyDecision {
-    /// Removes a worker from the authorized ones. Returns false when the decision authorizes no worker any more, so that the
-    /// service has to be asked again.
-    fn remove_worker(&mut self, worker: &SmolStr) -> bool {
-        match self {
-            Self::Requested { .. } => true,
-            Self::Authorized { authorizations, .. } => {
-                authorizations.remove(worker);
-                !authorizations.is_empty()
+    fn token(&self, worker: WorkerKey, now_ms: u64) -> Option<&SmolStr> {
+        let decision = self.workers.get(&worker)?;
+        decision
+            .token
+            .as_ref()
+            .filter(|_| now_ms < decision.until_ms)
+    }
+
+    fn is_known(&self, worker: WorkerKey, now_ms: u64) -> bool {
+        let decision = self.workers.get(&worker);
+        decision.is_some_and(|decision| now_ms < decision.until_ms)
+    }
+
+    /// When the worker was last named; 0 when it was not.
+    fn asked_at_ms(&self, worker: WorkerKey) -> u64 {
+        let decision = self.workers.get(&worker);
+        decision.map_or(0, |decision| decision.asked_at_ms)
+    }
+
+    /// Forgets a worker, so that the next request names it.
+    fn forget(&mut self, worker: WorkerKey) {
+        self.workers.remove(&worker);
+        self.asked.retain(|asked| *asked != worker);
+    }
+
+    fn record_request(&mut self, workers: Vec<WorkerKey>, now_ms: u64) {
+        for &worker in &workers {
+            let decision = WorkerDecision {
+                asked_at_ms: now_ms,
+                token: None,
+                until_ms: 0,
+            };
+            self.workers.insert(worker, decision);
+        }
+        self.asked = workers;
+        self.not_before_ms = now_ms + REQUEST_RETRY_DELAY_MS;
+    }
+
+    /// Records the response to the last request.
+    fn record_response(&mut self, tokens: HashMap<WorkerKey, SmolStr>, valid_ms: u64, now_ms: u64) {
+        let refused_until_ms = now_ms.saturating_add(valid_ms.max(REQUEST_RETRY_DELAY_MS));
+        for worker in std::mem::take(&mut self.asked) {
+            let decision = self.workers.get_mut(&worker);
+            if let Some(decision) = decision.filter(|_| !tokens.contains_key(&worker)) {
+                decision.until_ms = refused_until_ms;
             }
         }
+        for (worker, token) in tokens {
+            let decision = self.workers.entry(worker).or_default();
+            decision.token = Some(token);
+            decision.until_ms = now_ms.saturating_add(valid_ms);
+        }
+        self.not_before_ms = now_ms;
     }
 }
 
@@ -54,8 +120,21 @@
     pub task: TaskKey,
     /// The ids of the workers.
     pub workers: Vec<SmolStr>,
-    /// The number of workers that could have been named.
+    /// The number of usable workers that could run a task of the step, by its label and its size.
     pub usable_workers: usize,
+    /// The number of these that were not named for the step before, and are not named now.
+    pub remaining_workers: usize,
+}
+
+/// The workers that a request for a step would name.
+struct Candidates {
+    key: StepKey,
+    task: TaskKey,
+    /// Those without a decision, in the order in which they are to be named.
+    workers: Vec<WorkerKey>,
+    usable_workers: usize,
+    /// The number of `workers` that were not named before.
+    new_workers: usize,
 }
 
 impl Scheduler {
@@ -75,16 +154,11 @@
     pub(crate) fn authorization_for_step(
         &self,
         step: StepKey,
-        worker: &SmolStr,
+        worker: WorkerKey,
         now: Now,
     ) -> Option<&SmolStr> {
-        match self.policy_decisions.get(&step)? {
-            PolicyDecision::Authorized {
-                authorizations,
-                until_ms,
-            } if now.local_ms < *until_ms => authorizations.get(worker),
-            _ => None,
-        }
+        let decision = self.policy_decisions.get(&step)?;
+        decision.token(worker, now.local_ms)
     }
 
     /// Returns the authorization token for a task on a worker, or `None` when the policy service has not authorized the
@@ -92,88 +166,179 @@
     #[must_use]
     pub fn authorization(&self, worker: WorkerKey, task: TaskKey, now: Now) -> Option<SmolStr> {
         let (occurrence, step, _) = self.jobs.get(&task.job)?.position(task.index);
-        let worker = &self.workers.get(worker)?.info.id;
         self.authorization_for_step(step_key(task.job, occurrence, step), worker, now)
             .cloned()
     }
 
     /// Forgets the authorization of a worker for the step of a task.
-    pub(crate) fn forget_authorization(&mut self, task: TaskKey, worker: &SmolStr) {
+    pub(crate) fn forget_authorization(&mut self, task: TaskKey, worker: WorkerKey) {
         let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
         let (occurrence, step, _) = job.position(task.index);
         let step = step_key(task.job, occurrence, step);
-        if let Some(decision) = self.policy_decisions.get_mut(&step)
-            && !decision.remove_worker(worker)
-        {
-            self.policy_decisions.remove(&step);
+        if let Some(decision) = self.policy_decisions.get_mut(&step) {
+            decision.forget(worker);
+        }
+    }
+
+    /// Forgets all decisions on a worker. They are valid for one incarnation.
+    pub(crate) fn forget_authorizations(&mut self, worker: WorkerKey) {
+        for decision in self.policy_decisions.values_mut() {
+            decision.forget(worker);
         }
     }
 
-    /// Forgets all authorizations of a worker. They are valid for one incarnation.
-    pub(crate) fn forget_authorizations(&mut self, worker: &SmolStr) {
-        self.policy_decisions
-            .retain(|_, decision| decision.remove_worker(worker));
+    /// Forgets the policy decisions on the steps of a job.
+    pub(crate) fn forget_policy_decisions(&mut self, job: JobId) {
+        let steps = step_key(job, 0, 0)..=step_key(job, u32::MAX, usize::MAX);
+        let steps = self.policy_decisions.range(steps);
+        for step in steps.map(|(step, _)| *step).collect::<Vec<_>>() {
+            self.policy_decisions.remove(&step);
+        }
     }
 
     /// Returns the requests to send to the policy service now, and records them as sent. There are none for teams at their
-    /// limits.
+    /// limits. Steps for which there are workers that were not named before come first.
     pub fn policy_requests(&mut self, now: Now) -> Vec<PolicyRequest> {
-        self.policy_decisions.retain(|_, decision| match decision {
-            PolicyDecision::Requested { retry_at_ms } => now.local_ms < *retry_at_ms,
-            PolicyDecision::Authorized { until_ms, .. } => now.local_ms < *until_ms,
-        });
-        let usable = self
-            .workers
-            .values()
-            .filter(|worker| worker.is_usable(now.local_ms));
-        let mut workers: Vec<_> = usable.collect();
-        workers.sort_by_key(|worker| std::cmp::Reverse(worker.free_capacity().cpu_milli));
-        let usable_workers = workers.len();
-        let workers = workers
-            .into_iter()
-            .take(MAX_WORKERS_PER_REQUEST)
-            .map(|worker| worker.info.id.clone());
-        let workers: Vec<SmolStr> = workers.collect();
-        if workers.is_empty() {
+        let usable = self.workers.iter();
+        let mut usable: Vec<_> = usable
+            .filter(|(_, worker)| worker.is_usable(now.local_ms))
+            .collect();
+        usable.sort_by_key(|(_, worker)| Reverse(worker.free_capacity().cpu_milli));
+        if usable.is_empty() {
             return Vec::new();
         }
-        let mut requests = Vec::new();
+        let mut due = Vec::new();
+        let mut not_due = Vec::new();
         for (_, key) in self.ready.ranked() {
+            if due.len() + not_due.len() == MAX_EXAMINED_STEPS {
+                break;
+            }
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
-            if !self.has_policy(&job.queue) || self.policy_decisions.contains_key(&key) {
+            let decision = self.policy_decisions.get(&key);
+            let not_before_ms = decision.map_or(0, |decision| decision.not_before_ms);
+            if !self.has_policy(&job.queue) || now.local_ms < not_before_ms {
                 continue;
             }
             let team = self.teams.get(&job.team);
             if team.is_some_and(|(team, _)| self.is_at_limit(team)) {
                 continue;
             }
-            let index = job.step_tasks(key.occurrence, usize::from(key.step)).start;
-            requests.push(PolicyRequest {
-                step: format_smolstr!("{}.{}.{}", key.job, key.occurrence, key.step),
-                task: TaskKey {
-                    job: key.job,
-                    index,
-                },
-                workers: workers.clone(),
-                usable_workers,
-            });
-            let retry_at_ms = now.local_ms + REQUEST_RETRY_DELAY_MS;
-            self.policy_decisions
-                .insert(key, PolicyDecision::Requested { retry_at_ms });
-            if requests.len() == MAX_REQUESTS {
-                break;
+            match self.policy_candidates(job, key, &usable, now) {
+                Some(candidates) => due.push(candidates),
+                None => not_due.push(key),
             }
         }
-        requests
+        due.sort_by_key(|candidates| candidates.new_workers == 0);
+        due.truncate(MAX_REQUESTS);
+        for key in not_due {
+            let decision = self.policy_decisions.entry(key).or_default();
+            decision.not_before_ms = now.local_ms + RECHECK_DELAY_MS;
+        }
+        due.into_iter()
+            .map(|candidates| self.policy_request(candidates, now))
+            .collect()
     }
 
-    /// Applies a decision of the policy service on the step of `task`. `allowed` has the ids of the authorized workers,
-    /// each with its authorization token, which is valid for `valid_ms` from now. A decision without workers is
-    /// ignored, so that the request is repeated. A decision on a removed job is ignored.
+    /// The workers to name for a step, of the `usable` ones; `None` when the step needs no request, as a worker that may run it
+    /// has room for it or there is nobody to ask about.
+    fn policy_candidates(
+        &self,
+        job: &Job,
+        key: StepKey,
+        usable: &[(WorkerKey, &Worker)],
+        now: Now,
+    ) -> Option<Candidates> {
+        let step = &job.spec().steps[usize::from(key.step)];
+        let decision = self.policy_decisions.get(&key);
+        let could_run = |worker: &Worker| {
+            worker.has_label(&step.required_label) && step.footprint().fits(worker.info.capacity)
+        };
+        let usable: Vec<_> = usable
+            .iter()
+            .filter(|(_, worker)| could_run(worker))
+            .collect();
+        let is_authorized =
+            |worker: WorkerKey| self.authorization_for_step(key, worker, now).is_some();
+        let has_authorized = usable.iter().any(|(worker, _)| is_authorized(*worker));
+        if has_authorized && self.is_placeable(job, step, key, now) {
+            return None;
+        }
+        let has_room = |worker_key: WorkerKey, worker: &Worker| {
+            worker.may_join()
+                && fits(worker, step, worker_key, &[], now)
+                && is_below_step_limit(worker, job, step, key, worker_key, &[])
+        };
+        let unknown = usable.iter().filter(|(worker, _)| {
+            !decision.is_some_and(|decision| decision.is_known(*worker, now.local_ms))
+        });
+        let order = |worker_key: WorkerKey, worker: &Worker| {
+            let asked_at_ms = decision.map_or(0, |decision| decision.asked_at_ms(worker_key));
+            (asked_at_ms, !has_room(worker_key, worker))
+        };
+        let mut unknown: Vec<_> = unknown
+            .map(|(worker_key, worker)| (order(*worker_key, worker), *worker_key))
+            .collect();
+        // Beside an authorized worker that is full, only workers with room are of use.
+        unknown.retain(|((_, is_full), _)| !(has_authorized && *is_full));
+        unknown.sort_by_key(|(order, _)| *order);
+        if unknown.is_empty() {
+            return None;
+        }
+        let new_workers = unknown
+            .iter()
+            .filter(|((asked_at_ms, _), _)| *asked_at_ms == 0);
+        Some(Candidates {
+            key,
+            task: TaskKey {
+                job: key.job,
+                index: job.step_tasks(key.occurrence, usize::from(key.step)).start,
+            },
+            usable_workers: usable.len(),
+            new_workers: new_workers.count(),
+            workers: unknown.into_iter().map(|(_, worker)| worker).collect(),
+        })
+    }
+
+    /// Whether authorized workers have room for a task of the step, or for all of a gang.
+    fn is_placeable(&self, job: &Job, step: &StepSpec, key: StepKey, now: Now) -> bool {
+        if step.is_gang {
+            return self.gang_workers(job, key, now).is_some();
+        }
+        let idle = job.idle_tasks(key.occurrence, usize::from(key.step));
+        let crashes = idle.filter_map(|index| Some(job.task(index)?.crashes));
+        let crashes = crashes.min().unwrap_or(0);
+        self.choose(job, step, key, crashes, &[], now).is_some()
+    }
+
+    /// Records the next request for a step and returns it.
+    fn policy_request(&mut self, candidates: Candidates, now: Now) -> PolicyRequest {
+        let Candidates { key, task, .. } = candidates;
+        let mut workers = candidates.workers;
+        workers.truncate(MAX_WORKERS_PER_REQUEST);
+        let ids = workers.iter().filter_map(|worker| self.worker(*worker));
+        let ids = ids.map(|info| info.id.clone()).collect();
+        let remaining_workers = candidates.new_workers.saturating_sub(workers.len());
+        let decision = self.policy_decisions.entry(key).or_default();
+        let is_known = |worker: &WorkerKey| self.workers.contains_key(*worker);
+        decision.workers.retain(|worker, _| is_known(worker));
+        decision.record_request(workers, now.local_ms);
+        PolicyRequest {
+            step: format_smolstr!("{}.{}.{}", key.job, key.occurrence, key.step),
+            task,
+            workers: ids,
+            usable_workers: candidates.usable_workers,
+            remaining_workers,
+        }
+    }
+
+    /// Applies a decision of the policy service in response to the last request for the step of `task`. `allowed` has the ids of
+    /// the authorized workers, each with its authorization token, which is valid for `valid_ms` from now. The other workers that
+    /// the request names count as refused for as long, and at least for a second; the next request names others. A decision on
+    /// a removed or ended job is ignored.
     pub fn apply_policy_decision(
         &mut self,
         task: TaskKey,
@@ -181,21 +346,17 @@
         valid_ms: u64,
         now: Now,
     ) {
-        let Some(job) = self.jobs.get(&task.job) else {
+        let job = self.jobs.get(&task.job).filter(|job| !job.has_ended());
+        let Some(job) = job else {
             return;
         };
         let (occurrence, step, _) = job.position(task.index);
-        if allowed.is_empty() {
-            return;
-        }
-        let until_ms = now.local_ms.saturating_add(valid_ms);
-        let authorizations = allowed.into_iter().collect();
-        self.policy_decisions.insert(
-            step_key(task.job, occurrence, step),
-            PolicyDecision::Authorized {
-                authorizations,
-                until_ms,
-            },
-        );
+        let step = step_key(task.job, occurrence, step);
+        let key_of = |worker: SmolStr| self.workers_by_id.get(&worker).copied();
+        let allowed = allowed.into_iter();
+        let tokens = allowed.filter_map(|(worker, token)| Some((key_of(worker)?, token)));
+        let tokens = tokens.collect();
+        let decision = self.policy_decisions.entry(step).or_default();
+        decision.record_response(tokens, valid_ms, now.local_ms);
     }
 }
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -161,7 +161,6 @@
             start_unix_ms: start_unix_ms.unwrap_or(0),
         });
         worker.restart(start_unix_ms);
-        let id = worker.info.id.clone();
         if worker.leases_expired_by_ms > now.local_ms {
             worker.assume_longest_lease(
                 limits.max_lease_ms,
@@ -169,7 +168,7 @@
                 now.local_ms,
             );
         }
-        self.forget_authorizations(&id);
+        self.forget_authorizations(key);
     }
 
     /// The task with this name on workers, or `None` when no job of the pool has such a task.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -12,7 +12,7 @@
 use crate::demand::Trend;
 use crate::dirty::DirtyJobs;
 use crate::overload::Overload;
-use crate::policy::PolicyDecision;
+use crate::policy::PolicyDecisions;
 use crate::ready::{Prospect, Rank, Ready, StepKey};
 use crate::teams::Teams;
 use crate::types::{CountedCrash, JobStatus, Limits, Now, QueueRules, SchedulerEvent};
@@ -62,7 +62,7 @@
     pub(crate) arrivals: Arrivals,
     pub(crate) overload: Overload,
     /// Requests to the policy service and its decisions, by step.
-    pub(crate) policy_decisions: HashMap<StepKey, PolicyDecision>,
+    pub(crate) policy_decisions: PolicyDecisions,
     /// The remaining jobs with service tasks.
     pub(crate) service_jobs: BTreeSet<JobId>,
     pub(crate) teams: Teams,
@@ -97,7 +97,7 @@
             trend: Trend::default(),
             arrivals: Arrivals::default(),
             overload: Overload::default(),
-            policy_decisions: HashMap::new(),
+            policy_decisions: PolicyDecisions::new(),
             service_jobs: BTreeSet::new(),
             teams: Teams::default(),
             counted_crashes: BTreeMap::new(),
@@ -184,6 +184,7 @@
         }
         self.ended_jobs.remove(&(job.ended_at_ms(), id));
         self.service_jobs.remove(&id);
+        self.forget_policy_decisions(id);
         self.counted_crashes.retain(|task, _| task.job != id);
         self.teams.forget_job(id);
         self.deferred_commands.remove(&id);
@@ -337,6 +338,7 @@
     pub(crate) fn finish_job(&mut self, id: JobId) {
         self.service_jobs.remove(&id);
         self.remove_not_started(id);
+        self.forget_policy_decisions(id);
         let job = &self.jobs[&id];
         self.ended_jobs.insert((job.ended_at_ms(), id));
         self.deferred_commands.remove(&id);
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -364,8 +364,7 @@
                 self.end_attempt(key, task, number, AttemptOutcome::Lost, now);
             }
             StartOutcome::NotAuthorized => {
-                let worker = worker.info.id.clone();
-                self.forget_authorization(task, &worker);
+                self.forget_authorization(task, key);
                 self.end_attempt(key, task, number, AttemptOutcome::Lost, now);
             }
             StartOutcome::Refused => {
--- a/crates/scheduler/tests/policy.rs
+++ b/crates/scheduler/tests/policy.rs
@@ -4,11 +4,16 @@
 
 use std::collections::HashMap;
 
-use scheduler::{QueueRules, StartOutcome};
+use scheduler::{PolicyRequest, QueueRules, StartOutcome, WorkerKey};
+use submission::TaskKey;
 use support::{Pool, job, starts, step};
 
 fn pool() -> Pool {
-    let mut pool = Pool::new(&["one", "two"]);
+    pool_of(&["one", "two"])
+}
+
+fn pool_of(workers: &[&str]) -> Pool {
+    let mut pool = Pool::new(workers);
     let rules = QueueRules {
         priority: 0,
         max_failures: 2,
@@ -103,6 +108,138 @@
     assert_eq!(request.workers.len(), 2);
 }
 
+/// More workers than a request names, as in the pool of the review's case 4.
+fn large_pool(names: &[String]) -> Pool {
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    pool_of(&names)
+}
+
+fn names() -> Vec<String> {
+    (0..62).map(|number| format!("w-{number}")).collect()
+}
+
+/// Plays the policy service, which decides within 60 ms and allows `allowed`, until `for_ms` have passed. Returns what started and the
+/// requests.
+fn serve(
+    pool: &mut Pool,
+    allowed: impl Fn(&str) -> bool,
+    for_ms: u64,
+) -> (Vec<(WorkerKey, TaskKey, u32)>, Vec<PolicyRequest>) {
+    let (mut started, mut served) = (Vec::new(), Vec::new());
+    let end_ms = pool.now().local_ms + for_ms;
+    while pool.now().local_ms < end_ms {
+        let requests = pool.scheduler.policy_requests(pool.now());
+        pool.advance(60);
+        for request in requests {
+            let workers = request.workers.iter().filter(|id| allowed(id));
+            let workers = workers.map(|id| (id.clone(), "token".into()));
+            let workers = workers.collect();
+            pool.scheduler
+                .apply_policy_decision(request.task, workers, 10_000, pool.now());
+            served.push(request);
+        }
+        started.extend(starts(&pool.round()));
+    }
+    (started, served)
+}
+
+/// Guards against: the service is asked on the same 30 workers each second, and the job waits for good beside three idle ones
+/// that it would allow.
+#[test]
+fn workers_that_were_never_asked_about_are_asked_about_before_the_same_ones_again() {
+    let names = names();
+    for first_allowed in [0, 29, 30, 45, 59] {
+        let mut pool = large_pool(&names);
+        pool.submit(1, job(vec![step(2)]));
+        let allowed: Vec<_> = names[first_allowed..].iter().take(3).collect();
+        let is_allowed = |id: &str| allowed.iter().any(|name| *name == id);
+        let (started, _) = serve(&mut pool, is_allowed, 1000);
+        assert_eq!(started.len(), 2, "allowed from {first_allowed}");
+    }
+}
+
+/// Guards against: a job waits until its authorizations expire, as all authorized workers are full, beside idle ones.
+#[test]
+fn further_workers_are_asked_about_when_the_authorized_ones_are_full() {
+    let names = names();
+    let mut pool = large_pool(&names);
+    pool.submit(1, job(vec![step(8)]));
+    let is_allowed = |id: &str| ["w-0", "w-61"].contains(&id);
+    let (started, _) = serve(&mut pool, is_allowed, 1000);
+    // Each of them has room for four.
+    assert_eq!(started.len(), 8);
+}
+
+/// Guards against: the workers with the most free CPU are named, and those are authorized that the step can't run on.
+#[test]
+fn only_workers_with_the_label_and_the_size_of_a_step_are_asked_about() {
+    let names = names();
+    let mut pool = large_pool(&names);
+    let mut infos: Vec<_> = names.iter().map(|name| support::worker(name)).collect();
+    infos[61].labels.insert(0, "special".into());
+    infos[60].capacity.gpus = 1;
+    pool.scheduler.set_workers(infos, pool.now());
+    let mut labelled = step(1);
+    labelled.required_label = "special".into();
+    let mut with_gpu = step(1);
+    with_gpu.needs.gpus = 1;
+    pool.submit(1, job(vec![labelled]));
+    pool.submit(2, job(vec![with_gpu]));
+    let (started, served) = serve(&mut pool, |_| true, 100);
+    let workers: Vec<_> = started.iter().map(|(worker, ..)| *worker).collect();
+    assert_eq!(workers, [pool.key("w-61"), pool.key("w-60")]);
+    assert!(served.iter().all(|request| request.workers.len() == 1));
+}
+
+/// Guards against: steps that no worker may run use up the time of the service.
+#[test]
+fn steps_that_every_worker_was_refused_for_are_asked_about_seldom_and_after_others() {
+    let names = names();
+    let mut pool = large_pool(&names);
+    for id in 1..=20 {
+        pool.submit(id, job(vec![step(1)]));
+    }
+    let (started, served) = serve(&mut pool, |_| false, 9000);
+    assert_eq!(started.len(), 0);
+    assert_eq!(served.len(), 20 * 3, "62 workers, 30 in a request");
+    // The first decisions expire while the service decides on the others.
+    pool.advance(10_000);
+    let new = pool.submit(21, job(vec![step(1)]));
+    let requests = pool.scheduler.policy_requests(pool.now());
+    assert_eq!(requests[0].task.job, new);
+    assert_eq!(requests.len(), 4);
+}
+
+/// Guards against: requests without a response are repeated for the same workers.
+#[test]
+fn a_request_without_a_response_is_followed_by_one_for_other_workers() {
+    let names = names();
+    let mut pool = large_pool(&names);
+    pool.submit(1, job(vec![step(1)]));
+    let mut asked = Vec::new();
+    for _ in 0..3 {
+        let requests = pool.scheduler.policy_requests(pool.now());
+        asked.extend(requests.into_iter().flat_map(|request| request.workers));
+        pool.advance(2500);
+    }
+    asked.sort();
+    asked.dedup();
+    assert_eq!(asked.len(), 62);
+}
+
+#[test]
+fn workers_that_come_later_are_asked_about() {
+    let mut pool = pool();
+    pool.submit(1, job(vec![step(1)]));
+    let (started, _) = serve(&mut pool, |id| id == "three", 500);
+    assert_eq!(started.len(), 0);
+    pool.set_registry(&["one", "two", "three"]);
+    pool.report("three", &[], &[]);
+    let (started, served) = serve(&mut pool, |id| id == "three", 500);
+    assert_eq!(started.len(), 1);
+    assert_eq!(served[0].workers, ["three"]);
+}
+
 /// The service handles few requests at a time, and the decisions expire.
 #[test]
 fn no_request_is_spent_on_steps_of_a_team_at_its_limit() {
