fleetd: a command to a VM ends only the worker that a later list no longer shows

Cause: the response to a command was taken as the end of the worker that the last list shows on the VM. The response is the same when an earlier command had taken effect, and then that worker is the next one.

Change: when a command may have taken effect, the leader remembers the worker that the last list showed, with its pool and its start. The next list, which is read before the pools are told anything in any case, settles what became of it: it has ended if the list doesn't show it up on its VM in its pool; otherwise, if a response showed that the operation has taken place, it came afterwards and its drain is cancelled. An end is so told in the same round as before, and the end of a worker by a command without a response is told, too. Only such an end may count as a crash, by the same evidence as before.

The same cause on related paths: a repeated maintenance, and a leader that repeats the maintenance of a lost one, for which no memory of the first command helps.

--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod command_record;
 mod commands;
+mod drains;
 mod ended_incarnations;
 mod inputs;
 mod lease_renewal;
@@ -210,8 +211,10 @@
         let may_be_commanded = |vm: &str| {
             !self.sender.may_send_commands() || self.command_record.is_soft_locked(&self.node, vm)
         };
-        self.ended_incarnations
+        let settled = self
+            .ended_incarnations
             .record_list(&listed, unresponsive, may_be_commanded);
+        self.end_drains(settled);
         self.quotas.configure(&self.node).await;
         let replies = self.call_pools(&listed, &standby).await;
         self.exchange_quotas(&replies).await;
@@ -321,38 +324,6 @@
         ended.replies
     }
 
-    /// Sets the VMs that pools are to drain, and cancels the drain of workers on other VMs.
-    fn set_draining(&mut self, listed: &[ListedVm], to_drain: &BTreeSet<SmolStr>) {
-        let previous = std::mem::take(&mut self.draining);
-        for vm in listed.iter().filter(|vm| to_drain.contains(&vm.vm)) {
-            if let Some(worker) = &vm.worker_id {
-                let workers = self.draining.entry(vm.pool.clone()).or_default();
-                workers.insert(worker.clone());
-            }
-        }
-        for (pool, workers) in previous {
-            let now = self.draining.get(&pool);
-            let dropped = workers
-                .into_iter()
-                .filter(|worker| now.is_none_or(|now| !now.contains(worker)));
-            // Workers on VMs whose maintenance is in progress stay drained. Once the outcome of the command is known,
-            // the pool is told that the incarnation has ended or that the drain is cancelled.
-            let cancelled = dropped.filter(|worker| {
-                let vm = listed
-                    .iter()
-                    .find(|vm| vm.worker_id.as_ref() == Some(worker));
-                !vm.is_some_and(|vm| self.waves.is_in_progress(&vm.vm))
-            });
-            let cancelled: Vec<_> = cancelled.collect();
-            if !cancelled.is_empty() {
-                self.cancelled_drains
-                    .entry(pool)
-                    .or_default()
-                    .extend(cancelled);
-            }
-        }
-    }
-
     /// Returns the moves whose outcome is unknown and that may be repeated, then new moves that follow the demand: of VMs that are
     /// under a drain lease of their pool and have no tasks, VMs of standby pools and VMs without a worker.
     async fn move_commands(
@@ -491,17 +462,12 @@
                 vm
             }
         };
-        self.ended_incarnations.record_command(vm, outcome);
-        let Some((pool, worker)) = incarnations.get(vm) else {
+        let listed = incarnations.get(vm);
+        self.ended_incarnations.record_command(vm, listed, outcome);
+        let Some((pool, worker)) = listed else {
             return;
         };
         match outcome {
-            VmCommandOutcome::Started => {
-                self.ended_incarnations.insert(pool.clone(), worker.clone());
-                if let Some(draining) = self.draining.get_mut(pool) {
-                    draining.remove(worker);
-                }
-            }
             // Another command may be under way to the VM.
             VmCommandOutcome::WithoutEffect if self.is_reserved(vm) => {}
             VmCommandOutcome::Busy
@@ -512,7 +478,8 @@
                     .or_default()
                     .push(worker.clone());
             }
-            VmCommandOutcome::Unknown => {}
+            // A later list shows whether the worker has ended.
+            VmCommandOutcome::Started | VmCommandOutcome::Unknown => {}
         }
     }
 }
