fleetd: a policy decision is waited for as long as the service needs

Cause: each request was given up after 2.5 s and made again, whatever the configuration says of the service's time, and the service still handled the ones that were given up.

Change: the timeout is twice the time that the configuration names for the request, at least 2.5 s as before, and doubles with each request that times out (RFC 6298, section 5.5), for a service that is slower than configured. A daemon sends one request at a time, as the service handles one call of each daemon at a time: the requests of its pools would wait for each other there, and time out.

--- a/crates/config-check/src/changes.rs
+++ b/crates/config-check/src/changes.rs
@@ -134,6 +134,10 @@
     fields.compare("failed attempts", &old.max_failures, &new.max_failures);
     fields.compare("priority", &old.priority, &new.priority);
     fields.compare("policy", &old.has_policy, &new.has_policy);
+    let (old_ms, new_ms) = (old.decision_base_ms, new.decision_base_ms);
+    fields.compare("decision base ms", &old_ms, &new_ms);
+    let (old_ms, new_ms) = (old.decision_per_worker_ms, new.decision_per_worker_ms);
+    fields.compare("decision per worker ms", &old_ms, &new_ms);
     fields.compare("public", &old.is_public, &new.is_public);
 }
 
--- a/crates/config-check/tests/check.rs
+++ b/crates/config-check/tests/check.rs
@@ -20,6 +20,8 @@
         max_failures: 3,
         priority: 0,
         has_policy: false,
+        decision_base_ms: 0,
+        decision_per_worker_ms: 0,
         is_public: false,
     }
 }
--- a/crates/fleetd/src/node.rs
+++ b/crates/fleetd/src/node.rs
@@ -7,6 +7,7 @@
 
 use ownership::{Peers, ShardOwner};
 use parking_lot::Mutex;
+use scheduler::DecisionTimeout;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 use transfer::{LinkBudget, ResponseTimes};
@@ -84,6 +85,8 @@
     pub(crate) workers: WorkerClient,
     pub(crate) vms: VmClient,
     pub(crate) policy_client: Option<PolicyClient>,
+    /// Held during a request to the policy service.
+    pub(crate) policy_timeout: tokio::sync::Mutex<DecisionTimeout>,
     pub(crate) active_config: ActiveConfig,
     pub(crate) assignments: Assignments,
     pub(crate) metrics: Metrics,
@@ -142,6 +145,7 @@
                 .as_ref()
                 .filter(|addr| !addr.is_empty())
                 .map(|addr| PolicyClient::new(http.clone(), addr)),
+            policy_timeout: tokio::sync::Mutex::default(),
             settings,
             incarnation,
             started_at_ms: local_ms(),
--- a/crates/fleetd/src/pool/policy.rs
+++ b/crates/fleetd/src/pool/policy.rs
@@ -6,6 +6,7 @@
 use scheduler::PolicyRequest;
 use smol_str::SmolStr;
 
+use crate::clock::local_ms;
 use crate::pool::PoolOwner;
 
 /// How often the scheduler is asked for steps that need a policy decision.
@@ -14,10 +15,6 @@
 /// How often to check whether a new configuration has queues that need policy decisions, while there are none.
 const IDLE_PERIOD: Duration = Duration::from_millis(500);
 
-/// How long the policy service may take to respond. The service decides on each of 30 workers in turn, and serves one
-/// daemon at a time.
-const DECISION_TIMEOUT: Duration = Duration::from_millis(2500);
-
 impl PoolOwner {
     /// Requests policy decisions until the ownership ends. Returns at once when no policy service is configured.
     pub(crate) async fn request_policy_decisions(self: Arc<Self>) {
@@ -42,13 +39,19 @@
         let Some(client) = &self.node.policy_client else {
             return;
         };
+        // The service handles one call of a daemon at a time, so that the calls of its pools would wait for each other there.
+        let mut timeout = self.node.policy_timeout.lock().await;
+        let timeout_ms = timeout.for_request(self.expected_decision_ms(&request));
+        let sent_at_ms = local_ms();
         let step = request.step.as_str();
         let (asked, usable) = (request.workers.len(), request.usable_workers);
         let first_asked = request.workers.first().map(SmolStr::as_str);
-        match client
-            .request_decision(step, &request.workers, DECISION_TIMEOUT)
-            .await
-        {
+        let limit = Duration::from_millis(timeout_ms);
+        let response = client.request_decision(step, &request.workers, limit).await;
+        let duration_ms = local_ms().saturating_sub(sent_at_ms);
+        timeout.record(response.is_err() && duration_ms >= timeout_ms);
+        drop(timeout);
+        match response {
             Ok((allowed, valid_ms)) => {
                 tracing::info!(
                     step,
@@ -58,6 +61,7 @@
                     never_asked = request.remaining_workers,
                     allowed = allowed.len(),
                     valid_ms,
+                    duration_ms,
                     "received a policy decision on a step"
                 );
                 let now = self.node.clock.now();
@@ -67,8 +71,19 @@
                 self.recorder_waker.notify_one();
             }
             Err(err) => {
-                tracing::info!(step, asked, usable, first_asked, error = %err, "policy decision request failed");
+                tracing::info!(step, asked, usable, first_asked, duration_ms, timeout_ms, error = %err, "policy decision request failed");
             }
         }
     }
+    /// How long the service needs for a request by the active configuration, in ms; 0 when the queue has been removed.
+    fn expected_decision_ms(&self, request: &PolicyRequest) -> u64 {
+        let document = self.node.active_config.get();
+        let mut queues = document.iter().flat_map(|document| &document.queues);
+        let queue = queues.find(|queue| queue.name == request.queue);
+        queue.map_or(0, |queue| {
+            let workers = u64::try_from(request.workers.len()).unwrap_or(u64::MAX);
+            let workers_ms = queue.decision_per_worker_ms.saturating_mul(workers);
+            queue.decision_base_ms.saturating_add(workers_ms)
+        })
+    }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 mod arrivals;
 mod batch;
 mod crashes;
+mod decision_timeout;
 mod demand;
 mod dirty;
 mod draining;
@@ -28,6 +29,7 @@
 mod workers;
 
 pub use batch::{Batch, RecordedEnds, RowChange, WorkerCommand};
+pub use decision_timeout::DecisionTimeout;
 pub use demand::{Demand, IdleWorker};
 pub use draining::DRAIN_LEASE_MS;
 pub use overload::OverloadRules;
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -118,6 +118,8 @@
     pub step: SmolStr,
     /// The first task of the step, to be passed to `Scheduler::apply_policy_decision` with the decision.
     pub task: TaskKey,
+    /// The queue of the job.
+    pub queue: SmolStr,
     /// The ids of the workers.
     pub workers: Vec<SmolStr>,
     /// The number of usable workers that could run a task of the step, by its label and its size.
@@ -130,6 +132,7 @@
 struct Candidates {
     key: StepKey,
     task: TaskKey,
+    queue: SmolStr,
     /// Those without a decision, in the order in which they are to be named.
     workers: Vec<WorkerKey>,
     usable_workers: usize,
@@ -297,6 +300,7 @@
                 job: key.job,
                 index: job.step_tasks(key.occurrence, usize::from(key.step)).start,
             },
+            queue: job.queue.clone(),
             usable_workers: usable.len(),
             new_workers: new_workers.count(),
             workers: unknown.into_iter().map(|(_, worker)| worker).collect(),
@@ -329,6 +333,7 @@
         PolicyRequest {
             step: format_smolstr!("{}.{}.{}", key.job, key.occurrence, key.step),
             task,
+            queue: candidates.queue,
             workers: ids,
             usable_workers: candidates.usable_workers,
             remaining_workers,
--- a/crates/test-support/src/fleet_daemon.rs
+++ b/crates/test-support/src/fleet_daemon.rs
@@ -18,6 +18,7 @@
     store: SocketAddr,
     vms: SocketAddr,
     revoke_ms: Option<u64>,
+    policy: Option<SocketAddr>,
 }
 
 impl FleetDaemonSpec {
@@ -39,9 +40,17 @@
             store,
             vms,
             revoke_ms: None,
+            policy: None,
         }
     }
 
+    /// Sets where the policy service is.
+    #[must_use]
+    pub fn with_policy(mut self, addr: SocketAddr) -> Self {
+        self.policy = Some(addr);
+        self
+    }
+
     /// Sets how long after its revocation a key may still be used, in ms. Revocations are then strict.
     #[must_use]
     pub fn with_strict_revocation(mut self, revoke_ms: u64) -> Self {
@@ -61,7 +70,9 @@
             store,
             vms,
             revoke_ms,
+            policy,
         } = self;
+        let policy = policy.map_or_else(String::new, |addr| format!("advice_addr: {addr}\n"));
         let revocation = revoke_ms.map_or_else(String::new, |revoke_ms| {
             format!(", strict_revoke: true, revoke_ms: {revoke_ms}")
         });
@@ -69,7 +80,7 @@
             "daemon: {name}\nip: {}\nzone: z\ncallers_addr: {callers}\nready_addr: {ready}\n\
              peer_port: {}\nmetrics_port: {}\nstore_addr: {store}\nvms_addr: {vms}\nnew_field: ignored\n\
              bounds: {{ grace_s: 6, longest_lease_ms: 10000, keep_ended_s: 120, steward_gap_ms: 3000, \
-             maintenance_s: 0.4, stop_ms: 200{revocation} }}\n",
+             maintenance_s: 0.4, stop_ms: 200{revocation} }}\n{policy}",
             peers.ip(),
             peers.port(),
             metrics.port(),
