fleetd: a list of VMs confirms a move without a response

What callers would see: while the VM control responds late, each VM that was moved to a pool idles there, and jobs wait beside it.

A move without a response is repeated until one comes, and the VM is drained for the repetition; the drain hits the worker that came with the move.

Change: the repetition ends when a list shows the VM in the target pool. The list is read after all sends of the command, and a command that the control still holds back has no effect on a VM in its target pool, as after a response.

--- a/crates/fleetd/src/leader/drains.rs
+++ b/crates/fleetd/src/leader/drains.rs
@@ -1,4 +1,4 @@
-//! Which workers the pools drain for commands to their VMs.
+//! Which workers the pools drain for commands to their VMs, and when a list of VMs ends that.
 
 use std::collections::BTreeSet;
 
@@ -52,4 +52,21 @@
             self.cancelled_drains.entry(pool).or_default().push(worker);
         }
     }
+
+    /// Ends the repetition of moves that have taken effect by a list, so that the workers that came with them are not drained for
+    /// it. While the VM control is slow, a response may never come in time.
+    pub(super) fn confirm_moves(&mut self, listed: &[ListedVm]) {
+        for vm in listed {
+            let target = self.unconfirmed_moves.get(&vm.vm);
+            if target.is_some_and(|target| *target == vm.pool) {
+                self.unconfirmed_moves.remove(&vm.vm);
+                self.reclaiming.remove(&vm.vm);
+                tracing::info!(
+                    vm = vm.vm.as_str(),
+                    pool = vm.pool.as_str(),
+                    "a list of VMs shows that a move without a response has taken effect"
+                );
+            }
+        }
+    }
 }
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -79,7 +79,8 @@
     /// Until when commands may be sent that a successor has to keep a gap to, in ms on the store's clock: when the last
     /// command got its response or timed out, or until when the leaders before this one may send commands.
     last_command_at_ms: u64,
-    /// The moves whose outcome is unknown: the target pool by VM. A move is sent again until its outcome is known.
+    /// The moves whose outcome is unknown: the target pool by VM. A move is sent again until a response or a list shows its
+    /// outcome.
     unconfirmed_moves: BTreeMap<SmolStr, SmolStr>,
 }
 
@@ -215,6 +216,7 @@
             .ended_incarnations
             .record_list(&listed, unresponsive, may_be_commanded);
         self.end_drains(settled);
+        self.confirm_moves(&listed);
         self.quotas.configure(&self.node).await;
         let replies = self.call_pools(&listed, &standby).await;
         self.exchange_quotas(&replies).await;
