scheduler: the timeout of policy decisions is bounded at four times the first

Cause: the timeout of a request grew up to 60 s. A service that was silent for a while may never answer the request that is in flight when it is back, so that its steps would wait for as long as the timeout has grown to.

--- a/crates/scheduler/src/decision_timeout.rs
+++ b/crates/scheduler/src/decision_timeout.rs
@@ -2,18 +2,19 @@
 //!
 //! Answers a service that needs longer than a fixed time: with a fixed one, it would be given up and asked again for good. The service
 //! handles the calls of a daemon in turn, also those that were given up, so that each of these delays the next response. The
-//! timeout doubles with each request that times out, as the retransmission timer of TCP does (RFC 6298, section 5.5).
+//! timeout doubles with each request that times out, as the retransmission timer of TCP does (RFC 6298, section 5.5). It stays
+//! bounded, as a service that was silent for a while may never answer the request that is waited for when it is back.
 
 /// The timeout of a request that is expected to take no longer than half of it, in ms.
 const MIN_TIMEOUT_MS: u64 = 2500;
 
-/// The timeout is not doubled beyond this, in ms.
-const MAX_DOUBLED_MS: u64 = 60_000;
+/// How often the timeout is doubled at most.
+const MAX_DOUBLINGS: u32 = 2;
 
 /// The timeouts of one daemon's requests to the policy service.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct DecisionTimeout {
-    timed_out: u32,
+    doublings: u32,
 }
 
 impl DecisionTimeout {
@@ -30,13 +31,15 @@
     #[must_use]
     pub fn for_request(self, expected_ms: u64) -> u64 {
         let first_ms = expected_ms.saturating_mul(2).max(MIN_TIMEOUT_MS);
-        let factor = 1u64.checked_shl(self.timed_out).unwrap_or(u64::MAX);
-        let doubled_ms = first_ms.saturating_mul(factor);
-        doubled_ms.min(MAX_DOUBLED_MS.max(first_ms))
+        first_ms.saturating_mul(1 << self.doublings)
     }
 
     /// Records whether a request has timed out. Any other end shows that the service does not need longer.
     pub fn record(&mut self, has_timed_out: bool) {
-        self.timed_out = if has_timed_out { self.timed_out + 1 } else { 0 };
+        self.doublings = if has_timed_out {
+            MAX_DOUBLINGS.min(self.doublings + 1)
+        } else {
+            0
+        };
     }
 }
