scheduler: policy requests renew authorizations first and leave steps without hope to the end

The service's decisions don't change, so that the workers that it authorized last are named first. - The steps that are examined at a time were counted together. With more than 64 steps that every worker was refused for and that rank first, no other step was examined until these had been served. They have a count of their own now.

--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -27,8 +27,8 @@
 /// How long a step that needs no request is left alone.
 const RECHECK_DELAY_MS: u64 = 200;
 
-/// The largest number of steps that are examined at a time. Bounds the work under overload; with [`RECHECK_DELAY_MS`], the
-/// steps behind them follow.
+/// The largest number of steps that are examined at a time, of those that every worker was refused for and of the others. Bounds
+/// the work under overload; with [`RECHECK_DELAY_MS`], the steps behind them follow.
 const MAX_EXAMINED_STEPS: usize = 64;
 
 /// The decisions of the policy service, by step.
@@ -40,6 +40,10 @@
     workers: HashMap<WorkerKey, WorkerDecision>,
     /// The workers that the last request names, until its response.
     asked: Vec<WorkerKey>,
+    /// Whether the last request left out workers that were not named before.
+    has_unnamed: bool,
+    /// Whether the service has refused every usable worker.
+    is_refused: bool,
     /// The step is not examined before.
     not_before_ms: u64,
 }
@@ -48,7 +52,7 @@
 #[derive(Debug, Clone, Default)]
 struct WorkerDecision {
     asked_at_ms: u64,
-    /// The authorization token; `None` when the service has not authorized the worker.
+    /// The authorization token, also after it has expired; `None` when the service has not authorized the worker.
     token: Option<SmolStr>,
     /// Until when the response holds; 0 without a response.
     until_ms: u64,
@@ -68,28 +72,29 @@
         decision.is_some_and(|decision| now_ms < decision.until_ms)
     }
 
-    /// When the worker was last named; 0 when it was not.
-    fn asked_at_ms(&self, worker: WorkerKey) -> u64 {
+    /// Whether the last response authorized the worker, and when the worker was last named; 0 when it was not.
+    fn history(&self, worker: WorkerKey) -> (bool, u64) {
         let decision = self.workers.get(&worker);
-        decision.map_or(0, |decision| decision.asked_at_ms)
+        decision.map_or((false, 0), |decision| {
+            (decision.token.is_some(), decision.asked_at_ms)
+        })
     }
 
     /// Forgets a worker, so that the next request names it.
     fn forget(&mut self, worker: WorkerKey) {
         self.workers.remove(&worker);
         self.asked.retain(|asked| *asked != worker);
+        self.is_refused = false;
     }
 
-    fn record_request(&mut self, workers: Vec<WorkerKey>, now_ms: u64) {
+    fn record_request(&mut self, workers: Vec<WorkerKey>, has_unnamed: bool, now_ms: u64) {
         for &worker in &workers {
-            let decision = WorkerDecision {
-                asked_at_ms: now_ms,
-                token: None,
-                until_ms: 0,
-            };
-            self.workers.insert(worker, decision);
+            let decision = self.workers.entry(worker).or_default();
+            decision.asked_at_ms = now_ms;
+            decision.until_ms = 0;
         }
         self.asked = workers;
+        self.has_unnamed = has_unnamed;
         self.not_before_ms = now_ms + REQUEST_RETRY_DELAY_MS;
     }
 
@@ -99,6 +104,7 @@
         for worker in std::mem::take(&mut self.asked) {
             let decision = self.workers.get_mut(&worker);
             if let Some(decision) = decision.filter(|_| !tokens.contains_key(&worker)) {
+                decision.token = None;
                 decision.until_ms = refused_until_ms;
             }
         }
@@ -107,6 +113,8 @@
             decision.token = Some(token);
             decision.until_ms = now_ms.saturating_add(valid_ms);
         }
+        let mut decisions = self.workers.values();
+        self.is_refused = !self.has_unnamed && decisions.all(|decision| decision.token.is_none());
         self.not_before_ms = now_ms;
     }
 }
@@ -138,6 +146,8 @@
     usable_workers: usize,
     /// The number of `workers` that were not named before.
     new_workers: usize,
+    /// Whether the last response for one of `workers` authorized it.
+    has_authorized: bool,
 }
 
 impl Scheduler {
@@ -202,7 +212,7 @@
     }
 
     /// Returns the requests to send to the policy service now, and records them as sent. There are none for teams at their
-    /// limits. Steps for which there are workers that were not named before come first.
+    /// limits. Steps that every worker was refused for come last.
     pub fn policy_requests(&mut self, now: Now) -> Vec<PolicyRequest> {
         let usable = self.workers.iter();
         let mut usable: Vec<_> = usable
@@ -214,8 +224,9 @@
         }
         let mut due = Vec::new();
         let mut not_due = Vec::new();
+        let mut examined = [0; 2];
         for (_, key) in self.ready.ranked() {
-            if due.len() + not_due.len() == MAX_EXAMINED_STEPS {
+            if examined == [MAX_EXAMINED_STEPS; 2] {
                 break;
             }
             let Some(job) = self.jobs.get(&key.job) else {
@@ -230,12 +241,18 @@
             if team.is_some_and(|(team, _)| self.is_at_limit(team)) {
                 continue;
             }
+            let is_refused = decision.is_some_and(|decision| decision.is_refused);
+            let examined = &mut examined[usize::from(is_refused)];
+            if *examined == MAX_EXAMINED_STEPS {
+                continue;
+            }
+            *examined += 1;
             match self.policy_candidates(job, key, &usable, now) {
                 Some(candidates) => due.push(candidates),
                 None => not_due.push(key),
             }
         }
-        due.sort_by_key(|candidates| candidates.new_workers == 0);
+        due.sort_by_key(|candidates| candidates.new_workers == 0 && !candidates.has_authorized);
         due.truncate(MAX_REQUESTS);
         for key in not_due {
             let decision = self.policy_decisions.entry(key).or_default();
@@ -279,21 +296,22 @@
             !decision.is_some_and(|decision| decision.is_known(*worker, now.local_ms))
         });
         let order = |worker_key: WorkerKey, worker: &Worker| {
-            let asked_at_ms = decision.map_or(0, |decision| decision.asked_at_ms(worker_key));
-            (asked_at_ms, !has_room(worker_key, worker))
+            let history = decision.map(|decision| decision.history(worker_key));
+            let (was_authorized, asked_at_ms) = history.unwrap_or_default();
+            (!was_authorized, asked_at_ms, !has_room(worker_key, worker))
         };
         let mut unknown: Vec<_> = unknown
             .map(|(worker_key, worker)| (order(*worker_key, worker), *worker_key))
             .collect();
         // Beside an authorized worker that is full, only workers with room are of use.
-        unknown.retain(|((_, is_full), _)| !(has_authorized && *is_full));
+        unknown.retain(|((.., is_full), _)| !(has_authorized && *is_full));
         unknown.sort_by_key(|(order, _)| *order);
         if unknown.is_empty() {
             return None;
         }
         let new_workers = unknown
             .iter()
-            .filter(|((asked_at_ms, _), _)| *asked_at_ms == 0);
+            .filter(|((_, asked_at_ms, _), _)| *asked_at_ms == 0);
         Some(Candidates {
             key,
             task: TaskKey {
@@ -303,6 +321,7 @@
             queue: job.queue.clone(),
             usable_workers: usable.len(),
             new_workers: new_workers.count(),
+            has_authorized: unknown.iter().any(|((is_not, ..), _)| !is_not),
             workers: unknown.into_iter().map(|(_, worker)| worker).collect(),
         })
     }
@@ -325,11 +344,14 @@
         workers.truncate(MAX_WORKERS_PER_REQUEST);
         let ids = workers.iter().filter_map(|worker| self.worker(*worker));
         let ids = ids.map(|info| info.id.clone()).collect();
-        let remaining_workers = candidates.new_workers.saturating_sub(workers.len());
         let decision = self.policy_decisions.entry(key).or_default();
+        let new = workers
+            .iter()
+            .filter(|worker| decision.history(**worker).1 == 0);
+        let remaining_workers = candidates.new_workers.saturating_sub(new.count());
         let is_known = |worker: &WorkerKey| self.workers.contains_key(*worker);
         decision.workers.retain(|worker, _| is_known(worker));
-        decision.record_request(workers, now.local_ms);
+        decision.record_request(workers, remaining_workers > 0, now.local_ms);
         PolicyRequest {
             step: format_smolstr!("{}.{}.{}", key.job, key.occurrence, key.step),
             task,
--- a/crates/scheduler/tests/policy.rs
+++ b/crates/scheduler/tests/policy.rs
@@ -14,16 +14,20 @@
 
 fn pool_of(workers: &[&str]) -> Pool {
     let mut pool = Pool::new(workers);
+    set_rules(&mut pool, 600);
+    pool
+}
+
+fn set_rules(pool: &mut Pool, latency_objective_base_ms: u64) {
     let rules = QueueRules {
         priority: 0,
         max_failures: 2,
         latency_objective_factor: 1.5,
-        latency_objective_base_ms: 600,
+        latency_objective_base_ms,
         has_policy: true,
     };
     pool.scheduler
         .set_queue_rules(HashMap::from([("queue".into(), rules)]));
-    pool
 }
 
 #[test]
@@ -210,6 +214,36 @@
     assert_eq!(requests.len(), 4);
 }
 
+/// Guards against: so many steps that no worker may run are examined first that no other is.
+#[test]
+fn many_steps_that_every_worker_was_refused_for_hold_up_no_other() {
+    let mut pool = pool();
+    // All are on time, so that the older ones rank first.
+    set_rules(&mut pool, 600_000);
+    for id in 1..=200 {
+        pool.submit(id, job(vec![step(1)]));
+    }
+    let (started, served) = serve(&mut pool, |_| false, 9000);
+    assert_eq!((started.len(), served.len()), (0, 200));
+    pool.advance(10_000);
+    let new = pool.submit(201, job(vec![step(1)]));
+    let requests = pool.scheduler.policy_requests(pool.now());
+    assert_eq!(requests[0].task.job, new);
+}
+
+/// Guards against: a step whose authorizations have expired waits until all other workers were asked about.
+#[test]
+fn workers_whose_authorization_has_expired_are_asked_about_first() {
+    let names = names();
+    let mut pool = large_pool(&names);
+    pool.submit(1, job(vec![step(8)]));
+    let (started, served) = serve(&mut pool, |id| id == "w-0", 60);
+    assert_eq!((started.len(), served.len()), (4, 1));
+    pool.advance(10_000);
+    let requests = pool.scheduler.policy_requests(pool.now());
+    assert_eq!(requests[0].workers[0], "w-0");
+}
+
 /// Guards against: requests without a response are repeated for the same workers.
 #[test]
 fn a_request_without_a_response_is_followed_by_one_for_other_workers() {
