--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -1,7 +1,8 @@
 //! Requests to the policy service, and its decisions on which workers may run a step.
 //!
-//! A request names a limited number of workers, those that were not named for the step before first. So each usable worker is named
-//! within `ceil(usable / MAX_WORKERS_PER_REQUEST)` requests for the step, whichever workers have the most free capacity meanwhile.
+//! A request names a limited number of workers: those whose authorization for the step has expired, then those that were not named for
+//! it before. So each usable worker is named after about `ceil(usable / MAX_WORKERS_PER_REQUEST)` requests for the step, whichever
+//! workers have the most free capacity meanwhile.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
