--- a/crates/trefoilpassd/tests/requests.rs
+++ b/crates/trefoilpassd/tests/requests.rs
@@ -336,7 +336,12 @@
     cluster.targets.set_vm_up(&cluster.vms("parts")[0], false);
     let report = cluster.load("parts").run().await;
     report.assert_promises(&cluster.targets.runs());
-    assert_eq!(report.outcomes.answered, report.requests());
+    let (outcomes, errors) = (&report.outcomes, &report.errors);
+    assert_eq!(
+        outcomes.answered,
+        report.requests(),
+        "{outcomes:?} {errors:?}"
+    );
 }
 
 #[tokio::test]
