--- a/crates/fleetd/src/leader/drains.rs
+++ b/crates/fleetd/src/leader/drains.rs
@@ -53,8 +53,8 @@
         }
     }
 
-    /// Ends the repetition of moves that have taken effect by a list, so that the workers that came with them are not drained for
-    /// it. While the VM control is slow, a response may never come in time.
+    /// Stops repeating the moves that a list shows to have taken effect. Workers that came with them are drained for as long as the
+    /// moves are repeated, and while the VM control is slow, a response may never come in time.
     pub(super) fn confirm_moves(&mut self, listed: &[ListedVm]) {
         for vm in listed {
             let target = self.unconfirmed_moves.get(&vm.vm);
--- a/crates/fleetd/src/leader/ended_incarnations.rs
+++ b/crates/fleetd/src/leader/ended_incarnations.rs
@@ -44,7 +44,7 @@
     }
 }
 
-/// The workers whose drain is over, as commands to their VMs are, by a list of VMs. Each with its pool.
+/// What a list of VMs shows of workers after commands to their VMs. Each worker comes with its pool, and needs no drain any more.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub(super) struct SettledWorkers {
     pub(super) ended: Vec<(SmolStr, SmolStr)>,
--- a/crates/fleetd/src/pool/policy.rs
+++ b/crates/fleetd/src/pool/policy.rs
@@ -75,6 +75,7 @@
             }
         }
     }
+
     /// How long the service needs for a request by the active configuration, in ms; 0 when the queue has been removed.
     fn expected_decision_ms(&self, request: &PolicyRequest) -> u64 {
         let document = self.node.active_config.get();
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -22,9 +22,13 @@
 /// The largest number of workers in a request. Each takes the service time, and a step rarely needs more.
 const MAX_WORKERS_PER_REQUEST: usize = 30;
 
-/// The delay before a request is repeated when the service did not respond, and the time for which a refusal holds at least.
+/// The delay before a request is repeated when the service did not respond.
 const REQUEST_RETRY_DELAY_MS: u64 = 1000;
 
+/// How long a refusal holds at least. The service is not asked all the time about workers that it refuses, however short its
+/// decisions hold.
+const MIN_REFUSAL_MS: u64 = 1000;
+
 /// How long a step that needs no request is left alone.
 const RECHECK_DELAY_MS: u64 = 200;
 
@@ -40,7 +44,7 @@
 pub(crate) struct PolicyDecision {
     workers: HashMap<WorkerKey, WorkerDecision>,
     /// The workers that the last request names, until its response.
-    asked: Vec<WorkerKey>,
+    named: Vec<WorkerKey>,
     /// Whether the last request left out workers that were not named before.
     has_unnamed: bool,
     /// Whether the service has refused every usable worker.
@@ -52,7 +56,7 @@
 /// The decision on one worker, for the incarnation that was named.
 #[derive(Debug, Clone, Default)]
 struct WorkerDecision {
-    asked_at_ms: u64,
+    named_at_ms: u64,
     /// The authorization token, also after it has expired; `None` when the service has not authorized the worker.
     token: Option<SmolStr>,
     /// Until when the response holds; 0 without a response.
@@ -77,32 +81,32 @@
     fn history(&self, worker: WorkerKey) -> (bool, u64) {
         let decision = self.workers.get(&worker);
         decision.map_or((false, 0), |decision| {
-            (decision.token.is_some(), decision.asked_at_ms)
+            (decision.token.is_some(), decision.named_at_ms)
         })
     }
 
     /// Forgets a worker, so that the next request names it.
     fn forget(&mut self, worker: WorkerKey) {
         self.workers.remove(&worker);
-        self.asked.retain(|asked| *asked != worker);
+        self.named.retain(|named| *named != worker);
         self.is_refused = false;
     }
 
     fn record_request(&mut self, workers: Vec<WorkerKey>, has_unnamed: bool, now_ms: u64) {
         for &worker in &workers {
             let decision = self.workers.entry(worker).or_default();
-            decision.asked_at_ms = now_ms;
+            decision.named_at_ms = now_ms;
             decision.until_ms = 0;
         }
-        self.asked = workers;
+        self.named = workers;
         self.has_unnamed = has_unnamed;
         self.not_before_ms = now_ms + REQUEST_RETRY_DELAY_MS;
     }
 
     /// Records the response to the last request.
     fn record_response(&mut self, tokens: HashMap<WorkerKey, SmolStr>, valid_ms: u64, now_ms: u64) {
-        let refused_until_ms = now_ms.saturating_add(valid_ms.max(REQUEST_RETRY_DELAY_MS));
-        for worker in std::mem::take(&mut self.asked) {
+        let refused_until_ms = now_ms.saturating_add(valid_ms.max(MIN_REFUSAL_MS));
+        for worker in std::mem::take(&mut self.named) {
             let decision = self.workers.get_mut(&worker);
             if let Some(decision) = decision.filter(|_| !tokens.contains_key(&worker)) {
                 decision.token = None;
@@ -298,8 +302,8 @@
         });
         let order = |worker_key: WorkerKey, worker: &Worker| {
             let history = decision.map(|decision| decision.history(worker_key));
-            let (was_authorized, asked_at_ms) = history.unwrap_or_default();
-            (!was_authorized, asked_at_ms, !has_room(worker_key, worker))
+            let (was_authorized, named_at_ms) = history.unwrap_or_default();
+            (!was_authorized, named_at_ms, !has_room(worker_key, worker))
         };
         let mut unknown: Vec<_> = unknown
             .map(|(worker_key, worker)| (order(*worker_key, worker), *worker_key))
@@ -312,7 +316,7 @@
         }
         let new_workers = unknown
             .iter()
-            .filter(|((_, asked_at_ms, _), _)| *asked_at_ms == 0);
+            .filter(|((_, named_at_ms, _), _)| *named_at_ms == 0);
         Some(Candidates {
             key,
             task: TaskKey {
@@ -350,8 +354,9 @@
             .iter()
             .filter(|worker| decision.history(**worker).1 == 0);
         let remaining_workers = candidates.new_workers.saturating_sub(new.count());
-        let is_known = |worker: &WorkerKey| self.workers.contains_key(*worker);
-        decision.workers.retain(|worker, _| is_known(worker));
+        decision
+            .workers
+            .retain(|worker, _| self.workers.contains_key(*worker));
         decision.record_request(workers, remaining_workers > 0, now.local_ms);
         PolicyRequest {
             step: format_smolstr!("{}.{}.{}", key.job, key.occurrence, key.step),
