--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,10 +2,10 @@
 //! broken, with 0 if it held, and with 2 if the case couldn't run.
 
 mod daemons;
+mod deadly;
 mod gang;
 mod gangsave;
 mod routes;
-mod rows;
 mod world;
 
 use std::net::SocketAddr;
@@ -110,7 +110,7 @@
     let workers = match case.as_str() {
         "gang" => gang::workers(),
         "gangsave" => gangsave::workers(),
-        "rows" => rows::workers(),
+        "deadly" => deadly::workers(),
         "renamed" | "removed" => routes::workers(),
         _ => return ExitCode::from(2),
     };
@@ -125,7 +125,7 @@
         match case.as_str() {
             "gang" => gang::play(&deployment).await,
             "gangsave" => gangsave::play(&deployment).await,
-            "rows" => rows::play(&deployment).await,
+            "deadly" => deadly::play(&deployment).await,
             "renamed" => routes::play_renamed(&deployment).await,
             _ => routes::play_removed(&deployment).await,
         }
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -29,12 +29,15 @@
 /// `checkpointIntervalS` and `restoreMs`.
 const CHECKPOINT_MS: u64 = 1000;
 const RESTORE_MS: u64 = 600;
+/// How long after its start a deadly subtask crashes its executor, and how long that is down.
+const DEADLY_AFTER: Duration = Duration::from_millis(10);
+const DOWN: Duration = Duration::from_secs(3);
 /// `maintenanceS`.
 const UPKEEP: Duration = Duration::from_secs(2);
 /// The most ends that a list holds.
 const MAX_LISTED_ENDS: usize = 500;
 
-/// What a subtask does, as its `spec` tells this stand-in: `ms=300 cpu=100 mem=10 gang=4 last=1 saves=1 fails=1 ticket=1`.
+/// What a subtask does, as its `spec` tells this stand-in: `ms=300 cpu=100 mem=10 gang=4 last=1 saves=1 fails=1 ticket=1 deadly=1`.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Work {
     ms: u64,
@@ -47,6 +50,8 @@
     fails: bool,
     /// Whether a start needs a ticket.
     needs_ticket: bool,
+    /// Whether the subtask crashes each executor that starts it.
+    is_deadly: bool,
 }
 
 impl Work {
@@ -66,6 +71,7 @@
                 "saves" => work.saves = value > 0,
                 "fails" => work.fails = value > 0,
                 "ticket" => work.needs_ticket = value > 0,
+                "deadly" => work.is_deadly = value > 0,
                 _ => {}
             }
         }
@@ -155,6 +161,8 @@
     gangs_began: HashMap<(String, u64), Instant>,
     /// The number of starts that were refused for want of a ticket.
     refused_tickets: usize,
+    /// The executors that are about to crash under a subtask, and when.
+    crashing: Vec<(Instant, usize)>,
 }
 
 /// All workers.
@@ -430,6 +438,9 @@
         if used(|work| work.cpu) + work.cpu > cpu || used(|work| work.mem) + work.mem > mem {
             return refused("room");
         }
+        if work.is_deadly {
+            self.crashing.push((Instant::now() + DEADLY_AFTER, worker));
+        }
         life.highest.insert(task.clone(), run);
         let started = Instant::now();
         let id = life.id.clone();
@@ -517,6 +528,15 @@
                 ticking.state.lock().tick();
             }
         });
+        let crashing = world.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+                for worker in crashing.take_crashing() {
+                    crashing.crash(worker, DOWN).await;
+                }
+            }
+        });
         world
     }
 
@@ -682,6 +702,18 @@
         worker.cuts += u64::from(is_cut);
     }
 
+    /// The workers that crash now under a subtask.
+    fn take_crashing(&self) -> Vec<usize> {
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        let (due, later) = state.crashing.iter().partition(|(at, _)| *at <= now);
+        state.crashing = later;
+        let due: Vec<(Instant, usize)> = due;
+        let up = due.into_iter().map(|(_, worker)| worker);
+        up.filter(|worker| state.workers[*worker].life.is_some())
+            .collect()
+    }
+
     /// Ends the process of a worker, which starts again after `down` with a new id.
     pub async fn crash(self: &Arc<Self>, number: usize, down: Duration) {
         let addr = {
