--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/review-standins-2
 [ -x "$program" ] && [ -x target/release/trefoilpassd ] || exit 2
-"$program" removed "$PWD" review/10
+"$program" removed "$PWD" review/9
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
