--- a/review/standins-2/src/deadly.rs
+++ b/review/standins-2/src/deadly.rs
@@ -10,7 +10,7 @@
 
 const WORKERS: usize = 24;
 /// The submissions, each for the one executor of a kind.
-const SUBMISSIONS: usize = 15;
+const SUBMISSIONS: usize = 5;
 /// How often a subtask may be started after three executors have crashed under it.
 const MORE: usize = 2;
 
@@ -59,7 +59,7 @@
             return Verdict::CouldNotRun;
         }
         ids.push(id);
-        tokio::time::sleep(Duration::from_millis(700)).await;
+        tokio::time::sleep(Duration::from_millis(4000)).await;
     }
     let mut states = BTreeMap::new();
     for _ in 0..40 {
