scheduler: jobs keep the policy under which they were accepted

Cause: whether a job needs authorizations was looked up by the name of its queue in the active configuration alone. A job keeps the name of the queue that took it, and once no configuration has that name, the job counts as one without a policy.

They hold once the configuration has dropped the name; until then its present rules go first, as before. Here only the policy follows them.

--- a/crates/fleetd/src/api/submit.rs
+++ b/crates/fleetd/src/api/submit.rs
@@ -14,6 +14,7 @@
 use super::request_record::RequestRecord;
 use super::response::{ApiResponse, RETRY_AFTER_S};
 use crate::assignments::{OpenIntake, SubmittedIntake, assignment_key};
+use crate::config::rules_of;
 use crate::node::Node;
 use crate::peer_calls::{CALL_TIMEOUT, call_peer};
 use crate::pool::fits_row;
@@ -87,19 +88,19 @@
         if let Err(err) = spec.validate() {
             return ApiResponse::bad_request(&err.to_string());
         }
-        let team: SmolStr = self.caller.team().into();
-        // A transaction with a row that the store refuses would fail again and again, and others with it.
-        if !fits_row(&self.queue.name, &team, &spec) {
-            return ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE);
-        }
         let mut request = SubmitRequest {
             pool: self.queue.pool.clone(),
             queue: self.queue.name.clone(),
-            team,
+            team: self.caller.team().into(),
+            rules: Some(rules_of(self.queue)),
             id: self.id,
             spec,
             intake: None,
         };
+        // A transaction with a row that the store refuses would fail again and again, and others with it.
+        if !fits_row(&request) {
+            return ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE);
+        }
         let key = assignment_key(&self.queue.host, &self.queue.prefix);
         // The owner of the pool knows most assignments. Without a read, a daemon that the store refuses can submit jobs, too.
         let mut is_read = node.assignments.known_intake(self.queue).is_some();
--- a/crates/fleetd/src/config.rs
+++ b/crates/fleetd/src/config.rs
@@ -86,19 +86,23 @@
     matching.max_by_key(|queue| queue.prefix.len())
 }
 
+/// The scheduling rules of a queue.
+pub(crate) fn rules_of(queue: &Queue) -> QueueRules {
+    QueueRules {
+        priority: queue.priority,
+        max_failures: queue.max_failures.max(1),
+        latency_objective_factor: queue.latency_objective_factor,
+        latency_objective_base_ms: queue.latency_objective_base_ms,
+        has_policy: queue.has_policy,
+    }
+}
+
 /// The scheduling rules of all queues, by queue.
 pub(crate) fn queue_rules(document: &ConfigDocument) -> HashMap<SmolStr, QueueRules> {
-    let rules = document.queues.iter().map(|queue| {
-        let rules = QueueRules {
-            priority: queue.priority,
-            max_failures: queue.max_failures.max(1),
-            latency_objective_factor: queue.latency_objective_factor,
-            latency_objective_base_ms: queue.latency_objective_base_ms,
-            has_policy: queue.has_policy,
-        };
-        (queue.name.clone(), rules)
-    });
-    rules.collect()
+    let queues = document.queues.iter();
+    queues
+        .map(|queue| (queue.name.clone(), rules_of(queue)))
+        .collect()
 }
 
 /// The quotas of the teams that have one, by team.
--- a/crates/fleetd/src/peer_calls/tests/mod.rs
+++ b/crates/fleetd/src/peer_calls/tests/mod.rs
@@ -82,6 +82,7 @@
         pool: "pool".into(),
         queue: "queue".into(),
         team: SmolStr::default(),
+        rules: None,
         id: JobId(1),
         spec: submission::JobSpec::default(),
         intake: None,
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -167,9 +167,11 @@
                         };
                         submissions.set_intake(id, condition);
                     }
-                    let spec = Arc::new(request.spec);
                     let now = self.node.clock.now();
-                    scheduler.submit_for_team(id, request.queue, request.team, spec, now);
+                    let job = Job::new(id, request.queue, Arc::new(request.spec), now.store_ms)
+                        .with_team(request.team)
+                        .with_accepted_rules(request.rules);
+                    scheduler.submit_job(job, now);
                 }
                 JobStatus::NotYetRecorded => {}
             }
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -7,14 +7,14 @@
 use std::time::Duration;
 
 use scheduler::{Batch, RowChange, Scheduler, SchedulerEvent};
-use submission::{Job, JobId, JobRecord, JobSpec};
+use submission::{Job, JobId, JobRecord, JobSpec, QueueRules};
 use users_platform::{KeyRange, MAX_ROW_BYTES, Row, RowKey, Transaction};
 
 use crate::clock::local_ms;
 use crate::node::{STORE_TIMEOUT, tables};
 use crate::pool::sequence::{Sequence, SequenceError};
 use crate::pool::{PoolOwner, takeover};
-use crate::rpc::SubmitReply;
+use crate::rpc::{SubmitReply, SubmitRequest};
 
 /// The longest delay between two rounds. Leases expire and steps become due also without an event.
 const MAX_ROUND_DELAY: Duration = Duration::from_millis(100);
@@ -356,23 +356,21 @@
         queue: job.queue.clone(),
         team: job.team.clone(),
         accepted_at_ms: job.accepted_at_ms,
+        rules: job.accepted_rules().copied(),
         spec: JobSpec::clone(job.spec()),
     };
     // Serialization of plain data does not fail.
     serde_json::to_vec(&row).unwrap_or_default()
 }
 
-/// Whether the row of a job fits into the store.
-pub(crate) fn fits_row(
-    queue: &smol_str::SmolStr,
-    team: &smol_str::SmolStr,
-    spec: &JobSpec,
-) -> bool {
+/// Whether the row of a submitted job fits into the store.
+pub(crate) fn fits_row(request: &SubmitRequest) -> bool {
     let row = JobRow {
-        queue: queue.clone(),
-        team: team.clone(),
+        queue: request.queue.clone(),
+        team: request.team.clone(),
         accepted_at_ms: u64::MAX,
-        spec: spec.clone(),
+        rules: request.rules,
+        spec: request.spec.clone(),
     };
     serde_json::to_vec(&row).is_ok_and(|row| row.len() <= MAX_ROW_BYTES)
 }
@@ -386,6 +384,9 @@
     pub(crate) team: smol_str::SmolStr,
     /// The time at which the owner accepted the job, on the store's clock in ms.
     pub(crate) accepted_at_ms: u64,
+    /// The rules of the queue under which the job was accepted; `None` in rows of earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) rules: Option<QueueRules>,
     pub(crate) spec: JobSpec,
 }
 
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -8,7 +8,7 @@
 use quota::{LimitMessage, UsageReply};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use submission::{JobId, JobSpec};
+use submission::{JobId, JobSpec, QueueRules};
 
 use crate::assignments::SubmittedIntake;
 
@@ -22,6 +22,9 @@
     /// The team of the caller; empty for none, and from a daemon of an earlier build.
     #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
     pub(crate) team: SmolStr,
+    /// The rules of the queue under which the job is accepted; `None` from a daemon of an earlier build.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) rules: Option<QueueRules>,
     /// The id of the job.
     pub(crate) id: JobId,
     /// The submitted spec of the job.
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -18,6 +18,7 @@
     let request = SubmitRequest {
         pool: "p".into(),
         team: SmolStr::default(),
+        rules: None,
         queue: "q".into(),
         id: JobId(7),
         spec: JobSpec {
@@ -56,6 +57,24 @@
         &request,
         &json!({"pool": "p", "queue": "q", "team": "t", "id": 7, "spec": spec, "intake": intake}),
     );
+    let rules = QueueRules {
+        priority: 1,
+        max_failures: 2,
+        latency_objective_factor: 1.5,
+        latency_objective_base_ms: 600,
+        has_policy: true,
+    };
+    let request = SubmitRequest {
+        rules: Some(rules),
+        ..request
+    };
+    let rules = json!({"p": 1, "m": 2, "f": 1.5, "b": 600, "a": true});
+    check_json(
+        &request,
+        &json!({
+            "pool": "p", "queue": "q", "team": "t", "rules": rules, "id": 7, "spec": spec, "intake": intake,
+        }),
+    );
 }
 
 #[test]
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -37,9 +37,9 @@
 pub use reports::{EndedAttempt, RunningTask, WorkerReport};
 pub use scheduler::Scheduler;
 pub use stops::StopStep;
+pub use submission::QueueRules;
 pub use teams::TeamDemand;
 pub use types::{
-    CountedCrash, CrashSource, CrashedTask, JobStatus, Limits, Now, QueueRules, SchedulerEvent,
-    StartOutcome,
+    CountedCrash, CrashSource, CrashedTask, JobStatus, Limits, Now, SchedulerEvent, StartOutcome,
 };
 pub use worker::{LeaseRenewalPlan, UnavailableReason, WorkerInfo, WorkerKey};
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -156,17 +156,16 @@
 }
 
 impl Scheduler {
-    /// Returns whether any queue has a policy.
+    /// Returns whether any queue has a policy, or any job was accepted under one.
     #[must_use]
     pub fn has_policies(&self) -> bool {
-        self.queue_rules.values().any(|rules| rules.has_policy)
+        !self.jobs_accepted_with_policy.is_empty()
+            || self.queue_rules.values().any(|rules| rules.has_policy)
     }
 
-    /// Whether the policy service has to authorize the workers for the steps of a queue.
-    pub(crate) fn has_policy(&self, queue: &str) -> bool {
-        self.queue_rules
-            .get(queue)
-            .is_some_and(|rules| rules.has_policy)
+    /// Whether the policy service has to authorize the workers for the steps of a job.
+    pub(crate) fn has_policy(&self, job: &Job) -> bool {
+        self.rules(job).is_some_and(|rules| rules.has_policy)
     }
 
     pub(crate) fn authorization_for_step(
@@ -239,7 +238,7 @@
             };
             let decision = self.policy_decisions.get(&key);
             let not_before_ms = decision.map_or(0, |decision| decision.not_before_ms);
-            if !self.has_policy(&job.queue) || now.local_ms < not_before_ms {
+            if !self.has_policy(job) || now.local_ms < not_before_ms {
                 continue;
             }
             let team = self.teams.get(&job.team);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -5,7 +5,7 @@
 
 use slotmap::SlotMap;
 use smol_str::SmolStr;
-use submission::{AttemptOutcome, Job, JobId, JobSpec, JobState, TaskKey, TaskPhase};
+use submission::{AttemptOutcome, Job, JobId, JobSpec, JobState, QueueRules, TaskKey, TaskPhase};
 
 use crate::arrivals::Arrivals;
 use crate::batch::WorkerCommand;
@@ -15,7 +15,7 @@
 use crate::policy::PolicyDecisions;
 use crate::ready::{Prospect, Rank, Ready, StepKey};
 use crate::teams::Teams;
-use crate::types::{CountedCrash, JobStatus, Limits, Now, QueueRules, SchedulerEvent};
+use crate::types::{CountedCrash, JobStatus, Limits, Now, SchedulerEvent};
 use crate::worker::{AssignedAttempt, Worker, WorkerKey};
 
 /// The expected duration of the remaining critical path of a started job, in percent of the estimate. More than 100,
@@ -65,6 +65,8 @@
     pub(crate) policy_decisions: PolicyDecisions,
     /// The remaining jobs with service tasks.
     pub(crate) service_jobs: BTreeSet<JobId>,
+    /// The jobs that have not ended and that were accepted under a policy.
+    pub(crate) jobs_accepted_with_policy: BTreeSet<JobId>,
     pub(crate) teams: Teams,
     /// The crashes that this owner has counted under each task, for the log, with the time of the count in ms on the daemon's
     /// clock.
@@ -99,6 +101,7 @@
             overload: Overload::default(),
             policy_decisions: PolicyDecisions::new(),
             service_jobs: BTreeSet::new(),
+            jobs_accepted_with_policy: BTreeSet::new(),
             teams: Teams::default(),
             counted_crashes: BTreeMap::new(),
             unexplained_crashes: Vec::new(),
@@ -110,8 +113,9 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Replaces the rules of all queues, keyed by queue name. Jobs of a queue without rules have the lowest priority,
-    /// no policy and no limit on failed attempts, and their latency objective is their critical path.
+    /// Replaces the rules of all queues, keyed by queue name. Jobs of a queue without rules have the lowest priority and no
+    /// limit on failed attempts, their latency objective is their critical path, and they keep the policy under which they were
+    /// accepted.
     pub fn set_queue_rules(&mut self, rules: HashMap<SmolStr, QueueRules>) {
         self.queue_rules = rules;
     }
@@ -131,10 +135,20 @@
         spec: Arc<JobSpec>,
         now: Now,
     ) -> bool {
+        let job = Job::new(id, queue, spec, now.store_ms).with_team(team);
+        self.submit_job(job, now)
+    }
+
+    /// Like [`Scheduler::submit`], for a job without progress. A job whose accepted rules are unknown gets the present ones of
+    /// its queue.
+    pub fn submit_job(&mut self, job: Job, now: Now) -> bool {
+        let id = job.id;
         if self.jobs.contains_key(&id) {
             return false;
         }
-        let job = Job::new(id, queue, spec, now.store_ms).with_team(team);
+        let rules = job.accepted_rules().or(self.queue_rules.get(&job.queue));
+        let rules = rules.copied();
+        let job = job.with_accepted_rules(rules);
         if job.spec().occurrences == 0 {
             let work = job.remaining_batch_work(0);
             self.arrivals_of(&job.team)
@@ -155,13 +169,25 @@
         }
         if job.has_ended() {
             self.ended_jobs.insert((job.ended_at_ms(), id));
-        } else if job.spec().steps.iter().any(|step| step.is_service) {
-            self.service_jobs.insert(id);
+        } else {
+            if job.spec().steps.iter().any(|step| step.is_service) {
+                self.service_jobs.insert(id);
+            }
+            if job.accepted_rules().is_some_and(|rules| rules.has_policy) {
+                self.jobs_accepted_with_policy.insert(id);
+            }
         }
         self.jobs.insert(id, job);
         self.unblock(id, now);
     }
 
+    /// The rules by which a job is scheduled: those of its queue, or, once the configuration has dropped the queue, those under
+    /// which the job was accepted.
+    pub(crate) fn rules<'a>(&'a self, job: &'a Job) -> Option<&'a QueueRules> {
+        let present = self.queue_rules.get(&job.queue);
+        present.or(job.accepted_rules())
+    }
+
     /// Removes a submitted job that is in no written row. Returns false and changes nothing when the rows of the job are
     /// written, or when the id is unknown. A job in a taken batch must have been removed from the batch before; see
     /// [`Batch::remove_jobs`](crate::Batch::remove_jobs).
@@ -184,6 +210,7 @@
         }
         self.ended_jobs.remove(&(job.ended_at_ms(), id));
         self.service_jobs.remove(&id);
+        self.jobs_accepted_with_policy.remove(&id);
         self.forget_policy_decisions(id);
         self.counted_crashes.retain(|task, _| task.job != id);
         self.teams.forget_job(id);
@@ -337,6 +364,7 @@
     /// Removes an ended job from the ready steps and adds stop commands for its running attempts.
     pub(crate) fn finish_job(&mut self, id: JobId) {
         self.service_jobs.remove(&id);
+        self.jobs_accepted_with_policy.remove(&id);
         self.remove_not_started(id);
         self.forget_policy_decisions(id);
         let job = &self.jobs[&id];
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -33,22 +33,6 @@
     pub stop_ms: u64,
 }
 
-/// The rules of a queue, from the active configuration.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct QueueRules {
-    /// The priority of the queue; 0 is the highest.
-    pub priority: u32,
-    /// The number of failed attempts of one task at which the job fails.
-    pub max_failures: u32,
-    /// The factor in the latency objective of a job, which is `latency_objective_factor` times the estimated critical
-    /// path of the job plus `latency_objective_base_ms`.
-    pub latency_objective_factor: f64,
-    /// The constant part of the latency objective, in ms; see `latency_objective_factor`.
-    pub latency_objective_base_ms: u64,
-    /// Whether the policy service has to authorize each worker before a step of the queue starts there.
-    pub has_policy: bool,
-}
-
 /// A change in the state of a worker, for the log.
 #[derive(Clone, PartialEq, Eq)]
 pub enum SchedulerEvent {
--- /dev/null
+++ b/crates/scheduler/tests/dropped_queues.rs
@@ -0,0 +1,118 @@
+//! Jobs of queues that a configuration has dropped go on under the rules under which they were accepted.
+
+mod support;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use scheduler::{QueueRules, StartOutcome};
+use submission::{Job, JobId, TaskKey};
+use support::{Pool, job, starts, step};
+
+const JOB: JobId = JobId(1);
+
+fn rules() -> QueueRules {
+    QueueRules {
+        priority: 0,
+        max_failures: 2,
+        latency_objective_factor: 1.5,
+        latency_objective_base_ms: 600,
+        has_policy: false,
+    }
+}
+
+fn with_policy() -> QueueRules {
+    QueueRules {
+        has_policy: true,
+        ..rules()
+    }
+}
+
+/// A pool whose queue has these rules.
+fn pool(rules: QueueRules) -> Pool {
+    let mut pool = Pool::new(&["one", "two"]);
+    let rules = HashMap::from([("queue".into(), rules)]);
+    pool.scheduler.set_queue_rules(rules);
+    pool
+}
+
+fn drop_queue(pool: &mut Pool) {
+    let other = HashMap::from([("other".into(), rules())]);
+    pool.scheduler.set_queue_rules(other);
+}
+
+/// Has the policy service authorize worker `one` for the first task of the job.
+fn authorize(pool: &mut Pool) {
+    let task = TaskKey { job: JOB, index: 0 };
+    let allowed = vec![("one".into(), "t-1".into())];
+    let now = pool.now();
+    pool.scheduler
+        .apply_policy_decision(task, allowed, 5000, now);
+}
+
+/// Checks that the job's task starts only with an authorization.
+fn check_needs_authorization(pool: &mut Pool) {
+    assert_eq!(starts(&pool.round()), []);
+    assert!(pool.scheduler.has_policies());
+    assert_eq!(pool.scheduler.policy_requests(pool.now()).len(), 1);
+    authorize(pool);
+    let started = starts(&pool.round());
+    assert_eq!(started.len(), 1);
+    let (worker, task, _) = started[0];
+    let token = pool.scheduler.authorization(worker, task, pool.now());
+    assert_eq!(token.as_deref(), Some("t-1"));
+}
+
+/// Guards against LOST: steps of a queue with a policy that a configuration had dropped were started without an authorization, which
+/// workers refused again and again.
+#[test]
+fn steps_of_a_dropped_queue_with_a_policy_start_only_with_an_authorization() {
+    let mut pool = pool(with_policy());
+    pool.submit(JOB.0, job(vec![step(1)]));
+    drop_queue(&mut pool);
+    check_needs_authorization(&mut pool);
+}
+
+/// Guards against the same failure where another daemon takes the pool over after the change of the configuration.
+#[test]
+fn the_next_owner_knows_the_policy_of_a_dropped_queue() {
+    let mut pool = pool(rules());
+    drop_queue(&mut pool);
+    let spec = Arc::new(job(vec![step(1)]));
+    let adopted = Job::new(JOB, "queue".into(), spec, 0).with_accepted_rules(Some(with_policy()));
+    pool.scheduler.adopt_job(adopted, pool.now());
+    check_needs_authorization(&mut pool);
+}
+
+/// Guards against the same failure where the configuration has dropped the queue between the acceptance of a job by one daemon and
+/// its submission to the owner of the pool.
+#[test]
+fn a_job_is_submitted_with_the_policy_under_which_it_was_accepted() {
+    let mut pool = pool(rules());
+    drop_queue(&mut pool);
+    let spec = Arc::new(job(vec![step(1)]));
+    let accepted = Job::new(JOB, "queue".into(), spec, 0).with_accepted_rules(Some(with_policy()));
+    pool.scheduler.submit_job(accepted, pool.now());
+    check_needs_authorization(&mut pool);
+}
+
+#[test]
+fn the_present_rules_of_a_queue_go_before_those_of_its_jobs() {
+    let mut pool = pool(with_policy());
+    pool.submit(JOB.0, job(vec![step(1)]));
+    pool.scheduler
+        .set_queue_rules(HashMap::from([("queue".into(), rules())]));
+    let started = starts(&pool.round());
+    assert_eq!(started.len(), 1);
+    let (worker, task, attempt) = started[0];
+    pool.apply_start(worker, task, attempt, StartOutcome::Started);
+}
+
+#[test]
+fn no_decisions_are_requested_once_the_jobs_of_a_dropped_queue_have_ended() {
+    let mut pool = pool(with_policy());
+    pool.submit(JOB.0, job(vec![step(1)]));
+    drop_queue(&mut pool);
+    pool.scheduler.cancel(JOB, pool.now());
+    assert!(!pool.scheduler.has_policies());
+}
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -8,6 +8,7 @@
 
 pub use crashes::{CrashEvidence, CrashVerdict};
 
+use crate::queue_rules::QueueRules;
 use crate::record::{JobRecord, TaskRecord};
 use crate::spec::{JobId, JobSpec, StepSpec};
 
@@ -90,6 +91,8 @@
     pub team: SmolStr,
     /// When the job was accepted, in ms on the store's clock.
     pub accepted_at_ms: u64,
+    /// The rules of the queue under which the job was accepted; `None` when they are unknown.
+    accepted_rules: Option<QueueRules>,
     spec: Arc<JobSpec>,
     tasks: Vec<Task>,
     /// The number of tasks that are not done, for each step of each occurrence. `remaining_index` gives the index.
@@ -120,6 +123,7 @@
             queue,
             team: SmolStr::default(),
             accepted_at_ms,
+            accepted_rules: None,
             tasks: vec![new_task; task_count as usize],
             remaining,
             spec,
@@ -136,6 +140,13 @@
         self
     }
 
+    /// Sets the rules of the queue under which the job was accepted; `None` when they are unknown.
+    #[must_use]
+    pub fn with_accepted_rules(mut self, rules: Option<QueueRules>) -> Self {
+        self.accepted_rules = rules;
+        self
+    }
+
     /// Restores the progress of a new job from its stored row. Tasks that the row does not list have had no attempt;
     /// entries of the row beyond the tasks of the job are ignored.
     #[must_use]
@@ -258,6 +269,13 @@
         &self.spec
     }
 
+    /// The rules of the queue under which the job was accepted. They hold once no configuration has the queue any more.
+    /// `None` when they are unknown, as for a job that an earlier build has recorded.
+    #[must_use]
+    pub fn accepted_rules(&self) -> Option<&QueueRules> {
+        self.accepted_rules.as_ref()
+    }
+
     /// All tasks, each with its index in the job.
     pub fn tasks(&self) -> impl Iterator<Item = (u32, &Task)> {
         (0..).zip(&self.tasks)
