leader: the log names the ended workers that no list of VMs has shown

An end that the leader reports counts as a crash only if a list showed the worker before. The line "unresponsive workers ended" had the crashed ones, and did not tell whether a command or a missing list explains the others.

--- a/crates/fleetd/src/leader/ended_incarnations.rs
+++ b/crates/fleetd/src/leader/ended_incarnations.rs
@@ -181,7 +181,11 @@
             let ended = workers.into_iter();
             let ended: Vec<_> = ended.filter(|worker| !running.contains(worker)).collect();
             if !ended.is_empty() {
-                tracing::info!(pool = pool.as_str(), workers = ?ended, ?crashed, "unresponsive workers ended: they are on no listed VM, or their VM is down");
+                let never_listed = ended.iter();
+                let never_listed: Vec<_> = never_listed
+                    .filter(|worker| !self.sightings.is_known(worker))
+                    .collect();
+                tracing::info!(pool = pool.as_str(), workers = ?ended, ?crashed, ?never_listed, "unresponsive workers ended: they are on no listed VM, or their VM is down");
             }
             for worker in ended {
                 let has_crashed = crashed.contains(&worker);
--- a/crates/fleetd/src/leader/worker_sightings.rs
+++ b/crates/fleetd/src/leader/worker_sightings.rs
@@ -91,6 +91,11 @@
         });
     }
 
+    /// Whether a list has shown the worker.
+    pub(super) fn is_known(&self, worker: &SmolStr) -> bool {
+        self.by_worker.contains_key(worker)
+    }
+
     /// Returns which of the workers that do not respond to the owner of `pool` are known to have crashed.
     pub(super) fn crashed<'a>(
         &mut self,
