leader: a worker that comes and crashes between two lists of VMs has crashed

Cause: an end that the leader reports counted as a crash only if a list of VMs had shown the worker before. The pool's owner reads the registry each 0.15 s, the leader the list each 0.36 s, so that a task that waits for a worker is started on it, and crashes it, before the leader has seen it.

Change: the owner tells how long ago each unresponsive worker has responded. A worker that no list shows has crashed if it ran after this leader's first list, its pool has a VM that it may have run on, and no command since may have ended it: none without a known outcome to a VM of the pool, none to one where the last list showed no worker, and no soft lock of another leader. That is also so for an incarnation with the id of one that a list has shown. An owner of an earlier build tells no times, and nothing is counted, as before.

--- a/crates/fleetd/src/leader/ended_incarnations.rs
+++ b/crates/fleetd/src/leader/ended_incarnations.rs
@@ -11,7 +11,7 @@
 use users_platform::{ListedVm, VmPhase};
 
 use crate::clock::local_ms;
-use crate::leader::worker_sightings::WorkerSightings;
+use crate::leader::worker_sightings::{UnresponsiveWorker, WorkerSightings};
 use crate::rpc::{RoundReply, RoundRequest};
 
 /// A worker incarnation that has ended.
@@ -109,7 +109,9 @@
             }
             VmCommandOutcome::WithoutEffect => return,
         }
-        self.sightings.record_command(vm, local_ms());
+        let is_outcome_known = outcome == VmCommandOutcome::Started;
+        self.sightings
+            .record_command(vm, is_outcome_known, local_ms());
         if let Some((pool, worker)) = listed {
             let commanded = CommandedWorker {
                 pool: pool.clone(),
@@ -151,7 +153,11 @@
                 settled.running.push((pool, worker));
                 continue;
             }
-            let crashed = self.sightings.crashed(&pool, [&worker], now_ms);
+            let listed_before = UnresponsiveWorker {
+                id: worker.clone(),
+                ran_at_ms: None,
+            };
+            let crashed = self.sightings.crashed(&pool, [&listed_before], now_ms);
             let has_crashed = !is_confirmed && crashed.contains(&worker);
             let start_unix_ms = self.starts_unix_ms.get(&worker).copied();
             let start_unix_ms = start_unix_ms.or(commanded.start_unix_ms);
@@ -168,7 +174,7 @@
     pub(super) fn record_list(
         &mut self,
         listed: &[ListedVm],
-        unresponsive: BTreeMap<SmolStr, Vec<SmolStr>>,
+        unresponsive: BTreeMap<SmolStr, Vec<UnresponsiveWorker>>,
         may_be_commanded: impl Fn(&str) -> bool,
     ) -> SettledWorkers {
         let now_ms = local_ms();
@@ -177,14 +183,15 @@
         let running = listed.iter().filter(|vm| vm.phase != VmPhase::Down);
         let running: BTreeSet<_> = running.filter_map(|vm| vm.worker_id.clone()).collect();
         for (pool, workers) in unresponsive {
-            let crashed = self.sightings.crashed(&pool, &workers, now_ms);
-            let ended = workers.into_iter();
-            let ended: Vec<_> = ended.filter(|worker| !running.contains(worker)).collect();
+            let mut ended = workers;
+            ended.retain(|worker| !running.contains(&worker.id));
+            let never_listed = ended.iter().map(|worker| worker.id.clone());
+            let never_listed: Vec<_> = never_listed
+                .filter(|worker| !self.sightings.is_known(worker))
+                .collect();
+            let crashed = self.sightings.crashed(&pool, &ended, now_ms);
+            let ended: Vec<_> = ended.into_iter().map(|worker| worker.id).collect();
             if !ended.is_empty() {
-                let never_listed = ended.iter();
-                let never_listed: Vec<_> = never_listed
-                    .filter(|worker| !self.sightings.is_known(worker))
-                    .collect();
                 tracing::info!(pool = pool.as_str(), workers = ?ended, ?crashed, ?never_listed, "unresponsive workers ended: they are on no listed VM, or their VM is down");
             }
             for worker in ended {
--- a/crates/fleetd/src/leader/ended_incarnations/tests/mod.rs
+++ b/crates/fleetd/src/leader/ended_incarnations/tests/mod.rs
@@ -110,8 +110,12 @@
     }
 }
 
-fn unresponsive() -> BTreeMap<SmolStr, Vec<SmolStr>> {
-    BTreeMap::from([("pool".into(), vec!["w".into()])])
+fn unresponsive() -> BTreeMap<SmolStr, Vec<UnresponsiveWorker>> {
+    let worker = UnresponsiveWorker {
+        id: "w".into(),
+        ran_at_ms: None,
+    };
+    BTreeMap::from([("pool".into(), vec![worker])])
 }
 
 /// The request after a worker that was listed was found unresponsive and the VM is listed as `next`.
--- a/crates/fleetd/src/leader/inputs.rs
+++ b/crates/fleetd/src/leader/inputs.rs
@@ -7,6 +7,7 @@
 use users_platform::{ListedVm, VmPhase};
 
 use crate::leader::commands::VmCommand;
+use crate::leader::worker_sightings::UnresponsiveWorker;
 use crate::rpc::RoundReply;
 
 /// Logs the demand and the number of VMs of each pool, and the progress of its owner.
@@ -79,6 +80,21 @@
     incarnations.collect()
 }
 
+/// Returns the unresponsive workers of a pool whose owner was asked at `asked_at_ms`, in ms, and replied.
+pub(super) fn unresponsive_workers(
+    reply: &RoundReply,
+    asked_at_ms: u64,
+) -> Vec<UnresponsiveWorker> {
+    let worker = |id: &SmolStr| {
+        let response_age_ms = reply.response_ages_ms.get(id);
+        UnresponsiveWorker {
+            id: id.clone(),
+            ran_at_ms: response_age_ms.map(|age_ms| asked_at_ms.saturating_sub(*age_ms)),
+        }
+    };
+    reply.unresponsive.iter().map(worker).collect()
+}
+
 /// Returns the demand of each standby pool, which is 0, and of each pool that replied.
 pub(super) fn pool_states(
     standby: &BTreeSet<SmolStr>,
--- a/crates/fleetd/src/leader/mod.rs
+++ b/crates/fleetd/src/leader/mod.rs
@@ -23,6 +23,7 @@
 use smol_str::SmolStr;
 use users_platform::{ListedVm, RowKey, Transaction, VmPhase};
 
+use crate::clock::local_ms;
 use crate::config::FLEET_SHARD;
 use crate::leader::command_record::CommandRecord;
 pub(crate) use crate::leader::command_record::earlier_commands_until_ms;
@@ -30,12 +31,13 @@
 use crate::leader::ended_incarnations::EndedIncarnations;
 use crate::leader::inputs::{
     incarnations_by_vm, log_pools, log_unconfirmed_drains, may_repeat_move, pool_states,
-    remaining_tasks, wave_vms,
+    remaining_tasks, unresponsive_workers, wave_vms,
 };
 use crate::leader::lease_renewal::{StoreRefusals, renew_lease};
 use crate::leader::pool_calls::{PoolCalls, REPLY_WAIT, call_pool};
 use crate::leader::quotas::Quotas;
 use crate::leader::waves::Waves;
+use crate::leader::worker_sightings::UnresponsiveWorker;
 use crate::node::{Node, SINGLETON_KEY, STORE_TIMEOUT, tables};
 use crate::peer_calls::call_peer;
 use crate::pool::{Sequence, Takeover};
@@ -71,7 +73,7 @@
     /// The worker incarnations that have ended. The next round tells their pools.
     ended_incarnations: EndedIncarnations,
     /// The workers that were unresponsive in the last round, by pool.
-    unresponsive: BTreeMap<SmolStr, Vec<SmolStr>>,
+    unresponsive: BTreeMap<SmolStr, Vec<UnresponsiveWorker>>,
     /// The workers whose drain is cancelled, by pool. The next round tells the pools.
     cancelled_drains: BTreeMap<SmolStr, Vec<SmolStr>>,
     /// The VMs that pools are draining for other pools.
@@ -218,11 +220,12 @@
         self.end_drains(settled);
         self.confirm_moves(&listed);
         self.quotas.configure(&self.node).await;
+        let asked_at_ms = local_ms();
         let replies = self.call_pools(&listed, &standby).await;
         self.exchange_quotas(&replies).await;
         let unresponsive = replies
             .iter()
-            .map(|(pool, reply)| (pool.clone(), reply.unresponsive.clone()));
+            .map(|(pool, reply)| (pool.clone(), unresponsive_workers(reply, asked_at_ms)));
         self.unresponsive = unresponsive.collect();
         self.ended_incarnations.begin_round(replies.values());
         let is_soft_locked = |vm: &str| self.command_record.is_soft_locked(&self.node, vm);
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -281,6 +281,12 @@
             Some((id.clone(), worker.start_unix_ms?))
         };
         let starts_unix_ms = named.filter_map(start).collect();
+        let response_age = |id: &SmolStr| {
+            let age_ms = scheduler.response_age_ms(scheduler.worker_key(id)?, now)?;
+            Some((id.clone(), age_ms))
+        };
+        let unresponsive = demand.unresponsive.iter();
+        let response_ages_ms = unresponsive.filter_map(response_age).collect();
         log_stalled_work(&self.pool, &scheduler, &demand);
         let first = scheduler.first_ready_task();
         let progress = OwnerProgress {
@@ -302,6 +308,7 @@
             unavailable: demand.unavailable.into_iter().map(|(id, _)| id).collect(),
             unresponsive: demand.unresponsive,
             starts_unix_ms,
+            response_ages_ms,
             progress: Some(progress),
             quotas,
             idle: demand
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -153,6 +153,10 @@
     /// The starts of the unresponsive workers and of those to drain, as far as they are known, by id, in ms since 1970.
     #[serde(rename = "starts", default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(crate) starts_unix_ms: BTreeMap<SmolStr, u64>,
+    /// The time since the last response of each unresponsive worker that has responded to the owner, by id, in ms; empty from a daemon
+    /// of an earlier build.
+    #[serde(rename = "ages", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(crate) response_ages_ms: BTreeMap<SmolStr, u64>,
     /// The workers that get no new work at present.
     #[serde(rename = "unusable")]
     pub(crate) unavailable: Vec<SmolStr>,
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -148,6 +148,7 @@
         service_workers: vec!["d".into()],
         unresponsive: vec!["e".into()],
         starts_unix_ms: BTreeMap::from([("e".into(), 6)]),
+        response_ages_ms: BTreeMap::from([("e".into(), 9)]),
         unavailable: vec!["f".into()],
         idle: vec![("g".into(), 4)],
         progress: Some(OwnerProgress {
@@ -161,7 +162,7 @@
         &reply,
         &json!({
             "tasks": [1], "required": 1, "urgent": 2, "wanted": 3, "steady": ["d"], "silent": ["e"], "unusable": ["f"],
-            "starts": {"e": 6}, "idle": [["g", 4]],
+            "starts": {"e": 6}, "ages": {"e": 9}, "idle": [["g", 4]],
             "progress": {"term": 7, "recorded_age_ms": 8, "first_waiting": "t"},
         }),
     );
--- a/crates/trefoilpassd/tests/fleet_crashes.rs
+++ b/crates/trefoilpassd/tests/fleet_crashes.rs
@@ -72,6 +72,25 @@
     assert!(starts <= MAX_CRASHES, "started {starts} times");
 }
 
+/// Guards against BUDGET: a worker that a task took down before a list of VMs had shown the worker was not known to have crashed, so
+/// that the task was started again without a count.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_task_under_which_a_vm_goes_down_before_a_list_shows_its_worker_is_given_up() {
+    // The owner and the leader find the worker unresponsive meanwhile.
+    const DOWNTIME: Duration = Duration::from_secs(3);
+    let (platform, daemons) = start(1, 1).await;
+    all_polled(&platform).await;
+    platform.workers[0].set_downtime(DOWNTIME);
+    platform.list_vms_only_while_one_is_down();
+    let path = format!("/q/{DEADLY:016x}");
+    let deadly = job_body(DOWNING_PAYLOAD, 1, false);
+    let submitted = call(Method::POST, &daemons[0], &path, Some(deadly)).await;
+    assert_eq!(submitted.0, 200);
+    failed(&daemons[0], &path).await;
+    let starts = platform.attempts().len();
+    assert!(starts <= MAX_CRASHES, "started {starts} times");
+}
+
 /// Waits until the owner of the pool has polled all workers.
 async fn all_polled(platform: &PlatformStandIn) {
     let start = Instant::now();
