scheduler: jobs keep the limit on failed attempts under which they were accepted

The limit was looked up by the queue's name in the active configuration, and a queue without rules had none.

Change: the limit is that of the job's rules: the present ones of its queue, or those under which the job was accepted.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -113,9 +113,9 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Replaces the rules of all queues, keyed by queue name. Jobs of a queue without rules have the lowest priority and no
-    /// limit on failed attempts, their latency objective is their critical path, and they keep the policy under which they were
-    /// accepted.
+    /// Replaces the rules of all queues, keyed by queue name. Jobs of a queue without rules have the lowest priority, their latency
+    /// objective is their critical path, and they keep the policy and the limit on failed attempts under which they were accepted.
+    /// Where these are unknown, they have neither.
     pub fn set_queue_rules(&mut self, rules: HashMap<SmolStr, QueueRules>) {
         self.queue_rules = rules;
     }
@@ -343,13 +343,11 @@
         if self.is_assigned(key, task, number) {
             self.remove_attempt(key, task, now);
         }
+        let rules = self.jobs.get(&task.job).and_then(|job| self.rules(job));
+        let max_failures = rules.map_or(u32::MAX, |rules| rules.max_failures);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let max_failures = self
-            .queue_rules
-            .get(&job.queue)
-            .map_or(u32::MAX, |rules| rules.max_failures);
         if !job.end_attempt(task.index, number, outcome, max_failures, now.store_ms) {
             return;
         }
--- a/crates/scheduler/tests/dropped_queues.rs
+++ b/crates/scheduler/tests/dropped_queues.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use scheduler::{QueueRules, StartOutcome};
-use submission::{Job, JobId, TaskKey};
+use submission::{AttemptOutcome, Job, JobId, TaskKey};
 use support::{Pool, job, starts, step};
 
 const JOB: JobId = JobId(1);
@@ -116,3 +116,46 @@
     pool.scheduler.cancel(JOB, pool.now());
     assert!(!pool.scheduler.has_policies());
 }
+
+/// Has each attempt of the job's task fail that starts in `rounds` rounds. Returns the number of attempts.
+fn failed_attempts(pool: &mut Pool, rounds: u64) -> usize {
+    let mut attempts = 0;
+    for number in 1..=rounds {
+        let started = starts(&pool.round());
+        for &(worker, task, attempt) in &started {
+            pool.apply_start(worker, task, attempt, StartOutcome::Started);
+            let id = pool.scheduler.worker(worker).unwrap().id.clone();
+            let name = pool.task_name(task);
+            pool.report(&id, &[], &[(number, name, attempt, AttemptOutcome::Failed)]);
+        }
+        attempts += started.len();
+        // Longer than a worker is blocklisted whose attempts fail.
+        pool.advance(20_000);
+        for id in ["one", "two"] {
+            pool.report(id, &[], &[]);
+        }
+    }
+    attempts
+}
+
+/// Guards against BUDGET: a task that always fails was started without end once a configuration had dropped its queue.
+#[test]
+fn a_task_of_a_dropped_queue_fails_its_job_after_the_attempts_of_its_queue() {
+    let mut pool = pool(rules());
+    pool.submit(JOB.0, job(vec![step(1)]));
+    drop_queue(&mut pool);
+    assert_eq!(failed_attempts(&mut pool, 5), 2);
+    assert!(pool.has_ended(JOB));
+}
+
+/// Guards against the same failure where another daemon takes the pool over after the change of the configuration.
+#[test]
+fn the_next_owner_knows_the_limit_on_failed_attempts_of_a_dropped_queue() {
+    let mut pool = pool(rules());
+    drop_queue(&mut pool);
+    let spec = Arc::new(job(vec![step(1)]));
+    let adopted = Job::new(JOB, "queue".into(), spec, 0).with_accepted_rules(Some(rules()));
+    pool.scheduler.adopt_job(adopted, pool.now());
+    assert_eq!(failed_attempts(&mut pool, 5), 2);
+    assert!(pool.has_ended(JOB));
+}
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -45,6 +45,7 @@
             stops_at: None,
             task: format!("00000000000000{task}"),
             attempt: run,
+            fails: false,
             is_service: false,
             started_at: self.at(began_ms),
             ended: ended.map(|(ms, how)| (self.at(ms), how)),
