scheduler: jobs of a dropped queue keep their priority and latency objective

Without rules a job was placed behind all others, and its objective was its critical path, so that it counted as late at once. They now follow the job's rules. The test was seen failing before: a job of a queue with a lower priority was placed first.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -113,9 +113,9 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Replaces the rules of all queues, keyed by queue name. Jobs of a queue without rules have the lowest priority, their latency
-    /// objective is their critical path, and they keep the policy and the limit on failed attempts under which they were accepted.
-    /// Where these are unknown, they have neither.
+    /// Replaces the rules of all queues, keyed by queue name. Jobs of a queue without rules keep those under which they were
+    /// accepted. Where these are unknown, they have the lowest priority, no policy and no limit on failed attempts, and their latency
+    /// objective is their critical path.
     pub fn set_queue_rules(&mut self, rules: HashMap<SmolStr, QueueRules>) {
         self.queue_rules = rules;
     }
@@ -434,7 +434,7 @@
         reason = "run times are far below the limits of the types"
     )]
     pub(crate) fn deadline_ms(&self, job: &Job) -> u64 {
-        let rules = self.queue_rules.get(&job.queue);
+        let rules = self.rules(job);
         let factor = rules.map_or(1.0, |rules| rules.latency_objective_factor);
         let base_ms = rules.map_or(0, |rules| rules.latency_objective_base_ms);
         let stretched_ms = (job.critical_path_ms() as f64 * factor) as u64;
@@ -480,7 +480,7 @@
         } else {
             (Prospect::TooLate, latest_start_ms, u64::MAX)
         };
-        let rules = self.queue_rules.get(&job.queue);
+        let rules = self.rules(job);
         let rank = Rank {
             prospect,
             is_batch: !is_service,
--- a/crates/scheduler/tests/dropped_queues.rs
+++ b/crates/scheduler/tests/dropped_queues.rs
@@ -7,7 +7,7 @@
 
 use scheduler::{QueueRules, StartOutcome};
 use submission::{AttemptOutcome, Job, JobId, TaskKey};
-use support::{Pool, job, starts, step};
+use support::{Pool, job, started_jobs, starts, step};
 
 const JOB: JobId = JobId(1);
 
@@ -159,3 +159,34 @@
     assert_eq!(failed_attempts(&mut pool, 5), 2);
     assert!(pool.has_ended(JOB));
 }
+
+/// Guards against: jobs of a queue that a configuration had dropped were placed behind all others, and counted as late at once.
+#[test]
+fn jobs_of_a_dropped_queue_keep_their_priority_and_their_latency_objective() {
+    let urgent = QueueRules {
+        priority: 0,
+        latency_objective_base_ms: 60_000,
+        ..rules()
+    };
+    let other = QueueRules {
+        priority: 1,
+        ..urgent
+    };
+    let mut pool = pool(urgent);
+    // One job at a time has room.
+    pool.set_registry(&["one"]);
+    let others = HashMap::from([("other".into(), other)]);
+    pool.scheduler.set_queue_rules(others);
+    let mut submit = |id, queue: &str, rules| {
+        let spec = Arc::new(job(vec![step(4)]));
+        let accepted_at_ms = pool.now().store_ms;
+        let job = Job::new(JobId(id), queue.into(), spec, accepted_at_ms);
+        let job = job.with_accepted_rules(Some(rules));
+        pool.scheduler.submit_job(job, pool.now());
+    };
+    submit(1, "other", other);
+    submit(2, "queue", urgent);
+    pool.advance(10_000);
+    pool.report("one", &[], &[]);
+    assert_eq!(started_jobs(&mut pool), [2, 2, 2, 2]);
+}
