--- a/crates/fleetd/src/config.rs
+++ b/crates/fleetd/src/config.rs
@@ -5,7 +5,7 @@
 
 use access::Keys;
 use parking_lot::RwLock;
-use scheduler::QueueRules;
+use scheduler::{PolicyRules, QueueRules};
 use smol_str::SmolStr;
 use submission::Resources;
 use users_platform::{ConfigDocument, Queue};
@@ -93,7 +93,10 @@
         max_failures: queue.max_failures.max(1),
         latency_objective_factor: queue.latency_objective_factor,
         latency_objective_base_ms: queue.latency_objective_base_ms,
-        has_policy: queue.has_policy,
+        policy: queue.has_policy.then_some(PolicyRules {
+            decision_base_ms: queue.decision_base_ms,
+            decision_per_worker_ms: queue.decision_per_worker_ms,
+        }),
     }
 }
 
--- a/crates/fleetd/src/pool/policy.rs
+++ b/crates/fleetd/src/pool/policy.rs
@@ -41,7 +41,7 @@
         };
         // The service handles one call of a daemon at a time, so that the calls of its pools would wait for each other there.
         let mut timeout = self.node.policy_timeout.lock().await;
-        let timeout_ms = timeout.for_request(self.expected_decision_ms(&request));
+        let timeout_ms = timeout.for_request(request.expected_ms);
         let sent_at_ms = local_ms();
         let step = request.step.as_str();
         let (asked, usable) = (request.workers.len(), request.usable_workers);
@@ -75,16 +75,4 @@
             }
         }
     }
-
-    /// How long the service needs for a request by the active configuration, in ms; 0 when the queue has been removed.
-    fn expected_decision_ms(&self, request: &PolicyRequest) -> u64 {
-        let document = self.node.active_config.get();
-        let mut queues = document.iter().flat_map(|document| &document.queues);
-        let queue = queues.find(|queue| queue.name == request.queue);
-        queue.map_or(0, |queue| {
-            let workers = u64::try_from(request.workers.len()).unwrap_or(u64::MAX);
-            let workers_ms = queue.decision_per_worker_ms.saturating_mul(workers);
-            queue.decision_base_ms.saturating_add(workers_ms)
-        })
-    }
 }
--- a/crates/fleetd/src/rpc/tests/mod.rs
+++ b/crates/fleetd/src/rpc/tests/mod.rs
@@ -62,13 +62,16 @@
         max_failures: 2,
         latency_objective_factor: 1.5,
         latency_objective_base_ms: 600,
-        has_policy: true,
+        policy: Some(submission::PolicyRules {
+            decision_base_ms: 20,
+            decision_per_worker_ms: 1,
+        }),
     };
     let request = SubmitRequest {
         rules: Some(rules),
         ..request
     };
-    let rules = json!({"p": 1, "m": 2, "f": 1.5, "b": 600, "a": true});
+    let rules = json!({"p": 1, "m": 2, "f": 1.5, "b": 600, "a": {"b": 20, "w": 1}});
     check_json(
         &request,
         &json!({
--- a/crates/scheduler/benches/round.rs
+++ b/crates/scheduler/benches/round.rs
@@ -41,7 +41,7 @@
         max_failures: 4,
         latency_objective_factor: 1.6,
         latency_objective_base_ms: 600,
-        has_policy: false,
+        policy: None,
     };
     scheduler.set_queue_rules(HashMap::from([("queue".into(), rules)]));
     let infos = (0..workers).map(|number| WorkerInfo {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -37,7 +37,7 @@
 pub use reports::{EndedAttempt, RunningTask, WorkerReport};
 pub use scheduler::Scheduler;
 pub use stops::StopStep;
-pub use submission::QueueRules;
+pub use submission::{PolicyRules, QueueRules};
 pub use teams::TeamDemand;
 pub use types::{
     CountedCrash, CrashSource, CrashedTask, JobStatus, Limits, Now, SchedulerEvent, StartOutcome,
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -131,10 +131,10 @@
     pub step: SmolStr,
     /// The first task of the step, to be passed to `Scheduler::apply_policy_decision` with the decision.
     pub task: TaskKey,
-    /// The queue of the job.
-    pub queue: SmolStr,
     /// The ids of the workers.
     pub workers: Vec<SmolStr>,
+    /// The time that the service needs for the decision, in ms, by the rules of the job.
+    pub expected_ms: u64,
     /// The number of usable workers that could run a task of the step, by its label and its size.
     pub usable_workers: usize,
     /// The number of these that were not named for the step before, and are not named now.
@@ -145,7 +145,6 @@
 struct Candidates {
     key: StepKey,
     task: TaskKey,
-    queue: SmolStr,
     /// Those without a decision, in the order in which they are to be named.
     workers: Vec<WorkerKey>,
     usable_workers: usize,
@@ -160,12 +159,15 @@
     #[must_use]
     pub fn has_policies(&self) -> bool {
         !self.jobs_accepted_with_policy.is_empty()
-            || self.queue_rules.values().any(|rules| rules.has_policy)
+            || self
+                .queue_rules
+                .values()
+                .any(|rules| rules.policy.is_some())
     }
 
     /// Whether the policy service has to authorize the workers for the steps of a job.
     pub(crate) fn has_policy(&self, job: &Job) -> bool {
-        self.rules(job).is_some_and(|rules| rules.has_policy)
+        self.rules(job).is_some_and(|rules| rules.policy.is_some())
     }
 
     pub(crate) fn authorization_for_step(
@@ -322,7 +324,6 @@
                 job: key.job,
                 index: job.step_tasks(key.occurrence, usize::from(key.step)).start,
             },
-            queue: job.queue.clone(),
             usable_workers: usable.len(),
             new_workers: new_workers.count(),
             has_authorized: unknown.iter().any(|((is_not, ..), _)| !is_not),
@@ -347,7 +348,7 @@
         let mut workers = candidates.workers;
         workers.truncate(MAX_WORKERS_PER_REQUEST);
         let ids = workers.iter().filter_map(|worker| self.worker(*worker));
-        let ids = ids.map(|info| info.id.clone()).collect();
+        let ids: Vec<_> = ids.map(|info| info.id.clone()).collect();
         let decision = self.policy_decisions.entry(key).or_default();
         let new = workers
             .iter()
@@ -357,10 +358,14 @@
             .workers
             .retain(|worker, _| self.workers.contains_key(*worker));
         decision.record_request(workers, remaining_workers > 0, now.local_ms);
+        let job = self.jobs.get(&key.job);
+        let policy = job
+            .and_then(|job| self.rules(job))
+            .and_then(|rules| rules.policy);
         PolicyRequest {
             step: format_smolstr!("{}.{}.{}", key.job, key.occurrence, key.step),
             task,
-            queue: candidates.queue,
+            expected_ms: policy.unwrap_or_default().decision_ms(ids.len()),
             workers: ids,
             usable_workers: candidates.usable_workers,
             remaining_workers,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -173,7 +173,10 @@
             if job.spec().steps.iter().any(|step| step.is_service) {
                 self.service_jobs.insert(id);
             }
-            if job.accepted_rules().is_some_and(|rules| rules.has_policy) {
+            if job
+                .accepted_rules()
+                .is_some_and(|rules| rules.policy.is_some())
+            {
                 self.jobs_accepted_with_policy.insert(id);
             }
         }
--- a/crates/scheduler/tests/absurd_numbers.rs
+++ b/crates/scheduler/tests/absurd_numbers.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashMap;
 
-use scheduler::{QueueRules, RunningTask, WorkerReport};
+use scheduler::{PolicyRules, QueueRules, RunningTask, WorkerReport};
 use submission::TaskKey;
 use support::{Pool, job, starts, step};
 
@@ -54,7 +54,7 @@
         max_failures: 2,
         latency_objective_factor: 1.5,
         latency_objective_base_ms: 600,
-        has_policy: true,
+        policy: Some(PolicyRules::default()),
     };
     pool.scheduler
         .set_queue_rules(HashMap::from([("queue".into(), rules)]));
--- a/crates/scheduler/tests/dropped_queues.rs
+++ b/crates/scheduler/tests/dropped_queues.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use scheduler::{QueueRules, StartOutcome};
+use scheduler::{PolicyRules, QueueRules, StartOutcome};
 use submission::{AttemptOutcome, Job, JobId, TaskKey};
 use support::{Pool, job, started_jobs, starts, step};
 
@@ -17,13 +17,13 @@
         max_failures: 2,
         latency_objective_factor: 1.5,
         latency_objective_base_ms: 600,
-        has_policy: false,
+        policy: None,
     }
 }
 
 fn with_policy() -> QueueRules {
     QueueRules {
-        has_policy: true,
+        policy: Some(PolicyRules::default()),
         ..rules()
     }
 }
@@ -190,3 +190,21 @@
     pool.report("one", &[], &[]);
     assert_eq!(started_jobs(&mut pool), [2, 2, 2, 2]);
 }
+
+/// Guards against: the time that the policy service needs was not known for the steps of a dropped queue, so that a decision
+/// that takes long was given up too early.
+#[test]
+fn the_policy_of_a_dropped_queue_is_given_the_time_that_it_needs() {
+    let policy = PolicyRules {
+        decision_base_ms: 20_000,
+        decision_per_worker_ms: 100,
+    };
+    let mut pool = pool(QueueRules {
+        policy: Some(policy),
+        ..rules()
+    });
+    pool.submit(JOB.0, job(vec![step(1)]));
+    drop_queue(&mut pool);
+    let request = &pool.scheduler.policy_requests(pool.now())[0];
+    assert_eq!(request.expected_ms, 20_200);
+}
--- a/crates/scheduler/tests/overload.rs
+++ b/crates/scheduler/tests/overload.rs
@@ -107,7 +107,7 @@
         max_failures: 2,
         latency_objective_factor: 1.5,
         latency_objective_base_ms: 600,
-        has_policy: false,
+        policy: None,
     };
     let queues = HashMap::from([("queue".into(), rules(1)), ("urgent".into(), rules(0))]);
     pool.scheduler.set_queue_rules(queues);
--- a/crates/scheduler/tests/policy.rs
+++ b/crates/scheduler/tests/policy.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashMap;
 
-use scheduler::{PolicyRequest, QueueRules, StartOutcome, WorkerKey};
+use scheduler::{PolicyRequest, PolicyRules, QueueRules, StartOutcome, WorkerKey};
 use submission::TaskKey;
 use support::{Pool, job, starts, step};
 
@@ -24,7 +24,7 @@
         max_failures: 2,
         latency_objective_factor: 1.5,
         latency_objective_base_ms,
-        has_policy: true,
+        policy: Some(PolicyRules::default()),
     };
     pool.scheduler
         .set_queue_rules(HashMap::from([("queue".into(), rules)]));
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -106,7 +106,7 @@
             max_failures: 2,
             latency_objective_factor: 1.5,
             latency_objective_base_ms: 600,
-            has_policy: false,
+            policy: None,
         };
         pool.scheduler
             .set_queue_rules(HashMap::from([("queue".into(), rules)]));
--- a/crates/submission/src/lib.rs
+++ b/crates/submission/src/lib.rs
@@ -10,7 +10,7 @@
 pub use job::{
     AttemptOutcome, CrashEvidence, CrashVerdict, Job, JobState, Task, TaskKey, TaskPhase,
 };
-pub use queue_rules::QueueRules;
+pub use queue_rules::{PolicyRules, QueueRules};
 pub use record::{JobRecord, TaskRecord};
 pub use spec::{
     Error, JobId, JobSpec, MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS, Resources, Result, StepSpec,
