Pending jobs are counted by where callers submit them, not by the queue's name alone

A job carries the key of its queue's assignment now, which its submission had already, in its row too, and a count takes the jobs with the name or the key. An earlier build asks by the name alone, and gets what it got.

The test, real daemons with a takeover, was seen failing before (0 instead of 3).

--- a/crates/fleetd/src/api/handlers.rs
+++ b/crates/fleetd/src/api/handlers.rs
@@ -21,6 +21,7 @@
 use super::request_record::RequestRecord;
 use super::response::{ApiResponse, RETRY_AFTER_S};
 use super::submit::Submission;
+use crate::assignments::assignment_key;
 use crate::clock::local_ms;
 use crate::config::{FLEET_SHARD, find_queue};
 use crate::node::{Node, STORE_TIMEOUT, tables};
@@ -306,11 +307,12 @@
     // A pool that the configuration no longer has is owned by no daemon.
     let shards = node.active_config.shards();
     pools.retain(|pool| shards.contains(pool));
+    let key = assignment_key(&queue.host, &queue.prefix);
     let mut total = 0;
     for pool in pools {
         let count = match node.local_pool_owner(&pool) {
-            Some(owner) => Some(owner.not_started_jobs(&queue.name)),
-            None => request_peer_count(node, &pool, &queue.name).await,
+            Some(owner) => Some(owner.not_started_jobs(&queue.name, &key)),
+            None => request_peer_count(node, &pool, &queue.name, &key).await,
         };
         let Some(count) = count else {
             return ApiResponse::unavailable(RETRY_AFTER_S);
@@ -334,11 +336,16 @@
     })
 }
 
-async fn request_peer_count(node: &Arc<Node>, pool: &SmolStr, queue: &SmolStr) -> Option<usize> {
+async fn request_peer_count(
+    node: &Arc<Node>,
+    pool: &SmolStr,
+    queue: &SmolStr,
+    assignment_key: &SmolStr,
+) -> Option<usize> {
     let owner = node.reachable_owner(pool)?;
-    let (pool, name) = (pool.clone(), queue.clone());
+    let (pool, name, key) = (pool.clone(), queue.clone(), assignment_key.clone());
     let count = call_peer(node, &owner, |peer| async move {
-        peer.not_started_jobs(pool, name).await
+        peer.not_started_jobs(pool, name, Some(key)).await
     });
     count.await.unwrap_or_else(|err| {
         tracing::debug!(queue = queue.as_str(), error = %err, "request to the pool owner for the number of jobs not started failed");
--- a/crates/fleetd/src/api/submit.rs
+++ b/crates/fleetd/src/api/submit.rs
@@ -88,6 +88,7 @@
         if let Err(err) = spec.validate() {
             return ApiResponse::bad_request(&err.to_string());
         }
+        let key = assignment_key(&self.queue.host, &self.queue.prefix);
         let mut request = SubmitRequest {
             pool: self.queue.pool.clone(),
             queue: self.queue.name.clone(),
@@ -95,13 +96,12 @@
             rules: Some(rules_of(self.queue)),
             id: self.id,
             spec,
-            intake: None,
+            intake: Some(SubmittedIntake::unread(key.clone())),
         };
         // A transaction with a row that the store refuses would fail again and again, and others with it.
         if !fits_row(&request) {
             return ApiResponse::new(StatusCode::PAYLOAD_TOO_LARGE);
         }
-        let key = assignment_key(&self.queue.host, &self.queue.prefix);
         // The owner of the pool knows most assignments. Without a read, a daemon that the store refuses can submit jobs, too.
         let mut is_read = node.assignments.known_intake(self.queue).is_some();
         loop {
--- a/crates/fleetd/src/peer_calls/tests/mod.rs
+++ b/crates/fleetd/src/peer_calls/tests/mod.rs
@@ -54,7 +54,12 @@
         Ok(JobReply::NotOwner)
     }
 
-    async fn not_started_jobs(&self, _: SmolStr, _: SmolStr) -> RpcResult<Option<usize>> {
+    async fn not_started_jobs(
+        &self,
+        _: SmolStr,
+        _: SmolStr,
+        _: Option<SmolStr>,
+    ) -> RpcResult<Option<usize>> {
         Ok(None)
     }
 
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -160,6 +160,7 @@
                 JobStatus::Recorded(_) => return SubmitReply::Accepted,
                 JobStatus::Unknown if self.is_store_unavailable() => return REFUSED_IN_OUTAGE,
                 JobStatus::Unknown => {
+                    let assignment_key = request.assignment_key();
                     if let Some(intake) = request.intake {
                         let mut submissions = self.submissions.lock();
                         let Some(condition) = submissions.condition(intake) else {
@@ -169,6 +170,7 @@
                     }
                     let now = self.node.clock.now();
                     let job = Job::new(id, request.queue, Arc::new(request.spec), now.store_ms)
+                        .with_assignment_key(assignment_key)
                         .with_team(request.team)
                         .with_accepted_rules(request.rules);
                     scheduler.submit_job(job, now);
@@ -224,9 +226,10 @@
         }
     }
 
-    /// Returns the number of a queue's jobs that have not started.
-    pub(crate) fn not_started_jobs(&self, queue: &str) -> usize {
-        self.scheduler.lock().not_started_jobs(queue)
+    /// Returns the number of a queue's jobs that have not started, with those of queues that had the same assignment key before.
+    pub(crate) fn not_started_jobs(&self, queue: &str, assignment_key: &str) -> usize {
+        let scheduler = self.scheduler.lock();
+        scheduler.not_started_jobs_of(queue, assignment_key)
     }
 
     /// Applies a leader's requests (ended incarnations, cancelled drains, due maintenance, drains and limits of teams, in
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -354,6 +354,7 @@
 pub(crate) fn encode_job_row(job: &Job) -> Vec<u8> {
     let row = JobRow {
         queue: job.queue.clone(),
+        assignment_key: job.assignment_key.clone(),
         team: job.team.clone(),
         accepted_at_ms: job.accepted_at_ms,
         rules: job.accepted_rules().copied(),
@@ -367,6 +368,7 @@
 pub(crate) fn fits_row(request: &SubmitRequest) -> bool {
     let row = JobRow {
         queue: request.queue.clone(),
+        assignment_key: request.assignment_key(),
         team: request.team.clone(),
         accepted_at_ms: u64::MAX,
         rules: request.rules,
@@ -379,6 +381,13 @@
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub(crate) struct JobRow {
     pub(crate) queue: smol_str::SmolStr,
+    /// The key of the queue's assignment; empty in rows of earlier builds.
+    #[serde(
+        rename = "key",
+        default,
+        skip_serializing_if = "smol_str::SmolStr::is_empty"
+    )]
+    pub(crate) assignment_key: smol_str::SmolStr,
     /// The team that submitted the job; empty for none, and in rows of earlier builds.
     #[serde(default, skip_serializing_if = "smol_str::SmolStr::is_empty")]
     pub(crate) team: smol_str::SmolStr,
--- a/crates/fleetd/src/pool/takeover.rs
+++ b/crates/fleetd/src/pool/takeover.rs
@@ -359,6 +359,7 @@
     }
     let job = |(id, row): (JobId, JobRow)| {
         let job = Job::new(id, row.queue, Arc::new(row.spec), row.accepted_at_ms)
+            .with_assignment_key(row.assignment_key)
             .with_team(row.team)
             .with_accepted_rules(row.rules);
         job.with_record(progress.remove(&id).unwrap_or_default())
--- a/crates/fleetd/src/rpc.rs
+++ b/crates/fleetd/src/rpc.rs
@@ -34,6 +34,14 @@
     pub(crate) intake: Option<SubmittedIntake>,
 }
 
+impl SubmitRequest {
+    /// The key of the assignment of the job's queue; empty from a daemon of an earlier build.
+    pub(crate) fn assignment_key(&self) -> SmolStr {
+        let intake = self.intake.as_ref();
+        intake.map_or_else(SmolStr::default, |intake| intake.key.clone())
+    }
+}
+
 /// The outcome of a submission to the owner of a pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum SubmitReply {
@@ -208,9 +216,15 @@
     #[method(name = "cancel")]
     async fn cancel(&self, pool: SmolStr, id: JobId, team: Option<SmolStr>) -> RpcResult<JobReply>;
 
-    /// Returns the number of jobs of a queue that have not started; none if the called daemon does not own the pool.
+    /// Returns the number of jobs of a queue that have not started, with those of queues that had the same assignment key before;
+    /// none if the called daemon does not own the pool. The key is absent in a call of an earlier build.
     #[method(name = "pending")]
-    async fn not_started_jobs(&self, pool: SmolStr, queue: SmolStr) -> RpcResult<Option<usize>>;
+    async fn not_started_jobs(
+        &self,
+        pool: SmolStr,
+        queue: SmolStr,
+        assignment_key: Option<SmolStr>,
+    ) -> RpcResult<Option<usize>>;
 
     /// Takes over a pool from the calling daemon, whose transactions the store refuses or which can't reach the store.
     /// `term` is the term of the calling daemon: the call has no effect once another daemon has taken the pool over.
--- a/crates/fleetd/src/run.rs
+++ b/crates/fleetd/src/run.rs
@@ -211,9 +211,15 @@
         })
     }
 
-    async fn not_started_jobs(&self, pool: SmolStr, queue: SmolStr) -> RpcResult<Option<usize>> {
+    async fn not_started_jobs(
+        &self,
+        pool: SmolStr,
+        queue: SmolStr,
+        assignment_key: Option<SmolStr>,
+    ) -> RpcResult<Option<usize>> {
         let owner = self.node.local_pool_owner(&pool);
-        Ok(owner.map(|owner| owner.not_started_jobs(&queue)))
+        let key = assignment_key.unwrap_or_default();
+        Ok(owner.map(|owner| owner.not_started_jobs(&queue, &key)))
     }
 
     async fn take_over_pool(&self, pool: SmolStr, term: Option<u64>) -> RpcResult<bool> {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -55,8 +55,8 @@
     pub(crate) recorded_states: HashMap<JobId, JobState>,
     /// Ended jobs, by the time of their end on the store's clock.
     pub(crate) ended_jobs: BTreeSet<(u64, JobId)>,
-    /// The jobs of which no attempt is known to have started on a worker, by queue.
-    pub(crate) not_started: BTreeMap<SmolStr, BTreeSet<JobId>>,
+    /// The jobs of which no attempt is known to have started on a worker, by the name and the assignment key of their queue.
+    pub(crate) not_started: BTreeMap<(SmolStr, SmolStr), BTreeSet<JobId>>,
     pub(crate) events: Vec<SchedulerEvent>,
     pub(crate) trend: Trend,
     pub(crate) arrivals: Arrivals,
@@ -164,7 +164,8 @@
     pub(crate) fn insert_job(&mut self, job: Job, now: Now) {
         let id = job.id;
         if !job.has_ended() && !job.has_started() {
-            let jobs = self.not_started.entry(job.queue.clone()).or_default();
+            let queue = (job.queue.clone(), job.assignment_key.clone());
+            let jobs = self.not_started.entry(queue).or_default();
             jobs.insert(id);
         }
         if job.has_ended() {
@@ -205,12 +206,10 @@
 
     /// Removes a job from the scheduler, but not from the written rows. An unknown job is ignored.
     pub fn remove_job(&mut self, id: JobId, now: Now) {
+        self.remove_not_started(id);
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
-        if let Some(jobs) = self.not_started.get_mut(&job.queue) {
-            jobs.remove(&id);
-        }
         self.ended_jobs.remove(&(job.ended_at_ms(), id));
         self.service_jobs.remove(&id);
         self.jobs_accepted_with_policy.remove(&id);
@@ -231,9 +230,15 @@
 
     /// Removes a job from the jobs that have not started, because an attempt has started on a worker or the job has ended.
     pub(crate) fn remove_not_started(&mut self, id: JobId) {
-        let queue = self.jobs.get(&id).map(|job| &job.queue);
-        if let Some(jobs) = queue.and_then(|queue| self.not_started.get_mut(queue)) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let queue = (job.queue.clone(), job.assignment_key.clone());
+        if let Some(jobs) = self.not_started.get_mut(&queue) {
             jobs.remove(&id);
+            if jobs.is_empty() {
+                self.not_started.remove(&queue);
+            }
         }
     }
 
@@ -273,7 +278,16 @@
     /// Returns the number of jobs of a queue of which no attempt is known to have started on a worker.
     #[must_use]
     pub fn not_started_jobs(&self, queue: &str) -> usize {
-        self.not_started.get(queue).map_or(0, BTreeSet::len)
+        self.not_started_jobs_of(queue, "")
+    }
+
+    /// Like [`Scheduler::not_started_jobs`], with the jobs of queues that had this assignment key before; empty for none.
+    #[must_use]
+    pub fn not_started_jobs_of(&self, queue: &str, assignment_key: &str) -> usize {
+        let queues = self.not_started.iter();
+        let counted = queues
+            .filter(|((name, key), _)| name == queue || (!key.is_empty() && key == assignment_key));
+        counted.map(|(_, jobs)| jobs.len()).sum()
     }
 
     /// Returns the number of steps with a task that could start.
--- a/crates/submission/src/job.rs
+++ b/crates/submission/src/job.rs
@@ -87,6 +87,9 @@
     pub id: JobId,
     /// The queue that the job was submitted to.
     pub queue: SmolStr,
+    /// Where callers submit the jobs of the queue, which also a queue with another name may replace: the key of its assignment to a
+    /// pool. Empty when it is unknown.
+    pub assignment_key: SmolStr,
     /// The team that submitted the job; empty for none.
     pub team: SmolStr,
     /// When the job was accepted, in ms on the store's clock.
@@ -121,6 +124,7 @@
         Self {
             id,
             queue,
+            assignment_key: SmolStr::default(),
             team: SmolStr::default(),
             accepted_at_ms,
             accepted_rules: None,
@@ -133,6 +137,13 @@
         }
     }
 
+    /// Sets the key of the assignment of the job's queue.
+    #[must_use]
+    pub fn with_assignment_key(mut self, key: SmolStr) -> Self {
+        self.assignment_key = key;
+        self
+    }
+
     /// Sets the team that submitted the job.
     #[must_use]
     pub fn with_team(mut self, team: SmolStr) -> Self {
--- a/crates/trefoilpassd/tests/fleet_reassigned_queues.rs
+++ b/crates/trefoilpassd/tests/fleet_reassigned_queues.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use fleet_support::{
-    Daemon, call, check_runs, daemon, done, ready, start_daemons, submit, submit_surely,
+    Daemon, call, check_runs, daemon, done, pending, ready, start_daemons, submit, submit_surely,
 };
 use platform_stand_in::{PlatformStandIn, SECOND_POOL};
 use reqwest::Method;
-use serde_json::{Value, json};
+use serde_json::json;
 
 const TASKS: u32 = 2;
 
@@ -87,12 +87,6 @@
     check_runs(&platform, 2 * TASKS as usize);
 }
 
-/// The number of jobs of the queue that have not started, as a daemon tells it.
-async fn pending(daemon: &Daemon) -> (u16, Value) {
-    let (status, body) = call(Method::GET, daemon, "/q/", None).await;
-    (status, body["pending"].clone())
-}
-
 /// Guards against MIXED: after a queue was assigned to another pool, the jobs that waited in the previous pool were not counted
 /// as pending any more.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/trefoilpassd/tests/fleet_support/mod.rs
+++ b/crates/trefoilpassd/tests/fleet_support/mod.rs
@@ -141,6 +141,12 @@
     }
 }
 
+/// The number of jobs of the queue that have not started, as a daemon tells it.
+pub async fn pending(daemon: &Daemon) -> (u16, Value) {
+    let (status, body) = call(reqwest::Method::GET, daemon, "/q/", None).await;
+    (status, body["pending"].clone())
+}
+
 pub async fn ready(daemon: &Daemon) {
     let start = Instant::now();
     let client = Client::builder().no_proxy().build().unwrap();
