scheduler: a start that is refused for want of an authorization is repeated with one

The refusal itself shows that the step needs an authorization. The owner now asks the policy service for it, and starts the step on the workers that it allows.

The test was seen failing before: the task is started again in the next round.

--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -82,8 +82,9 @@
             return self.place_gang(key, now);
         }
         // Only the size of a task without constraints can prevent its placement.
-        let is_unconstrained =
-            step.required_label.is_empty() && step.max_per_worker == 0 && !self.has_policy(job);
+        let is_unconstrained = step.required_label.is_empty()
+            && step.max_per_worker == 0
+            && !self.needs_authorization(job, key);
         let idle = job.idle_tasks(key.occurrence, usize::from(key.step));
         let crashes = |job: &Job, index| job.task(index).map_or(0, |task| task.crashes);
         let mut idle: Vec<_> = idle.collect();
@@ -195,7 +196,7 @@
         }
         let needs_stable_worker = self.needs_stable_worker(crashes, step, now);
         let preferred_rack = self.preferred_rack(job, step, key, gang_workers);
-        let has_policy = self.has_policy(job);
+        let has_policy = self.needs_authorization(job, key);
         let is_authorized = |worker: WorkerKey| {
             !has_policy || self.authorization_for_step(key, worker, now).is_some()
         };
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -49,6 +49,8 @@
     has_unnamed: bool,
     /// Whether the service has refused every usable worker.
     is_refused: bool,
+    /// Whether a worker has demanded an authorization although the rules of the job have no policy. They may be outdated.
+    is_demanded: bool,
     /// The step is not examined before.
     not_before_ms: u64,
 }
@@ -155,19 +157,22 @@
 }
 
 impl Scheduler {
-    /// Returns whether any queue has a policy, or any job was accepted under one.
+    /// Returns whether any queue has a policy, any job was accepted under one, or a worker has demanded an authorization.
     #[must_use]
     pub fn has_policies(&self) -> bool {
         !self.jobs_accepted_with_policy.is_empty()
+            || !self.policy_decisions.is_empty()
             || self
                 .queue_rules
                 .values()
                 .any(|rules| rules.policy.is_some())
     }
 
-    /// Whether the policy service has to authorize the workers for the steps of a job.
-    pub(crate) fn has_policy(&self, job: &Job) -> bool {
-        self.rules(job).is_some_and(|rules| rules.policy.is_some())
+    /// Whether the policy service has to authorize the workers for a step of a job.
+    pub(crate) fn needs_authorization(&self, job: &Job, step: StepKey) -> bool {
+        let decision = self.policy_decisions.get(&step);
+        decision.is_some_and(|decision| decision.is_demanded)
+            || self.rules(job).is_some_and(|rules| rules.policy.is_some())
     }
 
     pub(crate) fn authorization_for_step(
@@ -189,16 +194,18 @@
             .cloned()
     }
 
-    /// Forgets the authorization of a worker for the step of a task.
-    pub(crate) fn forget_authorization(&mut self, task: TaskKey, worker: WorkerKey) {
-        let Some(job) = self.jobs.get(&task.job) else {
+    /// Forgets the authorization of a worker for the step of a task, which the worker has rejected. Its start had none if the job
+    /// has no policy, and is not repeated without one.
+    pub(crate) fn authorization_rejected(&mut self, task: TaskKey, worker: WorkerKey) {
+        let Some(job) = self.jobs.get(&task.job).filter(|job| !job.has_ended()) else {
             return;
         };
         let (occurrence, step, _) = job.position(task.index);
         let step = step_key(task.job, occurrence, step);
-        if let Some(decision) = self.policy_decisions.get_mut(&step) {
-            decision.forget(worker);
-        }
+        let is_demanded = !self.needs_authorization(job, step);
+        let decision = self.policy_decisions.entry(step).or_default();
+        decision.forget(worker);
+        decision.is_demanded |= is_demanded;
     }
 
     /// Forgets all decisions on a worker. They are valid for one incarnation.
@@ -240,7 +247,7 @@
             };
             let decision = self.policy_decisions.get(&key);
             let not_before_ms = decision.map_or(0, |decision| decision.not_before_ms);
-            if !self.has_policy(job) || now.local_ms < not_before_ms {
+            if !self.needs_authorization(job, key) || now.local_ms < not_before_ms {
                 continue;
             }
             let team = self.teams.get(&job.team);
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -364,7 +364,7 @@
                 self.end_attempt(key, task, number, AttemptOutcome::Lost, now);
             }
             StartOutcome::NotAuthorized => {
-                self.forget_authorization(task, key);
+                self.authorization_rejected(task, key);
                 self.end_attempt(key, task, number, AttemptOutcome::Lost, now);
             }
             StartOutcome::Refused => {
--- a/crates/scheduler/tests/policy.rs
+++ b/crates/scheduler/tests/policy.rs
@@ -112,6 +112,28 @@
     assert_eq!(request.workers.len(), 2);
 }
 
+/// Guards against: a start without an authorization that workers refuse is repeated at once, hundreds of times a second, where the
+/// owner does not know of the policy.
+#[test]
+fn a_start_that_is_refused_for_want_of_an_authorization_is_repeated_with_one() {
+    let mut pool = Pool::new(&["one", "two"]);
+    pool.submit(1, job(vec![step(1)]));
+    let (worker, task, attempt) = starts(&pool.round())[0];
+    pool.apply_start(worker, task, attempt, StartOutcome::NotAuthorized);
+    assert_eq!(starts(&pool.round()), []);
+    assert!(pool.scheduler.has_policies());
+    let requests = pool.scheduler.policy_requests(pool.now());
+    let allowed = vec![("two".into(), "t-2".into())];
+    pool.scheduler
+        .apply_policy_decision(requests[0].task, allowed, 5000, pool.now());
+    let (worker, task, _) = starts(&pool.round())[0];
+    assert_eq!(worker, pool.key("two"));
+    let token = pool.scheduler.authorization(worker, task, pool.now());
+    assert_eq!(token.as_deref(), Some("t-2"));
+    pool.scheduler.cancel(task.job, pool.now());
+    assert!(!pool.scheduler.has_policies());
+}
+
 /// More workers than a request names, as in the pool of the review's case 4.
 fn large_pool(names: &[String]) -> Pool {
     let names: Vec<_> = names.iter().map(String::as_str).collect();
