--- a/crates/fleetd/src/leader/worker_sightings.rs
+++ b/crates/fleetd/src/leader/worker_sightings.rs
@@ -175,7 +175,7 @@
         }
     }
 
-    /// Whether a list has shown the worker.
+    /// Whether a list has shown a worker with this id, or one is known to have ended without that.
     pub(super) fn is_known(&self, worker: &SmolStr) -> bool {
         self.by_worker.contains_key(worker)
     }
