--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 mod overload;
 mod plan;
 mod policy;
+mod rank;
 mod ready;
 mod reports;
 mod scheduler;
