--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -196,9 +196,9 @@
         }
         let needs_stable_worker = self.needs_stable_worker(crashes, step, now);
         let preferred_rack = self.preferred_rack(job, step, key, gang_workers);
-        let has_policy = self.needs_authorization(job, key);
+        let needs_authorization = self.needs_authorization(job, key);
         let is_authorized = |worker: WorkerKey| {
-            !has_policy || self.authorization_for_step(key, worker, now).is_some()
+            !needs_authorization || self.authorization_for_step(key, worker, now).is_some()
         };
         let usable = self.workers.iter().filter(|(worker_key, worker)| {
             worker.is_usable(now.local_ms)
