--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# One large submission stops its whole pool. See claim.txt. TROUBLE=0 runs the same with a small submission in its place.
+# One submission that has no room for now keeps all that is ranked behind it waiting. See claim.txt. TROUBLE=0 runs the same without the trouble.
 set -uo pipefail
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
@@ -8,7 +8,7 @@
 [ -x "$program" ] && [ -x "$cases" ] || { echo "not built" >&2; exit 2; }
 folder="$(mktemp -d)"
 trap 'rm -rf "$folder"' EXIT
-TMPDIR="$folder" "$cases" large "$program" "$folder" "$here/record.txt" &
+TMPDIR="$folder" "$cases" steps "$program" "$folder" "$here/record.txt" &
 child=$!
 trap 'kill "$child" 2>/dev/null' INT TERM
 wait "$child"
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -1,9 +1,8 @@
 //! The cases of review/11 and later. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
 mod executor;
-mod gang;
 mod http_server;
-mod large;
+mod key;
 mod long;
 mod memory;
 mod record;
@@ -16,6 +15,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use key::Taken;
 use record::Record;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -34,13 +34,13 @@
     record.line(&format!("case {case}, trouble {trouble}"));
     let run = async {
         match case.as_str() {
-            "large" => large::run(record.clone(), program, folder, trouble).await,
             "memory" => memory::run(record.clone(), program, folder, trouble).await,
             "unavailable" => wave::unavailable(record.clone(), program, folder, trouble).await,
             "leader" => wave::leader(record.clone(), program, folder, trouble).await,
             "steps" => steps::run(record.clone(), program, folder, trouble).await,
-            "gang" => gang::run(record.clone(), program, folder, trouble).await,
             "long" => long::run(record.clone(), program, folder, trouble).await,
+            "key" => key::run(record.clone(), program, folder, trouble, Taken::Key).await,
+            "route" => key::run(record.clone(), program, folder, trouble, Taken::Route).await,
             _ => 2,
         }
     };
--- a/review/standins-3/src/memory.rs
+++ b/review/standins-3/src/memory.rs
@@ -56,6 +56,7 @@
         executors: 4,
         of_kind_b: 0,
         cpu: 32_000,
+        keys: None,
         upkeep: Duration::from_secs(2),
         id: |number| format!("i-{:08x}", 0x7f3a_91c2 + number),
         settings: Box::new(|yaml| yaml),
--- a/review/standins-3/src/stage.rs
+++ b/review/standins-3/src/stage.rs
@@ -16,6 +16,8 @@
 use crate::vms::VmControl;
 
 pub const HOST: &str = "jobs.example";
+/// `revokeMs`.
+pub const REVOKE_MS: u64 = 5000;
 
 pub struct Member {
     pub spec: FleetDaemonSpec,
@@ -41,6 +43,8 @@
     /// How many of them, the first, have the label `b`; the others have `a`.
     pub of_kind_b: usize,
     pub cpu: u64,
+    /// The keys of the first config; none without tenants.
+    pub keys: Option<&'static [&'static str]>,
     pub upkeep: Duration,
     /// The id of an executor by its number.
     pub id: fn(usize) -> String,
@@ -54,6 +58,18 @@
     })
 }
 
+/// A version of the config. With keys, all calls need one, and they are those of one tenant.
+pub fn config(version: u64, keys: Option<&[&str]>) -> Value {
+    let mut config = json!({
+        "version": version, "routes": [queue("r-1", "/q/", "work")], "services": [{"name": "work", "rejectsOverload": true}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262_144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    });
+    if let Some(keys) = keys {
+        config["tenants"] = json!([{"name": "t-1", "keys": keys, "weight": 10}]);
+    }
+    config
+}
+
 impl Stage {
     /// Starts everything and waits until the daemons take requests. `None` when they don't.
     pub async fn start(
@@ -64,10 +80,7 @@
     ) -> Option<Self> {
         let platform = PlatformStandIn::start(0).await;
         let store = platform.store.clone();
-        store.put("op", "config", &json!({
-            "version": 3, "routes": [queue("r-1", "/q/", "work")], "services": [{"name": "work", "rejectsOverload": true}],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262_144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-        }));
+        store.put("op", "config", &config(3, shape.keys));
         let mut executors = Vec::new();
         let gangs = Arc::default();
         for number in 0..shape.executors {
@@ -98,6 +111,10 @@
         let mut members = Vec::new();
         for number in 0..shape.daemons {
             let spec = FleetDaemonSpec::new(&format!("d{number}"), platform.store_addr, vms_addr);
+            let spec = match shape.keys {
+                Some(_) => spec.with_strict_revocation(REVOKE_MS),
+                None => spec,
+            };
             members.push(Member {
                 spec,
                 process: None,
--- a/review/standins-3/src/steps.rs
+++ b/review/standins-3/src/steps.rs
@@ -22,6 +22,7 @@
         executors: EXECUTORS as usize,
         of_kind_b: 0,
         cpu: CPU,
+        keys: None,
         upkeep: Duration::from_secs(2),
         id: |number| format!("i-{:08x}", 0x7f3a_91c2 + number),
         settings: Box::new(|yaml| yaml),
