--- a/review/standins-3/src/memory.rs
+++ b/review/standins-3/src/memory.rs
@@ -10,7 +10,7 @@
 
 const MEMORY_KB: u64 = 260 * 1024;
 const RESTART: Duration = Duration::from_secs(1);
-const SUBMISSIONS: u64 = 1500;
+const SUBMISSIONS: u64 = 1650;
 const PER_S: u64 = 24;
 const OCCURRENCES: u64 = 1500;
 
