Logs: what a round of placement visited, and whether it came to all ready steps

`Scheduler::last_round` counts the visited steps, the lookups among all workers in vain and the started tasks, and since when rounds have been incomplete. The daemon has counters of it, and logs an owner whose rounds have been incomplete for a second. No decision changes.

--- a/crates/fleetd/src/metrics.rs
+++ b/crates/fleetd/src/metrics.rs
@@ -28,6 +28,8 @@
     pub(crate) tasks_given_up: IntCounter,
     pub(crate) tasks_held: IntCounter,
     pub(crate) overloads: IntCounter,
+    pub(crate) placement_rounds: IntCounterVec,
+    pub(crate) failed_lookups: IntCounter,
     pub(crate) takeovers: IntCounter,
     pub(crate) store_failures: IntCounter,
     pub(crate) dropped_log_lines: IntCounter,
@@ -229,6 +231,15 @@
                 "overloads_total",
                 "Times that a pool began to order jobs by the cost of their delay.",
             )?,
+            placement_rounds: labeled(
+                "placement_rounds_total",
+                "Rounds of placement, by whether they came to all ready steps.",
+                &["outcome"],
+            )?,
+            failed_lookups: counter(
+                "placement_failed_lookups_total",
+                "Steps for which a worker was looked for among all workers in vain.",
+            )?,
             takeovers: counter("takeovers_total", "Shards taken over.")?,
             store_failures: counter("store_failures_total", "Calls to the store that failed.")?,
             dropped_log_lines: counter(
--- a/crates/fleetd/src/pool/mod.rs
+++ b/crates/fleetd/src/pool/mod.rs
@@ -20,7 +20,7 @@
 use access::Caller;
 use ownership::Lease;
 use parking_lot::Mutex;
-use scheduler::{Demand, JobStatus, Scheduler, UnavailableReason, WorkerKey};
+use scheduler::{Demand, JobStatus, Now, Scheduler, UnavailableReason, WorkerKey};
 use smol_str::SmolStr;
 use submission::{Job, JobId};
 use tokio::sync::Notify;
@@ -70,7 +70,8 @@
 /// How often a daemon that shuts down checks whether any callers still wait.
 const RELEASE_POLL_PERIOD: Duration = Duration::from_millis(10);
 
-/// How long workers have to be idle while steps wait until that is logged, in ms: several rounds of placement.
+/// How long workers have to be idle while steps wait, or rounds have to be incomplete, until that is logged, in ms: several
+/// rounds of placement.
 const STALLED_AFTER_MS: u64 = 1000;
 
 /// The reply to a submission while the store is unavailable. Outages of the store last from 3 s to 9 s.
@@ -291,6 +292,7 @@
         let unresponsive = demand.unresponsive.iter();
         let response_ages_ms = unresponsive.filter_map(response_age).collect();
         log_stalled_work(&self.pool, &scheduler, &demand);
+        log_incomplete_rounds(&self.pool, &scheduler, now);
         let first = scheduler.first_ready_task();
         let progress = OwnerProgress {
             term: self.term,
@@ -434,6 +436,26 @@
     );
 }
 
+/// Logs that no round of placement has come to all ready steps for [`STALLED_AFTER_MS`].
+fn log_incomplete_rounds(pool: &str, scheduler: &Scheduler, now: Now) {
+    let round = scheduler.last_round();
+    let incomplete_ms = round
+        .incomplete_since_ms
+        .map_or(0, |since_ms| now.local_ms.saturating_sub(since_ms));
+    if incomplete_ms < STALLED_AFTER_MS {
+        return;
+    }
+    tracing::warn!(
+        pool,
+        steps = scheduler.ready_steps(),
+        visited = round.visited_steps,
+        failed_lookups = round.failed_lookups,
+        started = round.started_tasks,
+        incomplete_ms,
+        "rounds of placement do not come to all steps"
+    );
+}
+
 fn log_unavailable_workers(pool: &str, unavailable: &[(SmolStr, UnavailableReason)]) {
     if unavailable.is_empty() {
         return;
--- a/crates/fleetd/src/pool/recorder.rs
+++ b/crates/fleetd/src/pool/recorder.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use scheduler::{Batch, RowChange, Scheduler, SchedulerEvent};
+use scheduler::{Batch, RoundSummary, RowChange, Scheduler, SchedulerEvent};
 use submission::{Job, JobId, JobRecord, JobSpec, QueueRules};
 use users_platform::{KeyRange, MAX_ROW_BYTES, Row, RowKey, Transaction};
 
@@ -63,6 +63,7 @@
         scheduler.tick(now);
         if self.apply_teams(&mut scheduler) {
             scheduler.plan(now);
+            self.count_round(scheduler.last_round());
         }
         for event in scheduler.drain_events() {
             match &event {
@@ -79,6 +80,18 @@
         scheduler.take_batch(entries)
     }
 
+    fn count_round(&self, round: RoundSummary) {
+        let outcome = if round.is_complete() {
+            "complete"
+        } else {
+            "incomplete"
+        };
+        let metrics = &self.node.metrics;
+        metrics.placement_rounds.with_label_values(&[outcome]).inc();
+        let failed_lookups = u64::try_from(round.failed_lookups).unwrap_or(u64::MAX);
+        metrics.failed_lookups.inc_by(failed_lookups);
+    }
+
     /// Writes the rows of a batch and returns the local time in ms at which the transaction was sent; `None` when the
     /// ownership ended, because another daemon took over the pool or a conflict could not be resolved. New jobs that
     /// have rows already are left out and loaded from their rows instead. New jobs that the store has rejected for too
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -8,6 +8,7 @@
 
 use crate::crashes::ISOLATED_FROM_CRASHES;
 use crate::ready::StepKey;
+use crate::round::RoundSummary;
 use crate::scheduler::Scheduler;
 use crate::teams::Usage;
 use crate::types::Now;
@@ -30,36 +31,45 @@
     /// visited all steps behind them.
     pub fn plan(&mut self, now: Now) {
         self.measure_overload(now);
-        let mut starts = 0;
-        let mut unplaced = 0;
+        let mut round = RoundSummary::default();
+        let is_complete = self.place_steps(&mut round, now);
+        if !is_complete {
+            let since_ms = self.last_round.incomplete_since_ms;
+            round.incomplete_since_ms = Some(since_ms.unwrap_or(now.local_ms));
+        }
+        self.last_round = round;
+    }
+
+    /// Visits ready steps and counts what was done. Returns whether all of them were visited.
+    fn place_steps(&mut self, round: &mut RoundSummary, now: Now) -> bool {
         let mut restricted = Vec::new();
         let mut too_large = Vec::new();
         let mut visits = self.visits(MAX_VISITED_STEPS);
-        let mut visited = 0;
-        while visited < MAX_VISITED_STEPS
+        while round.visited_steps < MAX_VISITED_STEPS
             && let Some(key) = self.next_visit(&mut visits)
         {
-            visited += 1;
-            if starts >= MAX_STARTS {
-                return;
+            if round.started_tasks >= MAX_STARTS {
+                return false;
             }
-            if unplaced >= MAX_UNPLACED_STEPS {
+            if round.failed_lookups >= MAX_UNPLACED_STEPS {
                 self.ready.defer(restricted);
-                return;
+                return false;
             }
+            round.visited_steps += 1;
             let placement = self.place_step(key, &mut too_large, now);
-            starts += placement.started;
+            round.started_tasks += placement.started;
             match placement.unplaced {
                 None => self.ready.remove(key),
                 Some(Unplaced::TooLarge | Unplaced::AtTeamLimit) => {}
-                Some(Unplaced::NoRoom) => unplaced += 1,
+                Some(Unplaced::NoRoom) => round.failed_lookups += 1,
                 Some(Unplaced::Restricted) => {
-                    unplaced += 1;
+                    round.failed_lookups += 1;
                     restricted.push(key);
                 }
             }
         }
         self.ready.end_deferrals();
+        round.visited_steps < MAX_VISITED_STEPS
     }
 
     /// Assigns the tasks of a step to workers. `too_large` has the task sizes that fit on no worker. Free capacity only
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -14,6 +14,7 @@
 use crate::overload::Overload;
 use crate::policy::PolicyDecisions;
 use crate::ready::{Ready, StepKey};
+use crate::round::RoundSummary;
 use crate::teams::Teams;
 use crate::types::{CountedCrash, JobStatus, Limits, Now, SchedulerEvent};
 use crate::worker::{AssignedAttempt, Worker, WorkerKey};
@@ -56,6 +57,7 @@
     /// The jobs that have not ended and that were accepted under a policy.
     pub(crate) jobs_accepted_with_policy: BTreeSet<JobId>,
     pub(crate) teams: Teams,
+    pub(crate) last_round: RoundSummary,
     /// The crashes that this owner has counted under each task, for the log, with the time of the count in ms on the daemon's
     /// clock.
     pub(crate) counted_crashes: BTreeMap<TaskKey, Vec<(u64, CountedCrash)>>,
@@ -91,6 +93,7 @@
             service_jobs: BTreeSet::new(),
             jobs_accepted_with_policy: BTreeSet::new(),
             teams: Teams::default(),
+            last_round: RoundSummary::default(),
             counted_crashes: BTreeMap::new(),
             unexplained_crashes: Vec::new(),
         }
@@ -284,6 +287,12 @@
         self.ready.len()
     }
 
+    /// Returns what the last round of placement did.
+    #[must_use]
+    pub fn last_round(&self) -> RoundSummary {
+        self.last_round
+    }
+
     /// Returns the first task of the step that is placed first, or `None` when no step is ready.
     #[must_use]
     pub fn first_ready_task(&self) -> Option<TaskKey> {
