scheduler: a round visits each class of ready steps once, however many steps there are

Callers saw accepted jobs that don't start beside free room, while many jobs without room are accepted before them.

Cause: a round visited at most 500 steps one by one, and passed over a team after 200 steps beyond its limit. The next round began at the same place. So 500 equal steps that last and have no room, 24 steps with a label that no worker has, or 200 steps beyond the headroom of their team kept all behind them waiting (for good, by the round, and until the headroom grew).

Steps that ask the same of a worker are a class now, and a round visits the first step of each class in each lane; it goes on with the next one only once that was placed completely. The bounds of 500 and 200 steps are gone: the visits of a round are its starts and the classes that wait. Steps whose placement depends on more than what they ask for (limit on tasks of a worker, policy, crashes under their tasks, a gang with some tasks left) have no class and are visited one by one. All steps are kept by lane, also in pools without limits or weights, so that there is one order of visits.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -385,7 +385,10 @@
             let counted_crashes = self.counted_crashes.entry(task).or_default();
             counted_crashes.push((now.local_ms, counted));
             match verdict {
-                CrashVerdict::GoesOn => {}
+                CrashVerdict::GoesOn => {
+                    let (occurrence, step, _) = job.position(task.index);
+                    self.update_class(step_key(task.job, occurrence, step));
+                }
                 CrashVerdict::GivenUp => {
                     given_up.push(SchedulerEvent::GivenUp {
                         task: name,
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -8,7 +8,6 @@
 
 use crate::ready::{Prospect, Rank, StepKey};
 use crate::scheduler::Scheduler;
-use crate::team_steps::Lane;
 use crate::types::Now;
 use crate::worker::UnavailableReason;
 
@@ -246,8 +245,7 @@
         if !self.teams.is_active {
             return self.waiting_cpu_of(self.ready.ranked());
         }
-        let without_team = self.ready.by_team.steps_after(Lane::WITHOUT_TEAM, None);
-        let mut sum = self.waiting_cpu_of(without_team);
+        let mut sum = self.waiting_cpu_of(self.ready.by_team.without_team());
         for (key, team) in self.teams.iter() {
             let waiting = self.ready.by_team.waiting(key);
             let (on_time, past_latest_start) = waiting.startable_cpu_milli(team.headroom());
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 mod adopt;
 mod arrivals;
 mod batch;
+mod classes;
 mod crashes;
 mod decision_timeout;
 mod demand;
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -21,9 +21,6 @@
 /// The number of started tasks after which a round ends, so that one transaction can record them.
 const MAX_STARTS: usize = 200;
 
-/// The number of steps that a round visits at most. Most of them are skipped under overload, by their size alone.
-const MAX_VISITED_STEPS: usize = 500;
-
 impl Scheduler {
     /// Assigns the tasks of ready steps that fit to workers. The start commands come with the next batches.
     ///
@@ -44,10 +41,8 @@
     fn place_steps(&mut self, round: &mut RoundSummary, now: Now) -> bool {
         let mut restricted = Vec::new();
         let mut too_large = Vec::new();
-        let mut visits = self.visits(MAX_VISITED_STEPS);
-        while round.visited_steps < MAX_VISITED_STEPS
-            && let Some(key) = self.next_visit(&mut visits)
-        {
+        let mut visits = self.visits();
+        while let Some(key) = self.next_visit(&mut visits) {
             if round.started_tasks >= MAX_STARTS {
                 return false;
             }
@@ -69,7 +64,7 @@
             }
         }
         self.ready.end_deferrals();
-        round.visited_steps < MAX_VISITED_STEPS
+        true
     }
 
     /// Assigns the tasks of a step to workers. `too_large` has the task sizes that fit on no worker. Free capacity only
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -205,7 +205,10 @@
         let is_demanded = !self.needs_authorization(job, step);
         let decision = self.policy_decisions.entry(step).or_default();
         decision.forget(worker);
-        decision.is_demanded |= is_demanded;
+        if is_demanded {
+            decision.is_demanded = true;
+            self.update_class(step);
+        }
     }
 
     /// Forgets all decisions on a worker. They are valid for one incarnation.
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -4,9 +4,9 @@
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 
-use submission::{JobId, Resources};
+use submission::JobId;
 
-use crate::team_steps::{Lane, TeamSteps, WaitingStep};
+use crate::team_steps::TeamSteps;
 
 /// A step of an occurrence of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -95,11 +95,8 @@
         self.order.iter().copied()
     }
 
-    /// The `max_steps` steps with the lowest ranks, lowest first, without the deferred ones.
-    pub(crate) fn first(&self, max_steps: usize) -> Vec<StepKey> {
-        let steps = self.order.iter().map(|(_, step)| *step);
-        let steps = steps.filter(|step| !self.deferred.contains(step));
-        steps.take(max_steps).collect()
+    pub(crate) fn rank(&self, step: StepKey) -> Option<Rank> {
+        self.ranks.get(&step).map(|(rank, _)| *rank)
     }
 
     /// Leaves steps out of rounds, so that rounds reach the steps behind them.
@@ -115,27 +112,4 @@
     pub(crate) fn is_deferred(&self, step: StepKey) -> bool {
         self.deferred.contains(&step)
     }
-
-    /// Adds a step without a team to the steps by team.
-    pub(crate) fn insert_without_team(&mut self, step: StepKey, rank: Rank) {
-        let waiting = WaitingStep {
-            lane: Lane::WITHOUT_TEAM,
-            needs: Resources::default(),
-            footprint_cpu_milli: 0,
-            idle: 0,
-            together: 0,
-        };
-        self.by_team.insert(step, rank, waiting);
-    }
-
-    /// Adds all steps without a team to the steps by team.
-    pub(crate) fn index_steps_without_team(&mut self) {
-        let steps = self.order.iter().copied();
-        let without_team: Vec<_> = steps
-            .filter(|(_, step)| !self.by_team.contains(*step))
-            .collect();
-        for (rank, step) in without_team {
-            self.insert_without_team(step, rank);
-        }
-    }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -108,7 +108,10 @@
     /// accepted. Where these are unknown, they have the lowest priority, no policy and no limit on failed attempts, and their latency
     /// objective is their critical path.
     pub fn set_queue_rules(&mut self, rules: HashMap<SmolStr, QueueRules>) {
-        self.queue_rules = rules;
+        if self.queue_rules != rules {
+            self.queue_rules = rules;
+            self.update_classes();
+        }
     }
 
     /// Accepts a job, whose rows come with a later batch. Returns false and changes nothing when the id is already in
@@ -451,11 +454,9 @@
         let team = self.teams.key(&job.team);
         let mut assigned =
             AssignedAttempt::new(attempt, job.step(task.index), crashes, now.local_ms);
-        if team.is_some() {
-            let (occurrence, step, _) = job.position(task.index);
-            let step = step_key(task.job, occurrence, step);
-            self.ready.by_team.record_start(step);
-        }
+        let (occurrence, step, _) = job.position(task.index);
+        let step = step_key(task.job, occurrence, step);
+        self.ready.by_team.record_start(step);
         let checkpoint = job.task(task.index).map(|task| task.checkpoint.clone());
         let command = WorkerCommand::Start {
             worker: key,
--- a/crates/scheduler/src/team_steps.rs
+++ b/crates/scheduler/src/team_steps.rs
@@ -1,11 +1,12 @@
 //! The ready steps by team, so that the steps of a team that is at its limit are passed over as a whole.
 
 use std::collections::btree_map::Entry;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::ops::Bound;
 
 use submission::Resources;
 
+use crate::classes::{Class, ClassedSteps};
 use crate::ready::{Prospect, Rank, StepKey};
 use crate::scheduler::Scheduler;
 use crate::teams::{TeamKey, Usage};
@@ -28,9 +29,11 @@
 }
 
 /// A ready step.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct WaitingStep {
     pub(crate) lane: Lane,
+    /// `None` for a step that no other is placed like.
+    pub(crate) class: Option<Class>,
     /// What a task of the step needs.
     pub(crate) needs: Resources,
     /// The CPU that is reserved for a task of the step, in thousandths of a core.
@@ -118,10 +121,10 @@
     }
 }
 
-/// The ready steps of jobs with a team, and those of other jobs once the pool has limits or weights.
+/// The ready steps by team. Those of jobs without a team have a lane of their own.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct TeamSteps {
-    lanes: BTreeMap<Lane, BTreeSet<(Rank, StepKey)>>,
+    lanes: BTreeMap<Lane, ClassedSteps>,
     steps: HashMap<StepKey, (Rank, WaitingStep)>,
     /// By the index of the team's key.
     waiting: Vec<TeamWaiting>,
@@ -131,31 +134,27 @@
 impl TeamSteps {
     /// Adds a step that is not among the steps.
     pub(crate) fn insert(&mut self, key: StepKey, rank: Rank, step: WaitingStep) {
-        self.steps.insert(key, (rank, step));
         let lane = self.lanes.entry(step.lane).or_default();
-        lane.insert((rank, key));
-        let Some(team) = step.lane.team else {
-            return;
-        };
-        if self.waiting.len() <= team.index() {
-            self.waiting
-                .resize_with(team.index() + 1, TeamWaiting::default);
+        lane.insert((rank, key), step.class.as_ref());
+        if let Some(team) = step.lane.team {
+            if self.waiting.len() <= team.index() {
+                self.waiting
+                    .resize_with(team.index() + 1, TeamWaiting::default);
+            }
+            let waiting = &mut self.waiting[team.index()];
+            waiting.add(&step, rank, step.idle);
+            waiting.count_least(step.least());
         }
-        let waiting = &mut self.waiting[team.index()];
-        waiting.add(&step, rank, step.idle);
-        waiting.count_least(step.least());
+        self.steps.insert(key, (rank, step));
     }
 
     /// Removes a step. An unknown step is ignored.
     pub(crate) fn remove(&mut self, key: StepKey) {
-        if self.steps.is_empty() {
-            return;
-        }
         let Some((rank, step)) = self.steps.remove(&key) else {
             return;
         };
         if let Some(lane) = self.lanes.get_mut(&step.lane) {
-            lane.remove(&(rank, key));
+            lane.remove((rank, key), step.class.as_ref());
         }
         let Some(team) = step.lane.team else {
             return;
@@ -178,10 +177,6 @@
         }
     }
 
-    pub(crate) fn contains(&self, key: StepKey) -> bool {
-        self.steps.contains_key(&key)
-    }
-
     /// What the ready steps of a team need.
     pub(crate) fn waiting(&self, team: TeamKey) -> &TeamWaiting {
         self.waiting.get(team.index()).unwrap_or(&self.nothing)
@@ -199,16 +194,22 @@
         step.map_or_else(Usage::default, |(_, step)| step.least())
     }
 
-    /// The steps of a lane behind `after`, lowest rank first.
-    pub(crate) fn steps_after(
+    /// The ready steps of jobs without a team, lowest rank first.
+    pub(crate) fn without_team(&self) -> impl Iterator<Item = (Rank, StepKey)> {
+        let lane = self.lanes.get(&Lane::WITHOUT_TEAM);
+        lane.into_iter().flat_map(ClassedSteps::all).copied()
+    }
+
+    /// The first step of each class of a lane and the steps without a class that come behind `after`, lowest rank first.
+    pub(crate) fn heads_after(
         &self,
         lane: Lane,
         after: Option<(Rank, StepKey)>,
     ) -> impl Iterator<Item = (Rank, StepKey)> {
         let start = after.map_or(Bound::Unbounded, Bound::Excluded);
         let lane = self.lanes.get(&lane);
-        let steps = lane.map(|steps| steps.range((start, Bound::Unbounded)));
-        steps.into_iter().flatten().copied()
+        let heads = lane.map(|lane| lane.heads().range((start, Bound::Unbounded)));
+        heads.into_iter().flatten().copied()
     }
 }
 
@@ -216,19 +217,15 @@
     /// Adds a ready step to those of its team.
     pub(crate) fn add_to_team(&mut self, key: StepKey, rank: Rank) {
         let job = &self.jobs[&key.job];
-        let Some(team) = self.teams.key(&job.team) else {
-            if self.teams.is_active {
-                self.ready.insert_without_team(key, rank);
-            }
-            return;
-        };
+        let team = self.teams.key(&job.team);
         let step = &job.spec().steps[usize::from(key.step)];
         let idle = job.idle_tasks(key.occurrence, usize::from(key.step));
         let waiting = WaitingStep {
             lane: Lane {
-                team: Some(team),
-                is_excess: self.teams.is_in_excess(key.job),
+                team,
+                is_excess: team.is_some() && self.teams.is_in_excess(key.job),
             },
+            class: self.class(job, key),
             needs: step.needs,
             footprint_cpu_milli: step.footprint().cpu_milli,
             idle: u32::try_from(idle.count()).unwrap_or(u32::MAX),
--- a/crates/scheduler/src/teams.rs
+++ b/crates/scheduler/src/teams.rs
@@ -304,7 +304,7 @@
         for (name, limit) in limits {
             if let Some(key) = self.teams.key(&name) {
                 self.teams.team_mut(key).limit = limit;
-                self.activate_teams();
+                self.teams.is_active = true;
             }
         }
     }
@@ -318,7 +318,7 @@
         for (name, weight) in weights {
             if let Some(key) = self.teams.key(&name).filter(|_| weight > 0) {
                 self.teams.team_mut(key).weight = weight;
-                self.activate_teams();
+                self.teams.is_active = true;
             }
         }
     }
@@ -339,13 +339,6 @@
         demands
     }
 
-    /// From the first limit or weight on, the ready steps without a team are kept apart too.
-    fn activate_teams(&mut self) {
-        if !std::mem::replace(&mut self.teams.is_active, true) {
-            self.ready.index_steps_without_team();
-        }
-    }
-
     /// The arrivals among which the work of a team's job counts: those of the team if its CPU is limited.
     pub(crate) fn arrivals_of(&mut self, team: &SmolStr) -> &mut Arrivals {
         match self.teams.key(team) {
--- a/crates/scheduler/src/visits.rs
+++ b/crates/scheduler/src/visits.rs
@@ -1,41 +1,32 @@
-//! The order in which a round visits the ready steps of a pool with limits or weights.
+//! The order in which a round visits the ready steps: by rank, in a pool with limits or weights also by the shares of teams.
 //!
-//! Within one prospect, service steps come before batch steps. Among each of them, the steps of teams below their weighted
+//! A round visits the first step of each class and goes on with the next one when that was placed completely. So steps that
+//! don't fit cost a visit for each class, however many they are, and keep no others from being visited.
+//!
+//! In a pool with weights, within one prospect, service steps come before batch steps. Among each of them, the steps of teams below their weighted
 //! share of the pool come first, with those of jobs without a team, then the steps of teams above their share, and then
 //! those of jobs beyond what a team's weight entitles to. The shares are those of weighted dominant
 //! resource fairness (Ghodsi et al., "Dominant Resource Fairness", 2011): what no team asks for goes to the others, and no
 //! capacity stays unused. The steps of a team at its limit are passed over.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::BinaryHeap;
 
 use crate::ready::{Prospect, Rank, StepKey};
 use crate::scheduler::Scheduler;
 use crate::team_steps::Lane;
 use crate::teams::{Team, TeamKey, Usage};
 
-/// The number of a team's steps that a round finds to be beyond the team's limit, after which it passes over the team.
-/// Smaller steps behind them may fit. A visit of such a step is a comparison.
-const MAX_BLOCKED_STEPS_PER_TEAM: usize = 200;
-
 /// The halvings of the interval in which the level of the shares lies. The rest is far below the size of a task.
 const LEVEL_HALVINGS: usize = 40;
 
-/// The steps that a round has yet to visit.
-#[derive(Debug)]
-pub(crate) enum Visits {
-    /// In the order of rank alone.
-    Ranked(std::vec::IntoIter<StepKey>),
-    /// By the shares and limits of teams.
-    Shared(SharedVisits),
-}
-
-/// The first unvisited steps of all lanes.
+/// The steps that a round has yet to visit: the first unvisited ones of all lanes.
 #[derive(Debug)]
-pub(crate) struct SharedVisits {
+pub(crate) struct Visits {
     heads: BinaryHeap<Reverse<Head>>,
     shares: Shares,
-    blocked_steps: HashMap<TeamKey, usize>,
+    /// The lane and the place of the last step. What comes next in the lane depends on whether all its tasks are placed.
+    last: Option<(Lane, (Rank, StepKey))>,
 }
 
 /// The order of a lane among service steps or batch steps with the same prospect.
@@ -131,29 +122,24 @@
 }
 
 impl Scheduler {
-    /// The steps that a round visits, at most `max_steps` of them. In a pool with limits or weights, the steps that are
-    /// passed over because of a limit come on top of them.
-    pub(crate) fn visits(&self, max_steps: usize) -> Visits {
-        if !self.teams.is_active {
-            return Visits::Ranked(self.ready.first(max_steps).into_iter());
-        }
-        let mut visits = SharedVisits {
+    /// The steps that a round visits: all ready steps but those behind one of the same class that was not placed completely.
+    pub(crate) fn visits(&self) -> Visits {
+        let mut visits = Visits {
             heads: BinaryHeap::new(),
             shares: self.shares(),
-            blocked_steps: HashMap::new(),
+            last: None,
         };
         for lane in self.ready.by_team.lanes() {
             self.push_head(&mut visits, lane, None);
         }
-        Visits::Shared(visits)
+        visits
     }
 
-    /// The next step to visit; `None` when there is none.
+    /// The next step to visit, after the last one was placed as far as possible; `None` when there is none.
     pub(crate) fn next_visit(&self, visits: &mut Visits) -> Option<StepKey> {
-        let visits = match visits {
-            Visits::Ranked(steps) => return steps.next(),
-            Visits::Shared(visits) => visits,
-        };
+        if let Some((lane, last)) = visits.last.take() {
+            self.push_head(visits, lane, Some(last));
+        }
         loop {
             let Reverse(head) = visits.heads.pop()?;
             let tier = self.tier(head.lane, &visits.shares);
@@ -162,21 +148,19 @@
                 visits.heads.push(Reverse(Head { tier, ..head }));
                 continue;
             }
+            let place = (head.rank, head.step);
             let least = self.ready.by_team.least(head.step);
             let blocked = head
                 .lane
                 .team
                 .filter(|team| !self.teams.team(*team).may_use(least));
-            if let Some(team) = blocked {
-                let blocked_steps = visits.blocked_steps.entry(team).or_default();
-                *blocked_steps += 1;
-                if *blocked_steps >= MAX_BLOCKED_STEPS_PER_TEAM || self.is_at_limit(team) {
-                    continue;
+            match blocked {
+                None => {
+                    visits.last = Some((head.lane, place));
+                    return Some(head.step);
                 }
-            }
-            self.push_head(visits, head.lane, Some((head.rank, head.step)));
-            if blocked.is_none() {
-                return Some(head.step);
+                Some(team) if self.is_at_limit(team) => {}
+                Some(_) => self.push_head(visits, head.lane, Some(place)),
             }
         }
     }
@@ -187,9 +171,9 @@
         self.ready.by_team.waiting(team).exceeds(headroom)
     }
 
-    fn push_head(&self, visits: &mut SharedVisits, lane: Lane, after: Option<(Rank, StepKey)>) {
-        let mut steps = self.ready.by_team.steps_after(lane, after);
-        let Some((rank, step)) = steps.find(|(_, step)| !self.ready.is_deferred(*step)) else {
+    fn push_head(&self, visits: &mut Visits, lane: Lane, after: Option<(Rank, StepKey)>) {
+        let mut heads = self.ready.by_team.heads_after(lane, after);
+        let Some((rank, step)) = heads.find(|(_, step)| !self.ready.is_deferred(*step)) else {
             return;
         };
         visits.heads.push(Reverse(Head {
@@ -218,6 +202,12 @@
     /// The shares of the teams with weights in what the other tasks of the pool leave. A team asks for what it uses and
     /// waits for, up to its limit.
     fn shares(&self) -> Shares {
+        if !self.teams.is_active {
+            return Shares {
+                capacity: Usage::default(),
+                level: f64::INFINITY,
+            };
+        }
         let listed = self.workers.values().filter(|worker| worker.is_listed);
         let capacities = listed.map(|worker| Usage::of(worker.info.capacity, 1));
         let capacity = capacities.fold(Usage::default(), Usage::plus);
--- a/crates/submission/src/spec.rs
+++ b/crates/submission/src/spec.rs
@@ -52,7 +52,7 @@
 }
 
 /// An amount of resources: what a task requests, or what a worker has.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Resources {
     /// CPU in thousandths of a core.
     #[serde(rename = "c", default)]
