scheduler: a step for which no worker has room costs a comparison and ends no round

Cause: a round ended after 24 steps for which a worker was looked for in vain. A step that asked for as much as one that had been left in the same round was skipped, but steps of falling sizes were each looked up, and unlike steps that ask for more than room they weren't left out of the next round. Each round began with the same 24 and ended there.

A round now knows the rooms on the usable workers, by label, that no other of these workers covers, with the sizes that workers refused lately. Room only shrinks within a round, so that a step that fits none of them fits nowhere: it costs a comparison with each, and ends no round. Where tasks of the round have taken the room since, one lookup in vain brings the rooms up to date, so that there are at most as many as starts. The bound of 24 remains for steps that ask for more than room.

The test fails before: nothing starts in the round.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -20,6 +20,7 @@
 mod rank;
 mod ready;
 mod reports;
+mod rooms;
 mod round;
 mod scheduler;
 mod speed_limits;
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -4,19 +4,19 @@
 //! capacity stays unused.
 
 use smol_str::SmolStr;
-use submission::{Job, Resources, StepSpec, TaskKey, TaskPhase};
+use submission::{Job, StepSpec, TaskKey, TaskPhase};
 
-use crate::crashes::ISOLATED_FROM_CRASHES;
 use crate::ready::StepKey;
+use crate::rooms::Rooms;
 use crate::round::RoundSummary;
 use crate::scheduler::Scheduler;
 use crate::teams::Usage;
 use crate::types::Now;
 use crate::worker::{Worker, WorkerKey};
 
-/// The number of steps for which a worker was looked for in vain after which a round ends. Bounds the duration of a
-/// round under overload.
-const MAX_UNPLACED_STEPS: usize = 24;
+/// The number of steps that ask for more than room, and for which a worker was looked for in vain, after which a round ends.
+/// Bounds the duration of a round.
+const MAX_RESTRICTED_STEPS: usize = 24;
 
 /// The number of started tasks after which a round ends, so that one transaction can record them.
 const MAX_STARTS: usize = 200;
@@ -40,23 +40,24 @@
     /// Visits ready steps and counts what was done. Returns whether all of them were visited.
     fn place_steps(&mut self, round: &mut RoundSummary, now: Now) -> bool {
         let mut restricted = Vec::new();
-        let mut too_large = Vec::new();
+        let mut rooms = Rooms::default();
         let mut visits = self.visits();
         while let Some(key) = self.next_visit(&mut visits) {
             if round.started_tasks >= MAX_STARTS {
                 return false;
             }
-            if round.failed_lookups >= MAX_UNPLACED_STEPS {
+            if restricted.len() >= MAX_RESTRICTED_STEPS {
                 self.ready.defer(restricted);
                 return false;
             }
             round.visited_steps += 1;
-            let placement = self.place_step(key, &mut too_large, now);
+            let placement = self.place_step(key, &mut rooms, now);
             round.started_tasks += placement.started;
+            rooms.record_starts(placement.started);
             match placement.unplaced {
                 None => self.ready.remove(key),
-                Some(Unplaced::TooLarge | Unplaced::AtTeamLimit) => {}
-                Some(Unplaced::NoRoom) => round.failed_lookups += 1,
+                Some(Unplaced::NoRoom | Unplaced::AtTeamLimit) => {}
+                Some(Unplaced::NoRoomLeft) => round.failed_lookups += 1,
                 Some(Unplaced::Restricted) => {
                     round.failed_lookups += 1;
                     restricted.push(key);
@@ -67,29 +68,24 @@
         true
     }
 
-    /// Assigns the tasks of a step to workers. `too_large` has the task sizes that fit on no worker. Free capacity only
-    /// shrinks within a round, so that tasks at least as large need not be tried; under overload, most tasks are.
-    fn place_step(&mut self, key: StepKey, too_large: &mut Vec<Resources>, now: Now) -> Placement {
+    /// Assigns the tasks of a step to workers.
+    fn place_step(&mut self, key: StepKey, rooms: &mut Rooms, now: Now) -> Placement {
         let Some(job) = self.jobs.get(&key.job) else {
             return Placement::default();
         };
         let team = self.teams.get(&job.team).map(|(team, _)| team);
         let step = &job.spec().steps[usize::from(key.step)];
-        let needs = step.footprint();
-        let declared_needs = Usage::of(step.needs, 1);
-        if too_large.iter().any(|size| size.fits(needs)) {
+        let needs = Usage::of(step.needs, 1);
+        let label = step.required_label.clone();
+        if !rooms.may_fit(&self.workers, &label, step.footprint(), now.local_ms) {
             return Placement {
                 started: 0,
-                unplaced: Some(Unplaced::TooLarge),
+                unplaced: Some(Unplaced::NoRoom),
             };
         }
         if step.is_gang {
             return self.place_gang(key, now);
         }
-        // Only the size of a task without constraints can prevent its placement.
-        let is_unconstrained = step.required_label.is_empty()
-            && step.max_per_worker == 0
-            && !self.needs_authorization(job, key);
         let idle = job.idle_tasks(key.occurrence, usize::from(key.step));
         let crashes = |job: &Job, index| job.task(index).map_or(0, |task| task.crashes);
         let mut idle: Vec<_> = idle.collect();
@@ -97,7 +93,7 @@
         idle.sort_by_key(|&index| crashes(job, index));
         let mut placement = Placement::default();
         for index in idle {
-            if !self.teams.may_use(team, declared_needs) {
+            if !self.teams.may_use(team, needs) {
                 placement.unplaced = Some(Unplaced::AtTeamLimit);
                 break;
             }
@@ -105,16 +101,12 @@
             let step = &job.spec().steps[usize::from(key.step)];
             let crashes = crashes(job, index);
             let Some(worker) = self.choose(job, step, key, crashes, &[], now) else {
-                let is_unconstrained = is_unconstrained && crashes < ISOLATED_FROM_CRASHES;
-                let is_oversized = is_unconstrained && !self.fits_an_empty_worker(needs);
-                placement.unplaced = Some(if is_unconstrained && !is_oversized {
-                    Unplaced::NoRoom
+                rooms.update(&label);
+                placement.unplaced = Some(if self.ready.by_team.has_class(key) {
+                    Unplaced::NoRoomLeft
                 } else {
                     Unplaced::Restricted
                 });
-                if is_unconstrained {
-                    too_large.push(needs);
-                }
                 break;
             };
             let task = TaskKey {
@@ -242,12 +234,6 @@
             .map(|(worker_key, _)| worker_key)
     }
 
-    /// Whether a listed worker without tasks could run a task of this size.
-    fn fits_an_empty_worker(&self, needs: Resources) -> bool {
-        let mut listed = self.workers.values().filter(|worker| worker.is_listed);
-        listed.any(|worker| needs.fits(worker.info.capacity))
-    }
-
     /// Whether a usable worker has room beside its service tasks for one more task of the step of `task`, a service task,
     /// and meets the constraints of the step. Batch tasks don't count, as they end soon and service tasks are placed first.
     /// Whether the policy allows the worker is not considered.
@@ -308,12 +294,11 @@
 /// Why a task was left without a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Unplaced {
-    /// A task that is no larger was left without a worker in the same round.
-    TooLarge,
-    /// No worker has enough free capacity.
+    /// No usable worker with the label has room, as the round knew before.
     NoRoom,
-    /// The constraints of the step allow no worker, or the task is larger than every worker. Workers may be idle
-    /// nevertheless.
+    /// No usable worker with the label has room any more.
+    NoRoomLeft,
+    /// The step asks for more than room. Workers may be idle nevertheless.
     Restricted,
     /// The limit of the team allows no more.
     AtTeamLimit,
--- a/crates/scheduler/src/team_steps.rs
+++ b/crates/scheduler/src/team_steps.rs
@@ -177,6 +177,12 @@
         }
     }
 
+    /// Whether a step is placed like all steps of its class. False for an unknown step.
+    pub(crate) fn has_class(&self, key: StepKey) -> bool {
+        let step = self.steps.get(&key);
+        step.is_some_and(|(_, step)| step.class.is_some())
+    }
+
     /// What the ready steps of a team need.
     pub(crate) fn waiting(&self, team: TeamKey) -> &TeamWaiting {
         self.waiting.get(team.index()).unwrap_or(&self.nothing)
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::crashes::{ExpiredSuspect, ISOLATED_FROM_CRASHES, Suspect, least_us_per_percent};
 use crate::incarnation::{ClockSample, Incarnation};
+use crate::rooms::Room;
 use crate::teams::TeamKey;
 
 slotmap::new_key_type! {
@@ -308,15 +309,21 @@
         self.info.capacity.saturating_sub(used)
     }
 
-    /// Whether a task of this size fits the free capacity and was not refused by the worker lately. A worker that has more
-    /// than its capacity, which may have shrunk, fits no task, not even one that needs none of what is short.
+    /// The room beside all attempts that run or may run on the worker. `None` for a worker that has more than its capacity,
+    /// which may have shrunk: it fits no task, not even one that needs none of what is short.
+    pub(crate) fn room(&self, now_ms: u64) -> Option<Room> {
+        let refused = self.incarnation.refused_size;
+        self.fits_capacity().then(|| Room {
+            free: self.free_capacity(),
+            refused: refused
+                .filter(|(_, until_ms)| now_ms < *until_ms)
+                .map(|(size, _)| size),
+        })
+    }
+
+    /// Whether a task of this size fits the free capacity and was not refused by the worker lately.
     pub(crate) fn may_fit(&self, footprint: Resources, now_ms: u64) -> bool {
-        let is_refused = self
-            .incarnation
-            .refused_size
-            .is_some_and(|(size, until_ms)| now_ms < until_ms && size.fits(footprint));
-        let occupied = self.occupied().saturating_add(footprint);
-        occupied.fits(self.info.capacity) && !is_refused
+        self.room(now_ms).is_some_and(|room| room.fits(footprint))
     }
 
     /// Adds an attempt. Returns the attempt of the task that it replaces, if there is one.
--- a/crates/scheduler/tests/starvation.rs
+++ b/crates/scheduler/tests/starvation.rs
@@ -54,3 +54,14 @@
     pool.submit_for_team(SMALL, "limited", small_job());
     assert_eq!(started_jobs(&mut pool), [SMALL]);
 }
+
+#[test]
+fn steps_of_falling_sizes_without_room_do_not_keep_smaller_steps_from_starting() {
+    let mut pool = nearly_full_pool();
+    for id in 1..=2000 {
+        let cpu_milli = 4000 - u32::try_from(id).unwrap();
+        pool.submit(id, job(vec![sized_step(cpu_milli)]));
+    }
+    pool.submit(SMALL, small_job());
+    assert_eq!(started_jobs(&mut pool), [SMALL]);
+}
