scheduler: steps that ask for more than room take turns, and end no round

Callers could see accepted jobs that start late or never beside idle workers, behind steps that ask for more than room: service tasks that may not share a worker, steps that wait for the policy service, gangs, tasks under which workers crashed.

Cause: a round ended after 24 of them in vain, and everything behind them waited for the next rounds. So did steps that cost no lookup: a step without any authorization and a gang with some tasks left counted among the 24.

A round now goes on after its lookups are used up, with the steps that ask for room alone, for which a comparison tells that there is none. Only steps that need a lookup of their own are left to the next rounds, and those that were looked up in vain come after them. The bound is in examined workers, as that is what a lookup costs, so that a small pool looks up more steps in a round. Steps without a valid authorization and gangs that can't start yet cost no lookup.

The test fails before: nothing starts in the round.

--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -14,9 +14,9 @@
 use crate::types::Now;
 use crate::worker::{Worker, WorkerKey};
 
-/// The number of steps that ask for more than room, and for which a worker was looked for in vain, after which a round ends.
-/// Bounds the duration of a round.
-const MAX_RESTRICTED_STEPS: usize = 24;
+/// The number of workers that a round examines for steps that turn out to have none, after which it leaves the other steps
+/// that need a lookup of their own to the next rounds. Bounds the duration of a round.
+const MAX_WORKERS_EXAMINED_IN_VAIN: usize = 36_000;
 
 /// The number of started tasks after which a round ends, so that one transaction can record them.
 const MAX_STARTS: usize = 200;
@@ -24,90 +24,90 @@
 impl Scheduler {
     /// Assigns the tasks of ready steps that fit to workers. The start commands come with the next batches.
     ///
-    /// A round that ends because of steps that no worker may run leaves these out of the next rounds, until a round has
-    /// visited all steps behind them.
+    /// Each round comes to all steps that ask for nothing but room. Steps that need a lookup of their own take turns if there
+    /// are more than a round can look up.
     pub fn plan(&mut self, now: Now) {
         self.measure_overload(now);
-        let mut round = RoundSummary::default();
-        let is_complete = self.place_steps(&mut round, now);
-        if !is_complete {
-            let since_ms = self.last_round.incomplete_since_ms;
-            round.incomplete_since_ms = Some(since_ms.unwrap_or(now.local_ms));
-        }
-        self.last_round = round;
-    }
-
-    /// Visits ready steps and counts what was done. Returns whether all of them were visited.
-    fn place_steps(&mut self, round: &mut RoundSummary, now: Now) -> bool {
-        let mut restricted = Vec::new();
-        let mut rooms = Rooms::default();
+        let mut round = Round::default();
         let mut visits = self.visits();
-        while let Some(key) = self.next_visit(&mut visits) {
-            if round.started_tasks >= MAX_STARTS {
-                return false;
-            }
-            if restricted.len() >= MAX_RESTRICTED_STEPS {
-                self.ready.defer(restricted);
-                return false;
-            }
-            round.visited_steps += 1;
-            let placement = self.place_step(key, &mut rooms, now);
-            round.started_tasks += placement.started;
-            rooms.record_starts(placement.started);
-            match placement.unplaced {
-                None => self.ready.remove(key),
-                Some(Unplaced::NoRoom | Unplaced::AtTeamLimit) => {}
-                Some(Unplaced::NoRoomLeft) => round.failed_lookups += 1,
-                Some(Unplaced::Restricted) => {
-                    round.failed_lookups += 1;
-                    restricted.push(key);
-                }
+        while round.summary.started_tasks < MAX_STARTS
+            && let Some(key) = self.next_visit(&mut visits)
+        {
+            round.summary.visited_steps += 1;
+            let placement = self.place_step(key, &mut round, now);
+            round.record_starts(placement.started);
+            if placement.is_complete {
+                self.ready.remove(key);
             }
         }
-        self.ready.end_deferrals();
-        true
+        let is_complete = round.summary.started_tasks < MAX_STARTS && !round.has_skipped_steps;
+        if round.has_skipped_steps {
+            self.ready.defer(round.looked_up_in_vain);
+        } else if is_complete {
+            self.ready.end_deferrals();
+        }
+        if !is_complete {
+            let since_ms = self.last_round.incomplete_since_ms;
+            round.summary.incomplete_since_ms = Some(since_ms.unwrap_or(now.local_ms));
+        }
+        self.last_round = round.summary;
     }
 
-    /// Assigns the tasks of a step to workers.
-    fn place_step(&mut self, key: StepKey, rooms: &mut Rooms, now: Now) -> Placement {
+    /// Assigns the tasks of a step to workers, as many as fit.
+    fn place_step(&mut self, key: StepKey, round: &mut Round, now: Now) -> Placement {
         let Some(job) = self.jobs.get(&key.job) else {
-            return Placement::default();
+            return Placement::COMPLETE;
         };
-        let team = self.teams.get(&job.team).map(|(team, _)| team);
         let step = &job.spec().steps[usize::from(key.step)];
-        let needs = Usage::of(step.needs, 1);
-        let label = step.required_label.clone();
-        if !rooms.may_fit(&self.workers, &label, step.footprint(), now.local_ms) {
-            return Placement {
-                started: 0,
-                unplaced: Some(Unplaced::NoRoom),
-            };
+        let (label, is_gang, tasks) = (step.required_label.clone(), step.is_gang, step.tasks);
+        let rooms = &mut round.rooms;
+        if !rooms.may_fit(&self.workers, &label, step.footprint(), now.local_ms)
+            || !self.may_be_authorized(job, key, now)
+        {
+            return Placement::NONE;
         }
-        if step.is_gang {
-            return self.place_gang(key, now);
+        let needs_own_lookup = is_gang || !self.ready.by_team.has_class(key);
+        if needs_own_lookup && round.examined_in_vain >= MAX_WORKERS_EXAMINED_IN_VAIN {
+            round.has_skipped_steps = true;
+            return Placement::NONE;
         }
+        let (placement, is_lookup_in_vain) = if is_gang {
+            self.place_gang(key, now)
+        } else {
+            self.place_tasks(key, now)
+        };
+        if is_lookup_in_vain {
+            round.summary.failed_lookups += 1;
+            round.rooms.update(&label);
+            if needs_own_lookup {
+                let lookups = if is_gang { tasks as usize } else { 1 };
+                round.examined_in_vain += self.workers.len() * lookups;
+                round.looked_up_in_vain.push(key);
+            }
+        }
+        placement
+    }
+
+    /// Assigns the tasks of a step that is no gang, each by itself. Returns also whether a worker was looked for in vain.
+    fn place_tasks(&mut self, key: StepKey, now: Now) -> (Placement, bool) {
+        let job = &self.jobs[&key.job];
+        let team = self.teams.get(&job.team).map(|(team, _)| team);
+        let needs = Usage::of(job.spec().steps[usize::from(key.step)].needs, 1);
         let idle = job.idle_tasks(key.occurrence, usize::from(key.step));
         let crashes = |job: &Job, index| job.task(index).map_or(0, |task| task.crashes);
         let mut idle: Vec<_> = idle.collect();
         // Suspects may have to wait and don't hold up the others.
         idle.sort_by_key(|&index| crashes(job, index));
-        let mut placement = Placement::default();
+        let mut placement = Placement::NONE;
         for index in idle {
             if !self.teams.may_use(team, needs) {
-                placement.unplaced = Some(Unplaced::AtTeamLimit);
-                break;
+                return (placement, false);
             }
             let job = &self.jobs[&key.job];
             let step = &job.spec().steps[usize::from(key.step)];
             let crashes = crashes(job, index);
             let Some(worker) = self.choose(job, step, key, crashes, &[], now) else {
-                rooms.update(&label);
-                placement.unplaced = Some(if self.ready.by_team.has_class(key) {
-                    Unplaced::NoRoomLeft
-                } else {
-                    Unplaced::Restricted
-                });
-                break;
+                return (placement, true);
             };
             let task = TaskKey {
                 job: key.job,
@@ -116,50 +116,42 @@
             self.assign(worker, task, 0, now);
             placement.started += 1;
         }
-        placement
+        placement.is_complete = true;
+        (placement, false)
     }
 
-    /// Assigns all tasks of a gang at once, with the same attempt number, or none.
-    fn place_gang(&mut self, key: StepKey, now: Now) -> Placement {
+    /// Assigns all tasks of a gang at once, with the same attempt number, or none. Returns also whether workers were looked for
+    /// in vain.
+    fn place_gang(&mut self, key: StepKey, now: Now) -> (Placement, bool) {
         let job = &self.jobs[&key.job];
         let step = &job.spec().steps[usize::from(key.step)];
         let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
         let idle = job.idle_tasks(key.occurrence, usize::from(key.step));
-        let all_idle = idle.count() == tasks.len();
-        let not_placed = Placement {
-            started: 0,
-            unplaced: Some(Unplaced::Restricted),
-        };
-        if !all_idle {
-            return not_placed;
-        }
         let team = self.teams.get(&job.team).map(|(team, _)| team);
-        let all_needs = Usage::of(step.needs, u32::try_from(tasks.len()).unwrap_or(u32::MAX));
-        if !self.teams.may_use(team, all_needs) {
-            return Placement {
-                started: 0,
-                unplaced: Some(Unplaced::AtTeamLimit),
-            };
+        let needs = Usage::of(step.needs, step.tasks);
+        if idle.count() < tasks.len() || !self.teams.may_use(team, needs) {
+            return (Placement::NONE, false);
         }
         let Some(chosen) = self.gang_workers(job, key, now) else {
-            return not_placed;
+            return (Placement::NONE, true);
         };
         let last_attempts = tasks
             .clone()
             .filter_map(|index| job.task(index))
             .map(|task| task.attempt);
         let attempt = last_attempts.max().unwrap_or(0) + 1;
-        for (index, worker) in tasks.zip(chosen) {
+        for (index, worker) in tasks.clone().zip(chosen) {
             let task = TaskKey {
                 job: key.job,
                 index,
             };
             self.assign(worker, task, attempt, now);
         }
-        Placement {
-            started: step_len(&self.jobs[&key.job], key),
-            unplaced: None,
-        }
+        let placement = Placement {
+            started: tasks.len(),
+            is_complete: true,
+        };
+        (placement, false)
     }
 
     /// The workers for all tasks of a gang; `None` when there is no room for all of them.
@@ -284,28 +276,45 @@
     }
 }
 
-/// The result of placing a step: the number of assigned tasks, and why an idle task was left without a worker, if one was.
-#[derive(Debug, Default, Clone, Copy)]
+/// What a round has done so far, and what it knows of the workers.
+#[derive(Debug, Default)]
+struct Round {
+    rooms: Rooms,
+    summary: RoundSummary,
+    /// The number of workers that were examined for `looked_up_in_vain`.
+    examined_in_vain: usize,
+    /// The steps that needed a lookup of their own and that no worker may run now.
+    looked_up_in_vain: Vec<StepKey>,
+    /// Whether a step that needs a lookup of its own was left to the next rounds.
+    has_skipped_steps: bool,
+}
+
+impl Round {
+    fn record_starts(&mut self, tasks: usize) {
+        self.summary.started_tasks += tasks;
+        self.rooms.record_starts(tasks);
+    }
+}
+
+/// The result of placing a step.
+#[derive(Debug, Clone, Copy)]
 struct Placement {
+    /// The number of assigned tasks.
     started: usize,
-    unplaced: Option<Unplaced>,
+    /// Whether no task is left without a worker.
+    is_complete: bool,
 }
 
-/// Why a task was left without a worker.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Unplaced {
-    /// No usable worker with the label has room, as the round knew before.
-    NoRoom,
-    /// No usable worker with the label has room any more.
-    NoRoomLeft,
-    /// The step asks for more than room. Workers may be idle nevertheless.
-    Restricted,
-    /// The limit of the team allows no more.
-    AtTeamLimit,
-}
+impl Placement {
+    const NONE: Self = Self {
+        started: 0,
+        is_complete: false,
+    };
 
-fn step_len(job: &Job, key: StepKey) -> usize {
-    job.step_tasks(key.occurrence, usize::from(key.step)).len()
+    const COMPLETE: Self = Self {
+        started: 0,
+        is_complete: true,
+    };
 }
 
 /// Whether the step's limit on tasks per worker allows one more task on the worker.
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -51,6 +51,8 @@
     is_refused: bool,
     /// Whether a worker has demanded an authorization although the rules of the job have no policy. They may be outdated.
     is_demanded: bool,
+    /// No authorization for the step is valid from this time on.
+    authorized_until_ms: u64,
     /// The step is not examined before.
     not_before_ms: u64,
 }
@@ -119,6 +121,7 @@
             let decision = self.workers.entry(worker).or_default();
             decision.token = Some(token);
             decision.until_ms = now_ms.saturating_add(valid_ms);
+            self.authorized_until_ms = self.authorized_until_ms.max(decision.until_ms);
         }
         let mut decisions = self.workers.values();
         self.is_refused = !self.has_unnamed && decisions.all(|decision| decision.token.is_none());
@@ -175,6 +178,13 @@
             || self.rules(job).is_some_and(|rules| rules.policy.is_some())
     }
 
+    /// Whether the step needs no authorization or one may be valid.
+    pub(crate) fn may_be_authorized(&self, job: &Job, step: StepKey, now: Now) -> bool {
+        let decision = self.policy_decisions.get(&step);
+        !self.needs_authorization(job, step)
+            || decision.is_some_and(|decision| now.local_ms < decision.authorized_until_ms)
+    }
+
     pub(crate) fn authorization_for_step(
         &self,
         step: StepKey,
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -53,7 +53,7 @@
     ranks: HashMap<StepKey, (Rank, u64)>,
     /// The steps by the time at which their rank changes.
     by_change: BTreeSet<(u64, StepKey)>,
-    /// Steps that are left out of rounds until a round has visited all others.
+    /// Steps that are left out of rounds until all others that need a lookup of their own have had one.
     deferred: HashSet<StepKey>,
     /// The steps by team.
     pub(crate) by_team: TeamSteps,
@@ -104,7 +104,7 @@
         self.deferred.extend(steps);
     }
 
-    /// Ends all deferrals, after a round has visited all other steps.
+    /// Ends all deferrals, after a round that skipped no other step.
     pub(crate) fn end_deferrals(&mut self) {
         self.deferred.clear();
     }
--- a/crates/scheduler/tests/starvation.rs
+++ b/crates/scheduler/tests/starvation.rs
@@ -65,3 +65,19 @@
     pool.submit(SMALL, small_job());
     assert_eq!(started_jobs(&mut pool), [SMALL]);
 }
+
+#[test]
+fn steps_at_their_limits_on_each_worker_do_not_keep_other_steps_from_starting() {
+    let mut pool = Pool::new(&["one"]);
+    let limited = StepSpec {
+        tasks: 2,
+        max_per_worker: 1,
+        ..sized_step(10)
+    };
+    for id in 1..=60 {
+        pool.submit(id, job(vec![limited.clone()]));
+    }
+    while !started_jobs(&mut pool).is_empty() {}
+    pool.submit(SMALL, small_job());
+    assert_eq!(started_jobs(&mut pool), [SMALL]);
+}
