scheduler: a step keeps its turn when its rank changes

Callers could see an accepted job that never starts although a worker may run it, behind more steps that need a lookup of their own than a round can look up.

Cause: the steps that a round looked up in vain come after the others until all have had a lookup, but a step lost that mark whenever it was ranked anew: at each end of a task for all steps of its job, and for all steps of the pool as the overload changed. With such a change between the rounds, each began at the same place.

The mark now goes with the step until it leaves the ready steps.

The test fails before: with 400 workers and 150 such steps, the step behind them isn't reached in the second round.

--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -60,9 +60,10 @@
 }
 
 impl Ready {
-    /// Adds a step, or changes its rank. The rank holds until `changes_at_ms` on the store's clock.
+    /// Adds a step, or changes its rank. The rank holds until `changes_at_ms` on the store's clock. A step that is left out of
+    /// rounds stays so: otherwise, steps whose ranks change often would keep others from their turns.
     pub(crate) fn insert(&mut self, step: StepKey, rank: Rank, changes_at_ms: u64) {
-        self.remove(step);
+        self.unlink(step);
         self.ranks.insert(step, (rank, changes_at_ms));
         self.order.insert((rank, step));
         self.by_change.insert((changes_at_ms, step));
@@ -70,6 +71,10 @@
 
     pub(crate) fn remove(&mut self, step: StepKey) {
         self.deferred.remove(&step);
+        self.unlink(step);
+    }
+
+    fn unlink(&mut self, step: StepKey) {
         self.by_team.remove(step);
         if let Some((rank, changes_at_ms)) = self.ranks.remove(&step) {
             self.order.remove(&(rank, step));
--- a/crates/scheduler/tests/starvation.rs
+++ b/crates/scheduler/tests/starvation.rs
@@ -2,8 +2,12 @@
 
 mod support;
 
-use submission::{JobSpec, StepSpec};
-use support::{Pool, job, sized_step, started_jobs};
+use std::collections::HashMap;
+
+use scheduler::{PolicyRules, QueueRules};
+use smol_str::format_smolstr;
+use submission::{AttemptOutcome, JobId, JobSpec, StepSpec, TaskKey};
+use support::{Pool, job, sized_step, started_jobs, starts};
 
 /// The id of the small job that is submitted last.
 const SMALL: u64 = 1_000_000;
@@ -81,3 +85,58 @@
     pool.submit(SMALL, small_job());
     assert_eq!(started_jobs(&mut pool), [SMALL]);
 }
+
+/// Of 400 workers, 150 steps of a job are authorized for a full one, and the step behind them for another. Ends of tasks of the
+/// first step change the job between the rounds.
+#[test]
+fn a_step_with_a_worker_is_reached_behind_steps_without_one_although_their_job_changes() {
+    let names: Vec<_> = (0..400).map(|number| format!("w-{number}")).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let mut pool = Pool::new(&names);
+    let rules = QueueRules {
+        priority: 0,
+        max_failures: 2,
+        latency_objective_factor: 1.5,
+        latency_objective_base_ms: 600,
+        policy: Some(PolicyRules::default()),
+    };
+    pool.scheduler
+        .set_queue_rules(HashMap::from([("queue".into(), rules)]));
+    let filling = pool.submit(0, job(vec![sized_step(4000)]));
+    authorize(&mut pool, filling, 0, "w-0");
+    assert_eq!(started_jobs(&mut pool), [0]);
+
+    let ending = StepSpec {
+        tasks: 10,
+        ..sized_step(1)
+    };
+    let mut steps = vec![ending];
+    steps.extend(vec![sized_step(500); 151]);
+    let id = pool.submit(1, job(steps));
+    authorize(&mut pool, id, 0, "w-1");
+    for index in 10..160 {
+        authorize(&mut pool, id, index, "w-0");
+    }
+    authorize(&mut pool, id, 160, "w-2");
+    let first = starts(&pool.round());
+    assert_eq!(first.len(), 10);
+    let end = (1, pool.task_name(first[0].1), 1, AttemptOutcome::Done);
+    pool.report("w-1", &[], &[end]);
+    let second = starts(&pool.round());
+    assert!(second.contains(&(
+        pool.key("w-2"),
+        TaskKey {
+            job: id,
+            index: 160
+        },
+        1
+    )));
+}
+
+/// Authorizes a worker for the step of a task.
+fn authorize(pool: &mut Pool, job: JobId, index: u32, worker: &str) {
+    let allowed = vec![(worker.into(), format_smolstr!("token"))];
+    let now = pool.now();
+    pool.scheduler
+        .apply_policy_decision(TaskKey { job, index }, allowed, 60_000, now);
+}
