scheduler: a gang without room is found by one look at each worker

Callers could see a service task wait beside free workers, behind large gangs that don't fit.

Cause: a gang without room cost as many lookups as the pool has room for tasks of it, each among all workers, so that few gangs used up the lookups of a round, and the steps that need one of their own waited for many rounds. A few gangs of a thousand tasks also made a round long.

The room for the tasks of a gang is now summed up first, and workers are chosen one by one only if it may suffice. A gang that doesn't fit counts as one lookup.

The test fails before: the step behind 100 such gangs isn't reached in the round.

--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -59,7 +59,7 @@
             return Placement::COMPLETE;
         };
         let step = &job.spec().steps[usize::from(key.step)];
-        let (label, is_gang, tasks) = (step.required_label.clone(), step.is_gang, step.tasks);
+        let (label, is_gang) = (step.required_label.clone(), step.is_gang);
         let rooms = &mut round.rooms;
         if !rooms.may_fit(&self.workers, &label, step.footprint(), now.local_ms)
             || !self.may_be_authorized(job, key, now)
@@ -71,16 +71,15 @@
             round.has_skipped_steps = true;
             return Placement::NONE;
         }
-        let (placement, is_lookup_in_vain) = if is_gang {
+        let (placement, lookups) = if is_gang {
             self.place_gang(key, now)
         } else {
             self.place_tasks(key, now)
         };
-        if is_lookup_in_vain {
+        if lookups > 0 {
             round.summary.failed_lookups += 1;
             round.rooms.update(&label);
             if needs_own_lookup {
-                let lookups = if is_gang { tasks as usize } else { 1 };
                 round.examined_in_vain += self.workers.len() * lookups;
                 round.looked_up_in_vain.push(key);
             }
@@ -88,8 +87,8 @@
         placement
     }
 
-    /// Assigns the tasks of a step that is no gang, each by itself. Returns also whether a worker was looked for in vain.
-    fn place_tasks(&mut self, key: StepKey, now: Now) -> (Placement, bool) {
+    /// Assigns the tasks of a step that is no gang, each by itself. Returns also the number of lookups in vain.
+    fn place_tasks(&mut self, key: StepKey, now: Now) -> (Placement, usize) {
         let job = &self.jobs[&key.job];
         let team = self.teams.get(&job.team).map(|(team, _)| team);
         let needs = Usage::of(job.spec().steps[usize::from(key.step)].needs, 1);
@@ -101,13 +100,13 @@
         let mut placement = Placement::NONE;
         for index in idle {
             if !self.teams.may_use(team, needs) {
-                return (placement, false);
+                return (placement, 0);
             }
             let job = &self.jobs[&key.job];
             let step = &job.spec().steps[usize::from(key.step)];
             let crashes = crashes(job, index);
             let Some(worker) = self.choose(job, step, key, crashes, &[], now) else {
-                return (placement, true);
+                return (placement, 1);
             };
             let task = TaskKey {
                 job: key.job,
@@ -117,12 +116,12 @@
             placement.started += 1;
         }
         placement.is_complete = true;
-        (placement, false)
+        (placement, 0)
     }
 
-    /// Assigns all tasks of a gang at once, with the same attempt number, or none. Returns also whether workers were looked for
-    /// in vain.
-    fn place_gang(&mut self, key: StepKey, now: Now) -> (Placement, bool) {
+    /// Assigns all tasks of a gang at once, with the same attempt number, or none. Returns also the number of
+    /// lookups in vain, at most.
+    fn place_gang(&mut self, key: StepKey, now: Now) -> (Placement, usize) {
         let job = &self.jobs[&key.job];
         let step = &job.spec().steps[usize::from(key.step)];
         let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
@@ -130,10 +129,13 @@
         let team = self.teams.get(&job.team).map(|(team, _)| team);
         let needs = Usage::of(step.needs, step.tasks);
         if idle.count() < tasks.len() || !self.teams.may_use(team, needs) {
-            return (Placement::NONE, false);
+            return (Placement::NONE, 0);
+        }
+        if !self.may_fit_gang(step, tasks.len(), now) {
+            return (Placement::NONE, 1);
         }
         let Some(chosen) = self.gang_workers(job, key, now) else {
-            return (Placement::NONE, true);
+            return (Placement::NONE, tasks.len());
         };
         let last_attempts = tasks
             .clone()
@@ -151,13 +153,16 @@
             started: tasks.len(),
             is_complete: true,
         };
-        (placement, false)
+        (placement, 0)
     }
 
     /// The workers for all tasks of a gang; `None` when there is no room for all of them.
     pub(crate) fn gang_workers(&self, job: &Job, key: StepKey, now: Now) -> Option<Vec<WorkerKey>> {
         let step = &job.spec().steps[usize::from(key.step)];
         let tasks = job.step_tasks(key.occurrence, usize::from(key.step));
+        if !self.may_fit_gang(step, tasks.len(), now) {
+            return None;
+        }
         let members = tasks.clone().filter_map(|index| job.task(index));
         let crashes = members.map(|task| task.crashes).max().unwrap_or(0);
         let mut chosen = Vec::new();
@@ -167,6 +172,28 @@
         Some(chosen)
     }
 
+    /// Whether there may be room for all tasks of a gang, by one look at each worker.
+    fn may_fit_gang(&self, step: &StepSpec, tasks: usize, now: Now) -> bool {
+        let mut missing = tasks;
+        for worker in self.workers.values() {
+            let may_start = worker.is_usable(now.local_ms)
+                && worker.may_join()
+                && worker.has_label(&step.required_label);
+            let Some(room) = worker.room(now.local_ms).filter(|_| may_start) else {
+                continue;
+            };
+            let limit = match step.max_per_worker {
+                0 => usize::MAX,
+                limit => limit as usize,
+            };
+            missing = missing.saturating_sub(room.copies(step.footprint()).min(limit));
+            if missing == 0 {
+                return true;
+            }
+        }
+        false
+    }
+
     /// The best worker for one more task of a step, or `None` when no usable worker has enough free capacity and meets
     /// the constraints of the step. `crashes` is the number of workers that crashed under the task, and `gang_workers` are the
     /// workers already chosen for other tasks of the gang.
--- a/crates/scheduler/src/rooms.rs
+++ b/crates/scheduler/src/rooms.rs
@@ -21,6 +21,19 @@
         footprint.fits(self.free) && !self.refused.is_some_and(|size| size.fits(footprint))
     }
 
+    /// The number of tasks of this size for which there is room at most; `usize::MAX` for tasks that need nothing.
+    pub(crate) fn copies(&self, footprint: Resources) -> usize {
+        let amounts = [
+            (self.free.cpu_milli, footprint.cpu_milli),
+            (self.free.memory_mb, footprint.memory_mb),
+            (self.free.gpus, footprint.gpus),
+        ];
+        let copies = amounts
+            .into_iter()
+            .filter_map(|(free, needed)| free.checked_div(needed));
+        copies.min().map_or(usize::MAX, |copies| copies as usize)
+    }
+
     /// Whether everything that fits `other` fits too.
     fn covers(&self, other: &Self) -> bool {
         let refuses_no_more = self
--- a/crates/scheduler/tests/starvation.rs
+++ b/crates/scheduler/tests/starvation.rs
@@ -86,6 +86,28 @@
     assert_eq!(started_jobs(&mut pool), [SMALL]);
 }
 
+#[test]
+fn large_gangs_without_room_do_not_keep_a_limited_step_from_starting() {
+    let names: Vec<_> = (0..30).map(|number| format!("w-{number}")).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let mut pool = Pool::new(&names);
+    for id in 1..=100 {
+        let mut gang = StepSpec {
+            tasks: 1400,
+            is_gang: true,
+            ..sized_step(1000)
+        };
+        gang.needs.memory_mb += u32::try_from(id).unwrap();
+        pool.submit(id, job(vec![gang]));
+    }
+    let limited = StepSpec {
+        max_per_worker: 1,
+        ..sized_step(500)
+    };
+    pool.submit(SMALL, job(vec![limited]));
+    assert_eq!(started_jobs(&mut pool), [SMALL]);
+}
+
 /// Of 400 workers, 150 steps of a job are authorized for a full one, and the step behind them for another. Ends of tasks of the
 /// first step change the job between the rounds.
 #[test]
