scheduler: the policy service is also asked about the steps that have waited longest

Callers could see an accepted job of a queue with a policy that never starts beside the worker that its policy allows.

Cause: at most 64 steps were examined at a time, and requests were sent for 4 of them, always from the first in rank. Steps in front that are due again and again (authorized for workers that are full when the authorizations come, until these expire) took all requests and all examinations, and the steps behind them were never asked about.

Half of the examined steps and of the requests now go to the steps that have waited longest since the service was asked about them or that was found needless, the other half to the first in rank as before. With four due steps at most, nothing changes.

The test fails before: with 100 such steps, the one behind them isn't asked about in 100 rounds of requests.

--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -17,7 +17,10 @@
 use crate::worker::{Worker, WorkerKey};
 
 /// The largest number of new requests at a time. The service handles one call of each daemon at a time.
-const MAX_REQUESTS: usize = 4;
+const REQUESTS: Share = Share {
+    by_rank: 2,
+    by_wait: 2,
+};
 
 /// The largest number of workers in a request. Each takes the service time, and a step rarely needs more.
 const MAX_WORKERS_PER_REQUEST: usize = 30;
@@ -33,8 +36,30 @@
 const RECHECK_DELAY_MS: u64 = 200;
 
 /// The largest number of steps that are examined at a time, of those that every worker was refused for and of the others. Bounds
-/// the work under overload; with [`RECHECK_DELAY_MS`], the steps behind them follow.
-const MAX_EXAMINED_STEPS: usize = 64;
+/// the work under overload.
+const EXAMINED_STEPS: Share = Share {
+    by_rank: 32,
+    by_wait: 32,
+};
+
+/// How many steps are selected at a time: the first by rank, and of the others those that have waited longest, so that steps
+/// that are due again and again don't keep those behind them waiting for good.
+#[derive(Debug, Clone, Copy)]
+struct Share {
+    by_rank: usize,
+    by_wait: usize,
+}
+
+impl Share {
+    /// Selects from steps in the order of their rank, with how long each has waited.
+    fn select<T>(self, mut steps: Vec<T>, waited_ms: impl Fn(&T) -> u64) -> Vec<T> {
+        let mut others = steps.split_off(self.by_rank.min(steps.len()));
+        others.sort_by_key(|step| Reverse(waited_ms(step)));
+        others.truncate(self.by_wait);
+        steps.append(&mut others);
+        steps
+    }
+}
 
 /// The decisions of the policy service, by step.
 pub(crate) type PolicyDecisions = BTreeMap<StepKey, PolicyDecision>;
@@ -55,6 +80,8 @@
     authorized_until_ms: u64,
     /// The step is not examined before.
     not_before_ms: u64,
+    /// When a request was last sent for the step, or found to be needless; 0 before.
+    settled_at_ms: u64,
 }
 
 /// The decision on one worker, for the incarnation that was named.
@@ -105,6 +132,7 @@
         self.named = workers;
         self.has_unnamed = has_unnamed;
         self.not_before_ms = now_ms + REQUEST_RETRY_DELAY_MS;
+        self.settled_at_ms = now_ms;
     }
 
     /// Records the response to the last request.
@@ -149,6 +177,8 @@
 /// The workers that a request for a step would name.
 struct Candidates {
     key: StepKey,
+    /// How long the step has waited for a request.
+    waited_ms: u64,
     task: TaskKey,
     /// Those without a decision, in the order in which they are to be named.
     workers: Vec<WorkerKey>,
@@ -238,7 +268,8 @@
     }
 
     /// Returns the requests to send to the policy service now, and records them as sent. There are none for teams at their
-    /// limits. Steps that every worker was refused for come last.
+    /// limits. They are for the steps that come first in rank, those that every worker was refused for last, and for those that have
+    /// waited longest.
     pub fn policy_requests(&mut self, now: Now) -> Vec<PolicyRequest> {
         let usable = self.workers.iter();
         let mut usable: Vec<_> = usable
@@ -248,13 +279,8 @@
         if usable.is_empty() {
             return Vec::new();
         }
-        let mut due = Vec::new();
-        let mut not_due = Vec::new();
-        let mut examined = [0; 2];
+        let mut unsettled = [Vec::new(), Vec::new()];
         for (_, key) in self.ready.ranked() {
-            if examined == [MAX_EXAMINED_STEPS; 2] {
-                break;
-            }
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
@@ -268,21 +294,30 @@
                 continue;
             }
             let is_refused = decision.is_some_and(|decision| decision.is_refused);
-            let examined = &mut examined[usize::from(is_refused)];
-            if *examined == MAX_EXAMINED_STEPS {
-                continue;
-            }
-            *examined += 1;
-            match self.policy_candidates(job, key, &usable, now) {
+            let settled_at_ms = decision.map_or(0, |decision| decision.settled_at_ms);
+            let waited_ms = if settled_at_ms == 0 {
+                now.store_ms.saturating_sub(job.accepted_at_ms)
+            } else {
+                now.local_ms.saturating_sub(settled_at_ms)
+            };
+            unsettled[usize::from(is_refused)].push((key, waited_ms));
+        }
+        let mut due = Vec::new();
+        let mut needless = Vec::new();
+        let examined = unsettled.map(|steps| EXAMINED_STEPS.select(steps, |(_, waited)| *waited));
+        for (key, waited_ms) in examined.into_iter().flatten() {
+            let job = &self.jobs[&key.job];
+            match self.policy_candidates(job, key, waited_ms, &usable, now) {
                 Some(candidates) => due.push(candidates),
-                None => not_due.push(key),
+                None => needless.push(key),
             }
         }
         due.sort_by_key(|candidates| candidates.new_workers == 0 && !candidates.has_authorized);
-        due.truncate(MAX_REQUESTS);
-        for key in not_due {
+        let due = REQUESTS.select(due, |candidates| candidates.waited_ms);
+        for key in needless {
             let decision = self.policy_decisions.entry(key).or_default();
             decision.not_before_ms = now.local_ms + RECHECK_DELAY_MS;
+            decision.settled_at_ms = now.local_ms;
         }
         due.into_iter()
             .map(|candidates| self.policy_request(candidates, now))
@@ -295,6 +330,7 @@
         &self,
         job: &Job,
         key: StepKey,
+        waited_ms: u64,
         usable: &[(WorkerKey, &Worker)],
         now: Now,
     ) -> Option<Candidates> {
@@ -340,6 +376,7 @@
             .filter(|((_, named_at_ms, _), _)| *named_at_ms == 0);
         Some(Candidates {
             key,
+            waited_ms,
             task: TaskKey {
                 job: key.job,
                 index: job.step_tasks(key.occurrence, usize::from(key.step)).start,
--- a/crates/scheduler/tests/policy.rs
+++ b/crates/scheduler/tests/policy.rs
@@ -253,6 +253,42 @@
     assert_eq!(requests[0].task.job, new);
 }
 
+/// Guards against: the service is asked again and again about the first steps, whose workers are full when their authorizations
+/// come and expire, and never about the step behind them.
+#[test]
+fn a_step_is_asked_about_behind_steps_whose_authorizations_expire_before_they_can_start() {
+    let mut pool = pool();
+    // All are on time, so that the older ones rank first.
+    set_rules(&mut pool, 600_000);
+    pool.submit(0, job(vec![step(4)]));
+    let (started, _) = serve(&mut pool, |id| id == "one", 60);
+    assert_eq!(started.len(), 4);
+    for id in 1..=100 {
+        pool.submit(id, job(vec![step(1)]));
+    }
+    let last = pool.submit(101, job(vec![step(1)]));
+    for _ in 0..100 {
+        let requests = pool.scheduler.policy_requests(pool.now());
+        // The service takes 80 ms for a decision.
+        pool.advance(80 * requests.len() as u64);
+        for request in requests {
+            let worker = if request.task.job == last {
+                "two"
+            } else {
+                "one"
+            };
+            let allowed = vec![(worker.into(), "token".into())];
+            pool.scheduler
+                .apply_policy_decision(request.task, allowed, 1000, pool.now());
+        }
+        if !starts(&pool.round()).is_empty() {
+            return;
+        }
+        pool.advance(60);
+    }
+    panic!("the last step was not asked about in 100 rounds of requests");
+}
+
 /// Guards against: a step whose authorizations have expired waits until all other workers were asked about.
 #[test]
 fn workers_whose_authorization_has_expired_are_asked_about_first() {
