--- a/crates/scheduler/src/classes.rs
+++ b/crates/scheduler/src/classes.rs
@@ -12,11 +12,11 @@
 /// What the steps of a class ask of workers. If a task of one of them fits nowhere, no task of the others does.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Class {
-    required_label: SmolStr,
+    pub(crate) required_label: SmolStr,
     /// What a task needs, by which the limit of a team is checked.
     needs: Resources,
     /// What a task reserves on a worker.
-    footprint: Resources,
+    pub(crate) footprint: Resources,
     /// The number of tasks of a gang; 0 for steps that are no gangs.
     gang_tasks: u32,
 }
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -55,18 +55,29 @@
 
     /// Assigns the tasks of a step to workers, as many as fit.
     fn place_step(&mut self, key: StepKey, round: &mut Round, now: Now) -> Placement {
+        let class = self.ready.by_team.class(key);
+        let has_class = class.is_some();
+        if let Some(class) = class {
+            let (label, footprint) = (&class.required_label, class.footprint);
+            let rooms = &mut round.rooms;
+            if !rooms.may_fit(&self.workers, label, footprint, now.local_ms) {
+                return Placement::NONE;
+            }
+        }
         let Some(job) = self.jobs.get(&key.job) else {
             return Placement::COMPLETE;
         };
         let step = &job.spec().steps[usize::from(key.step)];
         let (label, is_gang) = (step.required_label.clone(), step.is_gang);
-        let rooms = &mut round.rooms;
-        if !rooms.may_fit(&self.workers, &label, step.footprint(), now.local_ms)
-            || !self.may_be_authorized(job, key, now)
-        {
-            return Placement::NONE;
+        if !has_class {
+            let rooms = &mut round.rooms;
+            if !self.may_be_authorized(job, key, now)
+                || !rooms.may_fit(&self.workers, &label, step.footprint(), now.local_ms)
+            {
+                return Placement::NONE;
+            }
         }
-        let needs_own_lookup = is_gang || !self.ready.by_team.has_class(key);
+        let needs_own_lookup = is_gang || !has_class;
         if needs_own_lookup && round.examined_in_vain >= MAX_WORKERS_EXAMINED_IN_VAIN {
             round.has_skipped_steps = true;
             return Placement::NONE;
--- a/crates/scheduler/src/rooms.rs
+++ b/crates/scheduler/src/rooms.rs
@@ -54,7 +54,8 @@
 /// The room on the usable workers of a pool, by label. Valid for a round, in which room only shrinks.
 #[derive(Debug, Default)]
 pub(crate) struct Rooms {
-    by_label: HashMap<SmolStr, LargestRooms>,
+    of_all: Option<LargestRooms>,
+    by_label: HashMap<SmolStr, Option<LargestRooms>>,
     /// The usable workers by label; `None` while no step with a label was visited.
     workers_by_label: Option<HashMap<SmolStr, Vec<WorkerKey>>>,
     started: usize,
@@ -70,15 +71,16 @@
         footprint: Resources,
         now_ms: u64,
     ) -> bool {
-        if !self.by_label.contains_key(label) {
+        if self.known(label).is_none() {
             let rooms = self.largest(workers, label, now_ms);
-            let largest = LargestRooms {
+            let started_before = self.started;
+            *self.known(label) = Some(LargestRooms {
                 rooms,
-                started_before: self.started,
-            };
-            self.by_label.insert(label.clone(), largest);
+                started_before,
+            });
         }
-        let mut rooms = self.by_label[label].rooms.iter();
+        let largest = self.known(label).as_ref();
+        let mut rooms = largest.into_iter().flat_map(|largest| &largest.rooms);
         rooms.any(|room| room.fits(footprint))
     }
 
@@ -89,9 +91,16 @@
 
     /// Drops what is known of the workers with a label if tasks were started since it was determined.
     pub(crate) fn update(&mut self, label: &SmolStr) {
-        let known = self.by_label.get(label);
-        if known.is_some_and(|largest| largest.started_before < self.started) {
-            self.by_label.remove(label);
+        let started = self.started;
+        let known = self.known(label);
+        known.take_if(|largest| largest.started_before < started);
+    }
+
+    fn known(&mut self, label: &SmolStr) -> &mut Option<LargestRooms> {
+        if label.is_empty() {
+            &mut self.of_all
+        } else {
+            self.by_label.entry(label.clone()).or_default()
         }
     }
 
--- a/crates/scheduler/src/team_steps.rs
+++ b/crates/scheduler/src/team_steps.rs
@@ -177,10 +177,10 @@
         }
     }
 
-    /// Whether a step is placed like all steps of its class. False for an unknown step.
-    pub(crate) fn has_class(&self, key: StepKey) -> bool {
-        let step = self.steps.get(&key);
-        step.is_some_and(|(_, step)| step.class.is_some())
+    /// The class of a step; `None` for an unknown step and one that no other is placed like.
+    pub(crate) fn class(&self, key: StepKey) -> Option<&Class> {
+        let (_, step) = self.steps.get(&key)?;
+        step.class.as_ref()
     }
 
     /// What the ready steps of a team need.
