--- a/crates/scheduler/benches/round.rs
+++ b/crates/scheduler/benches/round.rs
@@ -1,7 +1,7 @@
 //! Measures one round of a pool's scheduler: placement, and the batch of rows to write.
 //!
 //! Models an overloaded pool: all workers are full, most jobs wait, and each round follows the end of one task. In pools
-//! with teams, half of them are at their limits.
+//! with teams, half of them are at their limits. In pools with many sizes, no two jobs ask for the same.
 
 #![allow(missing_docs, reason = "the macro's group has none")]
 
@@ -26,8 +26,26 @@
 /// The number of teams in pools with teams.
 const TEAMS: u64 = 110;
 
+/// What the jobs of a pool have in common.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Jobs {
+    Alike,
+    OfTeams,
+    OfManySizes,
+}
+
+impl Jobs {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Alike => "",
+            Self::OfTeams => ", teams",
+            Self::OfManySizes => ", many sizes",
+        }
+    }
+}
+
 /// A pool with this many workers, all full, and this many tasks, most of which wait.
-fn full_pool(workers: usize, tasks: usize, has_teams: bool) -> Scheduler {
+fn full_pool(workers: usize, tasks: usize, kind: Jobs) -> Scheduler {
     let mut scheduler = Scheduler::new(Limits {
         max_lease_ms: 10_000,
         lease_ms: 5000,
@@ -60,12 +78,12 @@
     for key in scheduler.worker_keys() {
         scheduler.apply_report(key, report(Vec::new()), NOW);
     }
-    let spec = Arc::new(JobSpec {
+    let spec = |cpu_milli| JobSpec {
         payload: "payload".into(),
         steps: vec![StepSpec {
             tasks: TASKS_PER_JOB,
             needs: Resources {
-                cpu_milli: 3100,
+                cpu_milli,
                 memory_mb: 3200,
                 gpus: 0,
             },
@@ -73,9 +91,9 @@
             ..StepSpec::default()
         }],
         ..JobSpec::default()
-    });
+    };
     let team = |number: u64| format_smolstr!("team-{number}");
-    if has_teams {
+    if kind == Jobs::OfTeams {
         // Three tasks.
         let limit = Resources {
             cpu_milli: u32::MAX,
@@ -88,12 +106,16 @@
     }
     let jobs = u64::try_from(tasks).unwrap_or(u64::MAX) / u64::from(TASKS_PER_JOB);
     for job in 0..jobs {
-        let team = if has_teams {
-            team(job % TEAMS)
-        } else {
-            "".into()
+        let team = match kind {
+            Jobs::OfTeams => team(job % TEAMS),
+            Jobs::Alike | Jobs::OfManySizes => "".into(),
+        };
+        let less_milli = match kind {
+            Jobs::OfManySizes => u32::try_from(job).unwrap_or(u32::MAX),
+            Jobs::Alike | Jobs::OfTeams => 0,
         };
-        scheduler.submit_for_team(JobId(job), "queue".into(), team, spec.clone(), NOW);
+        let spec = Arc::new(spec(3100_u32.saturating_sub(less_milli)));
+        scheduler.submit_for_team(JobId(job), "queue".into(), team, spec, NOW);
     }
     loop {
         scheduler.plan(NOW);
@@ -136,11 +158,12 @@
     let mut group = criterion.benchmark_group("round");
     group.sample_size(20);
     let sizes = [(50, 1000), (350, 5000), (1500, 20_000)];
-    let sizes = [false, true].map(|has_teams| sizes.map(|size| (size, has_teams)));
-    for ((workers, tasks), has_teams) in sizes.into_iter().flatten() {
-        let full = full_pool(workers, tasks, has_teams);
-        let teams = if has_teams { ", teams" } else { "" };
-        let name = BenchmarkId::from_parameter(format!("{workers} workers, {tasks} tasks{teams}"));
+    let kinds = [Jobs::Alike, Jobs::OfTeams, Jobs::OfManySizes];
+    let pools = kinds.map(|kind| sizes.map(|size| (size, kind)));
+    for ((workers, tasks), kind) in pools.into_iter().flatten() {
+        let full = full_pool(workers, tasks, kind);
+        let label = kind.label();
+        let name = BenchmarkId::from_parameter(format!("{workers} workers, {tasks} tasks{label}"));
         let prepare = || {
             let mut scheduler = full.clone();
             report_one_end(&mut scheduler);
