--- a/crates/scheduler/tests/starvation.rs
+++ b/crates/scheduler/tests/starvation.rs
@@ -24,6 +24,7 @@
     job(vec![sized_step(500)])
 }
 
+/// Guards against: a round ends after 500 steps, and begins with the same ones again.
 #[test]
 fn equal_steps_without_room_do_not_keep_smaller_steps_from_starting_however_many_they_are() {
     let mut pool = nearly_full_pool();
@@ -34,6 +35,7 @@
     assert_eq!(started_jobs(&mut pool), [SMALL]);
 }
 
+/// Guards against: steps of one kind are visited one by one, and a round ends before it comes to the others.
 #[test]
 fn equal_steps_without_a_worker_do_not_keep_others_from_starting_however_many_they_are() {
     let mut pool = nearly_full_pool();
@@ -48,6 +50,7 @@
     assert_eq!(started_jobs(&mut pool), [SMALL]);
 }
 
+/// Guards against: a round passes over a team after 200 of its steps, and begins with the same ones again.
 #[test]
 fn steps_beyond_the_limit_of_their_team_do_not_keep_its_smaller_steps_from_starting() {
     let mut pool = Pool::new(&["one"]);
@@ -59,6 +62,7 @@
     assert_eq!(started_jobs(&mut pool), [SMALL]);
 }
 
+/// Guards against: `review/11`: each round ends after 24 steps without room, the same ones.
 #[test]
 fn steps_of_falling_sizes_without_room_do_not_keep_smaller_steps_from_starting() {
     let mut pool = nearly_full_pool();
@@ -70,6 +74,7 @@
     assert_eq!(started_jobs(&mut pool), [SMALL]);
 }
 
+/// Guards against: a round ends after 24 steps that no worker may run, although others ask for room alone.
 #[test]
 fn steps_at_their_limits_on_each_worker_do_not_keep_other_steps_from_starting() {
     let mut pool = Pool::new(&["one"]);
@@ -86,6 +91,7 @@
     assert_eq!(started_jobs(&mut pool), [SMALL]);
 }
 
+/// Guards against: a gang that doesn't fit uses up the lookups of a round.
 #[test]
 fn large_gangs_without_room_do_not_keep_a_limited_step_from_starting() {
     let names: Vec<_> = (0..30).map(|number| format!("w-{number}")).collect();
@@ -108,6 +114,8 @@
     assert_eq!(started_jobs(&mut pool), [SMALL]);
 }
 
+/// Guards against: steps that were looked up in vain come first again as soon as their job changes.
+///
 /// Of 400 workers, 150 steps of a job are authorized for a full one, and the step behind them for another. Ends of tasks of the
 /// first step change the job between the rounds.
 #[test]
