scheduler: steps that every worker was refused for take no request from others

Cause: since half of the requests to the policy service go to the steps that have waited longest, a crowd of steps that every worker was refused for took up to half of them; these have waited longest whenever their refusals expire.

They come last again in both halves. Among themselves, those that have waited longest come first in the second half.

The test fails before: of four requests, two are for such steps although four others are due.

--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -51,10 +51,10 @@
 }
 
 impl Share {
-    /// Selects from steps in the order of their rank, with how long each has waited.
-    fn select<T>(self, mut steps: Vec<T>, waited_ms: impl Fn(&T) -> u64) -> Vec<T> {
+    /// Selects from steps in the order of their rank. `wait` is the order of the others, the lowest first.
+    fn select<T, K: Ord>(self, mut steps: Vec<T>, wait: impl Fn(&T) -> K) -> Vec<T> {
         let mut others = steps.split_off(self.by_rank.min(steps.len()));
-        others.sort_by_key(|step| Reverse(waited_ms(step)));
+        others.sort_by_key(wait);
         others.truncate(self.by_wait);
         steps.append(&mut others);
         steps
@@ -268,8 +268,8 @@
     }
 
     /// Returns the requests to send to the policy service now, and records them as sent. There are none for teams at their
-    /// limits. They are for the steps that come first in rank, those that every worker was refused for last, and for those that have
-    /// waited longest.
+    /// limits. They are for the steps that come first in rank and for those that have waited longest. Steps that every worker was
+    /// refused for come last.
     pub fn policy_requests(&mut self, now: Now) -> Vec<PolicyRequest> {
         let usable = self.workers.iter();
         let mut usable: Vec<_> = usable
@@ -304,7 +304,8 @@
         }
         let mut due = Vec::new();
         let mut needless = Vec::new();
-        let examined = unsettled.map(|steps| EXAMINED_STEPS.select(steps, |(_, waited)| *waited));
+        let examined = unsettled
+            .map(|steps| EXAMINED_STEPS.select(steps, |(_, waited_ms)| Reverse(*waited_ms)));
         for (key, waited_ms) in examined.into_iter().flatten() {
             let job = &self.jobs[&key.job];
             match self.policy_candidates(job, key, waited_ms, &usable, now) {
@@ -312,8 +313,12 @@
                 None => needless.push(key),
             }
         }
-        due.sort_by_key(|candidates| candidates.new_workers == 0 && !candidates.has_authorized);
-        let due = REQUESTS.select(due, |candidates| candidates.waited_ms);
+        let is_refused =
+            |candidates: &Candidates| candidates.new_workers == 0 && !candidates.has_authorized;
+        due.sort_by_key(is_refused);
+        let due = REQUESTS.select(due, |candidates| {
+            (is_refused(candidates), Reverse(candidates.waited_ms))
+        });
         for key in needless {
             let decision = self.policy_decisions.entry(key).or_default();
             decision.not_before_ms = now.local_ms + RECHECK_DELAY_MS;
--- a/crates/scheduler/src/rooms.rs
+++ b/crates/scheduler/src/rooms.rs
@@ -56,7 +56,7 @@
 pub(crate) struct Rooms {
     of_all: Option<LargestRooms>,
     by_label: HashMap<SmolStr, Option<LargestRooms>>,
-    /// The usable workers by label; `None` while no step with a label was visited.
+    /// The workers by label; `None` while no step with a label was visited.
     workers_by_label: Option<HashMap<SmolStr, Vec<WorkerKey>>>,
     started: usize,
 }
--- a/crates/scheduler/tests/policy.rs
+++ b/crates/scheduler/tests/policy.rs
@@ -253,6 +253,26 @@
     assert_eq!(requests[0].task.job, new);
 }
 
+/// Guards against: half of the requests go to the steps that have waited longest, and these are steps without hope.
+#[test]
+fn steps_that_every_worker_was_refused_for_take_no_request_from_others() {
+    let mut pool = pool();
+    // All are on time, so that the older ones rank first.
+    set_rules(&mut pool, 600_000);
+    for id in 1..=20 {
+        pool.submit(id, job(vec![step(1)]));
+    }
+    serve(&mut pool, |_| false, 1000);
+    pool.advance(20_000);
+    for id in 21..=24 {
+        pool.submit(id, job(vec![step(1)]));
+    }
+    let requests = pool.scheduler.policy_requests(pool.now());
+    let mut jobs: Vec<_> = requests.iter().map(|request| request.task.job.0).collect();
+    jobs.sort_unstable();
+    assert_eq!(jobs, [21, 22, 23, 24]);
+}
+
 /// Guards against: the service is asked again and again about the first steps, whose workers are full when their authorizations
 /// come and expire, and never about the step behind them.
 #[test]
