--- a/crates/scheduler/src/visits.rs
+++ b/crates/scheduler/src/visits.rs
@@ -3,11 +3,11 @@
 //! A round visits the first step of each class and goes on with the next one when that was placed completely. So steps that
 //! don't fit cost a visit for each class, however many they are, and keep no others from being visited.
 //!
-//! In a pool with weights, within one prospect, service steps come before batch steps. Among each of them, the steps of teams below their weighted
-//! share of the pool come first, with those of jobs without a team, then the steps of teams above their share, and then
-//! those of jobs beyond what a team's weight entitles to. The shares are those of weighted dominant
-//! resource fairness (Ghodsi et al., "Dominant Resource Fairness", 2011): what no team asks for goes to the others, and no
-//! capacity stays unused. The steps of a team at its limit are passed over.
+//! In a pool with weights, within one prospect, service steps come before batch steps. Among each of them, the steps of
+//! teams below their weighted share of the pool come first, with those of jobs without a team, then the steps of teams
+//! above their share, and then those of jobs beyond what a team's weight entitles to. The shares are those of weighted
+//! dominant resource fairness (Ghodsi et al., "Dominant Resource Fairness", 2011): what no team asks for goes to the
+//! others, and no capacity stays unused. The steps of a team at its limit are passed over.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/crates/scheduler/tests/policy.rs
+++ b/crates/scheduler/tests/policy.rs
@@ -322,6 +322,37 @@
     assert_eq!(requests[0].workers[0], "w-0");
 }
 
+/// Guards against: a request names the same 30 workers again, which are full and whose authorizations expire before the step's next
+/// request, and never the one that has room.
+#[test]
+fn a_worker_with_room_is_asked_about_beside_full_ones_whose_authorizations_expire() {
+    let names = names();
+    let mut pool = large_pool(&names[..30]);
+    pool.submit(1, job(vec![step(120)]));
+    let (started, _) = serve(&mut pool, |_| true, 1000);
+    assert_eq!(started.len(), 120, "all workers are full");
+    pool.submit(2, job(vec![step(1)]));
+    for asked in 0..20 {
+        let requests = pool.scheduler.policy_requests(pool.now());
+        for request in requests {
+            let workers = request.workers.iter();
+            let allowed = workers.map(|id| (id.clone(), "token".into())).collect();
+            pool.scheduler
+                .apply_policy_decision(request.task, allowed, 100, pool.now());
+        }
+        if !starts(&pool.round()).is_empty() {
+            return;
+        }
+        pool.advance(500);
+        if asked == 0 {
+            let names: Vec<_> = names[..31].iter().map(String::as_str).collect();
+            pool.set_registry(&names);
+            pool.report("w-30", &[], &[]);
+        }
+    }
+    panic!("the worker with room was not asked about in 20 requests");
+}
+
 /// Guards against: requests without a response are repeated for the same workers.
 #[test]
 fn a_request_without_a_response_is_followed_by_one_for_other_workers() {
